--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+GOBIN := $(CURDIR)/.tools
+export GOBIN
+
+.PHONY: build test quickstart lint tools soak bench slopes
+
+build:
+	go build -o bin/ ./cmd/... ./tools/...
+
+tools: $(GOBIN)/gofumpt $(GOBIN)/revive
+
+$(GOBIN)/gofumpt:
+	go install mvdan.cc/gofumpt@v0.12.0
+
+$(GOBIN)/revive:
+	go install github.com/mgechev/revive@v1.17.0
+
+lint: tools
+	@out=$$($(GOBIN)/gofumpt -l $$(git ls-files '*.go')); test -z "$$out" || { echo "gofumpt:"; echo "$$out"; exit 1; }
+	$(GOBIN)/revive -config revive.toml -set_exit_status ./...
+	go vet ./...
+
+test: lint build
+	go test -race ./...
+
+quickstart: build
+	bin/quickstart -bin bin $(if $(KEEP),-keep)
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./internal/...
+
+soak: build
+	LEVERDYKE_SOAK=1 go test -count=1 -timeout 20m -v ./internal/integration/...
--- /dev/null
+++ b/cmd/leverdyked/main.go
@@ -0,0 +1,179 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Command leverdyked is a node of a leverdyke cell: it runs on every entry VM,
+// all alike.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/caller"
+	"github.com/leverdyke/leverdyke/internal/command"
+	"github.com/leverdyke/leverdyke/internal/entry"
+	"github.com/leverdyke/leverdyke/internal/metrics"
+	"github.com/leverdyke/leverdyke/internal/operator"
+	"github.com/leverdyke/leverdyke/internal/settings"
+)
+
+const (
+	// handOverTime bounds the hand-over, finishTime the requests in progress.
+	handOverTime = 15 * time.Second
+	leaveTime    = 3 * time.Second
+	// heapPercent makes the collector run often: memory is scarcer than time.
+	heapPercent = 50
+)
+
+func main() { command.Exit(newRoot().Execute()) }
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use: "leverdyked", Short: "A node of a leverdyke cell", Version: leverdyke.Version,
+		SilenceUsage: true, SilenceErrors: true,
+		Long:    "leverdyked runs on every entry VM. It takes callers' requests, decides what runs on which worker,\nand follows the configuration that operators publish.\n\nExit codes: 0 stopped as asked, 1 failed, 2 the settings are at fault.",
+		Example: "  leverdyked run --settings node.yaml\n  leverdyked check --settings node.yaml",
+	}
+	file := ""
+	run := &cobra.Command{
+		Use: "run", Short: "Run the node until SIGTERM or SIGINT, then hand over and stop", Args: cobra.NoArgs,
+		Example: "  leverdyked run --settings node.yaml -v=1",
+		RunE:    func(*cobra.Command, []string) error { return runNode(file) },
+	}
+	check := &cobra.Command{
+		Use: "check", Short: "Check a settings file and start nothing", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := settings.Load(file); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), file+": ok")
+			return err
+		},
+	}
+	version := &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "leverdyked", leverdyke.Version) },
+	}
+	for _, c := range []*cobra.Command{run, check} {
+		c.Flags().StringVarP(&file, "settings", "s", "leverdyked.yaml", "the settings file")
+	}
+	logFlags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(logFlags)
+	run.Flags().AddGoFlagSet(logFlags)
+	root.AddCommand(run, check, version)
+	return root
+}
+
+// daemon is the process: the node and its two doors.
+type daemon struct {
+	settings  *settings.Node
+	node      *entry.Node
+	handler   *caller.Handler
+	callers   *http.Server
+	operators *http.Server
+	failed    chan error
+}
+
+func runNode(file string) error {
+	s, err := settings.Load(file)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(s.MemoryLimitMiB << 20)
+	debug.SetGCPercent(heapPercent)
+	d, err := newDaemon(s)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+	case err := <-d.failed:
+		d.node.Close()
+		return err
+	}
+	d.stop()
+	klog.Flush()
+	return nil
+}
+
+func newDaemon(s *settings.Node) (*daemon, error) {
+	m, err := metrics.NewSet()
+	if err != nil {
+		return nil, err
+	}
+	n, err := entry.NewNode(s, m)
+	if err != nil {
+		return nil, err
+	}
+	d := &daemon{settings: s, node: n, failed: make(chan error, 2)}
+	d.handler = caller.NewHandler(caller.NewHandlerOptions{
+		Router: n.Router(), Keys: n, Metrics: m, IsReady: n.IsReady, MaxRequests: s.MaxRequests, MaxTimeout: s.MaxTimeout,
+	})
+	d.callers = caller.NewServer(d.handler)
+	d.operators = &http.Server{Handler: operator.NewServer(n, m.Handler()), ReadHeaderTimeout: leaveTime}
+	if err := registerGauges(m, n); err != nil {
+		n.Close()
+		return nil, err
+	}
+	for _, door := range []struct {
+		server *http.Server
+		addr   netip.AddrPort
+	}{{d.callers, s.CallersAddr}, {d.operators, s.OperatorsAddr}} {
+		l, err := net.Listen("tcp", door.addr.String())
+		if err != nil {
+			n.Close()
+			return nil, fmt.Errorf("leverdyked: %w", err)
+		}
+		go d.runDoor(door.server, l)
+	}
+	return d, nil
+}
+
+func (d *daemon) runDoor(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		d.failed <- fmt.Errorf("leverdyked: %w", err)
+	}
+}
+
+// stop is the planned stop: not ready, hand over, finish what is in progress,
+// leave. Nothing in progress is cut off.
+func (d *daemon) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTime)
+	defer cancel()
+	d.node.Drain(ctx)
+	time.Sleep(d.settings.DrainWait)
+	finish, cancelFinish := context.WithTimeout(context.Background(), d.settings.MaxTimeout)
+	defer cancelFinish()
+	_ = d.callers.Shutdown(finish)
+	leave, cancelLeave := context.WithTimeout(context.Background(), leaveTime)
+	defer cancelLeave()
+	d.node.Leave(leave)
+	_ = d.operators.Close()
+	d.node.Close()
+}
+
+func registerGauges(m *metrics.Set, n *entry.Node) error {
+	if err := m.Gauge("leverdyke.packing", "resource", n.Packing); err != nil {
+		return err
+	}
+	if err := m.Gauge("leverdyke.load", "what", n.Load); err != nil {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,145 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package cli is the command line of the operators' client.
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/command"
+	"github.com/leverdyke/leverdyke/internal/operator"
+)
+
+const (
+	nodesVariable  = "LEVERDYKE_NODES"
+	defaultTimeout = 15 * time.Second
+	maxFileBytes   = 1 << 20
+)
+
+// app is what all commands share.
+type app struct {
+	nodes   []string
+	output  string
+	timeout time.Duration
+	isQuiet bool
+	root    *cobra.Command
+}
+
+// NewRoot returns the whole command line.
+func NewRoot() *cobra.Command {
+	a := &app{}
+	a.root = &cobra.Command{
+		Use: "leverdyke", Short: "Drive a leverdyke cell", Version: leverdyke.Version,
+		SilenceUsage: true, SilenceErrors: true,
+		Long: `leverdyke submits jobs, publishes templates and configuration, drains workers
+and shows what the cell does. It asks the nodes one after the other until one
+answers; changes may safely be sent again.
+
+Exit codes: 0 done, 1 failed and nothing changed, 2 the arguments or a file are
+at fault, 3 another operator changed the document first, 4 the change may have
+taken effect: look, or send it again.`,
+		Example: `  export ` + nodesVariable + `=10.0.0.7:7103,10.0.0.8:7103
+  leverdyke job submit job.yaml
+  leverdyke job explain 0192f0c1-...
+  leverdyke config publish team/filings team.yaml --base 3`,
+	}
+	f := a.root.PersistentFlags()
+	f.StringSliceVarP(&a.nodes, "nodes", "n", nil, "operators' addresses of some nodes (also "+nodesVariable+")")
+	f.StringVarP(&a.output, "output", "o", string(command.FormTable), "the form of results: table, json, yaml")
+	f.DurationVar(&a.timeout, "timeout", defaultTimeout, "how long one node may take")
+	f.BoolVarP(&a.isQuiet, "quiet", "q", false, "show no progress")
+	a.root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &command.UsageError{Text: err.Error()} })
+	a.root.AddCommand(a.newJob(), a.newTemplate(), a.newConfig(), a.newWorker(), a.newNode(), a.newCheck(), newVersion())
+	return a.root
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "leverdyke", leverdyke.Version) },
+	}
+}
+
+// args is cobra's check of the number of arguments, as a usage error.
+func args(check cobra.PositionalArgs) cobra.PositionalArgs {
+	return func(cmd *cobra.Command, list []string) error {
+		if err := check(cmd, list); err != nil {
+			return &command.UsageError{Text: cmd.CommandPath() + ": " + err.Error()}
+		}
+		return nil
+	}
+}
+
+func (a *app) client(cmd *cobra.Command) (*operator.Client, error) {
+	nodes := a.nodes
+	if len(nodes) == 0 && os.Getenv(nodesVariable) != "" {
+		nodes = strings.Split(os.Getenv(nodesVariable), ",")
+	}
+	if len(nodes) == 0 {
+		return nil, &command.UsageError{Text: "--nodes: is missing (allowed: IP numbers and ports of nodes' operators' doors, or " + nodesVariable + ")"}
+	}
+	for _, n := range nodes {
+		if _, err := netip.ParseAddrPort(n); err != nil {
+			return nil, &command.UsageError{Text: fmt.Sprintf("--nodes: %q is no address (allowed: an IP number and a port)", n)}
+		}
+	}
+	progress := func(text string) { fmt.Fprintln(cmd.ErrOrStderr(), "…", text) }
+	if a.isQuiet {
+		progress = nil
+	}
+	return operator.NewClient(nodes, a.timeout, progress), nil
+}
+
+func (a *app) print(cmd *cobra.Command, v any, t command.Table) error {
+	return command.Print(cmd.OutOrStdout(), command.Form(a.output), v, t)
+}
+
+// run is the frame of a command that talks to the cell.
+func (a *app) run(f func(ctx context.Context, c *operator.Client, cmd *cobra.Command, list []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, list []string) error {
+		c, err := a.client(cmd)
+		if err != nil {
+			return err
+		}
+		ctx := cmd.Context()
+		if ctx == nil {
+			ctx = context.Background()
+		}
+		return f(ctx, c, cmd, list)
+	}
+}
+
+// readFile reads a file, or standard input for "-".
+func readFile(cmd *cobra.Command, path string) (string, error) {
+	in := cmd.InOrStdin()
+	if path != "-" {
+		f, err := os.Open(path)
+		if err != nil {
+			return "", &command.UsageError{Text: err.Error()}
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	data, err := io.ReadAll(io.LimitReader(in, maxFileBytes))
+	if err != nil {
+		return "", &command.UsageError{Text: path + ": " + err.Error()}
+	}
+	return string(data), nil
+}
+
+func author() string {
+	if u := os.Getenv("USER"); u != "" {
+		return u
+	}
+	return "operator"
+}
--- /dev/null
+++ b/internal/clock/service.go
@@ -0,0 +1,110 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package clock is the timer service: the one place that reads the time.
+package clock
+
+import (
+	"sync"
+	"time"
+)
+
+// Service tells the time and wakes its subscribers. Implementations are safe
+// for concurrent use.
+type Service interface {
+	// Now returns the time with its monotonic reading; only differences count.
+	Now() time.Time
+	// Subscribe returns a channel that receives a tick about every period,
+	// which must be positive, and a function that ends the subscription. A
+	// subscriber that is late misses ticks; it never finds two waiting.
+	Subscribe(period time.Duration) (<-chan time.Time, func())
+	// After returns a channel that receives once when d has passed.
+	After(d time.Duration) <-chan time.Time
+}
+
+// Real is the machine's clock. Its zero value works.
+type Real struct{}
+
+// Now returns the current time.
+func (Real) Now() time.Time { return time.Now() }
+
+// Subscribe returns a ticker's channel and its stop function.
+func (Real) Subscribe(period time.Duration) (<-chan time.Time, func()) {
+	t := time.NewTicker(period)
+	return t.C, t.Stop
+}
+
+// After returns a timer's channel.
+func (Real) After(d time.Duration) <-chan time.Time { return time.After(d) }
+
+// Fake is a clock that moves only when it is told to.
+type Fake struct {
+	mu   sync.Mutex
+	now  time.Time
+	subs map[int]*fakeSub
+	next int
+}
+
+type fakeSub struct {
+	due    time.Time
+	period time.Duration
+	ch     chan time.Time
+}
+
+// NewFake returns a fake clock at an arbitrary fixed time.
+func NewFake() *Fake {
+	return &Fake{now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), subs: map[int]*fakeSub{}}
+}
+
+// Now returns the fake time.
+func (f *Fake) Now() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+// Subscribe returns a channel that Advance feeds.
+func (f *Fake) Subscribe(period time.Duration) (<-chan time.Time, func()) {
+	return f.add(period, period)
+}
+
+// After returns a channel that Advance feeds once.
+func (f *Fake) After(d time.Duration) <-chan time.Time {
+	ch, _ := f.add(d, 0)
+	return ch
+}
+
+// Advance moves the time forward by d and feeds the channels that are due.
+func (f *Fake) Advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(d)
+	for id, s := range f.subs {
+		if s.due.After(f.now) {
+			continue
+		}
+		select {
+		case s.ch <- f.now:
+		default:
+		}
+		if s.period == 0 {
+			delete(f.subs, id)
+			continue
+		}
+		s.due = f.now.Add(s.period)
+	}
+}
+
+func (f *Fake) add(d, period time.Duration) (<-chan time.Time, func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := f.next
+	f.next++
+	s := &fakeSub{due: f.now.Add(d), period: period, ch: make(chan time.Time, 1)}
+	f.subs[id] = s
+	return s.ch, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.subs, id)
+	}
+}
--- /dev/null
+++ b/internal/command/exit.go
@@ -0,0 +1,79 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package command has what the command lines share: exit codes, signals and
+// the forms in which results are printed.
+package command
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/document"
+	"github.com/leverdyke/leverdyke/internal/operator"
+)
+
+// The exit codes of all programs.
+const (
+	ExitOK = 0
+	// ExitFailed means that the command failed and nothing was changed.
+	ExitFailed = 1
+	// ExitInvalid means that the arguments or a file are at fault.
+	ExitInvalid = 2
+	// ExitConflict means that another operator changed the document first.
+	ExitConflict = 3
+	// ExitUnknown means that the change may have taken effect.
+	ExitUnknown = 4
+	// ExitViolated means that something that must always hold did not.
+	ExitViolated = 5
+)
+
+// Exit prints an error and ends the process with the code that it calls for.
+func Exit(err error) {
+	if err == nil {
+		os.Exit(ExitOK)
+	}
+	fmt.Fprintln(os.Stderr, "error:", err)
+	os.Exit(CodeOf(err))
+}
+
+// CodeOf returns the exit code that an error calls for.
+func CodeOf(err error) int {
+	field := &document.FieldError{}
+	refused := &operator.ProblemError{}
+	verdict := &leverdyke.Error{}
+	usage := &UsageError{}
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &field), errors.As(err, &usage):
+		return ExitInvalid
+	case errors.As(err, &refused):
+		return codeOfProblem(refused)
+	case errors.As(err, &verdict) && verdict.Verdict == leverdyke.VerdictMayHaveRun:
+		return ExitUnknown
+	}
+	return ExitFailed
+}
+
+func codeOfProblem(p *operator.ProblemError) int {
+	switch {
+	case p.IsInvalid:
+		return ExitInvalid
+	case p.IsConflict:
+		return ExitConflict
+	case p.Verdict == leverdyke.VerdictMayHaveRun:
+		return ExitUnknown
+	}
+	return ExitFailed
+}
+
+// UsageError means that the command line is at fault.
+type UsageError struct {
+	Text string
+}
+
+// Error returns the text of the error.
+func (e *UsageError) Error() string { return e.Text }
--- /dev/null
+++ b/internal/document/keys.go
@@ -0,0 +1,38 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package document
+
+import (
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// keysOf lists the keys of a struct and of the structs in it, as an error shows
+// them.
+func keysOf(out any) string {
+	keys := []string{}
+	collect(reflect.TypeOf(out), &keys, 0)
+	slices.Sort(keys)
+	return strings.Join(slices.Compact(keys), ", ")
+}
+
+const maxDepth = 4
+
+func collect(t reflect.Type, keys *[]string, depth int) {
+	for t.Kind() == reflect.Pointer || t.Kind() == reflect.Slice || t.Kind() == reflect.Map {
+		t = t.Elem()
+	}
+	if t.Kind() != reflect.Struct || depth > maxDepth {
+		return
+	}
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ",")
+		if name == "" || name == "-" {
+			continue
+		}
+		*keys = append(*keys, name)
+		collect(t.Field(i).Type, keys, depth+1)
+	}
+}
--- /dev/null
+++ b/internal/entry/fold.go
@@ -0,0 +1,267 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/front"
+	"github.com/leverdyke/leverdyke/internal/journal"
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/ownership"
+	"github.com/leverdyke/leverdyke/internal/state"
+)
+
+// maxTailBytes bounds the batches that are kept for peers who lag behind.
+const maxTailBytes = 256 << 10
+
+// tailed is what the log's reader found.
+type tailed struct {
+	journal.Tailed
+}
+
+func (e tailed) apply(c *core) {
+	now := c.now()
+	if e.Err != nil {
+		if c.readFailingSince.IsZero() {
+			c.readFailingSince = now
+			events.Log(events.LogOut, "err", e.Err.Error())
+		}
+		return
+	}
+	if !c.readFailingSince.IsZero() {
+		events.Log(events.LogBack, "after", now.Sub(c.readFailingSince).Round(time.Millisecond))
+		c.readFailingSince = time.Time{}
+	}
+	if e.State != nil && e.State.Applied > c.state.Applied {
+		events.Log(events.SnapshotRead, "offset", e.State.Applied)
+		c.replaceState(e.State)
+	}
+	for i := range e.Entries {
+		c.fold(e.Entries[i].Offset, e.Entries[i].Data)
+	}
+	if e.IsCaughtUp && e.SentAt.After(c.caughtUpAt) {
+		c.caughtUpAt = e.SentAt
+	}
+	c.folded()
+}
+
+// fold takes one batch of the log. An offset that was folded before, because a
+// peer sent it first, changes nothing.
+func (c *core) fold(offset int64, data []byte) {
+	if offset <= c.state.Applied {
+		return
+	}
+	c.keepTail(offset, data)
+	b, err := state.DecodeBatch(data)
+	if err != nil {
+		events.Log(events.BadRecord, "offset", offset, "err", err.Error())
+		c.state.Skip(offset)
+		return
+	}
+	out := c.state.Apply(offset, b)
+	isOwn := b.Node == c.node.owner.Node && b.Incarnation == c.node.owner.Incarnation
+	if out.Err == nil {
+		for i := range b.Records {
+			c.onRecord(&b.Records[i], out.Results[i])
+		}
+	}
+	if isOwn {
+		c.node.writer.Folded(b.Seq, out)
+	}
+}
+
+func (c *core) onRecord(r *state.Record, result error) {
+	if result != nil {
+		return
+	}
+	switch {
+	case r.Join != nil:
+		c.onJoin(r.Join.Node)
+	case r.Leave != nil:
+		events.Log(events.PeerEnded, "peer", r.Leave.Node)
+		c.node.links.Disconnect(r.Leave.Node)
+		c.members.Remove(r.Leave.Node)
+	case r.Claim != nil:
+		c.reconcile(r.Claim.Shard)
+	case r.Submit != nil:
+		c.onSubmit(r.Submit.Spec.ID)
+	case r.Publish != nil:
+		c.onPublish(r.Publish.Doc)
+	case r.Cancel != nil:
+		events.Log(events.JobCancelled, "job", r.Cancel.Job)
+		c.noteEnded(r.Cancel.Job)
+	case r.Finals != nil:
+		c.noteEnded(r.Finals.Job)
+	case r.Chunk != nil:
+		c.snapshotBase = max(c.snapshotBase, r.Chunk.Base)
+	}
+}
+
+func (c *core) onJoin(id state.NodeID) {
+	m := c.state.Members[id]
+	if id == c.node.owner.Node {
+		if m.Incarnation > c.node.owner.Incarnation {
+			events.Log(events.NodeReplaced)
+		}
+		return
+	}
+	c.members.Add(c.now(), id, m.Region)
+	c.node.links.Connect(id, m.Link)
+}
+
+func (c *core) onSubmit(id string) {
+	j := c.state.Jobs[id]
+	if j == nil {
+		return
+	}
+	c.isJobsChanged = true
+	events.Log(events.JobAccepted, "job", id, "team", j.Spec.Team, "kind", j.Spec.Kind, "tasks", j.Spec.Tasks, "offset", j.Offset)
+	shard := ownership.HomeShard(j.Spec.Region, j.Spec.Team)
+	if h := c.homes[shard]; h != nil {
+		h.AddJob(c.now(), id, j, j.Offset > c.state.Shards[shard].Offset)
+	}
+}
+
+func (c *core) onPublish(doc string) {
+	d := c.state.Docs[doc]
+	if err := c.policies.Put(doc, d.Body); err != nil {
+		events.Log(events.ConfigBad, "doc", doc, "version", d.Version, "err", err.Error())
+		return
+	}
+	events.Log(events.ConfigInForce, "doc", doc, "version", d.Version, "offset", d.Offset)
+	for _, o := range c.racks {
+		o.rack.SetDrained(c.isDrained)
+	}
+}
+
+// folded brings the parts up to date after a page of the log.
+func (c *core) folded() {
+	if !c.isJobsChanged {
+		return
+	}
+	c.isJobsChanged = false
+	c.dropEndedJobs()
+	c.listServices()
+}
+
+func (c *core) noteEnded(job string) {
+	if j := c.state.Jobs[job]; j != nil && j.IsEnded {
+		c.ended = append(c.ended, job)
+		c.isJobsChanged = true
+	}
+}
+
+// dropEndedJobs tells the homes which of their jobs have ended, all at once.
+func (c *core) dropEndedJobs() {
+	byHome := map[state.ShardID][]string{}
+	for _, id := range c.ended {
+		j := c.state.Jobs[id]
+		if j == nil {
+			continue
+		}
+		shard := ownership.HomeShard(j.Spec.Region, j.Spec.Team)
+		byHome[shard] = append(byHome[shard], id)
+	}
+	c.ended = nil
+	for shard, ids := range byHome {
+		if h := c.homes[shard]; h != nil {
+			h.EndJobs(ids)
+		}
+	}
+}
+
+func (c *core) listServices() {
+	infos := map[string]front.Info{}
+	for _, j := range c.state.Jobs {
+		if j.Spec.Service != "" && !j.IsEnded {
+			old := infos[j.Spec.Service]
+			infos[j.Spec.Service] = front.Info{IsOnce: old.IsOnce || j.Spec.IsRequestOnce}
+		}
+	}
+	c.node.router.SetServices(infos)
+}
+
+// replaceState goes on from a later state than the own one.
+func (c *core) replaceState(s *state.State) {
+	c.state = s
+	c.snapshotBase = max(c.snapshotBase, s.Applied)
+	c.tail, c.tailBytes = nil, 0
+	c.node.reader.SkipTo(s.Applied)
+	c.policies.Clear()
+	for _, doc := range sortedNames(s.Docs) {
+		c.onPublish(doc)
+	}
+	for id, m := range s.Members {
+		if !m.HasLeft {
+			c.onJoin(id)
+		}
+	}
+	for id := range s.Shards {
+		c.reconcile(id)
+	}
+	for id, j := range s.Jobs {
+		shard := ownership.HomeShard(j.Spec.Region, j.Spec.Team)
+		if h := c.homes[shard]; h != nil && !j.IsEnded {
+			h.AddJob(c.now(), id, j, j.Offset > s.Shards[shard].Offset)
+		}
+	}
+	c.isJobsChanged = true
+}
+
+func sortedNames[T any](m map[string]T) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (c *core) keepTail(offset int64, data []byte) {
+	c.tail = append(c.tail, node.TailEntry{Offset: offset, Data: data})
+	c.tailBytes += len(data)
+	for c.tailBytes > maxTailBytes && len(c.tail) > 1 {
+		c.tailBytes -= len(c.tail[0].Data)
+		c.tail = c.tail[1:]
+	}
+}
+
+// snapshot writes the state back into the log long before the records that it
+// is made of are dropped. The first node of the cell's list does it.
+func (c *core) snapshot(now time.Time) {
+	if c.isSnapping || !c.isJoined() || c.isDraining || c.isLogOut(now) || c.state.Applied-c.snapshotBase < c.node.settings.SnapshotEvery {
+		return
+	}
+	if !c.isFirstMember(now) {
+		return
+	}
+	records, err := c.state.Snapshot()
+	if err != nil {
+		events.Log(events.BadRecord, "err", err.Error())
+		return
+	}
+	c.isSnapping = true
+	base, left := c.state.Applied, len(records)
+	for _, r := range records {
+		c.node.writer.Put(r, func(err error) {
+			left--
+			if left == 0 {
+				c.isSnapping = false
+				events.Log(events.SnapshotTaken, "offset", base, "parts", len(records), "err", err)
+			}
+		})
+	}
+}
+
+func (c *core) isFirstMember(now time.Time) bool {
+	for id, m := range c.state.Members {
+		if !m.HasLeft && id < c.node.owner.Node && !c.members.IsSuspect(now, id) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/entry/messages.go
@@ -0,0 +1,292 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/membership"
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/state"
+)
+
+const (
+	roomPeriod  = 500 * time.Millisecond
+	roomRefresh = 15 * time.Second
+	tailRetry   = time.Second
+	stateRetry  = 3 * time.Second
+	// stateAfter is how long a new node tries the log before it asks peers.
+	stateAfter = 2 * time.Second
+)
+
+// received is a message from a peer.
+type received struct {
+	node.Envelope
+}
+
+func (e received) apply(c *core) {
+	now := c.now()
+	m := &e.Message
+	switch {
+	case m.Heartbeat != nil:
+		c.onHeartbeat(now, &e.From, m.Heartbeat)
+	case m.Ask != nil, m.Deed != nil, m.HomeSync != nil, m.NewsAck != nil, m.Hold != nil, m.Release != nil, m.GrantAsk != nil, m.GrantDone != nil:
+		c.toOwnedRack(now, e.From.Node, m)
+	case m.Answer != nil, m.News != nil, m.HoldReply != nil:
+		c.toOwnedHome(now, m)
+	case m.Grant != nil:
+		c.node.router.OnGrant(m.Grant)
+	case m.GrantRecall != nil:
+		c.node.router.OnRecall(m.GrantRecall.Key)
+	case m.TailAsk != nil:
+		c.onTailAsk(e.From.Node, m.TailAsk)
+	case m.Tail != nil:
+		c.onTail(e.From.Node, m.Tail)
+	case m.StateAsk != nil:
+		c.onStateAsk(e.From.Node)
+	case m.State != nil:
+		c.onState(e.From.Node, m.State)
+	case m.OnceAsk != nil:
+		c.node.answerOnce(e.From.Node, m.OnceAsk)
+	case m.OnceReply != nil:
+		c.onOnceReply(m.OnceReply)
+	}
+}
+
+func (c *core) toOwnedRack(now time.Time, from state.NodeID, m *node.Message) {
+	id := rackOf(m)
+	o := c.racks[id]
+	if o == nil {
+		return
+	}
+	r := o.rack
+	switch {
+	case m.Ask != nil:
+		r.OnAsk(m.Ask)
+	case m.Deed != nil:
+		r.OnDeed(now, m.Deed)
+	case m.HomeSync != nil:
+		r.OnHomeSync(m.HomeSync)
+	case m.NewsAck != nil:
+		r.OnNewsAck(m.NewsAck)
+	case m.Hold != nil:
+		r.OnHold(now, m.Hold)
+	case m.Release != nil:
+		r.OnRelease(m.Release)
+	case m.GrantAsk != nil:
+		r.OnGrantAsk(now, from, m.GrantAsk)
+	case m.GrantDone != nil:
+		r.OnGrantDone(now, from, m.GrantDone)
+	}
+}
+
+func rackOf(m *node.Message) state.ShardID {
+	switch {
+	case m.Ask != nil:
+		return m.Ask.Rack
+	case m.Deed != nil:
+		return m.Deed.Rack
+	case m.HomeSync != nil:
+		return m.HomeSync.Rack
+	case m.NewsAck != nil:
+		return m.NewsAck.Rack
+	case m.Hold != nil:
+		return m.Hold.Rack
+	case m.Release != nil:
+		return m.Release.Rack
+	case m.GrantAsk != nil:
+		return m.GrantAsk.Rack
+	case m.GrantDone != nil:
+		return m.GrantDone.Rack
+	}
+	return ""
+}
+
+func (c *core) toOwnedHome(now time.Time, m *node.Message) {
+	switch {
+	case m.Answer != nil:
+		if h := c.homes[m.Answer.Home]; h != nil {
+			h.OnAnswer(now, m.Answer)
+		}
+	case m.News != nil:
+		if h := c.homes[m.News.Home]; h != nil {
+			h.OnNews(now, m.News)
+		}
+	case m.HoldReply != nil:
+		if h := c.homes[m.HoldReply.Home]; h != nil {
+			h.OnHoldReply(now, m.HoldReply)
+		}
+	}
+}
+
+// beat tells the peers that this node lives, and what has changed in its racks.
+func (c *core) beat(now time.Time) {
+	if now.Sub(c.beatAt) < heartbeatPeriod {
+		return
+	}
+	c.beatAt = now
+	rooms := c.changedRooms(now)
+	hb := &node.Heartbeat{
+		Applied: c.state.Applied, IsLogOut: c.isLogOut(now), IsDraining: c.isDraining, Suspects: c.members.Suspects(now), Rooms: rooms,
+	}
+	for id, d := range c.deputised {
+		if d.node == c.node.owner.Node {
+			hb.Deputised = append(hb.Deputised, node.Deputised{Rack: id, Epoch: d.epoch})
+		}
+	}
+	m := &node.Message{Heartbeat: hb}
+	for id, member := range c.state.Members {
+		if !member.HasLeft {
+			c.node.links.Send(id, m)
+		}
+	}
+	if len(c.state.Members) > 0 {
+		return
+	}
+	for _, p := range c.node.settings.PeerAddrs {
+		c.node.links.Send(state.NodeID(p.String()), m)
+	}
+}
+
+// changedRooms returns the summaries that differ from what was told last, and
+// each one now and then, for those who missed it.
+func (c *core) changedRooms(now time.Time) []node.Room {
+	rooms := []node.Room{}
+	for _, o := range c.racks {
+		isDue := now.Sub(o.roomAt) >= roomRefresh
+		if !isDue && (o.isRoomTold || now.Sub(o.roomAt) < roomPeriod) {
+			continue
+		}
+		o.isRoomTold = true
+		o.roomAt = now
+		rooms = append(rooms, o.room)
+	}
+	return rooms
+}
+
+func (c *core) onHeartbeat(now time.Time, from *node.Hello, hb *node.Heartbeat) {
+	c.members.Heard(now, &membership.Beat{
+		Node: from.Node, Incarnation: from.Incarnation, Region: from.Region, Applied: hb.Applied,
+		IsLogOut: hb.IsLogOut, IsDraining: hb.IsDraining, Suspects: hb.Suspects,
+	})
+	for i := range hb.Rooms {
+		c.onRoom(&hb.Rooms[i])
+	}
+	c.onDeputised(from.Node, hb.Deputised)
+}
+
+func (c *core) onRoom(room *node.Room) {
+	if room.Workers > 0 {
+		c.rackCapacity[room.Rack] = c.rackCapacity[room.Rack].Max(room.Capacity)
+	}
+	c.node.router.OnRoom(room)
+	for _, h := range c.homes {
+		h.OnRoom(room)
+	}
+}
+
+// watchPeers logs who falls silent and who is heard again, and takes back the
+// grants of those who are gone.
+func (c *core) watchPeers(now time.Time) {
+	for _, n := range c.members.Suspects(now) {
+		if _, ok := c.silent[n]; !ok {
+			c.silent[n] = now
+			events.Log(events.PeerSuspected, "peer", n)
+		}
+	}
+	for n, since := range c.silent {
+		if !c.members.IsSuspect(now, n) {
+			delete(c.silent, n)
+			events.Log(events.PeerHeard, "peer", n, "after", now.Sub(since).Round(time.Millisecond))
+		}
+	}
+	isGone := func(n state.NodeID) bool {
+		if n == c.node.owner.Node {
+			return false
+		}
+		m := c.state.Members[n]
+		since, ok := c.silent[n]
+		return m == nil || m.HasLeft || (ok && now.Sub(since) > holderGone)
+	}
+	for _, o := range c.racks {
+		o.rack.DropHolder(now, isGone)
+	}
+}
+
+// catchUp asks peers for what this node lacks when it does not reach the log.
+func (c *core) catchUp(now time.Time) {
+	isOut := !c.readFailingSince.IsZero() && now.Sub(c.readFailingSince) > stateAfter/4
+	if !isOut {
+		return
+	}
+	peer, most := c.members.MostApplied(now)
+	if peer == "" {
+		return
+	}
+	if c.state.Applied < 0 && now.Sub(c.startedAt) > stateAfter && now.Sub(c.askedStateAt) > stateRetry {
+		c.askedStateAt = now
+		c.node.links.Send(peer, &node.Message{StateAsk: &node.StateAsk{}})
+		return
+	}
+	if c.state.Applied >= 0 && most > c.state.Applied && now.Sub(c.askedTailAt) > tailRetry {
+		c.askedTailAt = now
+		c.node.links.Send(peer, &node.Message{TailAsk: &node.TailAsk{After: c.state.Applied}})
+	}
+}
+
+func (c *core) onTailAsk(from state.NodeID, m *node.TailAsk) {
+	t := &node.Tail{After: m.After}
+	for i, e := range c.tail {
+		isFirst := len(t.Entries) == 0
+		if e.Offset <= m.After || (isFirst && i == 0 && e.Offset > m.After+1) {
+			continue
+		}
+		t.Entries = append(t.Entries, e)
+	}
+	c.node.links.Send(from, &node.Message{Tail: t})
+}
+
+func (c *core) onTail(from state.NodeID, m *node.Tail) {
+	if len(m.Entries) == 0 {
+		// The peer has no longer what comes next: its whole state has.
+		c.node.links.Send(from, &node.Message{StateAsk: &node.StateAsk{}})
+		return
+	}
+	if m.After > c.state.Applied {
+		return
+	}
+	events.Log(events.TailFromPeer, "peer", from, "batches", len(m.Entries))
+	for _, e := range m.Entries {
+		c.fold(e.Offset, e.Data)
+		c.node.reader.SkipTo(e.Offset)
+	}
+	c.folded()
+}
+
+func (c *core) onStateAsk(from state.NodeID) {
+	if c.state.Applied < 0 {
+		return
+	}
+	data, err := c.state.Marshal()
+	if err != nil {
+		events.Log(events.BadRecord, "err", err.Error())
+		return
+	}
+	c.node.links.Send(from, &node.Message{State: &node.StateSet{Data: data}})
+}
+
+func (c *core) onState(from state.NodeID, m *node.StateSet) {
+	s, err := state.Unmarshal(m.Data)
+	if err != nil {
+		events.Log(events.BadRecord, "peer", from, "err", err.Error())
+		return
+	}
+	if s.Applied <= c.state.Applied {
+		return
+	}
+	events.Log(events.StateFromPeer, "peer", from, "offset", s.Applied)
+	c.replaceState(s)
+	c.folded()
+}
--- /dev/null
+++ b/internal/entry/owners.go
@@ -0,0 +1,321 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/home"
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/ownership"
+	"github.com/leverdyke/leverdyke/internal/rack"
+	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/vmlist"
+	"github.com/leverdyke/leverdyke/internal/worker"
+)
+
+// reconcile makes what this node owns agree with the winning claim.
+func (c *core) reconcile(id state.ShardID) {
+	cur := c.state.Shards[id]
+	delete(c.claiming, id)
+	if d, ok := c.deputised[id]; ok && d.epoch.Claim() < cur.Epoch {
+		delete(c.deputised, id)
+	}
+	if e, ok := c.fenced[id]; ok && e.Claim() < cur.Epoch {
+		delete(c.fenced, id)
+	}
+	isMine := cur.Owner == c.node.owner
+	if ownership.IsRack(id) {
+		c.reconcileRack(id, cur, isMine)
+		c.tellHomesOfRacks()
+		return
+	}
+	h := c.homes[id]
+	if h != nil && (!isMine || h.Epoch != cur.Epoch) {
+		delete(c.homes, id)
+		c.changed(events.ShardDropped, id, h.Epoch)
+	}
+	if isMine && c.homes[id] == nil {
+		c.openHome(id, cur)
+	}
+}
+
+func (c *core) reconcileRack(id state.ShardID, cur *state.Shard, isMine bool) {
+	epoch := worker.NewEpoch(cur.Epoch, 0)
+	if o := c.racks[id]; o != nil && (o.rack.Epoch < epoch || (!isMine && o.rack.Epoch == epoch)) {
+		c.dropRack(id)
+	}
+	if isMine && c.racks[id] == nil {
+		c.openRack(id, epoch, false)
+	}
+}
+
+func (c *core) changed(e events.Event, id state.ShardID, epoch uint64) {
+	events.Log(e, "shard", id, "epoch", epoch)
+	c.node.metrics.OwnerChanged()
+}
+
+func (c *core) openRack(id state.ShardID, epoch worker.Epoch, isDeputy bool) {
+	now := c.now()
+	r := rack.NewRack(now, id, epoch, rack.NewRackOptions{TTL: c.node.settings.Lease, IsDeputy: isDeputy})
+	o := &ownedRack{rack: r, links: map[worker.ID]*workerLink{}}
+	c.racks[id] = o
+	if isDeputy {
+		c.changed(events.ShardDeputy, id, uint64(epoch))
+	} else {
+		c.changed(events.ShardOwned, id, uint64(epoch))
+	}
+	c.setWorkers(id, o)
+}
+
+func (c *core) dropRack(id state.ShardID) {
+	o := c.racks[id]
+	if o == nil {
+		return
+	}
+	for _, l := range o.links {
+		l.stop()
+	}
+	delete(c.racks, id)
+	c.changed(events.ShardDropped, id, uint64(o.rack.Epoch))
+}
+
+// setWorkers brings a rack and its links up to the platform's list.
+func (c *core) setWorkers(id state.ShardID, o *ownedRack) {
+	list := []vmlist.VM{}
+	for i := range c.vms {
+		if c.vms[i].Rack != "" && ownership.RackShard(c.vms[i].Region, c.vms[i].Rack) == id {
+			list = append(list, c.vms[i])
+		}
+	}
+	o.rack.SetWorkers(c.now(), list)
+	o.rack.SetDrained(c.isDrained)
+	addrs := o.rack.Addrs()
+	for w, l := range o.links {
+		if _, ok := addrs[w]; !ok {
+			l.stop()
+			delete(o.links, w)
+		}
+	}
+	for w, addr := range addrs {
+		if o.links[w] == nil {
+			o.links[w] = newWorkerLink(c.node, id, o.rack.Epoch, w, addr)
+		}
+	}
+}
+
+func (c *core) isDrained(w worker.ID) bool { return c.policies.IsDrained(string(w)) }
+
+func (c *core) openHome(id state.ShardID, cur *state.Shard) {
+	now := c.now()
+	h := home.NewHome(now, id, cur.Epoch, c, home.NewHomeOptions{Seed: int(cur.Offset)})
+	c.homes[id] = h
+	c.changed(events.ShardOwned, id, cur.Epoch)
+	h.SetRacks(c.rackInfos())
+	for _, o := range c.racks {
+		h.OnRoom(&o.room)
+	}
+	for job, j := range c.state.Jobs {
+		if !j.IsEnded && ownership.HomeShard(j.Spec.Region, j.Spec.Team) == id {
+			h.AddJob(now, job, j, j.Offset > cur.Offset)
+		}
+	}
+}
+
+// rackInfos lists the region's racks under the epochs in force.
+func (c *core) rackInfos() []home.RackInfo {
+	infos := []home.RackInfo{}
+	for id, s := range c.state.Shards {
+		if !ownership.IsRack(id) || ownership.Region(id) != c.node.settings.Region {
+			continue
+		}
+		epoch := worker.NewEpoch(s.Epoch, 0)
+		if d, ok := c.deputised[id]; ok {
+			epoch = max(epoch, d.epoch)
+		}
+		infos = append(infos, home.RackInfo{ID: id, Epoch: epoch})
+	}
+	return infos
+}
+
+func (c *core) tellHomesOfRacks() {
+	if len(c.homes) == 0 {
+		return
+	}
+	infos := c.rackInfos()
+	for _, h := range c.homes {
+		h.SetRacks(infos)
+	}
+}
+
+// ownerOf returns the node to which messages for a shard go.
+func (c *core) ownerOf(id state.ShardID) (state.NodeID, bool) {
+	s := c.state.Shards[id]
+	if s == nil {
+		return "", false
+	}
+	if d, ok := c.deputised[id]; ok && d.epoch > worker.NewEpoch(s.Epoch, 0) {
+		return d.node, true
+	}
+	return s.Owner.Node, true
+}
+
+// plan appends the claims that are due.
+func (c *core) plan(now time.Time) {
+	isReady := c.isJoined() && !c.joinedAt.IsZero() && now.Sub(c.joinedAt) > claimAfter
+	if !isReady || now.Sub(c.planAt) < planPeriod || c.isLogOut(now) || c.caughtUpAt.Before(c.planAt) {
+		return
+	}
+	c.planAt = now
+	for _, claim := range c.planner.Plan(c.view(now)) {
+		if c.claiming[claim.Shard] == claim.Epoch {
+			continue
+		}
+		c.claiming[claim.Shard] = claim.Epoch
+		c.node.writer.Put(state.Record{Claim: &claim}, func(err error) {
+			if err == nil {
+				return
+			}
+			delete(c.claiming, claim.Shard)
+			events.Log(events.ClaimRefused, "shard", claim.Shard, "epoch", claim.Epoch, "err", err.Error())
+		})
+	}
+}
+
+func (c *core) view(now time.Time) *ownership.View {
+	region := c.node.settings.Region
+	return &ownership.View{
+		Now: now, Self: c.node.owner, Region: region, State: c.state, IsDraining: c.isDraining,
+		Alive:    c.members.Alive(now, region, !c.isDraining && c.isJoined()),
+		IsDead:   func(n state.NodeID) bool { return n != c.node.owner.Node && c.members.IsDead(now, n, region) },
+		IsFenced: func(id state.ShardID) bool { _, ok := c.fenced[id]; return ok },
+		Shards:   c.shards(),
+	}
+}
+
+// shards lists the region's homes and the racks of the platform's list.
+func (c *core) shards() []ownership.Shard {
+	region := c.node.settings.Region
+	list := ownership.Homes(region)
+	seen := map[state.ShardID]bool{}
+	for i := range c.vms {
+		vm := &c.vms[i]
+		if vm.Rack == "" || vm.Region != region {
+			continue
+		}
+		id := ownership.RackShard(region, vm.Rack)
+		if !seen[id] {
+			seen[id] = true
+			list = append(list, ownership.Shard{ID: id, Zone: vm.Zone})
+		}
+	}
+	for id := range c.state.Shards {
+		if ownership.IsRack(id) && ownership.Region(id) == region && !seen[id] {
+			// All its VMs are gone from the list, but somebody has to say so of
+			// its tasks.
+			list = append(list, ownership.Shard{ID: id})
+		}
+	}
+	return list
+}
+
+// watchDeputies keeps the racks of dead owners alive while the log is out.
+func (c *core) watchDeputies(now time.Time) {
+	isOut := !c.readFailingSince.IsZero() && now.Sub(c.readFailingSince) > deputyAfter && c.members.IsLogOutForAll(now)
+	if !isOut || !c.isJoined() || c.isDraining {
+		return
+	}
+	v := c.view(now)
+	for id, s := range c.state.Shards {
+		if !ownership.IsRack(id) || ownership.Region(id) != v.Region || c.racks[id] != nil || !v.IsDead(s.Owner.Node) {
+			continue
+		}
+		place := ownership.DeputyPlace(v, s)
+		epoch := worker.NewEpoch(s.Epoch, place)
+		if place == 0 || c.deputised[id].epoch >= epoch || c.fenced[id] >= epoch {
+			continue
+		}
+		c.openRack(id, epoch, true)
+		c.deputised[id] = deputy{c.node.owner.Node, epoch}
+		c.tellHomesOfRacks()
+	}
+}
+
+// onDeputised takes a peer's word that it keeps a rack alive. An owner that is
+// alive after all yields: the workers obey the deputy.
+func (c *core) onDeputised(from state.NodeID, list []node.Deputised) {
+	for _, d := range list {
+		s := c.state.Shards[d.Rack]
+		if s == nil || d.Epoch.Claim() != s.Epoch || c.deputised[d.Rack].epoch >= d.Epoch {
+			continue
+		}
+		c.deputised[d.Rack] = deputy{from, d.Epoch}
+		if o := c.racks[d.Rack]; o != nil && o.rack.Epoch < d.Epoch {
+			c.onFenced(d.Rack, o.rack.Epoch, d.Epoch)
+		}
+		c.tellHomesOfRacks()
+	}
+}
+
+// onFenced gives a rack up whose workers obey another owner. While it is the
+// owner by the log, it claims the next epoch as soon as the log takes it.
+func (c *core) onFenced(id state.ShardID, epoch, seen worker.Epoch) {
+	o := c.racks[id]
+	if o == nil || o.rack.Epoch != epoch || seen <= epoch {
+		return
+	}
+	events.Log(events.RackFenced, "rack", id, "epoch", uint64(epoch), "seen", uint64(seen))
+	c.fenced[id] = seen
+	c.dropRack(id)
+}
+
+// confirmSole tells the racks up to when it is certain that nobody else renews
+// leases on their workers: by the log, or, while it is out, by the word of
+// every member of the region.
+func (c *core) confirmSole(now time.Time) {
+	asOf := c.caughtUpAt
+	if c.isLogOut(now) {
+		asOf = c.membersWord(now)
+	}
+	if asOf.IsZero() {
+		return
+	}
+	for id, o := range c.racks {
+		s := c.state.Shards[id]
+		if s == nil || s.Owner != c.node.owner || !c.areEnded(s.Past, s.Offset) {
+			continue
+		}
+		if _, ok := c.deputised[id]; !ok {
+			o.rack.SetSole(asOf)
+		}
+	}
+}
+
+func (c *core) areEnded(past []state.Owner, offset int64) bool {
+	for _, p := range past {
+		if !c.state.IsEnded(p) && !c.members.HasFolded(p, offset) {
+			return false
+		}
+	}
+	return true
+}
+
+// membersWord returns since when every member of the region has said that it
+// does not reach the log, is no further than this node, and is heard; zero if
+// one of them has not.
+func (c *core) membersWord(now time.Time) time.Time {
+	for id, m := range c.state.Members {
+		if m.HasLeft || m.Region != c.node.settings.Region || id == c.node.owner.Node {
+			continue
+		}
+		if c.members.IsSuspect(now, id) || c.members.Applied(id) > c.state.Applied {
+			return time.Time{}
+		}
+	}
+	if !c.members.IsLogOutForAll(now) {
+		return time.Time{}
+	}
+	return now.Add(-2 * time.Second)
+}
--- /dev/null
+++ b/internal/entry/workers.go
@@ -0,0 +1,215 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/ring"
+	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/worker"
+)
+
+const (
+	workerOrders   = 256
+	commandTimeout = 2 * time.Second
+	syncSlack      = 3 * time.Second
+	syncPause      = 300 * time.Millisecond
+)
+
+// workerLink has the two duties of one owned worker: one renews leases and
+// reads reports, the other gives orders.
+type workerLink struct {
+	node   *Node
+	rack   state.ShardID
+	epoch  worker.Epoch
+	id     worker.ID
+	client *worker.Client
+	orders *ring.Ring[workerOrder]
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// boot and asOf are the last report's; forgets what the worker is still to
+	// forget.
+	boot    string
+	asOf    int64
+	seen    uint64
+	forgets []worker.Key
+}
+
+// workerOrder is either starts or a deed.
+type workerOrder struct {
+	starts []worker.Task
+	deed   worker.Deed
+	keys   []worker.Key
+}
+
+func newWorkerLink(n *Node, rack state.ShardID, epoch worker.Epoch, id worker.ID, addr netip.AddrPort) *workerLink {
+	ctx, cancel := context.WithCancel(n.ctx)
+	l := &workerLink{
+		node: n, rack: rack, epoch: epoch, id: id, orders: ring.NewRing[workerOrder](workerOrders), ctx: ctx, cancel: cancel,
+		client: worker.NewClient(addr, n.transport, func(sent, received int) { n.countControl("worker", sent, received) }),
+	}
+	n.wg.Add(2)
+	go l.loop()
+	go l.loopOrders()
+	return l
+}
+
+// stop ends both duties; what was ordered and not sent is not sent any more.
+func (l *workerLink) stop() { l.cancel() }
+
+// order queues an order. One that finds no room is given again by the rack.
+func (l *workerLink) order(o workerOrder) { l.orders.TryPut(o) }
+
+func (l *workerLink) forget(keys []worker.Key) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forgets = append(l.forgets, keys...)
+}
+
+// loop renews all of the worker's leases with each sync.
+func (l *workerLink) loop() {
+	defer l.node.wg.Done()
+	for l.ctx.Err() == nil {
+		if l.sync() {
+			continue
+		}
+		select {
+		case <-l.ctx.Done():
+		case <-l.node.clock.After(syncPause):
+		}
+	}
+}
+
+func (l *workerLink) sync() bool {
+	l.mu.Lock()
+	s := &worker.Sync{
+		Epoch: l.epoch, Boot: l.boot, AsOf: l.asOf, TTL: l.node.settings.Lease, Seen: l.seen,
+		Wait: l.node.settings.Sync, Forget: l.forgets,
+	}
+	l.mu.Unlock()
+	ctx, cancel := context.WithTimeout(l.ctx, s.Wait+syncSlack)
+	rep, err := l.client.Sync(ctx, s)
+	cancel()
+	if l.ctx.Err() != nil {
+		return false
+	}
+	if err != nil {
+		l.failed(err)
+		return false
+	}
+	l.mu.Lock()
+	l.forgets = l.forgets[len(s.Forget):]
+	isNewBoot := l.boot != rep.Boot && l.boot != ""
+	l.boot, l.asOf, l.seen = rep.Boot, rep.Now, rep.Rev
+	if isNewBoot && !rep.IsWhole {
+		l.seen = 0
+	}
+	l.mu.Unlock()
+	l.node.put(reported{l.rack, l.epoch, l.id, rep})
+	return true
+}
+
+func (l *workerLink) failed(err error) {
+	f := &worker.FencedError{}
+	if errors.As(err, &f) {
+		l.node.put(fencedBy{l.rack, l.epoch, f.Seen})
+		return
+	}
+	l.node.put(silent{l.rack, l.epoch, l.id})
+}
+
+// loopOrders gives the worker its orders, one after the other.
+func (l *workerLink) loopOrders() {
+	defer l.node.wg.Done()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case o := <-l.orders.Out():
+			l.give(o)
+		}
+	}
+}
+
+func (l *workerLink) give(o workerOrder) {
+	ctx, cancel := context.WithTimeout(l.ctx, commandTimeout)
+	defer cancel()
+	if o.deed != "" {
+		if err := l.client.Act(ctx, &worker.Act{Epoch: l.epoch, Deed: o.deed, Keys: o.keys}); err != nil && l.ctx.Err() == nil {
+			l.failed(err)
+		}
+		return
+	}
+	l.mu.Lock()
+	s := &worker.Start{Epoch: l.epoch, Boot: l.boot, AsOf: l.asOf, TTL: l.node.settings.Lease, Tasks: o.starts}
+	l.mu.Unlock()
+	results, err := l.client.Start(ctx, s)
+	if l.ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		// Whether they started is not known: the rack asks again, and leases
+		// bound how long it can matter.
+		l.failed(err)
+		return
+	}
+	l.node.put(startsDone{l.rack, l.epoch, l.id, results})
+}
+
+// reported is a worker's report.
+type reported struct {
+	rack  state.ShardID
+	epoch worker.Epoch
+	id    worker.ID
+	rep   *worker.Report
+}
+
+func (e reported) apply(c *core) {
+	if o := c.racks[e.rack]; o != nil && o.rack.Epoch == e.epoch {
+		o.rack.OnReport(c.now(), e.id, e.rep)
+	}
+}
+
+// silent is a worker that did not answer.
+type silent struct {
+	rack  state.ShardID
+	epoch worker.Epoch
+	id    worker.ID
+}
+
+func (e silent) apply(c *core) {
+	if o := c.racks[e.rack]; o != nil && o.rack.Epoch == e.epoch {
+		o.rack.OnSilent(e.id)
+	}
+}
+
+// startsDone is a worker's answer to a start.
+type startsDone struct {
+	rack    state.ShardID
+	epoch   worker.Epoch
+	id      worker.ID
+	results []worker.StartResult
+}
+
+func (e startsDone) apply(c *core) {
+	if o := c.racks[e.rack]; o != nil && o.rack.Epoch == e.epoch {
+		o.rack.OnStartResults(c.now(), e.id, e.results)
+	}
+}
+
+// fencedBy is a worker's word that it obeys a higher epoch.
+type fencedBy struct {
+	rack  state.ShardID
+	epoch worker.Epoch
+	seen  worker.Epoch
+}
+
+func (e fencedBy) apply(c *core) { c.onFenced(e.rack, e.epoch, e.seen) }
--- /dev/null
+++ b/internal/events/catalogue.go
@@ -0,0 +1,109 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package events has the numbered events that the programs log. The catalogue
+// for operators is docs/EVENTS.md; a test compares the two.
+package events
+
+import (
+	"fmt"
+
+	"k8s.io/klog/v2"
+)
+
+// Event is a kind of event with its number, which is never used again.
+type Event struct {
+	Number int
+	// Name is a short text; it is the log line's message.
+	Name string
+	// Level is how grave it is.
+	Level Level
+}
+
+// Level is how grave an event is.
+type Level string
+
+// The levels.
+const (
+	LevelInfo    Level = "info"
+	LevelWarning Level = "warning"
+	LevelError   Level = "error"
+)
+
+// The events, by the hundreds of their parts.
+var (
+	NodeStarted   = add(100, "node started", LevelInfo)
+	NodeJoined    = add(101, "node joined the cell", LevelInfo)
+	NodeDraining  = add(102, "node drains", LevelInfo)
+	NodeStopped   = add(103, "node stopped", LevelInfo)
+	NodePaused    = add(104, "node was paused", LevelWarning)
+	NodeReplaced  = add(105, "a later process has this node's name", LevelError)
+	PeerSuspected = add(110, "peer is silent", LevelWarning)
+	PeerHeard     = add(111, "peer is heard again", LevelInfo)
+	PeerEnded     = add(112, "peer has ended", LevelInfo)
+	BadFrame      = add(120, "link closed because of its bytes", LevelWarning)
+
+	LogOut        = add(200, "log does not answer", LevelError)
+	LogBack       = add(201, "log answers again", LevelInfo)
+	BadRecord     = add(202, "record cannot be read", LevelError)
+	SnapshotTaken = add(203, "snapshot written", LevelInfo)
+	SnapshotRead  = add(204, "state taken from a snapshot", LevelInfo)
+	StateFromPeer = add(205, "state taken from a peer", LevelWarning)
+	TailFromPeer  = add(206, "records taken from a peer", LevelInfo)
+
+	ShardOwned    = add(300, "shard owned", LevelInfo)
+	ShardDropped  = add(301, "shard no longer owned", LevelInfo)
+	ShardDeputy   = add(302, "rack kept alive as a deputy", LevelWarning)
+	RackComplete  = add(303, "rack has told all that runs", LevelInfo)
+	RackFenced    = add(304, "workers obey another owner", LevelWarning)
+	HomeSynced    = add(305, "home knows all that runs", LevelInfo)
+	ClaimRefused  = add(306, "claim came too late", LevelInfo)
+	VMListFailed  = add(310, "list of VMs does not answer", LevelWarning)
+	ConfigInForce = add(320, "document in force", LevelInfo)
+	ConfigBad     = add(321, "document in the log cannot be read", LevelError)
+
+	TaskPlaced       = add(400, "task placed", LevelInfo)
+	TaskRouted       = add(401, "task sent to a rack", LevelInfo)
+	TaskStarted      = add(402, "task started", LevelInfo)
+	RequestRouted    = add(403, "request routed", LevelInfo)
+	RequestRefused   = add(404, "request refused", LevelInfo)
+	RequestBroken    = add(405, "request broke off", LevelWarning)
+	TaskPreempted    = add(410, "task pushed aside", LevelInfo)
+	TaskFateUnknown  = add(411, "task may have run and is not run again", LevelError)
+	TaskLate         = add(412, "task runs that should have ended", LevelError)
+	TaskTwice        = add(413, "two attempts of a task were seen", LevelError)
+	JobNever         = add(420, "job can never run", LevelWarning)
+	JobFailed        = add(421, "job failed", LevelWarning)
+	JobAccepted      = add(422, "job accepted", LevelInfo)
+	JobCancelled     = add(423, "job cancelled", LevelInfo)
+	GangBroken       = add(424, "all-at-once job has to start again", LevelWarning)
+	WorkerLost       = add(430, "worker's leases have lapsed", LevelWarning)
+	WorkerSetAside   = add(431, "worker set aside", LevelWarning)
+	WorkerProbed     = add(432, "worker is tried again", LevelInfo)
+	WorkerBack       = add(433, "worker is in use again", LevelInfo)
+	WorkerSilent     = add(434, "worker does not answer", LevelWarning)
+	WorkerLeaving    = add(435, "worker is leaving", LevelInfo)
+	OnceKeyElsewhere = add(440, "request was run by another node", LevelInfo)
+)
+
+var catalogue []Event
+
+func add(number int, name string, level Level) Event {
+	e := Event{number, name, level}
+	catalogue = append(catalogue, e)
+	return e
+}
+
+// Catalogue returns all events, by number.
+func Catalogue() []Event { return append([]Event{}, catalogue...) }
+
+// Log writes an event with its keys and values.
+func Log(e Event, keysAndValues ...any) {
+	kv := append([]any{"event", fmt.Sprintf("LD%04d", e.Number)}, keysAndValues...)
+	switch e.Level {
+	case LevelError:
+		klog.ErrorSDepth(1, nil, e.Name, kv...)
+	case LevelWarning, LevelInfo:
+		klog.InfoSDepth(1, e.Name, kv...)
+	}
+}
--- /dev/null
+++ b/internal/front/grants.go
@@ -0,0 +1,144 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package front
+
+import (
+	"slices"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/worker"
+)
+
+// Plan is what the router wants of the racks' owners.
+type Plan struct {
+	Asks []node.GrantAsk
+	Done []node.GrantDone
+}
+
+// OnGrant takes a grant, or its refusal.
+func (r *Router) OnGrant(g *node.Grant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.service(g.Service)
+	delete(s.asked, g.Rack)
+	now := r.options.Clock.Now()
+	if g.Refused != "" {
+		if room := s.rooms[g.Rack]; room != nil {
+			room.slots = 0
+			room.shutUntil = now.Add(refusedShut)
+		}
+		return
+	}
+	if slices.ContainsFunc(s.grants, func(o *grant) bool { return o.Key == g.Key }) {
+		return
+	}
+	s.grants = append(s.grants, &grant{Grant: *g, usedAt: now})
+	r.serve(s)
+	if len(s.waiting) > 0 {
+		r.wake()
+	}
+}
+
+// OnRecall takes an owner's wish to have a grant back.
+func (r *Router) OnRecall(k worker.Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.services {
+		for _, g := range s.grants {
+			if g.Key == k {
+				g.isRecalled = true
+			}
+		}
+	}
+	r.wake()
+}
+
+// Plan returns the grants to ask for and to give back.
+func (r *Router) Plan() Plan {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.options.Clock.Now()
+	p := Plan{}
+	for name, s := range r.services {
+		r.dropGrants(now, s, &p)
+		r.planAsks(now, name, s, &p)
+	}
+	return p
+}
+
+// dropGrants returns the grants that are recalled or idle, and of which no
+// request is in progress.
+func (r *Router) dropGrants(now time.Time, s *service, p *Plan) {
+	s.grants = slices.DeleteFunc(s.grants, func(g *grant) bool {
+		isIdle := now.Sub(g.usedAt) >= r.options.Idle
+		if g.inUse > 0 || (!g.isRecalled && !isIdle) {
+			return false
+		}
+		p.Done = append(p.Done, node.GrantDone{Rack: g.Rack, Key: g.Key})
+		return true
+	})
+}
+
+// planAsks asks for slots for those who wait, near racks first, then those
+// with the most room.
+func (r *Router) planAsks(now time.Time, name string, s *service, p *Plan) {
+	for rack, at := range s.asked {
+		if now.Sub(at) > askPatience {
+			delete(s.asked, rack)
+		}
+	}
+	need := len(s.waiting)
+	for need > 0 && len(s.asked) < asksAtOnce {
+		rack, room := r.bestRoom(now, s)
+		if room == nil {
+			return
+		}
+		n := min(need, room.slots)
+		s.asked[rack] = now
+		room.slots -= n
+		need -= n
+		p.Asks = append(p.Asks, node.GrantAsk{Rack: rack, Service: name, Slots: n, Class: leverdyke.ClassNormal})
+	}
+}
+
+func (r *Router) bestRoom(now time.Time, s *service) (state.ShardID, *rackRoom) {
+	var best *rackRoom
+	id := state.ShardID("")
+	for rack, room := range s.rooms {
+		_, isAsked := s.asked[rack]
+		if isAsked || room.slots <= 0 || now.Before(room.shutUntil) {
+			continue
+		}
+		if best == nil || r.isBetterRoom(room, best) || (!r.isBetterRoom(best, room) && rack < id) {
+			best, id = room, rack
+		}
+	}
+	return id, best
+}
+
+func (r *Router) isBetterRoom(a, b *rackRoom) bool {
+	nearA, nearB := a.zone == r.options.Zone, b.zone == r.options.Zone
+	if nearA != nearB {
+		return nearA
+	}
+	return a.slots > b.slots
+}
+
+// Load returns how many requests wait, are in progress, and how many slots
+// are held.
+func (r *Router) Load() (waiting, inUse, slots int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.services {
+		waiting += len(s.waiting)
+		for _, g := range s.grants {
+			inUse += g.inUse
+			slots += g.Slots
+		}
+	}
+	return waiting, inUse, slots
+}
--- /dev/null
+++ b/internal/home/news.go
@@ -0,0 +1,416 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package home
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/worker"
+)
+
+// OnAnswer takes a rack owner's word on asked attempts.
+func (h *Home) OnAnswer(now time.Time, a *node.Answer) {
+	v := h.racks[a.Rack]
+	if v == nil || a.Home != h.ID {
+		return
+	}
+	for _, r := range a.Results {
+		h.onResult(now, v, a, &r)
+	}
+	if a.Room != nil {
+		h.OnRoom(a.Room)
+	}
+}
+
+func (h *Home) onResult(now time.Time, v *rackView, a *node.Answer, r *node.AnswerResult) {
+	j := h.jobs[r.Key.Task.Job]
+	if j == nil || r.Key.Task.Index < 0 || r.Key.Task.Index >= len(j.tasks) {
+		return
+	}
+	t := &j.tasks[r.Key.Task.Index]
+	if t.phase != phaseAsked || t.attempt != r.Key.Attempt || t.rack != a.Rack || t.rackEpoch != a.RackEpoch {
+		return
+	}
+	if r.Worker != "" {
+		h.markRunning(now, j, r.Key.Task.Index, r.Worker)
+		return
+	}
+	v.shutUntil = now.Add(refusedShut)
+	v.pending = v.pending.Sub(j.spec.Each)
+	h.setPhase(j, r.Key.Task.Index, phaseWaiting)
+	j.why = "a rack refused it: " + r.Refused
+	h.requeue(j)
+	if j.spec.Kind == leverdyke.KindGang {
+		h.breakGang(j, "a held place was refused")
+	}
+}
+
+func (h *Home) markRunning(now time.Time, j *job, i int, w worker.ID) {
+	t := &j.tasks[i]
+	h.setPhase(j, i, phaseRunning)
+	t.worker = w
+	j.hasStarted = true
+	h.out.Starts = append(h.out.Starts, StartNote{j.key(i), j.spec.Class, now.Sub(later(j.since, t.notBefore)), w})
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// OnNews takes a rack owner's word on the home's attempts.
+func (h *Home) OnNews(now time.Time, n *node.News) {
+	v := h.racks[n.Rack]
+	if v == nil || n.Home != h.ID || n.RackEpoch != v.epoch {
+		return
+	}
+	listed := map[worker.Key]bool{}
+	acks := []worker.Key{}
+	for i := range n.Items {
+		item := &n.Items[i]
+		listed[item.Key] = true
+		if h.onItem(now, n, item) {
+			acks = append(acks, item.Key)
+		}
+	}
+	h.ack(n.Rack, acks)
+	if n.IsWhole && n.IsComplete && !v.isSynced {
+		v.isSynced = true
+		h.dropMissing(now, n.Rack, listed)
+		h.resolveUnsure(now)
+	}
+}
+
+func (h *Home) ack(rack state.ShardID, keys []worker.Key) {
+	if len(keys) > 0 {
+		h.toRack(rack, node.Message{NewsAck: &node.NewsAck{Home: h.ID, Rack: rack, Keys: keys}})
+	}
+}
+
+// onItem takes the state of one attempt. It reports whether the rack may
+// forget it at once.
+func (h *Home) onItem(now time.Time, n *node.News, item *node.NewsItem) bool {
+	isOver := item.State != worker.StateRunning
+	j := h.jobs[item.Key.Task.Job]
+	i := item.Key.Task.Index
+	if j == nil || i < 0 || i >= len(j.tasks) || j.tasks[i].phase == phaseFinal {
+		if !isOver {
+			h.stop(n.Rack, item.Key)
+		}
+		// An end that is waiting to be recorded is acknowledged after that.
+		return isOver && !h.isRecording(item.Key)
+	}
+	t := &j.tasks[i]
+	switch {
+	case t.phase == phaseUnsure:
+		h.unsure--
+		h.take(j, i, n, item)
+	case t.attempt == item.Key.Attempt && t.rack == n.Rack:
+		if t.rackEpoch != n.RackEpoch {
+			h.take(j, i, n, item)
+		}
+	default:
+		if !isOver {
+			h.event(EventTwoAttempts, j.id, item.Key.String())
+			h.stop(n.Rack, item.Key)
+		}
+		return isOver
+	}
+	if !isOver {
+		if t.phase == phaseAsked {
+			h.markRunning(now, j, i, item.Worker)
+		}
+		return false
+	}
+	return h.onEnd(now, j, i, item)
+}
+
+// take makes an attempt that a rack tells of the task's current one.
+func (h *Home) take(j *job, i int, n *node.News, item *node.NewsItem) {
+	t := &j.tasks[i]
+	// Out of all counts while the fields change on which they hang.
+	h.count(j, t, -1)
+	t.phase = phaseRunning
+	t.attempt, t.rack, t.rackEpoch, t.worker = item.Key.Attempt, n.Rack, n.RackEpoch, item.Worker
+	h.count(j, t, +1)
+	j.hasStarted = true
+	if j.spec.Kind == leverdyke.KindGang {
+		j.gang.isStarted = true
+	}
+}
+
+func (h *Home) stop(rack state.ShardID, k worker.Key) {
+	h.toRack(rack, node.Message{Deed: &node.Deed{
+		Home: h.ID, HomeEpoch: h.Epoch, Rack: rack, Deed: worker.DeedStop, Keys: []worker.Key{k},
+	}})
+}
+
+// onEnd decides what follows the end of an attempt. It reports whether the
+// rack may forget it at once; a final end is kept there until it is recorded.
+func (h *Home) onEnd(now time.Time, j *job, i int, item *node.NewsItem) bool {
+	t := &j.tasks[i]
+	isService := j.spec.Kind == leverdyke.KindService
+	switch {
+	case item.State == worker.StateDone && !isService:
+		h.setPhase(j, i, phaseFinal)
+		h.final(j, i, leverdyke.TaskDone, &item.Key, 0, "")
+		return false
+	case item.State == worker.StateDone || item.State == worker.StateFailed:
+		return h.onFailure(now, j, i, item)
+	case j.spec.IsOnce:
+		h.setPhase(j, i, phaseFinal)
+		h.event(EventUnknownFate, j.id, item.Key.String())
+		h.final(j, i, leverdyke.TaskUnknown, &item.Key, 0, "")
+		return false
+	}
+	// Stopped, checkpointed or lost: it runs again, and nobody is to blame.
+	t.notBefore = now
+	h.setPhase(j, i, phaseWaiting)
+	h.requeue(j)
+	h.brokenBy(j, item.Key)
+	return true
+}
+
+func (h *Home) onFailure(now time.Time, j *job, i int, item *node.NewsItem) bool {
+	t := &j.tasks[i]
+	if j.spec.IsOnce {
+		h.setPhase(j, i, phaseFinal)
+		h.final(j, i, leverdyke.TaskFailed, &item.Key, 1, "")
+		return false
+	}
+	if !item.IsBlamed {
+		t.failures++
+		j.failures++
+	}
+	t.notBefore = now.Add(backoff(item.Key.Task, max(t.failures, 1)))
+	h.setPhase(j, i, phaseWaiting)
+	if j.failures >= h.budget(j) && j.spec.Kind != leverdyke.KindService {
+		h.failJob(j, fmt.Sprintf("%d attempts failed, which is its budget", j.failures))
+		return true
+	}
+	h.requeue(j)
+	h.brokenBy(j, item.Key)
+	return true
+}
+
+func (h *Home) budget(j *job) int {
+	if j.spec.MaxFailures > 0 {
+		return j.spec.MaxFailures
+	}
+	return h.options.MaxFailures
+}
+
+// dropMissing takes the attempts that a rack's new owner does not know: they
+// have ended, or were never started and never will be.
+func (h *Home) dropMissing(now time.Time, rack state.ShardID, listed map[worker.Key]bool) {
+	for _, j := range h.sortedJobs() {
+		for i := range j.tasks {
+			t := &j.tasks[i]
+			isHere := t.rack == rack && (t.phase == phaseAsked || t.phase == phaseRunning)
+			if !isHere || listed[j.key(i)] || t.rackEpoch == h.racks[rack].epoch {
+				continue
+			}
+			key := j.key(i)
+			h.onEnd(now, j, i, &node.NewsItem{Key: key, State: worker.StateStopped, IsLost: true})
+		}
+	}
+}
+
+// resolveUnsure lets tasks start that no rack knows, once every rack has told.
+func (h *Home) resolveUnsure(now time.Time) {
+	if !h.isAllSynced() {
+		return
+	}
+	if h.unsure > 0 {
+		h.event(EventSynced, "", fmt.Sprintf("%d tasks run nowhere", h.unsure))
+	}
+	for _, j := range h.sortedJobs() {
+		if h.unsure == 0 {
+			break
+		}
+		h.resolveJob(now, j)
+	}
+	h.isDirty = true
+}
+
+func (h *Home) resolveJob(now time.Time, j *job) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.phase != phaseUnsure {
+			continue
+		}
+		h.unsure--
+		if t.isIntended {
+			// An earlier home meant to start it, and nobody knows whether it did.
+			h.setPhase(j, i, phaseFinal)
+			h.event(EventUnknownFate, j.id, fmt.Sprintf("task %d", i))
+			h.final(j, i, leverdyke.TaskUnknown, nil, 0, "")
+			continue
+		}
+		t.notBefore = now
+		h.setPhase(j, i, phaseWaiting)
+	}
+	h.requeue(j)
+	if j.gang.isStarted && j.waiting > 0 {
+		h.breakGang(j, "a part of it was lost with its home")
+	}
+}
+
+func (h *Home) sortedJobs() []*job {
+	list := make([]*job, 0, len(h.jobs))
+	for _, j := range h.jobs {
+		list = append(list, j)
+	}
+	slices.SortFunc(list, func(a, b *job) int { return strings.Compare(a.id, b.id) })
+	return list
+}
+
+// finalKey joins ends that go into one record.
+type finalKey struct {
+	job    string
+	state  leverdyke.TaskState
+	reason string
+}
+
+type finalBatch struct {
+	tasks    []int
+	failures int
+	acks     map[state.ShardID][]worker.Key
+}
+
+// recording is a record that has been handed to the log's writer.
+type recording struct {
+	final  *finalBatch
+	key    finalKey
+	intent *intent
+}
+
+type intent struct {
+	job   string
+	tasks []int
+}
+
+// final notes the final state of a task; the rack may forget the attempt with
+// key only when the log has it.
+func (h *Home) final(j *job, i int, s leverdyke.TaskState, key *worker.Key, failures int, reason string) {
+	j.tasks[i].final = s
+	fk := finalKey{j.id, s, reason}
+	b := h.finals[fk]
+	if b == nil {
+		b = &finalBatch{acks: map[state.ShardID][]worker.Key{}}
+		h.finals[fk] = b
+	}
+	b.tasks = append(b.tasks, i)
+	b.failures += failures
+	if key != nil {
+		rack := j.tasks[i].rack
+		b.acks[rack] = append(b.acks[rack], *key)
+	}
+}
+
+func (h *Home) flushFinals() {
+	for fk, b := range h.finals {
+		h.record(recording{final: b, key: fk}, state.Record{Finals: &state.Finals{
+			Job: fk.job, Tasks: b.tasks, State: fk.state, Failures: b.failures, Reason: fk.reason,
+		}})
+	}
+	clear(h.finals)
+}
+
+func (h *Home) record(r recording, rec state.Record) {
+	h.token++
+	h.recorded[h.token] = r
+	h.out.Records = append(h.out.Records, PendingRecord{h.token, rec})
+}
+
+// isRecording reports whether the end of an attempt is about to be recorded.
+func (h *Home) isRecording(k worker.Key) bool {
+	has := func(b *finalBatch) bool {
+		for _, keys := range b.acks {
+			if slices.Contains(keys, k) {
+				return true
+			}
+		}
+		return false
+	}
+	for _, b := range h.finals {
+		if has(b) {
+			return true
+		}
+	}
+	for _, r := range h.recorded {
+		if r.final != nil && has(r.final) {
+			return true
+		}
+	}
+	return false
+}
+
+// intend writes that a task that may not be repeated is about to start.
+func (h *Home) intend(j *job, i int) {
+	h.setPhase(j, i, phaseIntending)
+	j.why = whyIntent
+	h.record(recording{intent: &intent{j.id, []int{i}}}, state.Record{Intent: &state.Intent{Job: j.id, Tasks: []int{i}}})
+}
+
+// OnRecorded takes the fate of a record. A nil error means that it took
+// effect; an error of the fold that it never will; state.ErrNotTaken that it was not
+// appended and will not be.
+func (h *Home) OnRecorded(now time.Time, token uint64, err error) {
+	r, ok := h.recorded[token]
+	if !ok {
+		return
+	}
+	delete(h.recorded, token)
+	if r.intent != nil {
+		h.onIntended(now, r.intent, err)
+		return
+	}
+	if errors.Is(err, state.ErrNotTaken) {
+		// The end has to be recorded all the same: try again.
+		h.record(r, state.Record{Finals: &state.Finals{
+			Job: r.key.job, Tasks: r.final.tasks, State: r.key.state, Failures: r.final.failures, Reason: r.key.reason,
+		}})
+		return
+	}
+	for rack, keys := range r.final.acks {
+		h.ack(rack, keys)
+	}
+}
+
+func (h *Home) onIntended(now time.Time, in *intent, err error) {
+	j := h.jobs[in.job]
+	if j == nil {
+		return
+	}
+	for _, i := range in.tasks {
+		t := &j.tasks[i]
+		if t.phase != phaseIntending {
+			continue
+		}
+		switch {
+		case err == nil:
+			t.isIntended = true
+			h.setPhase(j, i, phaseWaiting)
+		case errors.Is(err, state.ErrNotTaken):
+			t.notBefore = now.Add(firstBackoff)
+			h.setPhase(j, i, phaseWaiting)
+		default:
+			// Another home intended it first; it is that one's to start.
+			h.setPhase(j, i, phaseFinal)
+			h.event(EventUnknownFate, j.id, fmt.Sprintf("task %d", i))
+			h.final(j, i, leverdyke.TaskUnknown, nil, 0, "")
+		}
+	}
+	h.requeue(j)
+}
--- /dev/null
+++ b/internal/home/scan.go
@@ -0,0 +1,297 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package home
+
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/placement"
+	"github.com/leverdyke/leverdyke/internal/queue"
+	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/worker"
+)
+
+const (
+	// maxAsksPerScan bounds one scan, so that the node's other duties go on.
+	maxAsksPerScan = 256
+	// maxAsksPerEntry lets other teams have their turn.
+	maxAsksPerEntry = 32
+)
+
+// The reasons why a job waits, for operators.
+const (
+	whyNoTeam   = "its team has no quota: publish a document for the team"
+	whyQuota    = "its team's quota is used up"
+	whyNoRoom   = "no worker has room for it at the moment"
+	whyDelay    = "its tasks failed and are tried again after a delay"
+	whyTurn     = "more urgent or older work goes first"
+	whyStarting = "its tasks are being started"
+	whyIntent   = "its tasks may run once only, and the log has not taken their intent yet"
+	whyNoRacks  = "no rack of the region has an owner that this node knows"
+)
+
+// scanner is the state of one scan.
+type scanner struct {
+	now   time.Time
+	views []placement.RackView
+	asks  map[state.ShardID]*node.Ask
+	count int
+	// failed has the needs for which there was no room in this scan.
+	failed map[leverdyke.Resources]bool
+	// pushed counts the urgent asks by rack that will have to push others aside.
+	pushed map[state.ShardID]int
+}
+
+// scan offers the waiting work to the racks.
+func (h *Home) scan(now time.Time) {
+	h.isDirty = false
+	h.scanned = now
+	if h.queue.Len() == 0 {
+		return
+	}
+	s := &scanner{
+		now: now, asks: map[state.ShardID]*node.Ask{}, failed: map[leverdyke.Resources]bool{},
+		pushed: map[state.ShardID]int{},
+	}
+	for _, id := range h.order {
+		s.views = append(s.views, h.rackView(now, id))
+	}
+	h.queue.Scan(h.Share, func(e *queue.Entry) queue.Result { return h.try(s, e) })
+	for _, id := range h.order {
+		if ask := s.asks[id]; ask != nil {
+			h.toRack(id, node.Message{Ask: ask})
+		}
+	}
+}
+
+func (h *Home) rackView(now time.Time, id state.ShardID) placement.RackView {
+	v := h.racks[id]
+	if !v.hasRoom || now.Before(v.shutUntil) {
+		return placement.RackView{IsShut: true}
+	}
+	return placement.RackView{
+		Free: v.room.Free.Sub(v.pending), Largest: v.room.Largest, Capacity: v.room.Capacity,
+	}
+}
+
+// try starts what it can of one entry.
+func (h *Home) try(s *scanner, e *queue.Entry) queue.Result {
+	j := h.jobs[e.Job]
+	if h.isNever(j) {
+		return queue.Skipped
+	}
+	if s.count >= maxAsksPerScan {
+		h.isDirty = true
+		j.why = whyTurn
+		return queue.Skipped
+	}
+	allowed := h.allowed(j)
+	if allowed == 0 {
+		return queue.Skipped
+	}
+	if j.spec.Kind == leverdyke.KindGang {
+		return h.tryGang(s, j, allowed)
+	}
+	return h.trySingles(s, j, min(allowed, maxAsksPerEntry))
+}
+
+// allowed is how many more tasks the team's quota lets start.
+func (h *Home) allowed(j *job) int {
+	quota, ok := h.policies.Quota(j.spec.Team)
+	if !ok {
+		j.why = whyNoTeam
+		return 0
+	}
+	n := j.spec.Each.Count(quota.Sub(h.used[j.spec.Team]))
+	if n == 0 {
+		j.why = whyQuota
+	}
+	return int(n)
+}
+
+// trySingles asks for up to limit tasks, each on its own.
+func (h *Home) trySingles(s *scanner, j *job, limit int) queue.Result {
+	started := 0
+	j.why = whyDelay
+	isBlocked := false
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if started >= limit || t.phase != phaseWaiting || s.now.Before(t.notBefore) {
+			continue
+		}
+		if j.spec.IsOnce && !t.isIntended {
+			h.intend(j, i)
+			started++
+			continue
+		}
+		rack := h.chooseRack(s, j)
+		if rack < 0 {
+			j.why = whyNoRoom
+			isBlocked = true
+			break
+		}
+		h.ask(s, j, i, h.order[rack], 0)
+		started++
+	}
+	h.requeueQuietly(j)
+	switch {
+	case started > 0:
+		return queue.Started
+	case isBlocked:
+		return queue.Blocked
+	}
+	return queue.Skipped
+}
+
+// requeueQuietly is requeue without making another scan due.
+func (h *Home) requeueQuietly(j *job) {
+	isDirty := h.isDirty
+	h.requeue(j)
+	h.isDirty = isDirty
+}
+
+// chooseRack returns the index of the rack to ask, or -1.
+func (h *Home) chooseRack(s *scanner, j *job) int {
+	need := j.spec.Each
+	if s.failed[need] {
+		return h.chooseYield(s, j)
+	}
+	policy := h.policies.Weights(j.spec.Team)
+	if j.spec.Kind == leverdyke.KindService {
+		policy.Packing = 0
+		for i, id := range h.order {
+			s.views[i].Siblings = j.running[id] + j.asked[id]
+		}
+	}
+	h.offset++
+	best := placement.BestRack(policy, need, s.views, h.offset, h.options.Tries)
+	if j.spec.Kind == leverdyke.KindService {
+		for i := range s.views {
+			s.views[i].Siblings = 0
+		}
+	}
+	if best < 0 {
+		s.failed[need] = true
+		return h.chooseYield(s, j)
+	}
+	return best
+}
+
+// chooseYield returns a rack that could push others aside for urgent work.
+func (h *Home) chooseYield(s *scanner, j *job) int {
+	if j.spec.Class != leverdyke.ClassUrgent {
+		return -1
+	}
+	for i := range h.order {
+		at := (i + h.offset) % len(h.order)
+		v := h.racks[h.order[at]]
+		if s.views[at].IsShut || s.pushed[h.order[at]] >= v.room.Workers || !j.spec.Each.FitsIn(v.room.Yield) {
+			continue
+		}
+		s.pushed[h.order[at]]++
+		h.offset = at + 1
+		return at
+	}
+	return -1
+}
+
+// ask asks a rack for one attempt of a task.
+func (h *Home) ask(s *scanner, j *job, i int, rack state.ShardID, holdID uint64) {
+	t := &j.tasks[i]
+	v := h.racks[rack]
+	h.counter++
+	t.attempt = h.Epoch<<attemptBits | h.counter
+	t.rack, t.rackEpoch, t.worker, t.sentAt, t.holdID = rack, v.epoch, "", s.now, holdID
+	h.setPhase(j, i, phaseAsked)
+	v.pending = v.pending.Add(j.spec.Each)
+	for n, id := range h.order {
+		if id == rack && n < len(s.views) {
+			s.views[n].Free = s.views[n].Free.Sub(j.spec.Each)
+		}
+	}
+	j.why = whyStarting
+	s.count++
+	ask := s.asks[rack]
+	if ask == nil {
+		ask = &node.Ask{Home: h.ID, HomeEpoch: h.Epoch, Rack: rack, RackEpoch: v.epoch}
+		s.asks[rack] = ask
+	}
+	ask.Items = append(ask.Items, h.askItem(s.now, j, i))
+	h.out.Decisions = append(h.out.Decisions, Decision{j.key(i), rack, "most fitting of the racks with room"})
+}
+
+func (h *Home) askItem(now time.Time, j *job, i int) node.AskItem {
+	w := h.policies.Weights(j.spec.Team)
+	t := worker.Task{
+		Key: j.key(i), Home: string(h.ID), Each: j.spec.Each, Class: j.spec.Class, IsOnce: j.spec.IsOnce,
+		Service: j.spec.Service, Request: j.spec.Request, IsRequestOnce: j.spec.IsRequestOnce, RunTime: j.spec.RunTime,
+	}
+	if j.spec.Kind == leverdyke.KindService {
+		w.Packing = 0
+	}
+	return node.AskItem{
+		Task: t, Share: h.Share(j.spec.Team), Age: now.Sub(j.since), Waiting: w.Waiting, Packing: w.Packing,
+		HoldID: j.tasks[i].holdID,
+	}
+}
+
+// resendAsks sends again what a rack's owner has not answered, as long as the
+// rack has the epoch that was asked.
+func (h *Home) resendAsks(now time.Time) {
+	asks := map[state.ShardID]*node.Ask{}
+	for _, j := range h.jobs {
+		if len(j.asked) == 0 {
+			continue
+		}
+		for i := range j.tasks {
+			t := &j.tasks[i]
+			if t.phase != phaseAsked || now.Sub(t.sentAt) < askRetry || h.racks[t.rack].epoch != t.rackEpoch {
+				continue
+			}
+			t.sentAt = now
+			ask := asks[t.rack]
+			if ask == nil {
+				ask = &node.Ask{Home: h.ID, HomeEpoch: h.Epoch, Rack: t.rack, RackEpoch: t.rackEpoch}
+				asks[t.rack] = ask
+			}
+			ask.Items = append(ask.Items, h.askItem(now, j, i))
+		}
+	}
+	for _, id := range h.order {
+		if ask := asks[id]; ask != nil {
+			h.toRack(id, node.Message{Ask: ask})
+		}
+	}
+}
+
+// isNever finds out whether no worker of the region is large enough.
+func (h *Home) isNever(j *job) bool {
+	capacities := []leverdyke.Resources{}
+	for _, id := range h.order {
+		v := h.racks[id]
+		if v.capacity == (leverdyke.Resources{}) {
+			// A rack that has told nothing yet may have a larger worker.
+			j.why = whyNoRacks
+			j.never = ""
+			return false
+		}
+		capacities = append(capacities, v.capacity)
+	}
+	if len(capacities) == 0 {
+		j.why = whyNoRacks
+		return false
+	}
+	lacks, ok := placement.CanEverFit(j.spec.Each, capacities)
+	if ok {
+		j.never = ""
+		return false
+	}
+	if j.never == "" {
+		h.event(EventNever, j.id, "no worker of the region has enough "+lacks)
+	}
+	j.never = lacks
+	return true
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,117 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package metrics has the instruments of a node, by OpenTelemetry, and the
+// handler from which they are scraped.
+package metrics
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/leverdyke/leverdyke"
+)
+
+// Set has the instruments. It is safe for concurrent use.
+type Set struct {
+	handler      http.Handler
+	wait         metric.Float64Histogram
+	decisionTime metric.Float64Histogram
+	refusals     metric.Int64Counter
+	requests     metric.Int64Counter
+	bytes        metric.Int64Counter
+	ownerChanges metric.Int64Counter
+	starts       metric.Int64Counter
+	meter        metric.Meter
+}
+
+// Direction says which way control bytes went.
+type Direction string
+
+// The directions.
+const (
+	Sent     Direction = "sent"
+	Received Direction = "received"
+)
+
+// NewSet returns the instruments, with an exporter of their own.
+func NewSet() (*Set, error) {
+	registry := prometheus.NewRegistry()
+	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo())
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	meter := sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("leverdyke")
+	s := &Set{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: meter}
+	waits := metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 3.4, 5, 10, 30, 60, 300)
+	times := metric.WithExplicitBucketBoundaries(1e-6, 5e-6, 1e-5, 2e-5, 5e-5, 1e-4, 5e-4, 1e-3, 1e-2)
+	var errs [8]error
+	s.wait, errs[0] = meter.Float64Histogram("leverdyke.wait", metric.WithUnit("s"), waits)
+	s.decisionTime, errs[1] = meter.Float64Histogram("leverdyke.decision", metric.WithUnit("s"), times)
+	s.refusals, errs[2] = meter.Int64Counter("leverdyke.refusals")
+	s.requests, errs[3] = meter.Int64Counter("leverdyke.requests")
+	s.bytes, errs[4] = meter.Int64Counter("leverdyke.control", metric.WithUnit("By"))
+	s.ownerChanges, errs[5] = meter.Int64Counter("leverdyke.owner.changes")
+	s.starts, errs[6] = meter.Int64Counter("leverdyke.task.starts")
+	for _, err := range errs {
+		if err != nil {
+			return nil, fmt.Errorf("metrics: %w", err)
+		}
+	}
+	return s, nil
+}
+
+// Handler returns the handler to scrape.
+func (s *Set) Handler() http.Handler { return s.handler }
+
+// Waited notes how long a request or task of a class waited for its start.
+func (s *Set) Waited(kind string, class leverdyke.Class, d time.Duration) {
+	s.wait.Record(context.Background(), d.Seconds(), metric.WithAttributes(attribute.String("kind", kind), attribute.String("class", string(class))))
+}
+
+// Decided notes how long a decision took.
+func (s *Set) Decided(d time.Duration) { s.decisionTime.Record(context.Background(), d.Seconds()) }
+
+// Refused counts a refusal by its verdict.
+func (s *Set) Refused(v leverdyke.Verdict) {
+	s.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("verdict", string(v))))
+}
+
+// Served counts a request that got its answer.
+func (s *Set) Served() { s.requests.Add(context.Background(), 1) }
+
+// Started counts a task's start.
+func (s *Set) Started() { s.starts.Add(context.Background(), 1) }
+
+// Control counts bytes of control messages, not of callers' requests.
+func (s *Set) Control(d Direction, peer string, n int) {
+	if n > 0 {
+		s.bytes.Add(context.Background(), int64(n), metric.WithAttributes(attribute.String("direction", string(d)), attribute.String("peer", peer)))
+	}
+}
+
+// OwnerChanged counts a shard that came or went.
+func (s *Set) OwnerChanged() { s.ownerChanges.Add(context.Background(), 1) }
+
+// Gauge registers a value that is read when it is scraped.
+func (s *Set) Gauge(name, label string, values func() map[string]float64) error {
+	_, err := s.meter.Float64ObservableGauge(name, metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+		for k, v := range values() {
+			o.Observe(v, metric.WithAttributes(attribute.String(label, k)))
+		}
+		return nil
+	}))
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/once/table.go
@@ -0,0 +1,132 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package once keeps the answers to requests that may not be repeated, so that
+// a caller's retry gets the first answer and never a second run.
+package once
+
+import (
+	"container/list"
+	"context"
+	"sync"
+
+	"github.com/leverdyke/leverdyke/internal/node"
+)
+
+const (
+	defaultMaxBytes = 2 << 20
+	// MaxAnswerBytes is the longest body that is kept for a retry.
+	MaxAnswerBytes = 64 << 10
+	entryBytes     = 256
+)
+
+// Key is an idempotency key.
+type Key = [16]byte
+
+// Fate says what the log says of a key.
+type Fate string
+
+// The fates of a key.
+const (
+	// FateWon means that this process may send the request, once.
+	FateWon Fate = "won"
+	// FateLost means that a process was first to have it.
+	FateLost Fate = "lost"
+	// FateNotTaken means that the log did not take it, and will not.
+	FateNotTaken Fate = "not-taken"
+	// FateOpen means that it is not known whether the log has it.
+	FateOpen Fate = "open"
+)
+
+// NewTableOptions sets the bounds. The zero value works.
+type NewTableOptions struct {
+	// MaxBytes bounds what is kept; 0 means 2 MiB. What is dropped first is the
+	// oldest answer; that the key was used stays in the log.
+	MaxBytes int
+}
+
+// Table has the keys that this process was the first to run. It is safe for
+// concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	options NewTableOptions
+	entries map[Key]*Entry
+	order   *list.List
+	bytes   int
+}
+
+// Entry is a key that this process runs or has run.
+type Entry struct {
+	key Key
+	// Digest is of the request; it never changes.
+	Digest uint64
+	// done is closed when answer is set, which happens once.
+	done    chan struct{}
+	answer  node.SavedAnswer
+	element *list.Element
+	bytes   int
+}
+
+// NewTable returns an empty table.
+func NewTable(options NewTableOptions) *Table {
+	if options.MaxBytes == 0 {
+		options.MaxBytes = defaultMaxBytes
+	}
+	return &Table{options: options, entries: map[Key]*Entry{}, order: list.New()}
+}
+
+// Begin returns the entry of a key, and whether it is new: then the caller has
+// to End or Abandon it.
+func (t *Table) Begin(key Key, digest uint64) (*Entry, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[key]; e != nil {
+		return e, false
+	}
+	e := &Entry{key: key, Digest: digest, done: make(chan struct{}), bytes: entryBytes}
+	t.entries[key] = e
+	return e, true
+}
+
+// Find returns the entry of a key, or nil.
+func (t *Table) Find(key Key) *Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.entries[key]
+}
+
+// Abandon removes an entry whose key was not won; those who wait for it are
+// told that there is no answer here.
+func (t *Table) Abandon(e *Entry, a node.SavedAnswer) {
+	t.mu.Lock()
+	delete(t.entries, e.key)
+	t.mu.Unlock()
+	e.answer = a
+	close(e.done)
+}
+
+// End sets the answer and drops the oldest answers beyond the bound.
+func (t *Table) End(e *Entry, a node.SavedAnswer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e.answer = a
+	e.bytes += len(a.Body)
+	close(e.done)
+	e.element = t.order.PushBack(e)
+	t.bytes += e.bytes
+	for t.bytes > t.options.MaxBytes && t.order.Len() > 0 {
+		oldest, _ := t.order.Remove(t.order.Front()).(*Entry)
+		t.bytes -= oldest.bytes
+		delete(t.entries, oldest.key)
+	}
+}
+
+// Wait returns the answer when there is one; false means that ctx ended first.
+func (e *Entry) Wait(ctx context.Context) (node.SavedAnswer, bool) {
+	select {
+	case <-e.done:
+		return e.answer, true
+	case <-ctx.Done():
+		return node.SavedAnswer{}, false
+	}
+}
--- /dev/null
+++ b/internal/placement/policy.go
@@ -0,0 +1,131 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package placement chooses a VM for a task and a rack for an ask. It is pure:
+// the same input gives the same decision.
+package placement
+
+import (
+	"github.com/leverdyke/leverdyke"
+)
+
+// Policy is an office's weighing of its two aims. The zero value weighs
+// nothing: the first VM with room is taken.
+type Policy struct {
+	// Waiting prefers VMs with room left over; from 0 to 1.
+	Waiting float64
+	// Packing prefers VMs that the task fills up; from 0 to 1.
+	Packing float64
+}
+
+const (
+	spreadWeight   = 0.25
+	strandWeight   = 2.0
+	skewWeight     = 0.5
+	rackPeerWeight = 0.2
+)
+
+// Candidate is a VM, or a rack's largest VM, that could take a task.
+type Candidate struct {
+	// Free and Capacity are what is left and what there is in all.
+	Free, Capacity leverdyke.Resources
+	// Siblings counts tasks of the same job that are there already.
+	Siblings int
+	// IsShut means that it takes nothing new: leaving, set aside, not known.
+	IsShut bool
+}
+
+// Best returns the index of the candidate to take and of the runner-up, or -1.
+// Of equal ones the first is taken.
+func Best(p Policy, need leverdyke.Resources, candidates []Candidate) (best, second int) {
+	best, second = -1, -1
+	bestScore, secondScore := 0.0, 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		if c.IsShut || !need.FitsIn(c.Free) {
+			continue
+		}
+		score := Score(p, need, c)
+		switch {
+		case best < 0 || score > bestScore:
+			second, secondScore = best, bestScore
+			best, bestScore = i, score
+		case second < 0 || score > secondScore:
+			second, secondScore = i, score
+		}
+	}
+	return best, second
+}
+
+// Score rates a candidate that the task fits in; more is better.
+func Score(p Policy, need leverdyke.Resources, c *Candidate) float64 {
+	left := c.Free.Sub(need)
+	cpu := fraction(left.MilliCPU, c.Capacity.MilliCPU)
+	memory := fraction(left.MemoryMiB, c.Capacity.MemoryMiB)
+	slots := fraction(left.Slots, c.Capacity.Slots)
+	mean := (cpu + memory + slots) / 3
+	score := (p.Waiting - p.Packing) * mean
+	score -= p.Packing * skewWeight * (max(cpu, memory, slots) - min(cpu, memory, slots))
+	score -= spreadWeight * p.Waiting * float64(c.Siblings)
+	if need.Accelerators == 0 && c.Capacity.Accelerators > 0 {
+		// Room beside an accelerator is what a task with one needs later.
+		score -= strandWeight
+	}
+	return score
+}
+
+func fraction(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// RackView is a rack's summary as the asking side has it; it may be seconds
+// old, so that what was asked for since is taken off by the asking side.
+type RackView struct {
+	// Free is the sum over the rack, Largest the most on one VM.
+	Free, Largest, Capacity leverdyke.Resources
+	// Siblings counts tasks of the same job in the rack.
+	Siblings int
+	// IsShut means that the rack refused or has no owner at the moment.
+	IsShut bool
+}
+
+// BestRack returns the index of the rack to ask, or -1. The offset turns the
+// order of equals, so that several askers do not all choose the same rack;
+// with tries above 0 only that many racks with room are compared.
+func BestRack(p Policy, need leverdyke.Resources, racks []RackView, offset, tries int) int {
+	best, bestScore, seen := -1, 0.0, 0
+	for i := range racks {
+		at := (i + offset) % len(racks)
+		r := &racks[at]
+		if r.IsShut || !need.FitsIn(r.Largest) || !need.FitsIn(r.Free) {
+			continue
+		}
+		score := Score(p, need, &Candidate{Free: r.Largest, Capacity: r.Capacity})
+		score -= rackPeerWeight * p.Waiting * float64(r.Siblings)
+		if best < 0 || score > bestScore {
+			best, bestScore = at, score
+		}
+		seen++
+		if tries > 0 && seen >= tries {
+			break
+		}
+	}
+	return best
+}
+
+// CanEverFit reports whether a VM of one of the capacities could hold the need
+// when empty; otherwise it names what is lacking on the one that comes closest.
+func CanEverFit(need leverdyke.Resources, capacities []leverdyke.Resources) (lacks string, ok bool) {
+	lacks = "any worker"
+	for _, c := range capacities {
+		l := need.Lacks(c)
+		if l == "" {
+			return "", true
+		}
+		lacks = l
+	}
+	return lacks, false
+}
--- /dev/null
+++ b/internal/rack/grants.go
@@ -0,0 +1,132 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package rack
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/worker"
+)
+
+// maxGrantSlots bounds one grant, so that slots are shared among nodes.
+const maxGrantSlots = 4
+
+// OnGrantAsk gives a node slots of a worker that runs the service.
+func (r *Rack) OnGrantAsk(now time.Time, from state.NodeID, m *node.GrantAsk) {
+	v, replica := r.bestReplica(now, m.Service)
+	if v == nil {
+		g := &node.Grant{Rack: r.ID, RackEpoch: r.Epoch, Service: m.Service, Refused: whyNoRoom}
+		r.out.ToNode = append(r.out.ToNode, NodeMessage{from, node.Message{Grant: g}})
+		return
+	}
+	slots := min(replica.task.Request.Count(r.free(v)), int64(max(m.Slots, 1)), maxGrantSlots)
+	r.nextGrant++
+	key := worker.Key{Attempt: r.nextGrant}
+	key.Task.Job = fmt.Sprintf("grant-%d", r.Epoch)
+	t := worker.Task{
+		Key: key, Holder: string(from), Each: replica.task.Request.Times(slots), Class: m.Class,
+		Service: m.Service, Request: replica.task.Request, IsRequestOnce: replica.task.IsRequestOnce, State: worker.StateRunning,
+	}
+	r.add(&held{task: t, vm: v, phase: phaseStarting, since: now, told: now})
+	r.order1(v.id, t)
+	r.isChanged = true
+}
+
+// bestReplica returns the worker with the most room that runs the service.
+func (r *Rack) bestReplica(now time.Time, service string) (*vm, *held) {
+	var best *vm
+	var replica *held
+	most := int64(0)
+	for _, id := range r.order {
+		v := r.vms[id]
+		if !r.isUsable(now, v) || !r.mayTake(now, v) {
+			continue
+		}
+		h := replicaOn(v, service)
+		if h == nil {
+			continue
+		}
+		if n := h.task.Request.Count(r.free(v)); n > most {
+			best, replica, most = v, h, n
+		}
+	}
+	return best, replica
+}
+
+func replicaOn(v *vm, service string) *held {
+	for _, h := range v.held {
+		if h.phase == phaseRunning && h.task.Service == service && h.task.Holder == "" {
+			return h
+		}
+	}
+	return nil
+}
+
+func (r *Rack) tellGrant(h *held) {
+	g := &node.Grant{
+		Rack: r.ID, RackEpoch: r.Epoch, Key: h.task.Key, Service: h.task.Service, Worker: h.vm.id,
+		Addr: h.vm.addr, Zone: h.vm.zone, Slots: int(h.task.Each.Slots), IsOnce: h.task.IsRequestOnce,
+	}
+	r.out.ToNode = append(r.out.ToNode, NodeMessage{state.NodeID(h.task.Holder), node.Message{Grant: g}})
+}
+
+func (r *Rack) refuseGrant(h *held, why string) {
+	g := &node.Grant{Rack: r.ID, RackEpoch: r.Epoch, Service: h.task.Service, Refused: why}
+	r.out.ToNode = append(r.out.ToNode, NodeMessage{state.NodeID(h.task.Holder), node.Message{Grant: g}})
+}
+
+// grantEnded forgets a grant that the worker no longer counts.
+func (r *Rack) grantEnded(h *held) {
+	r.recall(h)
+	r.remove(h)
+	if !h.isLost {
+		r.out.Forgets = append(r.out.Forgets, ForgetOrder{h.vm.id, []worker.Key{h.task.Key}})
+	}
+}
+
+func (r *Rack) recall(h *held) {
+	m := node.Message{GrantRecall: &node.GrantRecall{Key: h.task.Key}}
+	r.out.ToNode = append(r.out.ToNode, NodeMessage{state.NodeID(h.task.Holder), m})
+}
+
+// OnGrantDone takes a grant back. Its room is free when the worker says so.
+func (r *Rack) OnGrantDone(now time.Time, from state.NodeID, m *node.GrantDone) {
+	h := r.held[m.Key]
+	if h != nil && h.task.Holder == string(from) {
+		r.stopGrant(now, h)
+	}
+}
+
+// DropHolder takes back the grants of a node that has ended or is not heard.
+// A worker finishes what runs under a grant before it counts as ended.
+func (r *Rack) DropHolder(now time.Time, isGone func(state.NodeID) bool) {
+	for _, h := range sortedHeld(r.held) {
+		if h.task.Holder != "" && isGone(state.NodeID(h.task.Holder)) {
+			r.stopGrant(now, h)
+		}
+	}
+}
+
+func (r *Rack) stopGrant(now time.Time, h *held) {
+	if h.phase == phaseEnded || h.deed != "" {
+		return
+	}
+	h.deed = worker.DeedStop
+	h.told = now
+	r.out.Acts = append(r.out.Acts, ActOrder{h.vm.id, worker.DeedStop, []worker.Key{h.task.Key}})
+}
+
+// dropGrantsWithout takes back the grants of services that no longer run on
+// the worker.
+func (r *Rack) dropGrantsWithout(now time.Time, v *vm) {
+	for _, h := range sortedHeld(v.held) {
+		if h.task.Holder != "" && replicaOn(v, h.task.Service) == nil {
+			r.recall(h)
+			r.stopGrant(now, h)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/cell.go
@@ -0,0 +1,237 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package standin starts a whole cell of real processes on loopback, for the
+// quickstart, the tests and the measurements. It is no part of the product.
+package standin
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/operator"
+	"github.com/leverdyke/leverdyke/internal/platform"
+)
+
+const pollPause = 20 * time.Millisecond
+
+// Cell is a platform in this process and nodes as processes of their own.
+type Cell struct {
+	Platform *platform.Server
+	Nodes    []*Node
+	dir      string
+	binary   string
+	extra    string
+}
+
+// Node is one node's process.
+type Node struct {
+	Link, Callers, Operators netip.AddrPort
+	Region, Zone             string
+	cell                     *Cell
+	process                  *exec.Cmd
+	done                     chan struct{}
+	log                      string
+}
+
+// NewCellOptions says what to start. Zero values mean the defaults.
+type NewCellOptions struct {
+	// Binary is the path of leverdyked; it must be set.
+	Binary string
+	// Dir is where settings and logs go; it must be set.
+	Dir      string
+	Platform platform.NewServerOptions
+	// Nodes is how many nodes there are; they take turns in the zones.
+	Nodes int
+	// Settings is added to each node's settings file.
+	Settings string
+	// LogAddr is where the nodes find the log; its zero value means the
+	// platform itself. A test puts a proxy there.
+	LogAddr netip.AddrPort
+}
+
+// NewCell starts a platform and nodes.
+func NewCell(o NewCellOptions) (*Cell, error) {
+	p, err := platform.NewServer(o.Platform)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cell{Platform: p, dir: o.Dir, binary: o.Binary, extra: o.Settings}
+	if !o.LogAddr.IsValid() {
+		o.LogAddr = p.Addr()
+	}
+	zones := max(o.Platform.Zones, 1) * max(o.Platform.Regions, 1)
+	for i := range o.Nodes {
+		region := i % zones / max(o.Platform.Zones, 1)
+		n := &Node{cell: c, Region: fmt.Sprintf("r%d", region+1), Zone: fmt.Sprintf("r%d-z%d", region+1, i%max(o.Platform.Zones, 1)+1)}
+		for _, a := range []*netip.AddrPort{&n.Link, &n.Callers, &n.Operators} {
+			if *a, err = FreeAddr(); err != nil {
+				c.Close()
+				return nil, err
+			}
+		}
+		n.log = filepath.Join(o.Dir, fmt.Sprintf("node%d.log", i+1))
+		c.Nodes = append(c.Nodes, n)
+	}
+	for i, n := range c.Nodes {
+		if err := n.writeSettings(i, o.LogAddr); err != nil {
+			c.Close()
+			return nil, err
+		}
+		if err := n.Start(); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// FreeAddr returns an address of the loopback that is free at the moment.
+func FreeAddr() (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("standin: %w", err)
+	}
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String()), nil
+}
+
+func (n *Node) settingsFile() string { return strings.TrimSuffix(n.log, ".log") + ".yaml" }
+
+func (n *Node) writeSettings(i int, log netip.AddrPort) error {
+	peers := []string{}
+	for j, p := range n.cell.Nodes {
+		if j != i {
+			peers = append(peers, fmt.Sprintf("%q", p.Link))
+		}
+	}
+	text := fmt.Sprintf("link: %s\ncallers: %s\noperators: %s\nregion: %s\nzone: %s\npeers: [%s]\nlog: %s\nvm_list: %s\n%s",
+		n.Link, n.Callers, n.Operators, n.Region, n.Zone, strings.Join(peers, ", "), log, n.cell.Platform.Addr(), n.cell.extra)
+	if err := os.WriteFile(n.settingsFile(), []byte(text), 0o600); err != nil {
+		return fmt.Errorf("standin: %w", err)
+	}
+	return nil
+}
+
+// Start starts the node's process.
+func (n *Node) Start() error {
+	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return fmt.Errorf("standin: %w", err)
+	}
+	defer func() { _ = log.Close() }()
+	n.process = exec.Command(n.cell.binary, "run", "--settings", n.settingsFile())
+	n.process.Stdout, n.process.Stderr = log, log
+	if err := n.process.Start(); err != nil {
+		return fmt.Errorf("standin: %w", err)
+	}
+	n.done = make(chan struct{})
+	go n.runWait(n.process, n.done)
+	return nil
+}
+
+func (n *Node) runWait(p *exec.Cmd, done chan struct{}) {
+	_ = p.Wait()
+	close(done)
+}
+
+// Signal sends a signal to the node's process, by its id.
+func (n *Node) Signal(s syscall.Signal) { _ = n.process.Process.Signal(s) }
+
+// Wait waits until the process has ended, and reports whether it did in time.
+func (n *Node) Wait(d time.Duration) bool {
+	select {
+	case <-n.done:
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
+// Pid returns the process's id.
+func (n *Node) Pid() int { return n.process.Process.Pid }
+
+// Log returns what the node has logged.
+func (n *Node) Log() string {
+	data, _ := os.ReadFile(n.log)
+	return string(data)
+}
+
+// CountLog counts the lines of the log that contain a text.
+func (n *Node) CountLog(text string) int { return bytes.Count([]byte(n.Log()), []byte(text)) }
+
+// Close ends all processes and the platform.
+func (c *Cell) Close() {
+	for _, n := range c.Nodes {
+		if n.process == nil || n.process.Process == nil {
+			continue
+		}
+		n.Signal(syscall.SIGCONT)
+		n.Signal(syscall.SIGKILL)
+		n.Wait(5 * time.Second)
+	}
+	c.Platform.Close()
+}
+
+// Client returns an operators' client for all nodes.
+func (c *Cell) Client() *operator.Client {
+	addrs := []string{}
+	for _, n := range c.Nodes {
+		addrs = append(addrs, n.Operators.String())
+	}
+	return operator.NewClient(addrs, 15*time.Second, nil)
+}
+
+// Await polls until f is true, and reports whether it became so in time.
+func Await(d time.Duration, f func() bool) bool {
+	limit := time.Now().Add(d)
+	for time.Now().Before(limit) {
+		if f() {
+			return true
+		}
+		time.Sleep(pollPause)
+	}
+	return f()
+}
+
+// IsReady reports whether the node answers that it is ready.
+func (n *Node) IsReady() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Callers.String()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
+}
+
+// AwaitOwned waits until every rack and home has an owner that answers.
+func (c *Cell) AwaitOwned(d time.Duration, racks, homes int) bool {
+	return Await(d, func() bool {
+		nodes, err := c.Client().Nodes(context.Background())
+		if err != nil {
+			return false
+		}
+		haveRacks, haveHomes := 0, 0
+		for _, n := range nodes {
+			haveRacks += len(n.Racks)
+			haveHomes += len(n.Homes)
+		}
+		return haveRacks >= racks && haveHomes >= homes
+	})
+}
--- /dev/null
+++ b/tools/quickstart/main.go
@@ -0,0 +1,205 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Command quickstart runs a whole cell on loopback for half a minute and checks
+// that what must always hold did hold.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/standin"
+)
+
+const (
+	racks      = 4
+	homes      = 16
+	nodes      = 3
+	patience   = 15 * time.Second
+	workersCPU = 16000
+)
+
+func main() {
+	bin := flag.String("bin", "bin", "where the programs are")
+	keep := flag.Bool("keep", false, "leave the cell running until interrupted")
+	flag.Parse()
+	if err := run(*bin, *keep); err != nil {
+		fmt.Fprintln(os.Stderr, "quickstart failed:", err)
+		os.Exit(1)
+	}
+}
+
+// tour is one run of the quickstart.
+type tour struct {
+	cell  *standin.Cell
+	bin   string
+	calls calls
+}
+
+func run(bin string, keep bool) error {
+	dir, err := os.MkdirTemp("", "leverdyke-quickstart-")
+	if err != nil {
+		return err
+	}
+	cell, err := standin.NewCell(standin.NewCellOptions{
+		Binary: filepath.Join(bin, "leverdyked"), Dir: dir, Nodes: nodes,
+		Platform: platform.NewServerOptions{Zones: 2, Racks: 2, Workers: 3, Lag: time.Second},
+	})
+	if err != nil {
+		return err
+	}
+	defer cell.Close()
+	t := &tour{cell: cell, bin: bin, calls: calls{verdicts: map[string]int{}}}
+	began := time.Now()
+	for _, step := range []struct {
+		name string
+		do   func() error
+	}{
+		{"the cell has an owner for every rack and home", t.awaitOwners},
+		{"templates and configuration are published", t.publish},
+		{"a service, a batch and an all-at-once job are submitted", t.submit},
+		{"callers' requests go through every node, and one node is killed", t.callAndKill},
+		{"a job is cancelled", t.cancel},
+		{"what must always hold did hold", t.check},
+	} {
+		if err := step.do(); err != nil {
+			return fmt.Errorf("%s: %w (logs are in %s)", step.name, err, dir)
+		}
+		fmt.Printf("%6.1fs  %s\n", time.Since(began).Seconds(), step.name)
+	}
+	if keep {
+		t.keep(dir)
+		return nil
+	}
+	return os.RemoveAll(dir)
+}
+
+func (t *tour) awaitOwners() error {
+	if !t.cell.AwaitOwned(patience, racks, homes) {
+		return errors.New("not all have an owner")
+	}
+	return nil
+}
+
+// client runs the operators' client as a person would.
+func (t *tour) client(args ...string) (string, error) {
+	addrs := []string{}
+	for _, n := range t.cell.Nodes {
+		addrs = append(addrs, n.Operators.String())
+	}
+	c := exec.Command(filepath.Join(t.bin, "leverdyke"), append([]string{"--quiet", "--nodes", strings.Join(addrs, ",")}, args...)...)
+	out, err := c.CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("leverdyke %s: %w: %s", strings.Join(args, " "), err, out)
+	}
+	return string(out), nil
+}
+
+func (t *tour) publish() error {
+	for _, d := range [][2]string{
+		{"office/head", "office-head"},
+		{"office/brescia", "office-brescia"},
+		{"team/filings", "team-filings"},
+		{"team/reconciliation", "team-reconciliation"},
+	} {
+		if _, err := t.client("config", "publish", d[0], "examples/"+d[1]+".yaml"); err != nil {
+			return err
+		}
+	}
+	_, err := t.client("template", "publish", "nightly-reconciliation", "examples/template-reconciliation.yaml")
+	return err
+}
+
+func (t *tour) submit() error {
+	for _, j := range []string{"service", "service-repeatable", "batch", "all-at-once"} {
+		if _, err := t.client("job", "submit", "examples/"+j+".yaml", "--id", j, "--wait", "10s"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// callAndKill sends requests through all nodes while one is killed and started
+// again.
+func (t *tour) callAndKill() error {
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		t.calls.run(ctx, t.cell)
+	}()
+	victim := t.cell.Nodes[nodes-1]
+	time.Sleep(1500 * time.Millisecond)
+	victim.Signal(syscall.SIGKILL)
+	victim.Wait(patience)
+	time.Sleep(1500 * time.Millisecond)
+	if err := victim.Start(); err != nil {
+		return err
+	}
+	<-done
+	if !standin.Await(patience, victim.IsReady) {
+		return errors.New("the killed node does not come back")
+	}
+	return nil
+}
+
+func (t *tour) cancel() error {
+	if _, err := t.client("job", "cancel", "service-repeatable"); err != nil {
+		return err
+	}
+	if !standin.Await(patience, func() bool { return t.cell.Platform.Oracle.Report().Running == 3 }) {
+		return fmt.Errorf("%d tasks run, want the 3 of the service that is left", t.cell.Platform.Oracle.Report().Running)
+	}
+	return nil
+}
+
+// check prints the table and fails if anything did not hold.
+func (t *tour) check() error {
+	r := t.cell.Platform.Oracle.Report()
+	jobs, err := t.client("job", "list", "--all")
+	if err != nil {
+		return err
+	}
+	workers, err := t.client("worker", "list")
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\n%s\n%s\n", jobs, workers)
+	t.calls.print()
+	fmt.Printf("tasks started %d, requests run %d, over-commits %d, double runs %d, repeated %d, starts on leaving VMs %d, lapsed leases %d\n\n",
+		r.Starts, r.Requests, r.OverCommits, r.DoubleRuns, r.Repeated, r.StartsOnLeaving, r.Lapses)
+	if r.OverCommits+r.DoubleRuns+r.Repeated+r.StartsOnLeaving > 0 {
+		return fmt.Errorf("violated: %s", strings.Join(r.Violations, "; "))
+	}
+	if r.Lapses > 0 {
+		return fmt.Errorf("%d tasks lost their lease because a node was killed", r.Lapses)
+	}
+	return t.calls.verify(t.cell.Platform.Oracle)
+}
+
+// keep leaves the cell running and says what to try.
+func (t *tour) keep(dir string) {
+	n := t.cell.Nodes
+	fmt.Printf("The cell keeps running; Ctrl-C ends it. Logs and settings are in %s. Try:\n\n", dir)
+	fmt.Printf("  export LEVERDYKE_NODES=%s,%s\n", n[0].Operators, n[1].Operators)
+	fmt.Printf("  %s/leverdyke node list\n  %s/leverdyke job submit examples/batch.yaml --wait 10s\n", t.bin, t.bin)
+	fmt.Printf("  curl -i http://%s/s/filing-check/hello\n", n[0].Callers)
+	fmt.Printf("  curl -s http://%s/v1/oracle\n", t.cell.Platform.Addr())
+	fmt.Printf("  curl -X PUT http://%s/v1/faults/log -d '{\"out\":true}'\n", t.cell.Platform.Addr())
+	fmt.Printf("  kill -9 %d\n", n[0].Pid())
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+}
