--- a/internal/entry/core.go
+++ b/internal/core/core.go
@@ -1,13 +1,19 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package entry
+// Package core joins a node's decisions: it folds the log, keeps what the node
+// owns in step with the claims, and passes messages between homes and racks. It
+// is driven by events and does no I/O, so that whole cells run in a test under
+// a fake clock.
+package core
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/front"
 	"github.com/leverdyke/leverdyke/internal/home"
 	"github.com/leverdyke/leverdyke/internal/membership"
 	"github.com/leverdyke/leverdyke/internal/node"
@@ -37,9 +43,66 @@
 	holderGone = 5 * time.Second
 )
 
-// core is what the node decides from. It belongs to one goroutine.
-type core struct {
-	node *Node
+// Outside is what a node gives its core: the clock, the links, the log and the
+// workers. None of its methods may call back into the core at once.
+type Outside interface {
+	Now() time.Time
+	// Send reports false when the message is surely not sent.
+	Send(to state.NodeID, m *node.Message) bool
+	Connect(peer state.NodeID, addr netip.AddrPort)
+	Disconnect(peer state.NodeID)
+	// Append hands a record to the log; done is called later, as an event of
+	// the core: nil when the record took effect, an error of the fold when it
+	// did not, state.ErrNotTaken when it is not in the log and will not be.
+	Append(r state.Record, done func(error))
+	// Folded tells the log's writer that its batch was seen in the log.
+	Folded(seq uint64, out state.Outcome)
+	// IsAppendOut reports whether appends have been failing for some time.
+	IsAppendOut() bool
+	// SkipTo lets the log's reader go on after offset.
+	SkipTo(offset int64)
+	OpenWorker(rack state.ShardID, epoch worker.Epoch, id worker.ID, addr netip.AddrPort) WorkerLink
+	// AnswerOnce answers a peer that asks for the answer to a key.
+	AnswerOnce(from state.NodeID, m *node.OnceAsk)
+}
+
+// WorkerLink gives one worker its orders, in the epoch for which it was opened,
+// and renews its leases until it is stopped.
+type WorkerLink interface {
+	Start(tasks []worker.Task)
+	Act(deed worker.Deed, keys []worker.Key)
+	Forget(keys []worker.Key)
+	Stop()
+}
+
+// Meter takes measurements.
+type Meter interface {
+	Waited(kind string, class leverdyke.Class, d time.Duration)
+	Decided(d time.Duration)
+	Started()
+	OwnerChanged()
+}
+
+// NewCoreOptions says who the node is. All fields but Peers must be set.
+type NewCoreOptions struct {
+	Self            state.Owner
+	Link, Operators netip.AddrPort
+	Region, Zone    string
+	// Peers are links to try before the log has told of any.
+	Peers []netip.AddrPort
+	// Lease is how long a task lives without its owner.
+	Lease time.Duration
+	// SnapshotEvery is after how many batches a snapshot is written.
+	SnapshotEvery int64
+	Router        *front.Router
+	Meter         Meter
+}
+
+// Core is what a node decides from. It has no goroutine, no clock and no I/O of
+// its own, and belongs to the goroutine that feeds it events.
+type Core struct {
+	options NewCoreOptions
+	out     Outside
 	// state is the fold; it only moves forward in the log.
 	state    *state.State
 	members  *membership.Table
@@ -87,7 +150,7 @@
 // ownedRack is a rack that this node owns, with the links to its workers.
 type ownedRack struct {
 	rack  *rack.Rack
-	links map[worker.ID]*workerLink
+	links map[worker.ID]WorkerLink
 	room  node.Room
 	// roomAt is when the room was last told to peers.
 	roomAt     time.Time
@@ -100,24 +163,26 @@
 	epoch worker.Epoch
 }
 
-func newCore(n *Node) *core {
-	now := n.clock.Now()
-	c := &core{
-		node: n, state: state.NewState(), members: membership.NewTable(n.owner.Node, membership.NewTableOptions{}),
+// NewCore returns a core that knows nothing yet.
+func NewCore(out Outside, options NewCoreOptions) *Core {
+	c := &Core{
+		options: options, out: out, state: state.NewState(),
+		members:  membership.NewTable(options.Self.Node, membership.NewTableOptions{}),
 		policies: policy.NewSet(), racks: map[state.ShardID]*ownedRack{}, homes: map[state.ShardID]*home.Home{},
-		fenced: map[state.ShardID]worker.Epoch{}, deputised: map[state.ShardID]deputy{}, claiming: map[state.ShardID]uint64{}, rackCapacity: map[state.ShardID]leverdyke.Resources{},
-		startedAt: now, silent: map[state.NodeID]time.Time{}, onceWaiting: map[uint64]chan node.OnceReply{},
+		fenced: map[state.ShardID]worker.Epoch{}, deputised: map[state.ShardID]deputy{}, claiming: map[state.ShardID]uint64{},
+		rackCapacity: map[state.ShardID]leverdyke.Resources{}, startedAt: out.Now(), silent: map[state.NodeID]time.Time{},
+		onceWaiting: map[uint64]chan node.OnceReply{},
 	}
-	for _, p := range n.settings.PeerAddrs {
-		n.links.Connect(state.NodeID(p.String()), p)
+	for _, p := range options.Peers {
+		out.Connect(state.NodeID(p.String()), p)
 	}
 	return c
 }
 
-func (c *core) now() time.Time { return c.node.clock.Now() }
+func (c *Core) now() time.Time { return c.out.Now() }
 
-// tick does what is due.
-func (c *core) tick() {
+// Tick does what is due. It is called some twenty times a second.
+func (c *Core) Tick() {
 	now := c.now()
 	if c.members.Tick(now) {
 		events.Log(events.NodePaused)
@@ -125,7 +190,7 @@
 		c.caughtUpAt = time.Time{}
 		c.planAt = now
 	}
-	c.join(now)
+	c.join()
 	c.beat(now)
 	c.plan(now)
 	c.watchDeputies(now)
@@ -139,22 +204,22 @@
 	for _, h := range c.homes {
 		h.Tick(now)
 	}
-	c.planGrants()
+	c.PlanGrants()
 }
 
 // join appends this process's entry into the cell, once the log has been read.
-func (c *core) join(now time.Time) {
-	if c.isJoined() || c.isJoining || c.isDraining || c.caughtUpAt.IsZero() || c.node.writer.IsOut() {
+func (c *Core) join() {
+	if c.IsJoined() || c.isJoining || c.isDraining || c.caughtUpAt.IsZero() || c.out.IsAppendOut() {
 		return
 	}
-	m := c.state.Members[c.node.owner.Node]
-	if m != nil && m.Incarnation > c.node.owner.Incarnation {
+	m := c.state.Members[c.options.Self.Node]
+	if m != nil && m.Incarnation > c.options.Self.Incarnation {
 		return
 	}
 	c.isJoining = true
-	s := c.node.settings
-	c.node.writer.Put(state.Record{Join: &state.Join{
-		Node: c.node.owner.Node, Incarnation: c.node.owner.Incarnation, Link: s.LinkAddr, Operators: s.OperatorsAddr,
+	s := &c.options
+	c.out.Append(state.Record{Join: &state.Join{
+		Node: c.options.Self.Node, Incarnation: c.options.Self.Incarnation, Link: s.Link, Operators: s.Operators,
 		Zone: s.Zone, Region: s.Region,
 	}}, func(err error) {
 		c.isJoining = false
@@ -163,19 +228,19 @@
 			events.Log(events.NodeJoined, "offset", c.state.Applied, "took", c.joinedAt.Sub(c.startedAt).Round(time.Millisecond))
 		}
 	})
-	_ = now
 }
 
-func (c *core) isJoined() bool { return c.state.IsLive(c.node.owner) }
+// IsJoined reports whether the log has this process as a member.
+func (c *Core) IsJoined() bool { return c.state.IsLive(c.options.Self) }
 
 // isLogOut reports whether this node does not reach the log.
-func (c *core) isLogOut(now time.Time) bool {
+func (c *Core) isLogOut(now time.Time) bool {
 	isReadOut := !c.readFailingSince.IsZero() && now.Sub(c.readFailingSince) > logOutAfter
-	return isReadOut || c.node.writer.IsOut()
+	return isReadOut || c.out.IsAppendOut()
 }
 
 // Quota returns the most that the team may use at once in a region.
-func (c *core) Quota(team string) (leverdyke.Resources, bool) {
+func (c *Core) Quota(team string) (leverdyke.Resources, bool) {
 	t := c.policies.Team(team)
 	if t == nil {
 		return leverdyke.Resources{}, false
@@ -185,7 +250,7 @@
 
 // Weights returns how the team's office weighs its aims; both alike if its
 // document is not there.
-func (c *core) Weights(team string) placement.Policy {
+func (c *Core) Weights(team string) placement.Policy {
 	o := c.policies.Office(team)
 	if o == nil {
 		return placement.Policy{Waiting: 0.5, Packing: 0.5}
@@ -193,25 +258,9 @@
 	return placement.Policy{Waiting: o.Waiting, Packing: o.Packing}
 }
 
-// settled is a callback that has to run in the core's goroutine.
-type settled struct {
-	f func()
-}
-
-func (e settled) apply(*core) { e.f() }
-
-// vmsListed is the platform's list, or the error in its place.
-type vmsListed struct {
-	list []vmlist.VM
-	err  error
-}
-
-func (e vmsListed) apply(c *core) {
-	if e.err != nil {
-		events.Log(events.VMListFailed, "err", e.err.Error())
-		return
-	}
-	c.vms = e.list
+// OnVMs takes the platform's list of VMs.
+func (c *Core) OnVMs(list []vmlist.VM) {
+	c.vms = list
 	c.noteGoneNodes()
 	for id, o := range c.racks {
 		c.setWorkers(id, o)
@@ -220,7 +269,7 @@
 
 // noteGoneNodes records that members have ended whose VM is gone: their leases
 // can then lapse.
-func (c *core) noteGoneNodes() {
+func (c *Core) noteGoneNodes() {
 	for i := range c.vms {
 		vm := &c.vms[i]
 		if vm.Rack != "" || vm.Status != vmlist.StatusGone {
@@ -229,7 +278,7 @@
 		id := state.NodeID(vm.Addr.String())
 		m := c.state.Members[id]
 		if m != nil && !m.HasLeft && c.members.IsSuspect(c.now(), id) {
-			c.node.writer.Put(state.Record{Leave: &state.Leave{Node: id, Incarnation: m.Incarnation}}, nil)
+			c.out.Append(state.Record{Leave: &state.Leave{Node: id, Incarnation: m.Incarnation}}, nil)
 		}
 	}
 }
--- a/internal/entry/drain.go
+++ b/internal/core/drain.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package entry
+package core
 
 import (
 	"time"
@@ -9,9 +9,9 @@
 	"github.com/leverdyke/leverdyke/internal/events"
 )
 
-// drain starts the hand-over. Everything owned goes to the node that should
+// Drain starts the hand-over. Everything owned goes to the node that should
 // have it without this one.
-func (c *core) drain() {
+func (c *Core) Drain() {
 	if c.isDraining {
 		return
 	}
@@ -21,8 +21,14 @@
 	events.Log(events.NodeDraining, "racks", len(c.racks), "homes", len(c.homes))
 }
 
+// IsHandedOver reports whether nothing is owned any more, or nobody could take
+// what is.
+func (c *Core) IsHandedOver() bool {
+	return len(c.racks)+len(c.homes) == 0 || !c.hasHeirs()
+}
+
 // hasHeirs reports whether there is a node that could take what this one owns.
-func (c *core) hasHeirs() bool {
+func (c *Core) hasHeirs() bool {
 	now := c.now()
-	return !c.isLogOut(now) && len(c.members.Alive(now, c.node.settings.Region, false)) > 0
+	return !c.isLogOut(now) && len(c.members.Alive(now, c.options.Region, false)) > 0
 }
--- a/internal/entry/effects.go
+++ b/internal/core/effects.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package entry
+package core
 
 import (
 	"time"
@@ -18,9 +18,9 @@
 // on at once; what is left follows with the next event.
 const maxRounds = 8
 
-// perform does what the racks and homes have ordered. Parts of the same node
+// Perform does what the racks and homes have ordered. Parts of the same node
 // answer each other in rounds.
-func (c *core) perform() {
+func (c *Core) Perform() {
 	began := c.now()
 	decided := 0
 	for range maxRounds {
@@ -44,11 +44,11 @@
 	}
 	c.tellRooms()
 	if decided > 0 {
-		c.node.metrics.Decided(c.now().Sub(began) / time.Duration(decided))
+		c.options.Meter.Decided(c.now().Sub(began) / time.Duration(decided))
 	}
 }
 
-func (c *core) performRack(id state.ShardID, o *ownedRack) (decided int, isBusy bool) {
+func (c *Core) performRack(id state.ShardID, o *ownedRack) (decided int, isBusy bool) {
 	out := o.rack.Take()
 	for _, d := range out.Decisions {
 		events.Log(events.TaskPlaced, "task", d.Key.String(), "worker", d.Worker, "why", d.Why, "runnerUp", d.RunnerUp, "rack", id)
@@ -58,17 +58,17 @@
 	}
 	for _, s := range out.Starts {
 		if l := o.links[s.Worker]; l != nil {
-			l.order(workerOrder{starts: s.Tasks})
+			l.Start(s.Tasks)
 		}
 	}
 	for _, a := range out.Acts {
 		if l := o.links[a.Worker]; l != nil {
-			l.order(workerOrder{deed: a.Deed, keys: a.Keys})
+			l.Act(a.Deed, a.Keys)
 		}
 	}
 	for _, f := range out.Forgets {
 		if l := o.links[f.Worker]; l != nil {
-			l.forget(f.Keys)
+			l.Forget(f.Keys)
 		}
 	}
 	for i := range out.ToHome {
@@ -80,34 +80,34 @@
 	return len(out.Decisions), len(out.ToHome)+len(out.ToNode)+len(out.Starts) > 0
 }
 
-func (c *core) sendToHome(m *rack.HomeMessage) {
+func (c *Core) sendToHome(m *rack.HomeMessage) {
 	if c.homes[m.Home] != nil {
 		c.toOwnedHome(c.now(), &m.Message)
 		return
 	}
-	if owner, ok := c.ownerOf(m.Home); ok {
-		c.node.links.Send(owner, &m.Message)
+	if owner, ok := c.OwnerOf(m.Home); ok {
+		c.out.Send(owner, &m.Message)
 	}
 }
 
 // sendToNode sends to a node, which may be this one.
-func (c *core) sendToNode(to state.NodeID, m *node.Message) {
-	if to != c.node.owner.Node {
-		c.node.links.Send(to, m)
+func (c *Core) sendToNode(to state.NodeID, m *node.Message) {
+	if to != c.options.Self.Node {
+		c.out.Send(to, m)
 		return
 	}
-	received{node.Envelope{From: node.Hello{Node: to, Incarnation: c.node.owner.Incarnation}, Message: *m}}.apply(c)
+	c.OnMessage(&node.Envelope{From: node.Hello{Node: to, Incarnation: c.options.Self.Incarnation}, Message: *m})
 }
 
-func (c *core) performHome(id state.ShardID, h *home.Home) bool {
+func (c *Core) performHome(id state.ShardID, h *home.Home) bool {
 	out := h.Take()
 	for _, d := range out.Decisions {
 		events.Log(events.TaskRouted, "task", d.Key.String(), "rack", d.Rack, "why", d.Why)
 	}
 	for _, s := range out.Starts {
 		events.Log(events.TaskStarted, "task", s.Key.String(), "worker", s.Worker, "class", s.Class, "waited", s.Waited)
-		c.node.metrics.Waited("task", s.Class, s.Waited)
-		c.node.metrics.Started()
+		c.options.Meter.Waited("task", s.Class, s.Waited)
+		c.options.Meter.Started()
 	}
 	for _, e := range out.Events {
 		c.logHomeEvent(id, &e)
@@ -121,21 +121,21 @@
 	return len(out.ToRack) > 0
 }
 
-func (c *core) sendToRack(id state.ShardID, m *node.Message) {
+func (c *Core) sendToRack(id state.ShardID, m *node.Message) {
 	if c.racks[id] != nil {
-		c.toOwnedRack(c.now(), c.node.owner.Node, m)
+		c.toOwnedRack(c.now(), c.options.Self.Node, m)
 		return
 	}
-	owner, ok := c.ownerOf(id)
-	if ok && owner != c.node.owner.Node {
-		c.node.links.Send(owner, m)
+	owner, ok := c.OwnerOf(id)
+	if ok && owner != c.options.Self.Node {
+		c.out.Send(owner, m)
 	}
 }
 
 // putForHome appends a home's record; the home hears of it only while it is
 // still the same.
-func (c *core) putForHome(id state.ShardID, h *home.Home, p home.PendingRecord) {
-	c.node.writer.Put(p.Record, func(err error) {
+func (c *Core) putForHome(id state.ShardID, h *home.Home, p home.PendingRecord) {
+	c.out.Append(p.Record, func(err error) {
 		if c.homes[id] == h {
 			h.OnRecorded(c.now(), p.Token, err)
 		}
@@ -144,7 +144,7 @@
 
 // tellRooms gives changed summaries to the parts of this node at once; peers
 // get them with the next heartbeat.
-func (c *core) tellRooms() {
+func (c *Core) tellRooms() {
 	for _, o := range c.racks {
 		if !o.rack.TakeChanged() {
 			continue
@@ -171,9 +171,9 @@
 	return true
 }
 
-// planGrants asks for the slots that callers' requests wait for.
-func (c *core) planGrants() {
-	p := c.node.router.Plan()
+// PlanGrants asks for the slots that callers' requests wait for.
+func (c *Core) PlanGrants() {
+	p := c.options.Router.Plan()
 	for i := range p.Asks {
 		c.sendToRack(p.Asks[i].Rack, &node.Message{GrantAsk: &p.Asks[i]})
 	}
@@ -194,7 +194,7 @@
 	rack.EventComplete:       events.RackComplete,
 }
 
-func (c *core) logRackEvent(id state.ShardID, e *rack.Event) {
+func (c *Core) logRackEvent(id state.ShardID, e *rack.Event) {
 	kv := []any{"rack", id}
 	if e.Worker != "" {
 		kv = append(kv, "worker", e.Worker)
@@ -217,6 +217,6 @@
 	home.EventTwoAttempts: events.TaskTwice,
 }
 
-func (c *core) logHomeEvent(id state.ShardID, e *home.Event) {
+func (c *Core) logHomeEvent(id state.ShardID, e *home.Event) {
 	events.Log(homeEvents[e.Kind], "home", id, "job", e.Job, "detail", e.Detail)
 }
--- a/internal/entry/fold.go
+++ b/internal/core/fold.go
@@ -1,9 +1,10 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package entry
+package core
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -18,12 +19,8 @@
 // maxTailBytes bounds the batches that are kept for peers who lag behind.
 const maxTailBytes = 256 << 10
 
-// tailed is what the log's reader found.
-type tailed struct {
-	journal.Tailed
-}
-
-func (e tailed) apply(c *core) {
+// OnTailed takes what the log's reader found.
+func (c *Core) OnTailed(e *journal.Tailed) {
 	now := c.now()
 	if e.Err != nil {
 		if c.readFailingSince.IsZero() {
@@ -51,7 +48,7 @@
 
 // fold takes one batch of the log. An offset that was folded before, because a
 // peer sent it first, changes nothing.
-func (c *core) fold(offset int64, data []byte) {
+func (c *Core) fold(offset int64, data []byte) {
 	if offset <= c.state.Applied {
 		return
 	}
@@ -63,18 +60,18 @@
 		return
 	}
 	out := c.state.Apply(offset, b)
-	isOwn := b.Node == c.node.owner.Node && b.Incarnation == c.node.owner.Incarnation
+	isOwn := b.Node == c.options.Self.Node && b.Incarnation == c.options.Self.Incarnation
 	if out.Err == nil {
 		for i := range b.Records {
 			c.onRecord(&b.Records[i], out.Results[i])
 		}
 	}
 	if isOwn {
-		c.node.writer.Folded(b.Seq, out)
+		c.out.Folded(b.Seq, out)
 	}
 }
 
-func (c *core) onRecord(r *state.Record, result error) {
+func (c *Core) onRecord(r *state.Record, result error) {
 	if result != nil {
 		return
 	}
@@ -83,7 +80,7 @@
 		c.onJoin(r.Join.Node)
 	case r.Leave != nil:
 		events.Log(events.PeerEnded, "peer", r.Leave.Node)
-		c.node.links.Disconnect(r.Leave.Node)
+		c.out.Disconnect(r.Leave.Node)
 		c.members.Remove(r.Leave.Node)
 	case r.Claim != nil:
 		c.reconcile(r.Claim.Shard)
@@ -101,19 +98,19 @@
 	}
 }
 
-func (c *core) onJoin(id state.NodeID) {
+func (c *Core) onJoin(id state.NodeID) {
 	m := c.state.Members[id]
-	if id == c.node.owner.Node {
-		if m.Incarnation > c.node.owner.Incarnation {
+	if id == c.options.Self.Node {
+		if m.Incarnation > c.options.Self.Incarnation {
 			events.Log(events.NodeReplaced)
 		}
 		return
 	}
 	c.members.Add(c.now(), id, m.Region)
-	c.node.links.Connect(id, m.Link)
+	c.out.Connect(id, m.Link)
 }
 
-func (c *core) onSubmit(id string) {
+func (c *Core) onSubmit(id string) {
 	j := c.state.Jobs[id]
 	if j == nil {
 		return
@@ -126,7 +123,7 @@
 	}
 }
 
-func (c *core) onPublish(doc string) {
+func (c *Core) onPublish(doc string) {
 	d := c.state.Docs[doc]
 	if err := c.policies.Put(doc, d.Body); err != nil {
 		events.Log(events.ConfigBad, "doc", doc, "version", d.Version, "err", err.Error())
@@ -139,7 +136,7 @@
 }
 
 // folded brings the parts up to date after a page of the log.
-func (c *core) folded() {
+func (c *Core) folded() {
 	if !c.isJobsChanged {
 		return
 	}
@@ -148,7 +145,7 @@
 	c.listServices()
 }
 
-func (c *core) noteEnded(job string) {
+func (c *Core) noteEnded(job string) {
 	if j := c.state.Jobs[job]; j != nil && j.IsEnded {
 		c.ended = append(c.ended, job)
 		c.isJobsChanged = true
@@ -156,7 +153,7 @@
 }
 
 // dropEndedJobs tells the homes which of their jobs have ended, all at once.
-func (c *core) dropEndedJobs() {
+func (c *Core) dropEndedJobs() {
 	byHome := map[state.ShardID][]string{}
 	for _, id := range c.ended {
 		j := c.state.Jobs[id]
@@ -174,7 +171,7 @@
 	}
 }
 
-func (c *core) listServices() {
+func (c *Core) listServices() {
 	infos := map[string]front.Info{}
 	for _, j := range c.state.Jobs {
 		if j.Spec.Service != "" && !j.IsEnded {
@@ -182,17 +179,17 @@
 			infos[j.Spec.Service] = front.Info{IsOnce: old.IsOnce || j.Spec.IsRequestOnce}
 		}
 	}
-	c.node.router.SetServices(infos)
+	c.options.Router.SetServices(infos)
 }
 
 // replaceState goes on from a later state than the own one.
-func (c *core) replaceState(s *state.State) {
+func (c *Core) replaceState(s *state.State) {
 	c.state = s
 	c.snapshotBase = max(c.snapshotBase, s.Applied)
 	c.tail, c.tailBytes = nil, 0
-	c.node.reader.SkipTo(s.Applied)
+	c.out.SkipTo(s.Applied)
 	c.policies.Clear()
-	for _, doc := range sortedNames(s.Docs) {
+	for _, doc := range slices.Sorted(maps.Keys(s.Docs)) {
 		c.onPublish(doc)
 	}
 	for id, m := range s.Members {
@@ -212,16 +209,7 @@
 	c.isJobsChanged = true
 }
 
-func sortedNames[T any](m map[string]T) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
-func (c *core) keepTail(offset int64, data []byte) {
+func (c *Core) keepTail(offset int64, data []byte) {
 	c.tail = append(c.tail, node.TailEntry{Offset: offset, Data: data})
 	c.tailBytes += len(data)
 	for c.tailBytes > maxTailBytes && len(c.tail) > 1 {
@@ -232,8 +220,8 @@
 
 // snapshot writes the state back into the log long before the records that it
 // is made of are dropped. The first node of the cell's list does it.
-func (c *core) snapshot(now time.Time) {
-	if c.isSnapping || !c.isJoined() || c.isDraining || c.isLogOut(now) || c.state.Applied-c.snapshotBase < c.node.settings.SnapshotEvery {
+func (c *Core) snapshot(now time.Time) {
+	if c.isSnapping || !c.IsJoined() || c.isDraining || c.isLogOut(now) || c.state.Applied-c.snapshotBase < c.options.SnapshotEvery {
 		return
 	}
 	if !c.isFirstMember(now) {
@@ -247,7 +235,7 @@
 	c.isSnapping = true
 	base, left := c.state.Applied, len(records)
 	for _, r := range records {
-		c.node.writer.Put(r, func(err error) {
+		c.out.Append(r, func(err error) {
 			left--
 			if left == 0 {
 				c.isSnapping = false
@@ -257,9 +245,9 @@
 	}
 }
 
-func (c *core) isFirstMember(now time.Time) bool {
+func (c *Core) isFirstMember(now time.Time) bool {
 	for id, m := range c.state.Members {
-		if !m.HasLeft && id < c.node.owner.Node && !c.members.IsSuspect(now, id) {
+		if !m.HasLeft && id < c.options.Self.Node && !c.members.IsSuspect(now, id) {
 			return false
 		}
 	}
--- a/internal/entry/messages.go
+++ b/internal/core/messages.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package entry
+package core
 
 import (
 	"time"
@@ -21,12 +21,8 @@
 	stateAfter = 2 * time.Second
 )
 
-// received is a message from a peer.
-type received struct {
-	node.Envelope
-}
-
-func (e received) apply(c *core) {
+// OnMessage takes a message from a peer.
+func (c *Core) OnMessage(e *node.Envelope) {
 	now := c.now()
 	m := &e.Message
 	switch {
@@ -37,9 +33,9 @@
 	case m.Answer != nil, m.News != nil, m.HoldReply != nil:
 		c.toOwnedHome(now, m)
 	case m.Grant != nil:
-		c.node.router.OnGrant(m.Grant)
+		c.options.Router.OnGrant(m.Grant)
 	case m.GrantRecall != nil:
-		c.node.router.OnRecall(m.GrantRecall.Key)
+		c.options.Router.OnRecall(m.GrantRecall.Key)
 	case m.TailAsk != nil:
 		c.onTailAsk(e.From.Node, m.TailAsk)
 	case m.Tail != nil:
@@ -49,13 +45,13 @@
 	case m.State != nil:
 		c.onState(e.From.Node, m.State)
 	case m.OnceAsk != nil:
-		c.node.answerOnce(e.From.Node, m.OnceAsk)
+		c.out.AnswerOnce(e.From.Node, m.OnceAsk)
 	case m.OnceReply != nil:
 		c.onOnceReply(m.OnceReply)
 	}
 }
 
-func (c *core) toOwnedRack(now time.Time, from state.NodeID, m *node.Message) {
+func (c *Core) toOwnedRack(now time.Time, from state.NodeID, m *node.Message) {
 	id := rackOf(m)
 	o := c.racks[id]
 	if o == nil {
@@ -104,7 +100,7 @@
 	return ""
 }
 
-func (c *core) toOwnedHome(now time.Time, m *node.Message) {
+func (c *Core) toOwnedHome(now time.Time, m *node.Message) {
 	switch {
 	case m.Answer != nil:
 		if h := c.homes[m.Answer.Home]; h != nil {
@@ -122,7 +118,7 @@
 }
 
 // beat tells the peers that this node lives, and what has changed in its racks.
-func (c *core) beat(now time.Time) {
+func (c *Core) beat(now time.Time) {
 	if now.Sub(c.beatAt) < heartbeatPeriod {
 		return
 	}
@@ -132,27 +128,27 @@
 		Applied: c.state.Applied, IsLogOut: c.isLogOut(now), IsDraining: c.isDraining, Suspects: c.members.Suspects(now), Rooms: rooms,
 	}
 	for id, d := range c.deputised {
-		if d.node == c.node.owner.Node {
+		if d.node == c.options.Self.Node {
 			hb.Deputised = append(hb.Deputised, node.Deputised{Rack: id, Epoch: d.epoch})
 		}
 	}
 	m := &node.Message{Heartbeat: hb}
 	for id, member := range c.state.Members {
 		if !member.HasLeft {
-			c.node.links.Send(id, m)
+			c.out.Send(id, m)
 		}
 	}
 	if len(c.state.Members) > 0 {
 		return
 	}
-	for _, p := range c.node.settings.PeerAddrs {
-		c.node.links.Send(state.NodeID(p.String()), m)
+	for _, p := range c.options.Peers {
+		c.out.Send(state.NodeID(p.String()), m)
 	}
 }
 
 // changedRooms returns the summaries that differ from what was told last, and
 // each one now and then, for those who missed it.
-func (c *core) changedRooms(now time.Time) []node.Room {
+func (c *Core) changedRooms(now time.Time) []node.Room {
 	rooms := []node.Room{}
 	for _, o := range c.racks {
 		isDue := now.Sub(o.roomAt) >= roomRefresh
@@ -166,7 +162,7 @@
 	return rooms
 }
 
-func (c *core) onHeartbeat(now time.Time, from *node.Hello, hb *node.Heartbeat) {
+func (c *Core) onHeartbeat(now time.Time, from *node.Hello, hb *node.Heartbeat) {
 	c.members.Heard(now, &membership.Beat{
 		Node: from.Node, Incarnation: from.Incarnation, Region: from.Region, Applied: hb.Applied,
 		IsLogOut: hb.IsLogOut, IsDraining: hb.IsDraining, Suspects: hb.Suspects,
@@ -177,11 +173,11 @@
 	c.onDeputised(from.Node, hb.Deputised)
 }
 
-func (c *core) onRoom(room *node.Room) {
+func (c *Core) onRoom(room *node.Room) {
 	if room.Workers > 0 {
 		c.rackCapacity[room.Rack] = c.rackCapacity[room.Rack].Max(room.Capacity)
 	}
-	c.node.router.OnRoom(room)
+	c.options.Router.OnRoom(room)
 	for _, h := range c.homes {
 		h.OnRoom(room)
 	}
@@ -189,7 +185,7 @@
 
 // watchPeers logs who falls silent and who is heard again, and takes back the
 // grants of those who are gone.
-func (c *core) watchPeers(now time.Time) {
+func (c *Core) watchPeers(now time.Time) {
 	for _, n := range c.members.Suspects(now) {
 		if _, ok := c.silent[n]; !ok {
 			c.silent[n] = now
@@ -203,7 +199,7 @@
 		}
 	}
 	isGone := func(n state.NodeID) bool {
-		if n == c.node.owner.Node {
+		if n == c.options.Self.Node {
 			return false
 		}
 		m := c.state.Members[n]
@@ -216,7 +212,7 @@
 }
 
 // catchUp asks peers for what this node lacks when it does not reach the log.
-func (c *core) catchUp(now time.Time) {
+func (c *Core) catchUp(now time.Time) {
 	isOut := !c.readFailingSince.IsZero() && now.Sub(c.readFailingSince) > stateAfter/4
 	if !isOut {
 		return
@@ -227,16 +223,16 @@
 	}
 	if c.state.Applied < 0 && now.Sub(c.startedAt) > stateAfter && now.Sub(c.askedStateAt) > stateRetry {
 		c.askedStateAt = now
-		c.node.links.Send(peer, &node.Message{StateAsk: &node.StateAsk{}})
+		c.out.Send(peer, &node.Message{StateAsk: &node.StateAsk{}})
 		return
 	}
 	if c.state.Applied >= 0 && most > c.state.Applied && now.Sub(c.askedTailAt) > tailRetry {
 		c.askedTailAt = now
-		c.node.links.Send(peer, &node.Message{TailAsk: &node.TailAsk{After: c.state.Applied}})
+		c.out.Send(peer, &node.Message{TailAsk: &node.TailAsk{After: c.state.Applied}})
 	}
 }
 
-func (c *core) onTailAsk(from state.NodeID, m *node.TailAsk) {
+func (c *Core) onTailAsk(from state.NodeID, m *node.TailAsk) {
 	t := &node.Tail{After: m.After}
 	for i, e := range c.tail {
 		isFirst := len(t.Entries) == 0
@@ -245,13 +241,13 @@
 		}
 		t.Entries = append(t.Entries, e)
 	}
-	c.node.links.Send(from, &node.Message{Tail: t})
+	c.out.Send(from, &node.Message{Tail: t})
 }
 
-func (c *core) onTail(from state.NodeID, m *node.Tail) {
+func (c *Core) onTail(from state.NodeID, m *node.Tail) {
 	if len(m.Entries) == 0 {
 		// The peer has no longer what comes next: its whole state has.
-		c.node.links.Send(from, &node.Message{StateAsk: &node.StateAsk{}})
+		c.out.Send(from, &node.Message{StateAsk: &node.StateAsk{}})
 		return
 	}
 	if m.After > c.state.Applied {
@@ -260,12 +256,12 @@
 	events.Log(events.TailFromPeer, "peer", from, "batches", len(m.Entries))
 	for _, e := range m.Entries {
 		c.fold(e.Offset, e.Data)
-		c.node.reader.SkipTo(e.Offset)
+		c.out.SkipTo(e.Offset)
 	}
 	c.folded()
 }
 
-func (c *core) onStateAsk(from state.NodeID) {
+func (c *Core) onStateAsk(from state.NodeID) {
 	if c.state.Applied < 0 {
 		return
 	}
@@ -274,10 +270,10 @@
 		events.Log(events.BadRecord, "err", err.Error())
 		return
 	}
-	c.node.links.Send(from, &node.Message{State: &node.StateSet{Data: data}})
+	c.out.Send(from, &node.Message{State: &node.StateSet{Data: data}})
 }
 
-func (c *core) onState(from state.NodeID, m *node.StateSet) {
+func (c *Core) onState(from state.NodeID, m *node.StateSet) {
 	s, err := state.Unmarshal(m.Data)
 	if err != nil {
 		events.Log(events.BadRecord, "peer", from, "err", err.Error())
--- /dev/null
+++ b/internal/core/once.go
@@ -0,0 +1,64 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package core
+
+import (
+	"errors"
+
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/once"
+	"github.com/leverdyke/leverdyke/internal/state"
+)
+
+// KeyResult says what the log says of an idempotency key, and who has it.
+type KeyResult struct {
+	Fate  once.Fate
+	Owner state.Owner
+}
+
+// ClaimKey puts a key into the log; done is called with its fate, never
+// FateOpen.
+func (c *Core) ClaimKey(key once.Key, done func(KeyResult)) {
+	if owner, ok := c.state.Keys[key]; ok {
+		done(KeyResult{once.FateLost, owner})
+		return
+	}
+	if !c.IsJoined() || c.isLogOut(c.now()) {
+		done(KeyResult{Fate: once.FateNotTaken})
+		return
+	}
+	c.out.Append(state.Record{Once: &state.Once{Key: key}}, func(err error) {
+		switch {
+		case err == nil:
+			done(KeyResult{Fate: once.FateWon})
+		case errors.Is(err, state.ErrLost):
+			done(KeyResult{once.FateLost, c.state.Keys[key]})
+		default:
+			// Neither an append that was not made nor a batch that the fold
+			// drops lets this process run the request.
+			done(KeyResult{Fate: once.FateNotTaken})
+		}
+	})
+}
+
+// AskOnce asks a peer for the answer to a key; reply must have room for one.
+// The returned number is for GiveUpOnce.
+func (c *Core) AskOnce(to state.NodeID, key once.Key, reply chan node.OnceReply) uint64 {
+	c.onceID++
+	c.onceWaiting[c.onceID] = reply
+	if !c.out.Send(to, &node.Message{OnceAsk: &node.OnceAsk{ID: c.onceID, Key: key}}) {
+		c.GiveUpOnce(c.onceID)
+	}
+	return c.onceID
+}
+
+// GiveUpOnce ends the wait for an answer that does not come.
+func (c *Core) GiveUpOnce(id uint64) { c.onOnceReply(&node.OnceReply{ID: id}) }
+
+func (c *Core) onOnceReply(m *node.OnceReply) {
+	if reply := c.onceWaiting[m.ID]; reply != nil {
+		delete(c.onceWaiting, m.ID)
+		reply <- *m
+	}
+}
--- a/internal/entry/owners.go
+++ b/internal/core/owners.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package entry
+package core
 
 import (
 	"time"
@@ -17,7 +17,7 @@
 )
 
 // reconcile makes what this node owns agree with the winning claim.
-func (c *core) reconcile(id state.ShardID) {
+func (c *Core) reconcile(id state.ShardID) {
 	cur := c.state.Shards[id]
 	delete(c.claiming, id)
 	if d, ok := c.deputised[id]; ok && d.epoch.Claim() < cur.Epoch {
@@ -26,7 +26,7 @@
 	if e, ok := c.fenced[id]; ok && e.Claim() < cur.Epoch {
 		delete(c.fenced, id)
 	}
-	isMine := cur.Owner == c.node.owner
+	isMine := cur.Owner == c.options.Self
 	if ownership.IsRack(id) {
 		c.reconcileRack(id, cur, isMine)
 		c.tellHomesOfRacks()
@@ -42,7 +42,7 @@
 	}
 }
 
-func (c *core) reconcileRack(id state.ShardID, cur *state.Shard, isMine bool) {
+func (c *Core) reconcileRack(id state.ShardID, cur *state.Shard, isMine bool) {
 	epoch := worker.NewEpoch(cur.Epoch, 0)
 	if o := c.racks[id]; o != nil && (o.rack.Epoch < epoch || (!isMine && o.rack.Epoch == epoch)) {
 		c.dropRack(id)
@@ -52,15 +52,15 @@
 	}
 }
 
-func (c *core) changed(e events.Event, id state.ShardID, epoch uint64) {
+func (c *Core) changed(e events.Event, id state.ShardID, epoch uint64) {
 	events.Log(e, "shard", id, "epoch", epoch)
-	c.node.metrics.OwnerChanged()
+	c.options.Meter.OwnerChanged()
 }
 
-func (c *core) openRack(id state.ShardID, epoch worker.Epoch, isDeputy bool) {
+func (c *Core) openRack(id state.ShardID, epoch worker.Epoch, isDeputy bool) {
 	now := c.now()
-	r := rack.NewRack(now, id, epoch, rack.NewRackOptions{TTL: c.node.settings.Lease, IsDeputy: isDeputy})
-	o := &ownedRack{rack: r, links: map[worker.ID]*workerLink{}}
+	r := rack.NewRack(now, id, epoch, rack.NewRackOptions{TTL: c.options.Lease, IsDeputy: isDeputy})
+	o := &ownedRack{rack: r, links: map[worker.ID]WorkerLink{}}
 	c.racks[id] = o
 	if isDeputy {
 		c.changed(events.ShardDeputy, id, uint64(epoch))
@@ -70,20 +70,20 @@
 	c.setWorkers(id, o)
 }
 
-func (c *core) dropRack(id state.ShardID) {
+func (c *Core) dropRack(id state.ShardID) {
 	o := c.racks[id]
 	if o == nil {
 		return
 	}
 	for _, l := range o.links {
-		l.stop()
+		l.Stop()
 	}
 	delete(c.racks, id)
 	c.changed(events.ShardDropped, id, uint64(o.rack.Epoch))
 }
 
 // setWorkers brings a rack and its links up to the platform's list.
-func (c *core) setWorkers(id state.ShardID, o *ownedRack) {
+func (c *Core) setWorkers(id state.ShardID, o *ownedRack) {
 	list := []vmlist.VM{}
 	for i := range c.vms {
 		if c.vms[i].Rack != "" && ownership.RackShard(c.vms[i].Region, c.vms[i].Rack) == id {
@@ -95,20 +95,20 @@
 	addrs := o.rack.Addrs()
 	for w, l := range o.links {
 		if _, ok := addrs[w]; !ok {
-			l.stop()
+			l.Stop()
 			delete(o.links, w)
 		}
 	}
 	for w, addr := range addrs {
 		if o.links[w] == nil {
-			o.links[w] = newWorkerLink(c.node, id, o.rack.Epoch, w, addr)
+			o.links[w] = c.out.OpenWorker(id, o.rack.Epoch, w, addr)
 		}
 	}
 }
 
-func (c *core) isDrained(w worker.ID) bool { return c.policies.IsDrained(string(w)) }
+func (c *Core) isDrained(w worker.ID) bool { return c.policies.IsDrained(string(w)) }
 
-func (c *core) openHome(id state.ShardID, cur *state.Shard) {
+func (c *Core) openHome(id state.ShardID, cur *state.Shard) {
 	now := c.now()
 	h := home.NewHome(now, id, cur.Epoch, c, home.NewHomeOptions{Seed: int(cur.Offset)})
 	c.homes[id] = h
@@ -125,10 +125,10 @@
 }
 
 // rackInfos lists the region's racks under the epochs in force.
-func (c *core) rackInfos() []home.RackInfo {
+func (c *Core) rackInfos() []home.RackInfo {
 	infos := []home.RackInfo{}
 	for id, s := range c.state.Shards {
-		if !ownership.IsRack(id) || ownership.Region(id) != c.node.settings.Region {
+		if !ownership.IsRack(id) || ownership.Region(id) != c.options.Region {
 			continue
 		}
 		epoch := worker.NewEpoch(s.Epoch, 0)
@@ -140,7 +140,7 @@
 	return infos
 }
 
-func (c *core) tellHomesOfRacks() {
+func (c *Core) tellHomesOfRacks() {
 	if len(c.homes) == 0 {
 		return
 	}
@@ -150,8 +150,8 @@
 	}
 }
 
-// ownerOf returns the node to which messages for a shard go.
-func (c *core) ownerOf(id state.ShardID) (state.NodeID, bool) {
+// OwnerOf returns the node to which messages for a shard go.
+func (c *Core) OwnerOf(id state.ShardID) (state.NodeID, bool) {
 	s := c.state.Shards[id]
 	if s == nil {
 		return "", false
@@ -163,8 +163,8 @@
 }
 
 // plan appends the claims that are due.
-func (c *core) plan(now time.Time) {
-	isReady := c.isJoined() && !c.joinedAt.IsZero() && now.Sub(c.joinedAt) > claimAfter
+func (c *Core) plan(now time.Time) {
+	isReady := c.IsJoined() && !c.joinedAt.IsZero() && now.Sub(c.joinedAt) > claimAfter
 	if !isReady || now.Sub(c.planAt) < planPeriod || c.isLogOut(now) || c.caughtUpAt.Before(c.planAt) {
 		return
 	}
@@ -174,7 +174,7 @@
 			continue
 		}
 		c.claiming[claim.Shard] = claim.Epoch
-		c.node.writer.Put(state.Record{Claim: &claim}, func(err error) {
+		c.out.Append(state.Record{Claim: &claim}, func(err error) {
 			if err == nil {
 				return
 			}
@@ -184,20 +184,20 @@
 	}
 }
 
-func (c *core) view(now time.Time) *ownership.View {
-	region := c.node.settings.Region
+func (c *Core) view(now time.Time) *ownership.View {
+	region := c.options.Region
 	return &ownership.View{
-		Now: now, Self: c.node.owner, Region: region, State: c.state, IsDraining: c.isDraining,
-		Alive:    c.members.Alive(now, region, !c.isDraining && c.isJoined()),
-		IsDead:   func(n state.NodeID) bool { return n != c.node.owner.Node && c.members.IsDead(now, n, region) },
+		Now: now, Self: c.options.Self, Region: region, State: c.state, IsDraining: c.isDraining,
+		Alive:    c.members.Alive(now, region, !c.isDraining && c.IsJoined()),
+		IsDead:   func(n state.NodeID) bool { return n != c.options.Self.Node && c.members.IsDead(now, n, region) },
 		IsFenced: func(id state.ShardID) bool { _, ok := c.fenced[id]; return ok },
 		Shards:   c.shards(),
 	}
 }
 
 // shards lists the region's homes and the racks of the platform's list.
-func (c *core) shards() []ownership.Shard {
-	region := c.node.settings.Region
+func (c *Core) shards() []ownership.Shard {
+	region := c.options.Region
 	list := ownership.Homes(region)
 	seen := map[state.ShardID]bool{}
 	for i := range c.vms {
@@ -222,9 +222,9 @@
 }
 
 // watchDeputies keeps the racks of dead owners alive while the log is out.
-func (c *core) watchDeputies(now time.Time) {
+func (c *Core) watchDeputies(now time.Time) {
 	isOut := !c.readFailingSince.IsZero() && now.Sub(c.readFailingSince) > deputyAfter && c.members.IsLogOutForAll(now)
-	if !isOut || !c.isJoined() || c.isDraining {
+	if !isOut || !c.IsJoined() || c.isDraining {
 		return
 	}
 	v := c.view(now)
@@ -238,14 +238,14 @@
 			continue
 		}
 		c.openRack(id, epoch, true)
-		c.deputised[id] = deputy{c.node.owner.Node, epoch}
+		c.deputised[id] = deputy{c.options.Self.Node, epoch}
 		c.tellHomesOfRacks()
 	}
 }
 
 // onDeputised takes a peer's word that it keeps a rack alive. An owner that is
 // alive after all yields: the workers obey the deputy.
-func (c *core) onDeputised(from state.NodeID, list []node.Deputised) {
+func (c *Core) onDeputised(from state.NodeID, list []node.Deputised) {
 	for _, d := range list {
 		s := c.state.Shards[d.Rack]
 		if s == nil || d.Epoch.Claim() != s.Epoch || c.deputised[d.Rack].epoch >= d.Epoch {
@@ -253,15 +253,15 @@
 		}
 		c.deputised[d.Rack] = deputy{from, d.Epoch}
 		if o := c.racks[d.Rack]; o != nil && o.rack.Epoch < d.Epoch {
-			c.onFenced(d.Rack, o.rack.Epoch, d.Epoch)
+			c.OnFenced(d.Rack, o.rack.Epoch, d.Epoch)
 		}
 		c.tellHomesOfRacks()
 	}
 }
 
-// onFenced gives a rack up whose workers obey another owner. While it is the
+// OnFenced gives a rack up whose workers obey another owner. While it is the
 // owner by the log, it claims the next epoch as soon as the log takes it.
-func (c *core) onFenced(id state.ShardID, epoch, seen worker.Epoch) {
+func (c *Core) OnFenced(id state.ShardID, epoch, seen worker.Epoch) {
 	o := c.racks[id]
 	if o == nil || o.rack.Epoch != epoch || seen <= epoch {
 		return
@@ -274,7 +274,7 @@
 // confirmSole tells the racks up to when it is certain that nobody else renews
 // leases on their workers: by the log, or, while it is out, by the word of
 // every member of the region.
-func (c *core) confirmSole(now time.Time) {
+func (c *Core) confirmSole(now time.Time) {
 	asOf := c.caughtUpAt
 	if c.isLogOut(now) {
 		asOf = c.membersWord(now)
@@ -284,7 +284,7 @@
 	}
 	for id, o := range c.racks {
 		s := c.state.Shards[id]
-		if s == nil || s.Owner != c.node.owner || !c.areEnded(s.Past, s.Offset) {
+		if s == nil || s.Owner != c.options.Self || !c.areEnded(s.Past, s.Offset) {
 			continue
 		}
 		if _, ok := c.deputised[id]; !ok {
@@ -293,7 +293,7 @@
 	}
 }
 
-func (c *core) areEnded(past []state.Owner, offset int64) bool {
+func (c *Core) areEnded(past []state.Owner, offset int64) bool {
 	for _, p := range past {
 		if !c.state.IsEnded(p) && !c.members.HasFolded(p, offset) {
 			return false
@@ -305,9 +305,9 @@
 // membersWord returns since when every member of the region has said that it
 // does not reach the log, is no further than this node, and is heard; zero if
 // one of them has not.
-func (c *core) membersWord(now time.Time) time.Time {
+func (c *Core) membersWord(now time.Time) time.Time {
 	for id, m := range c.state.Members {
-		if m.HasLeft || m.Region != c.node.settings.Region || id == c.node.owner.Node {
+		if m.HasLeft || m.Region != c.options.Region || id == c.options.Self.Node {
 			continue
 		}
 		if c.members.IsSuspect(now, id) || c.members.Applied(id) > c.state.Applied {
--- a/internal/entry/gauges.go
+++ b/internal/entry/gauges.go
@@ -6,18 +6,14 @@
 import (
 	"syscall"
 
-	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/core"
 )
 
 // Packing returns the used part of each resource of the racks that this node
 // owns, from 0 to 1.
 func (n *Node) Packing() map[string]float64 {
-	return ask(n, func(c *core) map[string]float64 {
-		used, capacity := leverdyke.Resources{}, leverdyke.Resources{}
-		for _, o := range c.racks {
-			u, t := o.rack.Used()
-			used, capacity = used.Add(u), capacity.Add(t)
-		}
+	return ask(n, func(c *core.Core) map[string]float64 {
+		used, capacity := c.Used()
 		parts := map[string]float64{}
 		for _, d := range []struct {
 			name       string
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/core"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/front"
 	"github.com/leverdyke/leverdyke/internal/journal"
@@ -54,13 +55,11 @@
 	vms       *vmlist.Client
 	answers   *once.Table
 	// core belongs to the goroutine of loop; everybody else sends it events.
-	core *core
+	core *core.Core
 }
 
-// event is something that the core's goroutine has to take in.
-type event interface {
-	apply(c *core)
-}
+// event is something that the core has to take in, in its goroutine.
+type event func(c *core.Core)
 
 // NewNode opens the node's link and starts its duties. Its callers' and
 // operators' doors are opened by whoever has the handlers.
@@ -82,10 +81,13 @@
 	n.router = front.NewRouter(front.NewRouterOptions{Zone: s.Zone, Clock: c})
 	log := logservice.NewClient(s.LogAddr, func(sent, received int) { n.countControl("log", sent, received) })
 	n.writer = journal.NewWriter(log, n.owner, journal.NewWriterOptions{
-		AppendsPerSecond: s.AppendsPerSecond, Clock: c, Settle: func(f func()) { n.put(settled{f}) },
+		AppendsPerSecond: s.AppendsPerSecond, Clock: c, Settle: func(f func()) { n.put(func(*core.Core) { f() }) },
+	})
+	n.reader = journal.NewReader(log, c, func(t journal.Tailed) { n.put(func(c *core.Core) { c.OnTailed(&t) }) })
+	n.core = core.NewCore(n, core.NewCoreOptions{
+		Self: n.owner, Link: s.LinkAddr, Operators: s.OperatorsAddr, Region: s.Region, Zone: s.Zone, Peers: s.PeerAddrs,
+		Lease: s.Lease, SnapshotEvery: s.SnapshotEvery, Router: n.router, Meter: m,
 	})
-	n.reader = journal.NewReader(log, c, func(t journal.Tailed) { n.put(tailed{t}) })
-	n.core = newCore(n)
 	n.start()
 	return n, nil
 }
@@ -130,14 +132,14 @@
 		case <-n.done:
 			return
 		case <-ticks:
-			n.core.tick()
+			n.core.Tick()
 		case <-n.router.Nudge():
-			n.core.planGrants()
+			n.core.PlanGrants()
 		case e := <-n.events.Out():
-			e.apply(n.core)
+			e(n.core)
 			n.drainEvents()
 		}
-		n.core.perform()
+		n.core.Perform()
 	}
 }
 
@@ -148,7 +150,7 @@
 	for range burst {
 		select {
 		case e := <-n.events.Out():
-			e.apply(n.core)
+			e(n.core)
 		default:
 			return
 		}
@@ -163,8 +165,11 @@
 		ctx, cancel := context.WithTimeout(n.ctx, vmListPeriod)
 		list, err := n.vms.List(ctx)
 		cancel()
-		if err != nil || list != nil {
-			n.put(vmsListed{list, err})
+		switch {
+		case err != nil:
+			events.Log(events.VMListFailed, "err", err.Error())
+		case list != nil:
+			n.put(func(c *core.Core) { c.OnVMs(list) })
 		}
 		select {
 		case <-n.done:
@@ -175,7 +180,7 @@
 }
 
 // Deliver takes a message from a peer.
-func (n *Node) Deliver(e node.Envelope) { n.put(received{e}) }
+func (n *Node) Deliver(e node.Envelope) { n.put(func(c *core.Core) { c.OnMessage(&e) }) }
 
 // BadFrame notes that a link was closed because of its bytes.
 func (n *Node) BadFrame(from netip.AddrPort, err error) {
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -7,15 +7,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/core"
 	"github.com/leverdyke/leverdyke/internal/document"
 	"github.com/leverdyke/leverdyke/internal/operator"
 	"github.com/leverdyke/leverdyke/internal/ownership"
-	"github.com/leverdyke/leverdyke/internal/placement"
 	"github.com/leverdyke/leverdyke/internal/policy"
 	"github.com/leverdyke/leverdyke/internal/state"
 )
@@ -28,9 +29,9 @@
 
 // ask runs f in the core's goroutine and returns its result; the zero value
 // when the node closes.
-func ask[T any](n *Node, f func(c *core) T) T {
+func ask[T any](n *Node, f func(c *core.Core) T) T {
 	reply := make(chan T, 1)
-	n.put(settled{func() { reply <- f(n.core) }})
+	n.put(func(c *core.Core) { reply <- f(c) })
 	select {
 	case v := <-reply:
 		return v
@@ -48,8 +49,8 @@
 		err error
 	}
 	results := make(chan result, len(records))
-	n.put(settled{func() {
-		if !n.core.isJoined() {
+	n.put(func(c *core.Core) {
+		if !c.IsJoined() {
 			for i := range records {
 				results <- result{i, state.ErrNotTaken}
 			}
@@ -58,7 +59,7 @@
 		for i := range records {
 			n.writer.Put(records[i], func(err error) { results <- result{i, err} })
 		}
-	}})
+	})
 	errs := make([]error, len(records))
 	for range records {
 		select {
@@ -92,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := ask(n, func(c *core) error { return c.checkSubmit(r.File, spec) }); err != nil {
+	if err := ask(n, func(c *core.Core) error { return c.CheckSubmit(r.File, spec) }); err != nil {
 		return nil, err
 	}
 	errs, err := n.append(ctx, []state.Record{{Submit: &state.Submit{Spec: *spec}}})
@@ -102,8 +103,8 @@
 	if errs[0] != nil {
 		return nil, notTaken(errs[0])
 	}
-	offset := ask(n, func(c *core) int64 {
-		if j := c.state.Jobs[r.ID]; j != nil {
+	offset := ask(n, func(c *core.Core) int64 {
+		if j := c.State().Jobs[r.ID]; j != nil {
 			return j.Offset
 		}
 		return -1
@@ -112,58 +113,7 @@
 }
 
 func (n *Node) template(name string) *policy.Template {
-	return ask(n, func(c *core) *policy.Template { return c.policies.Template(name) })
-}
-
-// checkSubmit refuses a job of which it is known that it can never run.
-func (c *core) checkSubmit(file string, spec *leverdyke.JobSpec) error {
-	team := c.policies.Team(spec.Team)
-	if team == nil {
-		return &document.FieldError{File: file, Key: "team", Problem: fmt.Sprintf("there is no document team/%s", spec.Team), Allowed: "a team that has been published"}
-	}
-	together := spec.Each
-	if spec.Kind == leverdyke.KindGang {
-		together = spec.Each.Times(int64(spec.Tasks))
-	}
-	if lacks := together.Lacks(team.Quota); lacks != "" {
-		return &document.FieldError{File: file, Key: "each", Problem: "it can never run: it needs more " + lacks + " than its team's quota", Allowed: team.Quota.String()}
-	}
-	if h := c.homes[ownership.HomeShard(spec.Region, spec.Team)]; h != nil && h.IsFull() {
-		return leverdyke.NotRun("too many jobs wait", retryLogOut)
-	}
-	capacities := c.capacities(spec.Region)
-	if len(capacities) == 0 {
-		return nil
-	}
-	if lacks, ok := placement.CanEverFit(spec.Each, capacities); !ok {
-		return &document.FieldError{File: file, Key: "each", Problem: "it can never run: no worker of region " + spec.Region + " has enough " + lacks, Allowed: largest(capacities).String()}
-	}
-	return nil
-}
-
-// capacities lists the largest VM of each of the region's racks, if all are
-// known.
-func (c *core) capacities(region string) []leverdyke.Resources {
-	list := []leverdyke.Resources{}
-	for id := range c.state.Shards {
-		if !ownership.IsRack(id) || ownership.Region(id) != region {
-			continue
-		}
-		capacity, ok := c.rackCapacity[id]
-		if !ok {
-			return nil
-		}
-		list = append(list, capacity)
-	}
-	return list
-}
-
-func largest(list []leverdyke.Resources) leverdyke.Resources {
-	most := leverdyke.Resources{}
-	for _, r := range list {
-		most = most.Max(r)
-	}
-	return most
+	return ask(n, func(c *core.Core) *policy.Template { return c.Policies().Template(name) })
 }
 
 // Cancel cancels jobs. Those that do not exist are left out of the count.
@@ -171,10 +121,10 @@
 	if len(ids) > maxCancelWave {
 		return 0, &document.FieldError{File: "ids", Problem: fmt.Sprintf("%d are too many", len(ids)), Allowed: fmt.Sprint(maxCancelWave)}
 	}
-	known := ask(n, func(c *core) []state.Record {
+	known := ask(n, func(c *core.Core) []state.Record {
 		records := []state.Record{}
 		for _, id := range ids {
-			if c.state.Jobs[id] != nil {
+			if c.State().Jobs[id] != nil {
 				records = append(records, state.Record{Cancel: &state.Cancel{Job: id}})
 			}
 		}
@@ -208,10 +158,10 @@
 
 // Docs lists the documents in force here, without their bodies.
 func (n *Node) Docs() []operator.Doc {
-	return ask(n, func(c *core) []operator.Doc {
+	return ask(n, func(c *core.Core) []operator.Doc {
 		list := []operator.Doc{}
-		for _, name := range sortedNames(c.state.Docs) {
-			d := docOf(name, c.state.Docs[name])
+		for _, name := range slices.Sorted(maps.Keys(c.State().Docs)) {
+			d := docOf(name, c.State().Docs[name])
 			d.Body, d.History = "", nil
 			list = append(list, *d)
 		}
@@ -221,8 +171,8 @@
 
 // Doc returns a document in force here, or nil.
 func (n *Node) Doc(name string) *operator.Doc {
-	return ask(n, func(c *core) *operator.Doc {
-		d := c.state.Docs[name]
+	return ask(n, func(c *core.Core) *operator.Doc {
+		d := c.State().Docs[name]
 		if d == nil {
 			return nil
 		}
@@ -240,10 +190,10 @@
 
 // Jobs lists the jobs that the log knows, without their tasks.
 func (n *Node) Jobs() []operator.Job {
-	list := ask(n, func(c *core) []operator.Job {
+	list := ask(n, func(c *core.Core) []operator.Job {
 		list := []operator.Job{}
-		for _, j := range c.state.Jobs {
-			list = append(list, *c.jobOf(j))
+		for _, j := range c.State().Jobs {
+			list = append(list, *jobOf(j))
 		}
 		return list
 	})
@@ -251,7 +201,7 @@
 	return list
 }
 
-func (c *core) jobOf(j *state.Job) *operator.Job {
+func jobOf(j *state.Job) *operator.Job {
 	final := map[leverdyke.TaskState]int{}
 	for s, count := range j.Final {
 		final[s] = count
@@ -269,18 +219,18 @@
 		job   *operator.Job
 		owner string
 	}
-	f := ask(n, func(c *core) found {
-		j := c.state.Jobs[id]
+	f := ask(n, func(c *core.Core) found {
+		j := c.State().Jobs[id]
 		if j == nil {
 			return found{}
 		}
 		shard := ownership.HomeShard(j.Spec.Region, j.Spec.Team)
-		out := c.jobOf(j)
-		if h := c.homes[shard]; h != nil {
+		out := jobOf(j)
+		if h := c.Home(shard); h != nil {
 			out.Live = h.Status(id)
 		}
-		owner, _ := c.ownerOf(shard)
-		if m := c.state.Members[owner]; m != nil {
+		owner, _ := c.OwnerOf(shard)
+		if m := c.State().Members[owner]; m != nil {
 			return found{out, m.Operators.String()}
 		}
 		return found{out, ""}
@@ -290,27 +240,14 @@
 
 // Status returns what the node says of itself.
 func (n *Node) Status() operator.Status {
-	return ask(n, func(c *core) operator.Status {
-		now := c.now()
+	return ask(n, func(c *core.Core) operator.Status {
+		v := c.View()
 		s := operator.Status{
 			Node: string(n.owner.Node), Region: n.settings.Region, Zone: n.settings.Zone, Incarnation: n.owner.Incarnation,
-			Applied: c.state.Applied, IsReady: c.isReady(now), IsLogOut: c.isLogOut(now), IsJoined: c.isJoined(),
-			Operators: n.settings.OperatorsAddr.String(),
-		}
-		for id, o := range c.racks {
-			s.Racks = append(s.Racks, string(id))
-			_, _, running := o.rack.Counts(now)
-			s.Running += running
+			Applied: c.State().Applied, IsReady: c.IsReady(), IsLogOut: c.IsLogOut(), IsJoined: c.IsJoined(),
+			Operators: n.settings.OperatorsAddr.String(), Racks: v.Racks, Homes: v.Homes, Running: v.Running, Waiting: v.Waiting,
+			Suspects: v.Suspects,
 		}
-		for id, h := range c.homes {
-			s.Homes = append(s.Homes, string(id))
-			s.Waiting += h.Waiting()
-		}
-		for _, p := range c.members.Suspects(now) {
-			s.Suspects = append(s.Suspects, string(p))
-		}
-		slices.Sort(s.Racks)
-		slices.Sort(s.Homes)
 		_, s.Requests, _ = n.router.Load()
 		return s
 	})
@@ -318,25 +255,14 @@
 
 // Workers lists the workers of the racks that this node owns.
 func (n *Node) Workers() []operator.Worker {
-	return ask(n, func(c *core) []operator.Worker {
-		list := []operator.Worker{}
-		ids := make([]string, 0, len(c.racks))
-		for id := range c.racks {
-			ids = append(ids, string(id))
-		}
-		slices.Sort(ids)
-		for _, id := range ids {
-			list = append(list, c.racks[state.ShardID(id)].rack.Status(c.now())...)
-		}
-		return list
-	})
+	return ask(n, func(c *core.Core) []operator.Worker { return c.Workers() })
 }
 
 // Peers lists the operators' addresses of all members.
 func (n *Node) Peers() []string {
-	return ask(n, func(c *core) []string {
+	return ask(n, func(c *core.Core) []string {
 		list := []string{}
-		for _, m := range c.state.Members {
+		for _, m := range c.State().Members {
 			if !m.HasLeft {
 				list = append(list, m.Operators.String())
 			}
@@ -349,28 +275,16 @@
 // Self returns the node's own operators' address.
 func (n *Node) Self() string { return n.settings.OperatorsAddr.String() }
 
-// isReady reports whether the balancer should send requests here: the node
-// knows the log's end, or that the log is out for all.
-func (c *core) isReady(now time.Time) bool {
-	if c.isDraining || c.state.Applied < 0 {
-		return false
-	}
-	if now.Sub(c.caughtUpAt) < readyWithin {
-		return c.isJoined()
-	}
-	return c.isLogOut(now) && c.members.IsLogOutForAll(now)
-}
-
 // IsReady reports whether the balancer should send requests here.
-func (n *Node) IsReady() bool { return ask(n, func(c *core) bool { return c.isReady(c.now()) }) }
+func (n *Node) IsReady() bool { return ask(n, func(c *core.Core) bool { return c.IsReady() }) }
 
 // Drain makes the node not ready, gives all that it owns to others and leaves
 // the cell. It returns when that is done, or ctx ends.
 func (n *Node) Drain(ctx context.Context) {
-	n.put(settled{func() { n.core.drain() }})
+	n.put(func(c *core.Core) { c.Drain() })
 	ticks, stop := n.clock.Subscribe(tickPeriod)
 	defer stop()
-	for !ask(n, func(c *core) bool { return len(c.racks)+len(c.homes) == 0 || !c.hasHeirs() }) {
+	for !ask(n, func(c *core.Core) bool { return c.IsHandedOver() }) {
 		select {
 		case <-ctx.Done():
 			return
@@ -384,9 +298,9 @@
 // Leave tells the log that this process ends.
 func (n *Node) Leave(ctx context.Context) {
 	left := make(chan struct{})
-	n.put(settled{func() {
+	n.put(func(*core.Core) {
 		n.writer.Put(state.Record{Leave: &state.Leave{Node: n.owner.Node, Incarnation: n.owner.Incarnation}}, func(error) { close(left) })
-	}})
+	})
 	select {
 	case <-left:
 	case <-ctx.Done():
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/core"
 	"github.com/leverdyke/leverdyke/internal/ring"
 	"github.com/leverdyke/leverdyke/internal/state"
 	"github.com/leverdyke/leverdyke/internal/worker"
@@ -62,13 +63,20 @@
 	return l
 }
 
-// stop ends both duties; what was ordered and not sent is not sent any more.
-func (l *workerLink) stop() { l.cancel() }
+// Stop ends both duties; what was ordered and not sent is not sent any more.
+func (l *workerLink) Stop() { l.cancel() }
 
-// order queues an order. One that finds no room is given again by the rack.
-func (l *workerLink) order(o workerOrder) { l.orders.TryPut(o) }
+// Start queues starts, Act a deed. What finds no room is ordered again by the
+// rack.
+func (l *workerLink) Start(tasks []worker.Task) { l.orders.TryPut(workerOrder{starts: tasks}) }
 
-func (l *workerLink) forget(keys []worker.Key) {
+// Act queues a deed.
+func (l *workerLink) Act(deed worker.Deed, keys []worker.Key) {
+	l.orders.TryPut(workerOrder{deed: deed, keys: keys})
+}
+
+// Forget lets the worker forget ended attempts, with the next sync.
+func (l *workerLink) Forget(keys []worker.Key) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.forgets = append(l.forgets, keys...)
@@ -113,17 +121,17 @@
 		l.seen = 0
 	}
 	l.mu.Unlock()
-	l.node.put(reported{l.rack, l.epoch, l.id, rep})
+	l.node.put(func(c *core.Core) { c.OnReport(l.rack, l.epoch, l.id, rep) })
 	return true
 }
 
 func (l *workerLink) failed(err error) {
 	f := &worker.FencedError{}
 	if errors.As(err, &f) {
-		l.node.put(fencedBy{l.rack, l.epoch, f.Seen})
+		l.node.put(func(c *core.Core) { c.OnFenced(l.rack, l.epoch, f.Seen) })
 		return
 	}
-	l.node.put(silent{l.rack, l.epoch, l.id})
+	l.node.put(func(c *core.Core) { c.OnSilent(l.rack, l.epoch, l.id) })
 }
 
 // loopOrders gives the worker its orders, one after the other.
@@ -161,55 +169,5 @@
 		l.failed(err)
 		return
 	}
-	l.node.put(startsDone{l.rack, l.epoch, l.id, results})
-}
-
-// reported is a worker's report.
-type reported struct {
-	rack  state.ShardID
-	epoch worker.Epoch
-	id    worker.ID
-	rep   *worker.Report
-}
-
-func (e reported) apply(c *core) {
-	if o := c.racks[e.rack]; o != nil && o.rack.Epoch == e.epoch {
-		o.rack.OnReport(c.now(), e.id, e.rep)
-	}
-}
-
-// silent is a worker that did not answer.
-type silent struct {
-	rack  state.ShardID
-	epoch worker.Epoch
-	id    worker.ID
-}
-
-func (e silent) apply(c *core) {
-	if o := c.racks[e.rack]; o != nil && o.rack.Epoch == e.epoch {
-		o.rack.OnSilent(e.id)
-	}
-}
-
-// startsDone is a worker's answer to a start.
-type startsDone struct {
-	rack    state.ShardID
-	epoch   worker.Epoch
-	id      worker.ID
-	results []worker.StartResult
-}
-
-func (e startsDone) apply(c *core) {
-	if o := c.racks[e.rack]; o != nil && o.rack.Epoch == e.epoch {
-		o.rack.OnStartResults(c.now(), e.id, e.results)
-	}
+	l.node.put(func(c *core.Core) { c.OnStartResults(l.rack, l.epoch, l.id, results) })
 }
-
-// fencedBy is a worker's word that it obeys a higher epoch.
-type fencedBy struct {
-	rack  state.ShardID
-	epoch worker.Epoch
-	seen  worker.Epoch
-}
-
-func (e fencedBy) apply(c *core) { c.onFenced(e.rack, e.epoch, e.seen) }
