internal/core: prove the promises under faults in any order, and mend five breaches

Cause: stateful fuzzing of whole cells (gopter commands, fake clock, fake network) found: (1) a start that was ordered twice, of which the first was refused and the second taken: double run; (2) a copy of an ask that came after its refusal: double run; (3) batches from a peer with a gap: an accepted job lost at a node; (4) an all-at-once job at a home that knows no rack: panic; (5) ends that spin between home and writer while the log is out, found by reading. Ruled out for (1): clock drift, leases too short; the sequence fails with perfect clocks. Change: starts are bound to the boot and the report that the owner acted on and are never doubled; refusals and ends hold until the home's floor has passed them; a peer's tail says from where it has no gaps; ends wait a second before they are tried again; an answer for an attempt that is nobody's stops it.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -8,7 +8,10 @@
 package core
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
@@ -69,7 +72,8 @@
 // WorkerLink gives one worker its orders, in the epoch for which it was opened,
 // and renews its leases until it is stopped.
 type WorkerLink interface {
-	Start(tasks []worker.Task)
+	// Start reports false when the order is surely not given.
+	Start(o *rack.StartOrder) bool
 	Act(deed worker.Deed, keys []worker.Key)
 	Forget(keys []worker.Key)
 	Stop()
@@ -131,10 +135,14 @@
 	isJoining        bool
 	isDraining       bool
 	// ended has the jobs that ended in the page that is being folded.
-	ended         []string
+	ended []string
+	// refused has the callbacks of records that were not handed to the log.
+	refused       []func(error)
 	isJobsChanged bool
 
+	// tail has every batch after tailAfter, for peers who lag behind.
 	tail         []node.TailEntry
+	tailAfter    int64
 	tailBytes    int
 	askedTailAt  time.Time
 	askedStateAt time.Time
@@ -170,7 +178,7 @@
 		members:  membership.NewTable(options.Self.Node, membership.NewTableOptions{}),
 		policies: policy.NewSet(), racks: map[state.ShardID]*ownedRack{}, homes: map[state.ShardID]*home.Home{},
 		fenced: map[state.ShardID]worker.Epoch{}, deputised: map[state.ShardID]deputy{}, claiming: map[state.ShardID]uint64{},
-		rackCapacity: map[state.ShardID]leverdyke.Resources{}, startedAt: out.Now(), silent: map[state.NodeID]time.Time{},
+		rackCapacity: map[state.ShardID]leverdyke.Resources{}, startedAt: out.Now(), tailAfter: -1, silent: map[state.NodeID]time.Time{},
 		onceWaiting: map[uint64]chan node.OnceReply{},
 	}
 	for _, p := range options.Peers {
@@ -179,6 +187,10 @@
 	return c
 }
 
+// sorted returns a map's keys in order, so that the same events give the same
+// decisions.
+func sorted[K cmp.Ordered, V any](m map[K]V) []K { return slices.Sorted(maps.Keys(m)) }
+
 func (c *Core) now() time.Time { return c.out.Now() }
 
 // Tick does what is due. It is called some twenty times a second.
@@ -190,6 +202,7 @@
 		c.caughtUpAt = time.Time{}
 		c.planAt = now
 	}
+	c.refuse()
 	c.join()
 	c.beat(now)
 	c.plan(now)
@@ -198,11 +211,11 @@
 	c.confirmSole(now)
 	c.catchUp(now)
 	c.snapshot(now)
-	for _, o := range c.racks {
-		o.rack.Tick(now)
+	for _, id := range sorted(c.racks) {
+		c.racks[id].rack.Tick(now)
 	}
-	for _, h := range c.homes {
-		h.Tick(now)
+	for _, id := range sorted(c.homes) {
+		c.homes[id].Tick(now)
 	}
 	c.PlanGrants()
 }
@@ -218,7 +231,7 @@
 	}
 	c.isJoining = true
 	s := &c.options
-	c.out.Append(state.Record{Join: &state.Join{
+	c.Append(state.Record{Join: &state.Join{
 		Node: c.options.Self.Node, Incarnation: c.options.Self.Incarnation, Link: s.Link, Operators: s.Operators,
 		Zone: s.Zone, Region: s.Region,
 	}}, func(err error) {
@@ -230,6 +243,28 @@
 	})
 }
 
+// Append hands a record to the log; done may be nil. While the log is out
+// nothing is handed over, and done hears state.ErrNotTaken as a later event.
+func (c *Core) Append(r state.Record, done func(error)) {
+	if done == nil {
+		done = func(error) {}
+	}
+	if c.isLogOut(c.now()) {
+		c.refused = append(c.refused, done)
+		return
+	}
+	c.out.Append(r, done)
+}
+
+// refuse tells those whose records were not handed over.
+func (c *Core) refuse() {
+	refused := c.refused
+	c.refused = nil
+	for _, done := range refused {
+		done(state.ErrNotTaken)
+	}
+}
+
 // IsJoined reports whether the log has this process as a member.
 func (c *Core) IsJoined() bool { return c.state.IsLive(c.options.Self) }
 
@@ -262,8 +297,8 @@
 func (c *Core) OnVMs(list []vmlist.VM) {
 	c.vms = list
 	c.noteGoneNodes()
-	for id, o := range c.racks {
-		c.setWorkers(id, o)
+	for _, id := range sorted(c.racks) {
+		c.setWorkers(id, c.racks[id])
 	}
 }
 
@@ -278,7 +313,7 @@
 		id := state.NodeID(vm.Addr.String())
 		m := c.state.Members[id]
 		if m != nil && !m.HasLeft && c.members.IsSuspect(c.now(), id) {
-			c.out.Append(state.Record{Leave: &state.Leave{Node: id, Incarnation: m.Incarnation}}, nil)
+			c.Append(state.Record{Leave: &state.Leave{Node: id, Incarnation: m.Incarnation}}, nil)
 		}
 	}
 }
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -25,12 +25,16 @@
 	decided := 0
 	for range maxRounds {
 		isQuiet := true
-		for id, h := range c.homes {
-			if c.performHome(id, h) {
+		for _, id := range sorted(c.homes) {
+			if c.performHome(id, c.homes[id]) {
 				isQuiet = false
 			}
 		}
-		for id, o := range c.racks {
+		for _, id := range sorted(c.racks) {
+			o := c.racks[id]
+			if o == nil {
+				continue
+			}
 			o.rack.Flush(c.now())
 			n, isBusy := c.performRack(id, o)
 			decided += n
@@ -56,9 +60,10 @@
 	for _, e := range out.Events {
 		c.logRackEvent(id, &e)
 	}
-	for _, s := range out.Starts {
-		if l := o.links[s.Worker]; l != nil {
-			l.Start(s.Tasks)
+	for i := range out.Starts {
+		s := &out.Starts[i]
+		if l := o.links[s.Worker]; l == nil || !l.Start(s) {
+			o.rack.OnStartFailed(s.Worker, s.Tasks)
 		}
 	}
 	for _, a := range out.Acts {
@@ -135,7 +140,7 @@
 // putForHome appends a home's record; the home hears of it only while it is
 // still the same.
 func (c *Core) putForHome(id state.ShardID, h *home.Home, p home.PendingRecord) {
-	c.out.Append(p.Record, func(err error) {
+	c.Append(p.Record, func(err error) {
 		if c.homes[id] == h {
 			h.OnRecorded(c.now(), p.Token, err)
 		}
@@ -145,7 +150,8 @@
 // tellRooms gives changed summaries to the parts of this node at once; peers
 // get them with the next heartbeat.
 func (c *Core) tellRooms() {
-	for _, o := range c.racks {
+	for _, id := range sorted(c.racks) {
+		o := c.racks[id]
 		if !o.rack.TakeChanged() {
 			continue
 		}
--- /dev/null
+++ b/internal/core/fakelink_test.go
@@ -0,0 +1,122 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package core_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/rack"
+	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/worker"
+)
+
+func newReader(buf []byte) io.Reader { return bytes.NewReader(buf) }
+
+// fakeLink is an owner's link to a worker without sockets. Commands may be on
+// their way while their sender is paused, and answers may be lost.
+type fakeLink struct {
+	node      *fakeNode
+	rack      state.ShardID
+	epoch     worker.Epoch
+	id        worker.ID
+	isStopped bool
+	boot      string
+	asOf      int64
+	seen      uint64
+	syncedAt  time.Time
+	starts    []*rack.StartOrder
+	acts      []worker.Act
+	forgets   []worker.Key
+}
+
+func (l *fakeLink) Start(o *rack.StartOrder) bool {
+	l.starts = append(l.starts, o)
+	return true
+}
+
+func (l *fakeLink) Act(deed worker.Deed, keys []worker.Key) {
+	l.acts = append(l.acts, worker.Act{Epoch: l.epoch, Deed: deed, Keys: keys})
+}
+
+func (l *fakeLink) Forget(keys []worker.Key) { l.forgets = append(l.forgets, keys...) }
+
+func (l *fakeLink) Stop() { l.isStopped = true }
+
+func (l *fakeLink) step() {
+	if l.isStopped {
+		return
+	}
+	w := l.node.world
+	target := w.workers[l.id]
+	now := w.clock.Now()
+	isReached := target.Mode() == platform.ModeUp && !w.isCut(l.node.name(), string(l.id))
+	isAnswered := isReached && !w.isCut(string(l.id), l.node.name())
+	l.order(target, isReached, isAnswered)
+	_, rev := target.Changed()
+	if l.isStopped || (now.Sub(l.syncedAt) < worldSync && rev == l.seen) {
+		return
+	}
+	l.syncedAt = now
+	if !isReached {
+		l.node.core.OnSilent(l.rack, l.epoch, l.id)
+		return
+	}
+	rep, err := target.Sync(&worker.Sync{
+		Epoch: l.epoch, Boot: l.boot, AsOf: l.asOf, TTL: worldLease, Seen: l.seen, Forget: l.forgets,
+	})
+	if !isAnswered {
+		l.node.core.OnSilent(l.rack, l.epoch, l.id)
+		return
+	}
+	if l.failed(err) {
+		return
+	}
+	l.forgets = nil
+	isNewBoot := l.boot != "" && l.boot != rep.Boot
+	l.boot, l.asOf, l.seen = rep.Boot, rep.Now, rep.Rev
+	if isNewBoot && !rep.IsWhole {
+		l.seen = 0
+	}
+	l.node.core.OnReport(l.rack, l.epoch, l.id, rep)
+}
+
+func (l *fakeLink) order(target *platform.Worker, isReached, isAnswered bool) {
+	starts, acts := l.starts, l.acts
+	l.starts, l.acts = nil, nil
+	for _, o := range starts {
+		if !isReached {
+			l.node.core.OnStartFailed(l.rack, l.epoch, l.id, o.Tasks)
+			continue
+		}
+		results, err := target.Start(&worker.Start{Epoch: l.epoch, Boot: o.Boot, AsOf: o.AsOf, TTL: worldLease, Tasks: o.Tasks})
+		if !isAnswered {
+			l.node.core.OnStartFailed(l.rack, l.epoch, l.id, o.Tasks)
+			continue
+		}
+		if l.failed(err) {
+			return
+		}
+		l.node.core.OnStartResults(l.rack, l.epoch, l.id, results)
+	}
+	if !isReached {
+		return
+	}
+	for i := range acts {
+		if err := target.Act(&acts[i]); isAnswered && l.failed(err) {
+			return
+		}
+	}
+}
+
+func (l *fakeLink) failed(err error) bool {
+	f := &worker.FencedError{}
+	if errors.As(err, &f) {
+		l.node.core.OnFenced(l.rack, l.epoch, f.Seen)
+	}
+	return err != nil
+}
--- a/internal/core/fold.go
+++ b/internal/core/fold.go
@@ -4,8 +4,6 @@
 package core
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
@@ -164,9 +162,9 @@
 		byHome[shard] = append(byHome[shard], id)
 	}
 	c.ended = nil
-	for shard, ids := range byHome {
+	for _, shard := range sorted(byHome) {
 		if h := c.homes[shard]; h != nil {
-			h.EndJobs(ids)
+			h.EndJobs(byHome[shard])
 		}
 	}
 }
@@ -186,21 +184,22 @@
 func (c *Core) replaceState(s *state.State) {
 	c.state = s
 	c.snapshotBase = max(c.snapshotBase, s.Applied)
-	c.tail, c.tailBytes = nil, 0
+	c.tail, c.tailBytes, c.tailAfter = nil, 0, s.Applied
 	c.out.SkipTo(s.Applied)
 	c.policies.Clear()
-	for _, doc := range slices.Sorted(maps.Keys(s.Docs)) {
+	for _, doc := range sorted(s.Docs) {
 		c.onPublish(doc)
 	}
-	for id, m := range s.Members {
-		if !m.HasLeft {
+	for _, id := range sorted(s.Members) {
+		if !s.Members[id].HasLeft {
 			c.onJoin(id)
 		}
 	}
-	for id := range s.Shards {
+	for _, id := range sorted(s.Shards) {
 		c.reconcile(id)
 	}
-	for id, j := range s.Jobs {
+	for _, id := range sorted(s.Jobs) {
+		j := s.Jobs[id]
 		shard := ownership.HomeShard(j.Spec.Region, j.Spec.Team)
 		if h := c.homes[shard]; h != nil && !j.IsEnded {
 			h.AddJob(c.now(), id, j, j.Offset > s.Shards[shard].Offset)
@@ -214,6 +213,7 @@
 	c.tailBytes += len(data)
 	for c.tailBytes > maxTailBytes && len(c.tail) > 1 {
 		c.tailBytes -= len(c.tail[0].Data)
+		c.tailAfter = c.tail[0].Offset
 		c.tail = c.tail[1:]
 	}
 }
@@ -235,7 +235,7 @@
 	c.isSnapping = true
 	base, left := c.state.Applied, len(records)
 	for _, r := range records {
-		c.out.Append(r, func(err error) {
+		c.Append(r, func(err error) {
 			left--
 			if left == 0 {
 				c.isSnapping = false
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -127,14 +127,15 @@
 	hb := &node.Heartbeat{
 		Applied: c.state.Applied, IsLogOut: c.isLogOut(now), IsDraining: c.isDraining, Suspects: c.members.Suspects(now), Rooms: rooms,
 	}
-	for id, d := range c.deputised {
+	for _, id := range sorted(c.deputised) {
+		d := c.deputised[id]
 		if d.node == c.options.Self.Node {
 			hb.Deputised = append(hb.Deputised, node.Deputised{Rack: id, Epoch: d.epoch})
 		}
 	}
 	m := &node.Message{Heartbeat: hb}
-	for id, member := range c.state.Members {
-		if !member.HasLeft {
+	for _, id := range sorted(c.state.Members) {
+		if !c.state.Members[id].HasLeft {
 			c.out.Send(id, m)
 		}
 	}
@@ -150,7 +151,8 @@
 // each one now and then, for those who missed it.
 func (c *Core) changedRooms(now time.Time) []node.Room {
 	rooms := []node.Room{}
-	for _, o := range c.racks {
+	for _, id := range sorted(c.racks) {
+		o := c.racks[id]
 		isDue := now.Sub(o.roomAt) >= roomRefresh
 		if !isDue && (o.isRoomTold || now.Sub(o.roomAt) < roomPeriod) {
 			continue
@@ -178,8 +180,8 @@
 		c.rackCapacity[room.Rack] = c.rackCapacity[room.Rack].Max(room.Capacity)
 	}
 	c.options.Router.OnRoom(room)
-	for _, h := range c.homes {
-		h.OnRoom(room)
+	for _, id := range sorted(c.homes) {
+		c.homes[id].OnRoom(room)
 	}
 }
 
@@ -206,8 +208,8 @@
 		since, ok := c.silent[n]
 		return m == nil || m.HasLeft || (ok && now.Sub(since) > holderGone)
 	}
-	for _, o := range c.racks {
-		o.rack.DropHolder(now, isGone)
+	for _, id := range sorted(c.racks) {
+		c.racks[id].rack.DropHolder(now, isGone)
 	}
 }
 
@@ -234,12 +236,10 @@
 
 func (c *Core) onTailAsk(from state.NodeID, m *node.TailAsk) {
 	t := &node.Tail{After: m.After}
-	for i, e := range c.tail {
-		isFirst := len(t.Entries) == 0
-		if e.Offset <= m.After || (isFirst && i == 0 && e.Offset > m.After+1) {
-			continue
+	for _, e := range c.tail {
+		if m.After >= c.tailAfter && e.Offset > m.After {
+			t.Entries = append(t.Entries, e)
 		}
-		t.Entries = append(t.Entries, e)
 	}
 	c.out.Send(from, &node.Message{Tail: t})
 }
--- a/internal/core/once.go
+++ b/internal/core/once.go
@@ -28,7 +28,7 @@
 		done(KeyResult{Fate: once.FateNotTaken})
 		return
 	}
-	c.out.Append(state.Record{Once: &state.Once{Key: key}}, func(err error) {
+	c.Append(state.Record{Once: &state.Once{Key: key}}, func(err error) {
 		switch {
 		case err == nil:
 			done(KeyResult{Fate: once.FateWon})
--- a/internal/core/owners.go
+++ b/internal/core/owners.go
@@ -99,9 +99,9 @@
 			delete(o.links, w)
 		}
 	}
-	for w, addr := range addrs {
+	for _, w := range sorted(addrs) {
 		if o.links[w] == nil {
-			o.links[w] = c.out.OpenWorker(id, o.rack.Epoch, w, addr)
+			o.links[w] = c.out.OpenWorker(id, o.rack.Epoch, w, addrs[w])
 		}
 	}
 }
@@ -114,10 +114,11 @@
 	c.homes[id] = h
 	c.changed(events.ShardOwned, id, cur.Epoch)
 	h.SetRacks(c.rackInfos())
-	for _, o := range c.racks {
-		h.OnRoom(&o.room)
+	for _, rack := range sorted(c.racks) {
+		h.OnRoom(&c.racks[rack].room)
 	}
-	for job, j := range c.state.Jobs {
+	for _, job := range sorted(c.state.Jobs) {
+		j := c.state.Jobs[job]
 		if !j.IsEnded && ownership.HomeShard(j.Spec.Region, j.Spec.Team) == id {
 			h.AddJob(now, job, j, j.Offset > cur.Offset)
 		}
@@ -127,7 +128,8 @@
 // rackInfos lists the region's racks under the epochs in force.
 func (c *Core) rackInfos() []home.RackInfo {
 	infos := []home.RackInfo{}
-	for id, s := range c.state.Shards {
+	for _, id := range sorted(c.state.Shards) {
+		s := c.state.Shards[id]
 		if !ownership.IsRack(id) || ownership.Region(id) != c.options.Region {
 			continue
 		}
@@ -174,7 +176,7 @@
 			continue
 		}
 		c.claiming[claim.Shard] = claim.Epoch
-		c.out.Append(state.Record{Claim: &claim}, func(err error) {
+		c.Append(state.Record{Claim: &claim}, func(err error) {
 			if err == nil {
 				return
 			}
@@ -211,7 +213,7 @@
 			list = append(list, ownership.Shard{ID: id, Zone: vm.Zone})
 		}
 	}
-	for id := range c.state.Shards {
+	for _, id := range sorted(c.state.Shards) {
 		if ownership.IsRack(id) && ownership.Region(id) == region && !seen[id] {
 			// All its VMs are gone from the list, but somebody has to say so of
 			// its tasks.
@@ -228,7 +230,8 @@
 		return
 	}
 	v := c.view(now)
-	for id, s := range c.state.Shards {
+	for _, id := range sorted(c.state.Shards) {
+		s := c.state.Shards[id]
 		if !ownership.IsRack(id) || ownership.Region(id) != v.Region || c.racks[id] != nil || !v.IsDead(s.Owner.Node) {
 			continue
 		}
--- a/internal/core/workers.go
+++ b/internal/core/workers.go
@@ -37,3 +37,10 @@
 		r.OnStartResults(c.now(), w, results)
 	}
 }
+
+// OnStartFailed notes that it is not known whether a worker got a start.
+func (c *Core) OnStartFailed(id state.ShardID, epoch worker.Epoch, w worker.ID, tasks []worker.Task) {
+	if r := c.owned(id, epoch); r != nil {
+		r.OnStartFailed(w, tasks)
+	}
+}
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -57,7 +57,7 @@
 			return
 		}
 		for i := range records {
-			n.writer.Put(records[i], func(err error) { results <- result{i, err} })
+			c.Append(records[i], func(err error) { results <- result{i, err} })
 		}
 	})
 	errs := make([]error, len(records))
@@ -298,8 +298,8 @@
 // Leave tells the log that this process ends.
 func (n *Node) Leave(ctx context.Context) {
 	left := make(chan struct{})
-	n.put(func(*core.Core) {
-		n.writer.Put(state.Record{Leave: &state.Leave{Node: n.owner.Node, Incarnation: n.owner.Incarnation}}, func(error) { close(left) })
+	n.put(func(c *core.Core) {
+		c.Append(state.Record{Leave: &state.Leave{Node: n.owner.Node, Incarnation: n.owner.Incarnation}}, func(error) { close(left) })
 	})
 	select {
 	case <-left:
--- a/internal/entry/workers.go
+++ b/internal/entry/workers.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/core"
+	"github.com/leverdyke/leverdyke/internal/rack"
 	"github.com/leverdyke/leverdyke/internal/ring"
 	"github.com/leverdyke/leverdyke/internal/state"
 	"github.com/leverdyke/leverdyke/internal/worker"
@@ -44,11 +45,11 @@
 	forgets []worker.Key
 }
 
-// workerOrder is either starts or a deed.
+// workerOrder is either a start or a deed.
 type workerOrder struct {
-	starts []worker.Task
-	deed   worker.Deed
-	keys   []worker.Key
+	start *rack.StartOrder
+	deed  worker.Deed
+	keys  []worker.Key
 }
 
 func newWorkerLink(n *Node, rack state.ShardID, epoch worker.Epoch, id worker.ID, addr netip.AddrPort) *workerLink {
@@ -66,11 +67,10 @@
 // Stop ends both duties; what was ordered and not sent is not sent any more.
 func (l *workerLink) Stop() { l.cancel() }
 
-// Start queues starts, Act a deed. What finds no room is ordered again by the
-// rack.
-func (l *workerLink) Start(tasks []worker.Task) { l.orders.TryPut(workerOrder{starts: tasks}) }
+// Start queues a start; it reports false when there is no room.
+func (l *workerLink) Start(o *rack.StartOrder) bool { return l.orders.TryPut(workerOrder{start: o}) }
 
-// Act queues a deed.
+// Act queues a deed; one that finds no room is ordered again by the rack.
 func (l *workerLink) Act(deed worker.Deed, keys []worker.Key) {
 	l.orders.TryPut(workerOrder{deed: deed, keys: keys})
 }
@@ -156,9 +156,7 @@
 		}
 		return
 	}
-	l.mu.Lock()
-	s := &worker.Start{Epoch: l.epoch, Boot: l.boot, AsOf: l.asOf, TTL: l.node.settings.Lease, Tasks: o.starts}
-	l.mu.Unlock()
+	s := &worker.Start{Epoch: l.epoch, Boot: o.start.Boot, AsOf: o.start.AsOf, TTL: l.node.settings.Lease, Tasks: o.start.Tasks}
 	results, err := l.client.Start(ctx, s)
 	if l.ctx.Err() != nil {
 		return
@@ -166,6 +164,7 @@
 	if err != nil {
 		// Whether they started is not known: the rack asks again, and leases
 		// bound how long it can matter.
+		l.node.put(func(c *core.Core) { c.OnStartFailed(l.rack, l.epoch, l.id, o.start.Tasks) })
 		l.failed(err)
 		return
 	}
--- a/internal/front/grants.go
+++ b/internal/front/grants.go
@@ -4,6 +4,7 @@
 package front
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -63,7 +64,8 @@
 	defer r.mu.Unlock()
 	now := r.options.Clock.Now()
 	p := Plan{}
-	for name, s := range r.services {
+	for _, name := range slices.Sorted(maps.Keys(r.services)) {
+		s := r.services[name]
 		r.dropGrants(now, s, &p)
 		r.planAsks(now, name, s, &p)
 	}
--- a/internal/home/gang.go
+++ b/internal/home/gang.go
@@ -80,7 +80,7 @@
 		return queue.Started
 	}
 	racks := h.gangRacks(s, j, need)
-	if racks == nil {
+	if len(racks) == 0 {
 		j.why = whyNoRoom
 		return queue.Blocked
 	}
@@ -186,7 +186,7 @@
 }
 
 func (h *Home) gangByHold(id uint64) *job {
-	for _, j := range h.jobs {
+	for _, j := range h.list {
 		if id != 0 && j.gang.id == id {
 			return j
 		}
@@ -207,11 +207,7 @@
 			}
 		}
 	}
-	for _, rack := range g.racks {
-		if ask := s.asks[rack]; ask != nil {
-			h.toRack(rack, node.Message{Ask: ask})
-		}
-	}
+	h.sendAsks(s.asks)
 	g.id = 0
 	g.isStarted = true
 	h.requeue(j)
@@ -239,7 +235,7 @@
 
 // expireGangs lets go where a rack does not answer.
 func (h *Home) expireGangs(now time.Time) {
-	for _, j := range h.jobs {
+	for _, j := range h.list {
 		if j.gang.id != 0 && now.Sub(j.gang.sentAt) > holdPatience {
 			j.why = "a rack did not answer in time"
 			h.letGo(now, j)
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -49,6 +49,7 @@
 	refusedShut        = 300 * time.Millisecond
 	firstBackoff       = time.Second
 	maxBackoff         = 2 * time.Minute
+	finalsRetry        = time.Second
 )
 
 // Home is the owner's view of its teams. It belongs to one goroutine.
@@ -60,22 +61,28 @@
 	policies Policies
 	began    time.Time
 
-	jobs  map[string]*job
+	jobs map[string]*job
+	// list has the jobs in the order in which they came.
+	list  []*job
 	queue *queue.Queue
 	racks map[state.ShardID]*rackView
 	order []state.ShardID
 	// used is what each team's asked and running attempts take.
 	used map[string]leverdyke.Resources
 	// unsure counts the tasks that an earlier owner may have started.
-	unsure   int
-	counter  uint64
-	offset   int
-	isDirty  bool
-	scanned  time.Time
-	finals   map[finalKey]*finalBatch
-	recorded map[uint64]recording
-	token    uint64
-	out      Output
+	unsure  int
+	counter uint64
+	offset  int
+	isDirty bool
+	scanned time.Time
+	finals  map[finalKey]*finalBatch
+	// finalOrder has the keys of finals in the order in which they came.
+	finalOrder []finalKey
+	// finalsNotBefore is when to try the log again.
+	finalsNotBefore time.Time
+	recorded        map[uint64]recording
+	token           uint64
+	out             Output
 }
 
 // rackView is what the home knows of a rack.
@@ -216,7 +223,7 @@
 // askedAt is what is asked for at a rack and not answered.
 func (h *Home) askedAt(rack state.ShardID) leverdyke.Resources {
 	sum := leverdyke.Resources{}
-	for _, j := range h.jobs {
+	for _, j := range h.list {
 		sum = sum.Add(j.spec.Each.Times(int64(j.asked[rack])))
 	}
 	return sum
@@ -233,7 +240,7 @@
 	if h.isDirty || now.Sub(h.scanned) >= scanPeriod {
 		h.scan(now)
 	}
-	h.flushFinals()
+	h.flushFinals(now)
 }
 
 // syncRacks asks every rack of whose epoch the home has not heard all.
--- a/internal/home/job.go
+++ b/internal/home/job.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -83,6 +84,7 @@
 		asked: map[state.ShardID]int{}, running: map[state.ShardID]int{}, failures: s.Failures,
 	}
 	h.jobs[id] = j
+	h.list = append(h.list, j)
 	for i, m := range s.Marks {
 		t := &j.tasks[i]
 		t.isIntended = m == state.MarkIntended
@@ -115,6 +117,7 @@
 		h.releaseGang(j)
 		delete(h.jobs, id)
 	}
+	h.list = slices.DeleteFunc(h.list, func(j *job) bool { return h.jobs[j.id] != j })
 	h.queue.RemoveAll(ids)
 	h.sendStops(stops)
 	h.isDirty = true
@@ -208,7 +211,7 @@
 }
 
 func (h *Home) missDeadlines(now time.Time) {
-	for _, j := range h.jobs {
+	for _, j := range h.list {
 		if j.spec.Deadline > 0 && !j.hasStarted && !j.isEnding && now.Sub(j.since) > j.spec.Deadline && j.waiting == len(j.tasks) {
 			h.failJob(j, "it could not be started within its deadline")
 		}
--- a/internal/home/news.go
+++ b/internal/home/news.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
@@ -32,11 +31,16 @@
 
 func (h *Home) onResult(now time.Time, v *rackView, a *node.Answer, r *node.AnswerResult) {
 	j := h.jobs[r.Key.Task.Job]
-	if j == nil || r.Key.Task.Index < 0 || r.Key.Task.Index >= len(j.tasks) {
+	isOurs := j != nil && r.Key.Task.Index >= 0 && r.Key.Task.Index < len(j.tasks) && j.tasks[r.Key.Task.Index].attempt == r.Key.Attempt
+	if !isOurs {
+		if r.Worker != "" {
+			// Its job has ended, or another attempt is the task's current one.
+			h.stop(a.Rack, r.Key)
+		}
 		return
 	}
 	t := &j.tasks[r.Key.Task.Index]
-	if t.phase != phaseAsked || t.attempt != r.Key.Attempt || t.rack != a.Rack || t.rackEpoch != a.RackEpoch {
+	if t.phase != phaseAsked || t.rack != a.Rack || t.rackEpoch != a.RackEpoch {
 		return
 	}
 	if r.Worker != "" {
@@ -213,7 +217,7 @@
 // dropMissing takes the attempts that a rack's new owner does not know: they
 // have ended, or were never started and never will be.
 func (h *Home) dropMissing(now time.Time, rack state.ShardID, listed map[worker.Key]bool) {
-	for _, j := range h.sortedJobs() {
+	for _, j := range h.list {
 		for i := range j.tasks {
 			t := &j.tasks[i]
 			isHere := t.rack == rack && (t.phase == phaseAsked || t.phase == phaseRunning)
@@ -234,7 +238,7 @@
 	if h.unsure > 0 {
 		h.event(EventSynced, "", fmt.Sprintf("%d tasks run nowhere", h.unsure))
 	}
-	for _, j := range h.sortedJobs() {
+	for _, j := range h.list {
 		if h.unsure == 0 {
 			break
 		}
@@ -266,15 +270,6 @@
 	}
 }
 
-func (h *Home) sortedJobs() []*job {
-	list := make([]*job, 0, len(h.jobs))
-	for _, j := range h.jobs {
-		list = append(list, j)
-	}
-	slices.SortFunc(list, func(a, b *job) int { return strings.Compare(a.id, b.id) })
-	return list
-}
-
 // finalKey joins ends that go into one record.
 type finalKey struct {
 	job    string
@@ -304,12 +299,7 @@
 // key only when the log has it.
 func (h *Home) final(j *job, i int, s leverdyke.TaskState, key *worker.Key, failures int, reason string) {
 	j.tasks[i].final = s
-	fk := finalKey{j.id, s, reason}
-	b := h.finals[fk]
-	if b == nil {
-		b = &finalBatch{acks: map[state.ShardID][]worker.Key{}}
-		h.finals[fk] = b
-	}
+	b := h.batchOf(finalKey{j.id, s, reason})
 	b.tasks = append(b.tasks, i)
 	b.failures += failures
 	if key != nil {
@@ -318,13 +308,41 @@
 	}
 }
 
-func (h *Home) flushFinals() {
-	for fk, b := range h.finals {
+// flushFinals hands the ends to the log's writer; while the log is out they
+// wait here.
+func (h *Home) flushFinals(now time.Time) {
+	if now.Before(h.finalsNotBefore) {
+		return
+	}
+	for _, fk := range h.finalOrder {
+		b := h.finals[fk]
 		h.record(recording{final: b, key: fk}, state.Record{Finals: &state.Finals{
 			Job: fk.job, Tasks: b.tasks, State: fk.state, Failures: b.failures, Reason: fk.reason,
 		}})
 	}
 	clear(h.finals)
+	h.finalOrder = h.finalOrder[:0]
+}
+
+// restore takes ends back that were not recorded.
+func (h *Home) restore(now time.Time, r recording) {
+	h.finalsNotBefore = now.Add(finalsRetry)
+	b := h.batchOf(r.key)
+	b.tasks = append(b.tasks, r.final.tasks...)
+	b.failures += r.final.failures
+	for rack, keys := range r.final.acks {
+		b.acks[rack] = append(b.acks[rack], keys...)
+	}
+}
+
+func (h *Home) batchOf(fk finalKey) *finalBatch {
+	b := h.finals[fk]
+	if b == nil {
+		b = &finalBatch{acks: map[state.ShardID][]worker.Key{}}
+		h.finals[fk] = b
+		h.finalOrder = append(h.finalOrder, fk)
+	}
+	return b
 }
 
 func (h *Home) record(r recording, rec state.Record) {
@@ -377,14 +395,12 @@
 		return
 	}
 	if errors.Is(err, state.ErrNotTaken) {
-		// The end has to be recorded all the same: try again.
-		h.record(r, state.Record{Finals: &state.Finals{
-			Job: r.key.job, Tasks: r.final.tasks, State: r.key.state, Failures: r.final.failures, Reason: r.key.reason,
-		}})
+		// The end has to be recorded all the same.
+		h.restore(now, r)
 		return
 	}
-	for rack, keys := range r.final.acks {
-		h.ack(rack, keys)
+	for _, rack := range h.order {
+		h.ack(rack, r.final.acks[rack])
 	}
 }
 
--- a/internal/home/scan.go
+++ b/internal/home/scan.go
@@ -60,13 +60,35 @@
 		s.views = append(s.views, h.rackView(now, id))
 	}
 	h.queue.Scan(h.Share, func(e *queue.Entry) queue.Result { return h.try(s, e) })
+	h.sendAsks(s.asks)
+}
+
+// sendAsks sends the asks, each with the lowest attempt that the home still
+// waits for at the rack.
+func (h *Home) sendAsks(asks map[state.ShardID]*node.Ask) {
 	for _, id := range h.order {
-		if ask := s.asks[id]; ask != nil {
+		if ask := asks[id]; ask != nil {
+			ask.Floor = h.floor(id)
 			h.toRack(id, node.Message{Ask: ask})
 		}
 	}
 }
 
+func (h *Home) floor(rack state.ShardID) uint64 {
+	floor := h.Epoch<<attemptBits | (h.counter + 1)
+	for _, j := range h.list {
+		if j.asked[rack] == 0 {
+			continue
+		}
+		for i := range j.tasks {
+			if t := &j.tasks[i]; t.phase == phaseAsked && t.rack == rack {
+				floor = min(floor, t.attempt)
+			}
+		}
+	}
+	return floor
+}
+
 func (h *Home) rackView(now time.Time, id state.ShardID) placement.RackView {
 	v := h.racks[id]
 	if !v.hasRoom || now.Before(v.shutUntil) {
@@ -242,7 +264,7 @@
 // rack has the epoch that was asked.
 func (h *Home) resendAsks(now time.Time) {
 	asks := map[state.ShardID]*node.Ask{}
-	for _, j := range h.jobs {
+	for _, j := range h.list {
 		if len(j.asked) == 0 {
 			continue
 		}
@@ -260,11 +282,7 @@
 			ask.Items = append(ask.Items, h.askItem(now, j, i))
 		}
 	}
-	for _, id := range h.order {
-		if ask := asks[id]; ask != nil {
-			h.toRack(id, node.Message{Ask: ask})
-		}
-	}
+	h.sendAsks(asks)
 }
 
 // isNever finds out whether no worker of the region is large enough.
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -108,7 +108,11 @@
 	HomeEpoch uint64        `msgpack:"e"`
 	Rack      state.ShardID `msgpack:"r"`
 	RackEpoch worker.Epoch  `msgpack:"k"`
-	Items     []AskItem     `msgpack:"i"`
+	// Floor is the lowest attempt that the home still waits for at this rack;
+	// it never goes down in a home's epoch. A late copy of an ask for an earlier
+	// attempt must have no effect.
+	Floor uint64    `msgpack:"f"`
+	Items []AskItem `msgpack:"i"`
 }
 
 // AskItem is one attempt that is asked for.
--- a/internal/platform/worker.go
+++ b/internal/platform/worker.go
@@ -63,6 +63,7 @@
 	leavingAt time.Time
 	faults    WorkerFaults
 	changed   chan struct{}
+	starts    int
 }
 
 type attempt struct {
@@ -305,6 +306,7 @@
 	}
 	w.checkRoom(t)
 	w.oracle.started(w.Name, t)
+	w.starts++
 	w.rev++
 	a := &attempt{task: *t, notAfter: until, began: now, rev: w.rev}
 	a.task.State = worker.StateRunning
@@ -417,3 +419,23 @@
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
+
+// Starts returns how many attempts were started here.
+func (w *Worker) Starts() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.starts
+}
+
+// Running counts the running attempts of a job.
+func (w *Worker) Running(job string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	count := 0
+	for k, a := range w.tasks {
+		if k.Task.Job == job && a.task.State == worker.StateRunning {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/rack/asks.go
+++ b/internal/rack/asks.go
@@ -32,6 +32,34 @@
 	whyNoHold  = "the held place has lapsed"
 )
 
+// settled are a home's attempts that must not start any more.
+type settled struct {
+	floor uint64
+	why   map[uint64]string
+}
+
+func (r *Rack) settledOf(home state.ShardID) *settled {
+	s := r.settled[home]
+	if s == nil {
+		s = &settled{why: map[uint64]string{}}
+		r.settled[home] = s
+	}
+	return s
+}
+
+// raiseFloor forgets what no late ask can bring back.
+func (s *settled) raiseFloor(floor uint64) {
+	if floor <= s.floor {
+		return
+	}
+	s.floor = floor
+	for attempt := range s.why {
+		if attempt < floor {
+			delete(s.why, attempt)
+		}
+	}
+}
+
 // acceptHome reports whether the epoch is the home's highest seen here.
 func (r *Rack) acceptHome(home state.ShardID, epoch uint64) bool {
 	if epoch < r.homes[home] {
@@ -52,6 +80,9 @@
 	case r.options.IsDeputy:
 		why = whyDeputy
 	}
+	if why == "" {
+		r.settledOf(ask.Home).raiseFloor(ask.Floor)
+	}
 	for i := range ask.Items {
 		if why != "" {
 			r.answerRefused(ask, ask.Items[i].Task.Key, why)
@@ -85,6 +116,13 @@
 // answered as it stands, so that an ask may be sent again.
 func (r *Rack) settle(now time.Time, p pendingAsk) {
 	key := p.item.Task.Key
+	s := r.settledOf(p.ask.Home)
+	if why, ok := s.why[key.Attempt]; ok || key.Attempt < s.floor {
+		if why != "" {
+			r.answerRefused(p.ask, key, why)
+		}
+		return
+	}
 	if h := r.held[key]; h != nil {
 		h.asked = p.ask
 		if h.phase != phaseStarting {
@@ -141,7 +179,7 @@
 	h.task.State = worker.StateRunning
 	r.add(h)
 	r.noteProbe(now, v)
-	r.order1(v.id, h.task)
+	r.orderStart(now, h)
 	d := Decision{Key: h.task.Key, Worker: v.id, Why: why}
 	if second != nil {
 		d.RunnerUp = second.id
@@ -150,15 +188,17 @@
 	r.isChanged = true
 }
 
-// order1 adds a start to the orders, joined with others for the same worker.
-func (r *Rack) order1(id worker.ID, t worker.Task) {
+// orderStart adds a start to the orders, joined with others for the same worker.
+func (r *Rack) orderStart(now time.Time, h *held) {
+	h.told = now
+	h.isOrdered = true
 	for i := range r.out.Starts {
-		if r.out.Starts[i].Worker == id {
-			r.out.Starts[i].Tasks = append(r.out.Starts[i].Tasks, t)
+		if r.out.Starts[i].Worker == h.vm.id {
+			r.out.Starts[i].Tasks = append(r.out.Starts[i].Tasks, h.task)
 			return
 		}
 	}
-	r.out.Starts = append(r.out.Starts, StartOrder{id, []worker.Task{t}})
+	r.out.Starts = append(r.out.Starts, StartOrder{h.vm.id, h.vm.boot, h.vm.asOf, []worker.Task{h.task}})
 }
 
 func (r *Rack) answerStarted(h *held) {
@@ -170,9 +210,11 @@
 }
 
 func (r *Rack) answerRefused(ask *node.Ask, key worker.Key, why string) {
-	if ask != nil {
-		r.answer(ask, node.AnswerResult{Key: key, Refused: why})
+	if ask == nil {
+		return
 	}
+	r.settledOf(ask.Home).why[key.Attempt] = why
+	r.answer(ask, node.AnswerResult{Key: key, Refused: why})
 }
 
 // answer adds a result to the answers, joined with others for the same home.
--- a/internal/rack/grants.go
+++ b/internal/rack/grants.go
@@ -31,8 +31,9 @@
 		Key: key, Holder: string(from), Each: replica.task.Request.Times(slots), Class: m.Class,
 		Service: m.Service, Request: replica.task.Request, IsRequestOnce: replica.task.IsRequestOnce, State: worker.StateRunning,
 	}
-	r.add(&held{task: t, vm: v, phase: phaseStarting, since: now, told: now})
-	r.order1(v.id, t)
+	h := &held{task: t, vm: v, phase: phaseStarting, since: now}
+	r.add(h)
+	r.orderStart(now, h)
 	r.isChanged = true
 }
 
--- a/internal/rack/news.go
+++ b/internal/rack/news.go
@@ -88,6 +88,7 @@
 			continue
 		}
 		r.remove(h)
+		r.settledOf(m.Home).why[k.Attempt] = ""
 		forgets[h.vm.id] = append(forgets[h.vm.id], k)
 	}
 	for _, id := range r.order {
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -58,6 +58,11 @@
 	// synced has the homes that wait for a complete report.
 	synced map[state.ShardID]bool
 
+	// settled has the attempts of each home that were refused, with the reason,
+	// or have ended, until the home's floor is above them: a late copy of their
+	// ask must not start them.
+	settled map[state.ShardID]*settled
+
 	asks      []pendingAsk
 	urgents   []*urgent
 	holds     map[holdID]*hold
@@ -111,6 +116,9 @@
 	isBlamed bool
 	// since is when the phase began, told when an order was last given.
 	since, told time.Time
+	// isOrdered means that a start is on its way and has not been answered: no
+	// second one may follow it, since a refusal of the first would not hold.
+	isOrdered bool
 	// deed is what was ordered and has not shown in a report; empty for none.
 	deed worker.Deed
 	// asked is the home's ask that waits for the start; nil for none.
@@ -128,9 +136,13 @@
 	Events    []Event
 }
 
-// StartOrder gives attempts to a worker.
+// StartOrder gives attempts to a worker. It is bound to what the owner knew of
+// the worker: carried out later, it can start nothing that the owner has taken
+// for lost since.
 type StartOrder struct {
 	Worker worker.ID
+	Boot   string
+	AsOf   int64
 	Tasks  []worker.Task
 }
 
@@ -204,7 +216,7 @@
 		ID: id, Epoch: epoch, options: options, began: now,
 		vms: map[worker.ID]*vm{}, held: map[worker.Key]*held{}, byTask: map[leverdyke.TaskID]worker.Key{},
 		homes: map[state.ShardID]uint64{}, synced: map[state.ShardID]bool{},
-		holds: map[holdID]*hold{}, badJobs: map[string]*failures{},
+		settled: map[state.ShardID]*settled{}, holds: map[holdID]*hold{}, badJobs: map[string]*failures{},
 	}
 }
 
--- a/internal/rack/reports.go
+++ b/internal/rack/reports.go
@@ -4,6 +4,8 @@
 package rack
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
@@ -241,7 +243,6 @@
 // retryOrders gives again what a worker has not confirmed. Orders are keyed by
 // attempt, so that a second copy does nothing.
 func (r *Rack) retryOrders(now time.Time, v *vm) {
-	starts := []worker.Task{}
 	acts := map[worker.Deed][]worker.Key{}
 	for _, h := range sortedHeld(v.held) {
 		if h.phase == phaseEnded || now.Sub(h.told) < retryPeriod {
@@ -249,19 +250,19 @@
 		}
 		switch {
 		case h.phase == phaseStarting:
-			h.told = now
-			starts = append(starts, h.task)
+			if !h.isOrdered {
+				r.orderStart(now, h)
+			}
 		case h.deed != "":
 			h.told = now
 			deed := r.escalate(now, h)
 			acts[deed] = append(acts[deed], h.task.Key)
 		}
 	}
-	if len(starts) > 0 {
-		r.out.Starts = append(r.out.Starts, StartOrder{v.id, starts})
-	}
-	for d, keys := range acts {
-		r.out.Acts = append(r.out.Acts, ActOrder{v.id, d, keys})
+	for _, d := range []worker.Deed{worker.DeedUnthrottle, worker.DeedThrottle, worker.DeedCheckpoint, worker.DeedStop} {
+		if len(acts[d]) > 0 {
+			r.out.Acts = append(r.out.Acts, ActOrder{v.id, d, acts[d]})
+		}
 	}
 }
 
@@ -276,6 +277,7 @@
 		if h == nil || h.phase != phaseStarting {
 			continue
 		}
+		h.isOrdered = false
 		if s.Refused == "" {
 			r.started(now, h)
 			continue
@@ -285,6 +287,19 @@
 	r.isChanged = true
 }
 
+// OnStartFailed notes that it is not known whether a worker got a start.
+func (r *Rack) OnStartFailed(id worker.ID, tasks []worker.Task) {
+	v := r.vms[id]
+	if v == nil {
+		return
+	}
+	for i := range tasks {
+		if h := v.held[tasks[i].Key]; h != nil {
+			h.isOrdered = false
+		}
+	}
+}
+
 func (r *Rack) refuseStart(h *held, why string) {
 	r.remove(h)
 	if h.task.Holder != "" {
@@ -314,7 +329,7 @@
 		return
 	}
 	r.event(EventComplete, "", worker.Key{}, now.Sub(r.began).Round(time.Millisecond).String())
-	for home := range r.synced {
+	for _, home := range slices.Sorted(maps.Keys(r.synced)) {
 		r.tellWhole(home)
 	}
 }
