internal/caller: read long bodies to their end while the answer comes

Cause: a body over 64 KiB whose answer began before its end was cut to 20,480 of 1,048,576 bytes: the standard library's server stops reading with the first byte of an answer. Ruled out: the first bytes that are kept for a second try.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -143,6 +143,9 @@
 		h.refuse(w, leverdyke.NotRun("the node has too many requests in progress", 1))
 		return
 	}
+	// A worker may answer while the caller still sends: without this, the
+	// server would stop reading the body with the first byte of the answer.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	x, problem := h.parse(r)
 	if problem != nil {
 		h.writeProblem(w, http.StatusBadRequest, problem)
--- /dev/null
+++ b/internal/front/router_test.go
@@ -0,0 +1,185 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package front_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/front"
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/worker"
+)
+
+func newRouter(maxWaiting int) (*front.Router, *clock.Fake) {
+	c := clock.NewFake()
+	r := front.NewRouter(front.NewRouterOptions{Zone: "near", MaxWaiting: maxWaiting, Clock: c})
+	r.SetServices(map[string]front.Info{"s": {}})
+	return r, c
+}
+
+func grant(attempt uint64, zone string, slots int) *node.Grant {
+	return &node.Grant{
+		Rack: "rack/r1/k", Service: "s", Worker: worker.ID(zone), Zone: zone, Slots: slots,
+		Key: worker.Key{Task: leverdyke.TaskID{Job: "grant"}, Attempt: attempt},
+	}
+}
+
+func acquire(t *testing.T, r *front.Router) *front.Slot {
+	t.Helper()
+	s, err := r.Acquire(context.Background(), "s", leverdyke.ClassNormal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestLeastLoadedThenNearestIsTaken(t *testing.T) {
+	r, _ := newRouter(0)
+	r.OnGrant(grant(1, "far", 2))
+	r.OnGrant(grant(2, "near", 2))
+	got := []worker.ID{}
+	for range 4 {
+		got = append(got, acquire(t, r).Worker)
+	}
+	want := []worker.ID{"near", "far", "near", "far"}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("got: %v, want: %v", got, want)
+		}
+	}
+}
+
+// wait starts a request that waits, and returns once it does.
+func wait(t *testing.T, r *front.Router, class leverdyke.Class) chan *leverdyke.Error {
+	t.Helper()
+	select {
+	case <-r.Nudge():
+	default:
+	}
+	done := make(chan *leverdyke.Error, 1)
+	go func() {
+		s, err := r.Acquire(context.Background(), "s", class)
+		if s != nil {
+			s.Release(false)
+		}
+		done <- err
+	}()
+	// A request nudges when it has been queued.
+	select {
+	case err := <-done:
+		done <- err
+	case <-r.Nudge():
+	}
+	return done
+}
+
+func TestFullQueueShedsTheLeastUrgent(t *testing.T) {
+	r, _ := newRouter(2)
+	first := wait(t, r, leverdyke.ClassNormal)
+	batch := wait(t, r, leverdyke.ClassBatch)
+	urgent := wait(t, r, leverdyke.ClassUrgent)
+	if err := <-batch; err == nil || err.Verdict != leverdyke.VerdictNotRun || err.RetryAfterSeconds == 0 {
+		t.Errorf("the batch request: got: %v, want: not-run with a time to come back", err)
+	}
+	if _, err := r.Acquire(context.Background(), "s", leverdyke.ClassBatch); err == nil || err.Verdict != leverdyke.VerdictNotRun {
+		t.Errorf("one more: got: %v, want: not-run", err)
+	}
+	r.OnGrant(grant(1, "near", 1))
+	for name, done := range map[string]chan *leverdyke.Error{"first": first, "urgent": urgent} {
+		if err := <-done; err != nil {
+			t.Errorf("%s: got: %v, want: nil", name, err)
+		}
+	}
+}
+
+func TestDeadlineShorterThanTheQueueIsRefusedAtOnce(t *testing.T) {
+	r, c := newRouter(0)
+	r.OnGrant(grant(1, "near", 1))
+	slot := acquire(t, r)
+	c.Advance(200 * time.Second)
+	slot.Release(false)
+	acquire(t, r)
+	wait(t, r, leverdyke.ClassNormal)
+	ctx, cancel := context.WithDeadline(context.Background(), c.Now().Add(time.Second))
+	defer cancel()
+	_, err := r.Acquire(ctx, "s", leverdyke.ClassNormal)
+	if err == nil || err.Verdict != leverdyke.VerdictNotRun || err.RetryAfterSeconds < 10 {
+		t.Errorf("got: %v, want: not-run at once, with the time of the queue", err)
+	}
+}
+
+func TestIdleAndRecalledGrantsAreGivenBackOnlyWhenUnused(t *testing.T) {
+	r, c := newRouter(0)
+	r.OnGrant(grant(1, "near", 2))
+	slot := acquire(t, r)
+	c.Advance(time.Minute)
+	if got := r.Plan().Done; len(got) != 0 {
+		t.Errorf("in use: got: %v, want: none", got)
+	}
+	r.OnRecall(slot.Grant)
+	if got := r.Plan().Done; len(got) != 0 {
+		t.Errorf("recalled and in use: got: %v, want: none", got)
+	}
+	slot.Release(false)
+	if got := r.Plan().Done; len(got) != 1 || got[0].Key != slot.Grant {
+		t.Errorf("recalled: got: %v, want: %v", got, slot.Grant)
+	}
+	r.OnGrant(grant(2, "near", 2))
+	acquire(t, r).Release(false)
+	if got := r.Plan().Done; len(got) != 0 {
+		t.Errorf("used just now: got: %v, want: none", got)
+	}
+	c.Advance(3 * time.Second)
+	if got := r.Plan().Done; len(got) != 1 {
+		t.Errorf("idle: got: %v, want: one", got)
+	}
+}
+
+func TestGrantsAreAskedForNearFirst(t *testing.T) {
+	r, c := newRouter(0)
+	for _, room := range []node.Room{
+		{Rack: "rack/r1/a", Zone: "far", Services: []node.ServiceRoom{{Service: "s", Slots: 50}}},
+		{Rack: "rack/r1/b", Zone: "near", Services: []node.ServiceRoom{{Service: "s", Slots: 1}}},
+	} {
+		r.OnRoom(&room)
+	}
+	wait(t, r, leverdyke.ClassNormal)
+	wait(t, r, leverdyke.ClassNormal)
+	asks := r.Plan().Asks
+	if len(asks) != 2 || asks[0].Rack != "rack/r1/b" || asks[1].Rack != "rack/r1/a" {
+		t.Fatalf("got: %+v, want: the near rack, then the far one", asks)
+	}
+	if again := r.Plan().Asks; len(again) != 0 {
+		t.Errorf("unanswered: got: %+v, want: none", again)
+	}
+	r.OnGrant(&node.Grant{Rack: "rack/r1/b", Service: "s", Refused: "no room"})
+	c.Advance(2 * time.Second)
+	if again := r.Plan().Asks; len(again) != 1 || again[0].Rack != "rack/r1/a" {
+		t.Errorf("after a refusal and a silence: got: %+v, want: the far rack again", again)
+	}
+}
+
+func TestCallerThatGivesUpLeavesNoTrace(t *testing.T) {
+	r, _ := newRouter(0)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan *leverdyke.Error, 1)
+	go func() {
+		_, err := r.Acquire(ctx, "s", leverdyke.ClassNormal)
+		done <- err
+	}()
+	<-r.Nudge()
+	cancel()
+	if err := <-done; err == nil || err.Verdict != leverdyke.VerdictNotRun {
+		t.Errorf("got: %v, want: not-run", err)
+	}
+	r.OnGrant(grant(1, "near", 1))
+	acquire(t, r)
+	if waiting, inUse, _ := r.Load(); waiting != 0 || inUse != 1 {
+		t.Errorf("got: %d waiting, %d in use, want: 0, 1", waiting, inUse)
+	}
+}
--- a/internal/platform/serve.go
+++ b/internal/platform/serve.go
@@ -111,6 +111,7 @@
 	if ms, err := strconv.Atoi(r.Header.Get(DelayHeader)); err == nil {
 		<-s.options.Clock.After(time.Duration(ms) * time.Millisecond)
 	}
+	_ = http.NewResponseController(res).EnableFullDuplex()
 	res.Header().Set(WorkerHeader, w.Name)
 	if r.Header.Get(CutHeader) != "" {
 		res.Header().Set("Content-Length", "1000")
