internal/caller: answer in full duplex only for bodies that are not yet read

Change: full duplex only where a body is longer than what is kept, and such a connection ends with its answer.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -143,9 +143,6 @@
 		h.refuse(w, leverdyke.NotRun("the node has too many requests in progress", 1))
 		return
 	}
-	// A worker may answer while the caller still sends: without this, the
-	// server would stop reading the body with the first byte of the answer.
-	_ = http.NewResponseController(w).EnableFullDuplex()
 	x, problem := h.parse(r)
 	if problem != nil {
 		h.writeProblem(w, http.StatusBadRequest, problem)
@@ -168,6 +165,14 @@
 		h.writeProblem(w, http.StatusBadRequest, leverdyke.NotRun("the body broke off: "+err.Error(), 0))
 		return
 	}
+	if x.rest != nil {
+		// The worker may answer while the caller still sends: without full
+		// duplex, the server would stop reading the body with the first byte of
+		// the answer. The connection ends with the answer, since nobody knows
+		// how much of the body the worker has left unread.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.Header().Set("Connection", "close")
+	}
 	if x.isOnce {
 		h.serveOnce(ctx, w, r, x)
 		return
--- a/internal/platform/serve.go
+++ b/internal/platform/serve.go
@@ -111,6 +111,7 @@
 	if ms, err := strconv.Atoi(r.Header.Get(DelayHeader)); err == nil {
 		<-s.options.Clock.After(time.Duration(ms) * time.Millisecond)
 	}
+	// The body is read to its end below, even if the answer has begun.
 	_ = http.NewResponseController(res).EnableFullDuplex()
 	res.Header().Set(WorkerHeader, w.Name)
 	if r.Header.Get(CutHeader) != "" {
