--- a/internal/document/decode.go
+++ b/internal/document/decode.go
@@ -54,7 +54,7 @@
 func Decode(name string, data []byte, out any) (*File, error) {
 	tree, err := parser.ParseBytes(data, 0)
 	if err != nil {
-		return nil, fromYAML(name, err, "")
+		return nil, fromYAML(name, err, "", data)
 	}
 	if len(tree.Docs) > 1 {
 		return nil, &FieldError{File: name, Problem: "has more than one document", Allowed: "one document a file"}
@@ -63,7 +63,7 @@
 		return nil, &FieldError{File: name, Problem: "is empty", Allowed: "a YAML mapping"}
 	}
 	if err := yaml.UnmarshalWithOptions(data, out, yaml.Strict()); err != nil {
-		return nil, fromYAML(name, err, keysOf(out))
+		return nil, fromYAML(name, err, keysOf(out), data)
 	}
 	return &File{name: name, tree: tree}, nil
 }
@@ -91,8 +91,8 @@
 	return 1
 }
 
-func fromYAML(name string, err error, keys string) error {
-	e := &FieldError{File: name, Problem: firstLine(err.Error())}
+func fromYAML(name string, err error, keys string, data []byte) error {
+	e := &FieldError{File: name, Problem: firstLine(err.Error()), Allowed: "valid YAML"}
 	var shown yaml.Error
 	if errors.As(err, &shown) {
 		e.Problem = shown.GetMessage()
@@ -115,9 +115,29 @@
 		e.Problem = "wrong type"
 		e.Allowed = wrong.DstType.String()
 	}
+	if e.Line == 0 {
+		e.locate(data)
+	}
 	return e
 }
 
+// locate finds the value that an error without a position quotes, such as a
+// duration's.
+func (e *FieldError) locate(data []byte) {
+	_, rest, ok := strings.Cut(e.Problem, `"`)
+	value, _, ok2 := strings.Cut(rest, `"`)
+	if !ok || !ok2 || value == "" {
+		return
+	}
+	for i, line := range strings.Split(string(data), "\n") {
+		key, text, ok := strings.Cut(line, ":")
+		if ok && strings.Contains(text, value) {
+			e.Line, e.Key, e.Allowed = i+1, strings.TrimSpace(key), "a value of the key's kind, such as 30s for a duration"
+			return
+		}
+	}
+}
+
 func firstLine(s string) string {
 	line, _, _ := strings.Cut(s, "\n")
 	return line
