internal: cut what a task's start costs in control bytes by more than half

Cause: measured by tools/slopes, a start with its end cost a node 2.44 KB: full task records in every report of a change, a report woken by each start that had been answered already, field names in every frame between nodes, ends recorded twenty times a second, summaries to all regions on every change. Change: reports of changes carry key, state and use; starts wake no report; frames carry structs as arrays; ends are recorded once a second; the log's reader pauses 250 ms unless somebody here waits for a record; summaries go to the own region when room has doubled or halved, and homes correct them by what they hear of ends. Services spread over zones, racks and VMs.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -21,6 +21,19 @@
 	return data, nil
 }
 
+// MarshalCompact returns v as msgpack with structs as arrays, without the names
+// of their fields: for messages whose two ends are of one version.
+func MarshalCompact(v any) ([]byte, error) {
+	buf := bytes.Buffer{}
+	e := msgpack.NewEncoder(&buf)
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	if err := e.Encode(v); err != nil {
+		return nil, fmt.Errorf("codec: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
 // Unmarshal reads data into v. The library allocates an array by its claimed
 // length, so that nine bytes can ask for hundreds of gigabytes; walking over
 // the value first proves that each element has at least a byte.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -159,7 +159,8 @@
 type ownedRack struct {
 	rack  *rack.Rack
 	links map[worker.ID]WorkerLink
-	room  node.Room
+	// room is the summary as it is, told as peers have it.
+	room, told node.Room
 	// roomAt is when the room was last told to peers.
 	roomAt     time.Time
 	isRoomTold bool
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/home"
 	"github.com/leverdyke/leverdyke/internal/node"
@@ -159,12 +160,35 @@
 		if sameRoom(&room, &o.room) {
 			continue
 		}
+		if isWorthTelling(&o.told, &room) {
+			o.isRoomTold = false
+		}
 		o.room = room
-		o.isRoomTold = false
 		c.onRoom(&o.room)
 	}
 }
 
+// isWorthTelling reports whether peers would decide differently by the new
+// summary.
+func isWorthTelling(told, now *node.Room) bool {
+	if told.Epoch != now.Epoch || told.Workers != now.Workers || len(told.Services) != len(now.Services) {
+		return true
+	}
+	for i := range now.Services {
+		a, b := &told.Services[i], &now.Services[i]
+		if a.Service != b.Service || a.Slots > 2*b.Slots || b.Slots > 2*a.Slots {
+			return true
+		}
+	}
+	return isFar(told.Free, now.Free) || isFar(told.Largest, now.Largest)
+}
+
+// isFar reports whether an amount has doubled or halved in some dimension: the
+// less room there is, the smaller the change that matters.
+func isFar(a, b leverdyke.Resources) bool {
+	return !a.FitsIn(b.Times(2)) || !b.FitsIn(a.Times(2))
+}
+
 func sameRoom(a, b *node.Room) bool {
 	if a.Epoch != b.Epoch || a.Free != b.Free || a.Largest != b.Largest || a.Yield != b.Yield || a.Workers != b.Workers || len(a.Services) != len(b.Services) {
 		return false
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	roomPeriod  = 500 * time.Millisecond
+	roomPeriod  = time.Second
 	roomRefresh = 15 * time.Second
 	tailRetry   = time.Second
 	stateRetry  = 3 * time.Second
@@ -134,9 +134,17 @@
 		}
 	}
 	m := &node.Message{Heartbeat: hb}
+	// Only nodes of the region place or route there.
+	bare := *hb
+	bare.Rooms = nil
 	for _, id := range sorted(c.state.Members) {
-		if !c.state.Members[id].HasLeft && id != c.options.Self.Node {
+		member := c.state.Members[id]
+		switch {
+		case member.HasLeft || id == c.options.Self.Node:
+		case member.Region == c.options.Region:
 			c.out.Send(id, m)
+		default:
+			c.out.Send(id, &node.Message{Heartbeat: &bare})
 		}
 	}
 	if len(c.state.Members) > 0 {
@@ -159,6 +167,7 @@
 		}
 		o.isRoomTold = true
 		o.roomAt = now
+		o.told = o.room
 		rooms = append(rooms, o.room)
 	}
 	return rooms
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -301,4 +301,28 @@
 	w.check(t)
 }
 
+func TestServicesSpreadOverZonesRacksAndVMs(t *testing.T) {
+	w := newWorld(worldOptions{nodes: 3, racks: 4, workers: 2, seed: 2})
+	w.ready(t)
+	w.publishBasics(t)
+	for _, tasks := range []int{2, 4, 8} {
+		id := fmt.Sprint("service-", tasks)
+		if !w.submit(serviceSpec(id, tasks)) {
+			t.Fatal("got: refused, want: accepted")
+		}
+		w.run(5 * time.Second)
+		zones, racks, vms := map[string]int{}, map[string]int{}, 0
+		for _, vm := range w.vms {
+			n := w.workers[worker.ID(vm.Name)].Running(id)
+			zones[vm.Zone] += n
+			racks[vm.Rack] += n
+			vms = max(vms, n)
+		}
+		if zones["z0"] != tasks/2 || zones["z1"] != tasks/2 || vms > 1 {
+			t.Errorf("%d tasks: got: %v, %v, at most %d on a VM, want: half in each zone, at most 1 on a VM", tasks, zones, racks, vms)
+		}
+	}
+	w.check(t)
+}
+
 var _ core.Outside = (*fakeNode)(nil)
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -50,6 +50,8 @@
 	firstBackoff       = time.Second
 	maxBackoff         = 2 * time.Minute
 	finalsRetry        = time.Second
+	// finalsPeriod joins ends into few records: nobody waits for them.
+	finalsPeriod = time.Second
 )
 
 // Home is the owner's view of its teams. It belongs to one goroutine.
--- a/internal/home/news.go
+++ b/internal/home/news.go
@@ -163,6 +163,7 @@
 // rack may forget it at once; a final end is kept there until it is recorded.
 func (h *Home) onEnd(now time.Time, j *job, i int, item *node.NewsItem) bool {
 	t := &j.tasks[i]
+	h.noteFreed(j, t.rack)
 	isService := j.spec.Kind == leverdyke.KindService
 	switch {
 	case item.State == worker.StateDone && !isService:
@@ -185,6 +186,18 @@
 	return true
 }
 
+// noteFreed corrects the summary of a rack in which a task has ended: the rack
+// tells small changes late.
+func (h *Home) noteFreed(j *job, rack state.ShardID) {
+	v := h.racks[rack]
+	if v == nil || !v.hasRoom {
+		return
+	}
+	v.pending = v.pending.Sub(j.spec.Each)
+	v.room.Largest = v.room.Largest.Max(j.spec.Each)
+	h.isDirty = true
+}
+
 func (h *Home) onFailure(now time.Time, j *job, i int, item *node.NewsItem) bool {
 	t := &j.tasks[i]
 	if j.spec.IsOnce {
@@ -311,9 +324,10 @@
 // flushFinals hands the ends to the log's writer; while the log is out they
 // wait here.
 func (h *Home) flushFinals(now time.Time) {
-	if now.Before(h.finalsNotBefore) {
+	if now.Before(h.finalsNotBefore) || len(h.finalOrder) == 0 {
 		return
 	}
+	h.finalsNotBefore = now.Add(finalsPeriod)
 	for _, fk := range h.finalOrder {
 		b := h.finals[fk]
 		h.record(recording{final: b, key: fk}, state.Record{Finals: &state.Finals{
--- a/internal/home/scan.go
+++ b/internal/home/scan.go
@@ -181,19 +181,15 @@
 	if s.failed[need] {
 		return h.chooseYield(s, j)
 	}
-	policy := h.policy(j)
+	tries := h.options.Tries
 	if j.spec.Kind == leverdyke.KindService {
-		for i, id := range h.order {
-			s.views[i].Siblings = j.running[id] + j.asked[id]
-		}
+		// All racks are compared: the one that spreads best may be the last.
+		tries = 0
+		h.countSiblings(s, j)
+		defer clearSiblings(s)
 	}
 	h.offset++
-	best := placement.BestRack(policy, need, s.views, h.offset, h.options.Tries)
-	if j.spec.Kind == leverdyke.KindService {
-		for i := range s.views {
-			s.views[i].Siblings = 0
-		}
-	}
+	best := placement.BestRack(h.policy(j), need, s.views, h.offset, tries)
 	if best < 0 {
 		s.failed[need] = true
 		return h.chooseYield(s, j)
@@ -201,6 +197,25 @@
 	return best
 }
 
+// countSiblings notes where the service's tasks are or are asked for.
+func (h *Home) countSiblings(s *scanner, j *job) {
+	zones := map[string]int{}
+	for i, id := range h.order {
+		n := j.running[id] + j.asked[id]
+		s.views[i].Siblings = n
+		zones[h.racks[id].room.Zone] += n
+	}
+	for i, id := range h.order {
+		s.views[i].ZoneSiblings = zones[h.racks[id].room.Zone]
+	}
+}
+
+func clearSiblings(s *scanner) {
+	for i := range s.views {
+		s.views[i].Siblings, s.views[i].ZoneSiblings = 0, 0
+	}
+}
+
 // policy returns how the job's tasks are placed: services by the weights of the
 // team's office, all else by filling VMs up.
 func (h *Home) policy(j *job) placement.Policy {
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -20,8 +20,10 @@
 	pollWait    = time.Second
 	pollTimeout = 3 * time.Second
 	pollPause   = 300 * time.Millisecond
-	// pollGap joins records that come close together into one read.
-	pollGap = 20 * time.Millisecond
+	// busyGap joins records that come close together into one read; idleGap
+	// joins more while nobody here waits for a record of its own.
+	busyGap = 10 * time.Millisecond
+	idleGap = 250 * time.Millisecond
 )
 
 // Tailed is what a read found.
@@ -43,6 +45,10 @@
 	clock clock.Service
 	// out takes what was read; it may block.
 	out func(Tailed)
+	// isAwaited reports whether somebody here waits for a record.
+	isAwaited func() bool
+	// wake ends a pause early.
+	wake chan struct{}
 
 	mu sync.Mutex
 	// next is the offset to read; it only grows.
@@ -51,8 +57,10 @@
 
 // NewReader returns a reader that starts at the oldest record, or at the last
 // whole snapshot if the oldest are gone; run its Run.
-func NewReader(log Log, c clock.Service, out func(Tailed)) *Reader {
-	return &Reader{log: log, clock: c, out: out}
+// isAwaited says whether somebody waits for a record, which makes it read more
+// often.
+func NewReader(log Log, c clock.Service, isAwaited func() bool, out func(Tailed)) *Reader {
+	return &Reader{log: log, clock: c, out: out, isAwaited: isAwaited, wake: make(chan struct{}, 1)}
 }
 
 // SkipTo goes on after offset, if the reader is not there yet.
@@ -62,17 +70,28 @@
 	r.next = max(r.next, offset+1)
 }
 
+// Wake makes the reader read at once, for a record that was just appended.
+func (r *Reader) Wake() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) { r.loop(ctx) }
 
 func (r *Reader) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := pollGap
+		pause := idleGap
 		if !r.poll(ctx) {
 			pause = pollPause
+		} else if r.isAwaited() {
+			pause = busyGap
 		}
 		select {
 		case <-ctx.Done():
+		case <-r.wake:
 		case <-r.clock.After(pause):
 		}
 	}
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -43,6 +43,8 @@
 	// MaxWait is how long a record may wait for its first append; 0 means 3 s.
 	MaxWait time.Duration
 	Clock   clock.Service
+	// Appended is called after each append that was answered; nil means nobody.
+	Appended func()
 	// Settle runs f in the goroutine that folds.
 	Settle func(f func())
 }
@@ -99,6 +101,9 @@
 	if options.Clock == nil {
 		options.Clock = clock.Real{}
 	}
+	if options.Appended == nil {
+		options.Appended = func() {}
+	}
 	if options.Settle == nil {
 		options.Settle = func(f func()) { f() }
 	}
@@ -124,6 +129,14 @@
 	}
 }
 
+// IsAwaited reports whether a batch has been handed to the log and has not been
+// seen in it.
+func (w *Writer) IsAwaited() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.inFlight) > 0
+}
+
 // IsOut reports whether appends have been failing for some time.
 func (w *Writer) IsOut() bool {
 	w.mu.Lock()
@@ -242,6 +255,7 @@
 		cancel()
 		w.note(err)
 		if err == nil {
+			w.options.Appended()
 			return
 		}
 		w.mu.Lock()
--- a/internal/node/frame.go
+++ b/internal/node/frame.go
@@ -22,7 +22,7 @@
 
 // AppendFrame appends m to buf as one frame.
 func AppendFrame(buf []byte, m *Message) ([]byte, error) {
-	data, err := codec.Marshal(m)
+	data, err := codec.MarshalCompact(m)
 	if err != nil {
 		return buf, fmt.Errorf("node: cannot encode: %w", err)
 	}
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -23,16 +23,19 @@
 }
 
 const (
-	spreadWeight   = 0.25
+	// The spread of a service's tasks goes before every other aim: a VM, a rack
+	// or an availability zone may be lost.
+	vmPeerWeight   = 2.0
 	strandWeight   = 2.0
-	rackPeerWeight = 0.2
+	rackPeerWeight = 2.0
+	zonePeerWeight = 1.0
 )
 
 // Candidate is a VM, or a rack's largest VM, that could take a task.
 type Candidate struct {
 	// Free and Capacity are what is left and what there is in all.
 	Free, Capacity leverdyke.Resources
-	// Siblings counts tasks of the same job that are there already.
+	// Siblings counts tasks of the same service that are there already.
 	Siblings int
 	// IsShut means that it takes nothing new: leaving, set aside, not known.
 	IsShut bool
@@ -69,7 +72,7 @@
 		fraction(left.MilliCPU, c.Capacity.MilliCPU), fraction(left.MemoryMiB, c.Capacity.MemoryMiB), fraction(left.Slots, c.Capacity.Slots),
 	)
 	score := (p.Waiting - p.Packing) * scarcest
-	score -= spreadWeight * p.Waiting * float64(c.Siblings)
+	score -= vmPeerWeight * float64(c.Siblings)
 	if need.Accelerators == 0 && c.Capacity.Accelerators > 0 {
 		// Room beside an accelerator is what a task with one needs later.
 		score -= strandWeight
@@ -89,8 +92,9 @@
 type RackView struct {
 	// Free is the sum over the rack, Largest the most on one VM.
 	Free, Largest, Capacity leverdyke.Resources
-	// Siblings counts tasks of the same job in the rack.
-	Siblings int
+	// Siblings and ZoneSiblings count tasks of the same service in the rack and
+	// in its availability zone.
+	Siblings, ZoneSiblings int
 	// IsShut means that the rack refused or has no owner at the moment.
 	IsShut bool
 }
@@ -107,7 +111,7 @@
 			continue
 		}
 		score := Score(p, need, &Candidate{Free: r.Largest, Capacity: r.Capacity})
-		score -= rackPeerWeight * p.Waiting * float64(r.Siblings)
+		score -= rackPeerWeight*float64(r.Siblings) + zonePeerWeight*float64(r.ZoneSiblings)
 		if best < 0 || score > bestScore {
 			best, bestScore = at, score
 		}
--- a/internal/platform/worker.go
+++ b/internal/platform/worker.go
@@ -160,7 +160,7 @@
 	for i := range s.Tasks {
 		results = append(results, worker.StartResult{Key: s.Tasks[i].Key, Refused: w.start(s, &s.Tasks[i], now)})
 	}
-	w.wake()
+	// A start is answered here; a report that waits need not tell it again.
 	return results, nil
 }
 
@@ -268,6 +268,9 @@
 		if now.Sub(a.began) > usageLag {
 			t.Usage = w.usage(&t)
 		}
+		if !r.IsWhole {
+			t = worker.Task{Key: t.Key, State: t.State, Usage: t.Usage, IsThrottled: t.IsThrottled}
+		}
 		r.Tasks = append(r.Tasks, t)
 	}
 	return r
--- a/internal/rack/asks.go
+++ b/internal/rack/asks.go
@@ -162,7 +162,10 @@
 			candidates[i].IsShut = true
 			continue
 		}
-		candidates[i] = placement.Candidate{Free: r.free(v), Capacity: v.capacity, Siblings: siblings(v, item.Task.Key.Task.Job)}
+		candidates[i] = placement.Candidate{Free: r.free(v), Capacity: v.capacity}
+		if item.Task.RunTime == 0 {
+			candidates[i].Siblings = siblings(v, item.Task.Key.Task.Job)
+		}
 	}
 	b, s := placement.Best(placement.Policy{Waiting: item.Waiting, Packing: item.Packing}, item.Task.Each, candidates)
 	if b >= 0 {
--- /dev/null
+++ b/internal/rack/bench_test.go
@@ -0,0 +1,70 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package rack_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/placement"
+	"github.com/leverdyke/leverdyke/internal/rack"
+	"github.com/leverdyke/leverdyke/internal/vmlist"
+	"github.com/leverdyke/leverdyke/internal/worker"
+)
+
+// BenchmarkDecision chooses a rack by the summaries and a worker in the rack,
+// at three sizes of the cell with 9 tasks on each worker (10,000 on 1,100).
+func BenchmarkDecision(b *testing.B) {
+	for _, workers := range []int{48, 200, 1100} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) { benchDecision(b, workers) })
+	}
+}
+
+func benchDecision(b *testing.B, workers int) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	capacity := leverdyke.Resources{MilliCPU: 32000, MemoryMiB: 65536, Slots: 16}
+	each := leverdyke.Resources{MilliCPU: 2000, MemoryMiB: 4096, Slots: 1}
+	racks, views := []*rack.Rack{}, []placement.RackView{}
+	for r := range workers / 8 {
+		owner := rack.NewRack(now, "rack/r1/k", epoch, rack.NewRackOptions{})
+		list := []vmlist.VM{}
+		for w := range 8 {
+			list = append(list, vmlist.VM{Name: fmt.Sprintf("k%d-w%d", r, w), Status: vmlist.StatusLive})
+		}
+		owner.SetWorkers(now, list)
+		for w := range list {
+			rep := &worker.Report{Boot: "1", Rev: 1, IsWhole: true, Capacity: capacity}
+			for i := range 9 {
+				t := worker.Task{Key: worker.Key{Task: leverdyke.TaskID{Job: fmt.Sprintf("j%d-%d", r, w), Index: i}, Attempt: 1}, Each: each, State: worker.StateRunning}
+				rep.Tasks = append(rep.Tasks, t)
+			}
+			owner.OnReport(now, worker.ID(list[w].Name), rep)
+		}
+		room := owner.Room(now)
+		racks = append(racks, owner)
+		views = append(views, placement.RackView{Free: room.Free, Largest: room.Largest, Capacity: room.Capacity})
+	}
+	h := hdrhistogram.New(1, 1_000_000_000, 3)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		began := time.Now()
+		at := placement.BestRack(placement.Fill, each, views, i, 8)
+		task := worker.Task{Key: worker.Key{Task: leverdyke.TaskID{Job: "new", Index: i}, Attempt: uint64(i + 2)}, Home: string(home), Each: each}
+		racks[at].OnAsk(&node.Ask{Home: home, HomeEpoch: 1, RackEpoch: epoch, Items: []node.AskItem{{Task: task, Packing: 1}}})
+		racks[at].Flush(now)
+		_ = h.RecordValue(time.Since(began).Nanoseconds())
+		out := racks[at].Take()
+		results := []worker.StartResult{{Key: task.Key, Refused: "the benchmark takes it back"}}
+		racks[at].OnStartResults(now, out.Starts[0].Worker, results)
+		racks[at].Take()
+	}
+	b.ReportMetric(float64(h.ValueAtQuantile(50))/1000, "p50-us")
+	b.ReportMetric(float64(h.ValueAtQuantile(99))/1000, "p99-us")
+}
--- a/internal/rack/reports.go
+++ b/internal/rack/reports.go
@@ -82,6 +82,10 @@
 		r.out.Acts = append(r.out.Acts, ActOrder{v.id, worker.DeedStop, []worker.Key{t.Key}})
 		return
 	}
+	if t.Home == "" && t.Holder == "" {
+		// The end of an attempt that was forgotten meanwhile.
+		return
+	}
 	h := &held{task: *t, vm: v, phase: phaseRunning, since: now}
 	r.add(h)
 	if t.State != worker.StateRunning {
@@ -334,7 +338,7 @@
 	}
 }
 
-// Running counts the rack's live attempts of a job, for spreading.
+// siblings counts the live attempts of a job on a worker.
 func siblings(v *vm, job string) int {
 	n := 0
 	for _, h := range v.held {
--- a/internal/worker/types.go
+++ b/internal/worker/types.go
@@ -66,15 +66,15 @@
 	// Holder is the node that uses a grant; empty for a task.
 	Holder string `json:"n,omitempty"`
 	// Each is the declared size; a grant's is the sum of its slots.
-	Each leverdyke.Resources `json:"e"`
+	Each leverdyke.Resources `json:"e,omitzero"`
 	// Usage is the last reported use, which lags; zero means none yet.
-	Usage leverdyke.Resources `json:"u"`
-	Class leverdyke.Class     `json:"c"`
+	Usage leverdyke.Resources `json:"u,omitzero"`
+	Class leverdyke.Class     `json:"c,omitempty"`
 	// IsOnce forbids preemption: the task may not start again.
 	IsOnce  bool   `json:"o,omitempty"`
 	Service string `json:"s,omitempty"`
 	// Request is what one request of the service needs.
-	Request       leverdyke.Resources `json:"q"`
+	Request       leverdyke.Resources `json:"q,omitzero"`
 	IsRequestOnce bool                `json:"qo,omitempty"`
 	RunTime       time.Duration       `json:"d,omitempty"`
 	State         TaskState           `json:"st"`
@@ -105,7 +105,8 @@
 	Now int64 `json:"n"`
 	// Rev grows with each change of the list.
 	Rev uint64 `json:"r"`
-	// IsWhole says that Tasks is the whole list, not the changes since Seen.
+	// IsWhole says that Tasks is the whole list, not the changes since Seen, of
+	// which only Key, State, Usage and IsThrottled are set.
 	IsWhole     bool                `json:"w,omitempty"`
 	IsLeaving   bool                `json:"x,omitempty"`
 	Capacity    leverdyke.Resources `json:"c"`
--- a/resources.go
+++ b/resources.go
@@ -9,13 +9,13 @@
 // nothing. Values are copied; they are safe for concurrent use.
 type Resources struct {
 	// MilliCPU is processor time in thousandths of a core; never negative.
-	MilliCPU int64 `json:"milli_cpu" yaml:"milli_cpu"`
+	MilliCPU int64 `json:"milli_cpu,omitempty" yaml:"milli_cpu"`
 	// MemoryMiB is memory in MiB; never negative.
-	MemoryMiB int64 `json:"memory_mib" yaml:"memory_mib"`
+	MemoryMiB int64 `json:"memory_mib,omitempty" yaml:"memory_mib"`
 	// Accelerators counts whole devices; never negative.
-	Accelerators int64 `json:"accelerators" yaml:"accelerators"`
+	Accelerators int64 `json:"accelerators,omitempty" yaml:"accelerators"`
 	// Slots counts the places for tasks and requests; never negative.
-	Slots int64 `json:"slots" yaml:"slots"`
+	Slots int64 `json:"slots,omitempty" yaml:"slots"`
 }
 
 // Add returns the sum of both amounts.
--- /dev/null
+++ b/tools/measure/load.go
@@ -0,0 +1,314 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/operator"
+	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/standin"
+)
+
+const loadTime = 8 * time.Second
+
+// localStatus asks a node about itself alone.
+func localStatus(n *standin.Node) (operator.Status, bool) {
+	client := http.Client{Timeout: time.Second}
+	res, err := client.Get("http://" + n.Operators.String() + "/v1/nodes?local=1")
+	if err != nil {
+		return operator.Status{}, false
+	}
+	defer func() { _ = res.Body.Close() }()
+	list := []operator.Status{}
+	if json.NewDecoder(res.Body).Decode(&list) != nil || len(list) == 0 {
+		return operator.Status{}, false
+	}
+	return list[0], true
+}
+
+var completed = regexp.MustCompile(`"LD0303".* detail="([^"]+)"`)
+
+// completions lists how long racks needed to tell all, as the nodes logged it.
+func completions(c *standin.Cell) []time.Duration {
+	list := []time.Duration{}
+	for _, n := range c.Nodes {
+		for _, m := range completed.FindAllStringSubmatch(n.Log(), -1) {
+			if d, err := time.ParseDuration(m[1]); err == nil {
+				list = append(list, d)
+			}
+		}
+	}
+	return list
+}
+
+// requests measures callers' requests through three nodes, repeatable and not.
+func requests(binary string) error {
+	capacity := leverdyke.Resources{MilliCPU: 64000, MemoryMiB: 65536, Slots: 64}
+	fmt.Println("| requests | callers | answered/s | wait and service p50 / p99 / p99.9 / max | node's processor (ms a request) | control bytes/s a node |\n|---|---|---|---|---|---|")
+	for _, kind := range []struct {
+		name    string
+		isOnce  bool
+		callers int
+	}{{"repeatable", false, 1}, {"once-only", true, 1}, {"repeatable", false, 48}, {"once-only", true, 48}} {
+		err := withCell(binary, options{nodes: 3, racks: 3, workers: 4, capacity: capacity}, func(c *standin.Cell) error {
+			job := fmt.Sprintf("kind: service\ntasks: 12\neach: {milli_cpu: 100, memory_mib: 10}\nservice: s\nrequest: {milli_cpu: 10, memory_mib: 1}\nrequest_once: %v\n", kind.isOnce)
+			if err := submit(c, "s", job); err != nil {
+				return err
+			}
+			if err := awaitRunning(c, 12); err != nil {
+				return err
+			}
+			return loadRequests(c, kind.name, kind.isOnce, kind.callers)
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func loadRequests(c *standin.Cell, name string, isOnce bool, callers int) error {
+	h := newHistogram()
+	mu := sync.Mutex{}
+	refused := 0
+	cpu, control := cpuOf(c), controlOf(c)
+	ctx, cancel := context.WithTimeout(context.Background(), loadTime)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callers}}
+	wg := sync.WaitGroup{}
+	for i := range callers {
+		wg.Go(func() {
+			for n := i; ctx.Err() == nil; n++ {
+				began := time.Now()
+				verdict := callOnce(client, c.Nodes[n%len(c.Nodes)], isOnce)
+				mu.Lock()
+				if verdict == leverdyke.VerdictRan {
+					_ = h.RecordValue(time.Since(began).Microseconds())
+				} else {
+					refused++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	count := float64(h.TotalCount())
+	fmt.Printf("| %s | %d | %.0f (%d refused) | %s | %.2f | %.0f |\n", name, callers, count/loadTime.Seconds(), refused, quantiles(h),
+		1000*(cpuOf(c)-cpu)/max(count, 1), (controlOf(c)-control)/loadTime.Seconds()/float64(len(c.Nodes)))
+	if r := c.Platform.Oracle.Report(); r.OverCommits+r.Repeated > 0 {
+		return errors.New(strings.Join(r.Violations, "; "))
+	}
+	return nil
+}
+
+func callOnce(client *http.Client, n *standin.Node, isOnce bool) leverdyke.Verdict {
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.Callers.String()+"/s/s/x", strings.NewReader("body"))
+	if err != nil {
+		return ""
+	}
+	if key, err := uuid.NewV7(); isOnce && err == nil {
+		req.Header.Set("Idempotency-Key", key.String())
+	}
+	res, err := client.Do(req)
+	if err != nil {
+		return leverdyke.VerdictMayHaveRun
+	}
+	defer func() { _ = res.Body.Close() }()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return leverdyke.VerdictMayHaveRun
+	}
+	return leverdyke.Verdict(res.Header.Get(leverdyke.VerdictHeader))
+}
+
+// cpuOf adds the processor time of all nodes, in seconds.
+func cpuOf(c *standin.Cell) float64 {
+	sum := 0.0
+	for _, n := range c.Nodes {
+		sum += metric(n, `leverdyke_load{what="cpu_seconds"`)
+	}
+	return sum
+}
+
+func controlOf(c *standin.Cell) float64 {
+	sum := 0.0
+	for _, n := range c.Nodes {
+		sum += metric(n, "leverdyke_control")
+	}
+	return sum
+}
+
+func metric(n *standin.Node, prefix string) float64 {
+	res, err := http.Get("http://" + n.Operators.String() + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, _ := io.ReadAll(res.Body)
+	sum := 0.0
+	for _, line := range strings.Split(string(data), "\n") {
+		if !strings.HasPrefix(line, prefix) {
+			continue
+		}
+		value := 0.0
+		_, _ = fmt.Sscan(line[strings.LastIndex(line, " ")+1:], &value)
+		sum += value
+	}
+	return sum
+}
+
+var startedLine = regexp.MustCompile(`"LD0402".*class="(\w+)" waited="([^"]+)"`)
+
+// waits returns how long tasks of a class waited, as the nodes logged it.
+func waits(c *standin.Cell, class string) string {
+	h := newHistogram()
+	for _, n := range c.Nodes {
+		for _, m := range startedLine.FindAllStringSubmatch(n.Log(), -1) {
+			if d, err := time.ParseDuration(m[2]); err == nil && m[1] == class {
+				_ = h.RecordValue(d.Microseconds())
+			}
+		}
+	}
+	return fmt.Sprintf("%d started, %s", h.TotalCount(), quantiles(h))
+}
+
+// urgent measures how long urgent work waits while batches fill the cell.
+func urgent(binary string) error {
+	return withCell(binary, options{nodes: 3, racks: 6, workers: 4}, func(c *standin.Cell) error {
+		if err := submit(c, "fill", "kind: batch\nclass: batch\ntasks: 1000\neach: {milli_cpu: 2000, memory_mib: 4096}\nrun_time: 10m\n"); err != nil {
+			return err
+		}
+		if err := awaitRunning(c, 24*8); err != nil {
+			return err
+		}
+		for i := range 40 {
+			if err := submit(c, fmt.Sprint("urgent-", i), "kind: batch\nclass: urgent\ntasks: 2\neach: {milli_cpu: 2000, memory_mib: 2048}\nrun_time: 5s\n"); err != nil {
+				return err
+			}
+		}
+		standin.Await(20*time.Second, func() bool { return strings.HasPrefix(waits(c, "urgent"), "80 ") })
+		r := c.Platform.Oracle.Report()
+		fmt.Printf("| a full cell of 24 workers | p50 / p99 / p99.9 / max |\n|---|---|\n| urgent tasks' wait (limit 3.4 s) | %s |\n| over-commits | %d |\n", waits(c, "urgent"), r.OverCommits)
+		return nil
+	})
+}
+
+// wave measures 5,000 cancellations at once, and what they cost others.
+func wave(binary string) error {
+	return withCell(binary, options{nodes: 3, racks: 3, workers: 4, settings: "appends_per_second: 30\n"}, func(c *standin.Cell) error {
+		const jobs = 5000
+		ids := make([]string, jobs)
+		next := make(chan int, jobs)
+		for i := range jobs {
+			ids[i] = fmt.Sprintf("j%04d", i)
+			next <- i
+		}
+		close(next)
+		errs := make(chan error, 400)
+		for range 400 {
+			go func() {
+				for i := range next {
+					if err := submit(c, ids[i], "kind: batch\nclass: batch\ntasks: 1\neach: {milli_cpu: 8000, memory_mib: 100}\nrun_time: 10m\n"); err != nil {
+						errs <- err
+						return
+					}
+				}
+				errs <- nil
+			}()
+		}
+		for range 400 {
+			if err := <-errs; err != nil {
+				return err
+			}
+		}
+		done := make(chan time.Duration, 1)
+		go func() {
+			began := time.Now()
+			_, _ = c.Client().Cancel(context.Background(), ids)
+			done <- time.Since(began)
+		}()
+		for i := range 20 {
+			if err := submit(c, fmt.Sprint("other-", i), "kind: batch\nclass: urgent\ntasks: 1\neach: {milli_cpu: 100, memory_mib: 10}\nrun_time: 5s\n"); err != nil {
+				return err
+			}
+		}
+		took := <-done
+		standin.Await(20*time.Second, func() bool { return strings.HasPrefix(waits(c, "urgent"), "20 ") })
+		fmt.Printf("| 5,000 cancellations in one call | |\n|---|---|\n| the call | %v |\n| wait of 20 urgent tasks submitted meanwhile, p50 / p99 / p99.9 / max | %s |\n", took, waits(c, "urgent"))
+		return nil
+	})
+}
+
+// logOut measures what goes on and what is refused while the log is out for a
+// minute, with a node killed in the middle.
+func logOut(binary string) error {
+	const length = time.Minute
+	return withCell(binary, options{nodes: 3, racks: 3, workers: 4, settings: "lease: 8s\nsync: 500ms\n"}, func(c *standin.Cell) error {
+		for _, name := range []string{"plain", "deeds"} {
+			job := fmt.Sprintf("kind: service\ntasks: 6\neach: {milli_cpu: 100, memory_mib: 10}\nservice: %s\nrequest: {milli_cpu: 10, memory_mib: 1}\nrequest_once: %v\n", name, name == "deeds")
+			if err := submit(c, name, job); err != nil {
+				return err
+			}
+		}
+		if err := submit(c, "batch", "kind: batch\ntasks: 600\neach: {milli_cpu: 1000, memory_mib: 10}\nrun_time: 4s\n"); err != nil {
+			return err
+		}
+		if err := awaitRunning(c, 20); err != nil {
+			return err
+		}
+		c.Platform.Log.SetFaults(platform.LogFaults{IsOut: true})
+		before := c.Platform.Oracle.Report()
+		counts := map[string]int{}
+		for until := time.Now().Add(length); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+			if counts["killed"] == 0 && time.Until(until) < length/2 {
+				counts["killed"] = 1
+				c.Nodes[2].Signal(syscall.SIGKILL)
+			}
+			for _, service := range []string{"plain", "deeds"} {
+				counts[service+" "+string(callService(c.Nodes[0], service))]++
+			}
+		}
+		r := c.Platform.Oracle.Report()
+		c.Platform.Log.SetFaults(platform.LogFaults{})
+		isBack := standin.Await(patience, func() bool {
+			j, err := c.Client().Job(context.Background(), "batch")
+			return err == nil && j.IsEnded
+		})
+		end := c.Platform.Oracle.Report()
+		fmt.Printf("| the log out for %v (leases of 8 s), a node killed after %v | |\n|---|---|\n", length, length/2)
+		fmt.Printf("| repeatable requests answered, refused | %d, %d |\n| once-only requests answered, refused as not-run | %d, %d |\n", counts["plain ran"], counts["plain not-run"], counts["deeds ran"], counts["deeds not-run"])
+		fmt.Printf("| tasks started meanwhile | %d |\n| leases lapsed | %d |\n| batch of 600 done afterwards | %v |\n| starts in all, double runs | %d, %d |\n", r.Starts-before.Starts, r.Lapses, isBack, end.Starts, end.DoubleRuns)
+		return nil
+	})
+}
+
+func callService(n *standin.Node, service string) leverdyke.Verdict {
+	req, err := http.NewRequest(http.MethodPost, "http://"+n.Callers.String()+"/s/"+service+"/x", strings.NewReader("body"))
+	if err != nil {
+		return ""
+	}
+	req.Header.Set("Leverdyke-Timeout", "2s")
+	if key, err := uuid.NewV7(); err == nil {
+		req.Header.Set("Idempotency-Key", key.String())
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return ""
+	}
+	_ = res.Body.Close()
+	return leverdyke.Verdict(res.Header.Get(leverdyke.VerdictHeader))
+}
--- /dev/null
+++ b/tools/measure/main.go
@@ -0,0 +1,128 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Command measure runs cells of real processes and prints the figures of
+// docs/MEASUREMENTS.md, as tables.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/operator"
+	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/standin"
+)
+
+const patience = 60 * time.Second
+
+// measure is one thing to measure.
+type measure struct {
+	name string
+	do   func(binary string) error
+}
+
+func main() {
+	bin := flag.String("bin", "bin", "where the programs are")
+	only := flag.String("only", "", "measure this alone")
+	flag.Parse()
+	for _, m := range []measure{
+		{"ownerless", ownerless},
+		{"config", configInForce},
+		{"requests", requests},
+		{"recovery", recovery},
+		{"urgent", urgent},
+		{"wave", wave},
+		{"logout", logOut},
+	} {
+		if *only != "" && *only != m.name {
+			continue
+		}
+		fmt.Printf("\n### %s\n\n", m.name)
+		if err := m.do(filepath.Join(*bin, "leverdyked")); err != nil {
+			fmt.Fprintf(os.Stderr, "measure %s: %v\n", m.name, err)
+			os.Exit(1)
+		}
+	}
+}
+
+// options says what a cell for a measurement consists of.
+type options struct {
+	nodes, racks, workers int
+	capacity              leverdyke.Resources
+	settings              string
+}
+
+// withCell starts a cell with one team, hands it to f, and ends it.
+func withCell(binary string, o options, f func(c *standin.Cell) error) error {
+	dir, err := os.MkdirTemp("", "leverdyke-measure-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	c, err := standin.NewCell(standin.NewCellOptions{
+		Binary: binary, Dir: dir, Nodes: o.nodes, Settings: o.settings,
+		Platform: platform.NewServerOptions{Zones: 1, Racks: o.racks, Workers: o.workers, Capacity: o.capacity},
+	})
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	if !c.AwaitOwned(patience, o.racks, 16) {
+		return fmt.Errorf("not all shards have an owner")
+	}
+	for _, d := range [][2]string{
+		{"office/head", "waiting: 0.5\npacking: 0.5\n"},
+		{"team/t", "office: head\nquota: {milli_cpu: 100000000, memory_mib: 100000000, accelerators: 0, slots: 100000}\n"},
+	} {
+		if _, err := c.Client().Publish(context.Background(), d[0], &operator.PublishRequest{Body: d[1], Author: "measure"}); err != nil {
+			return err
+		}
+	}
+	return f(c)
+}
+
+func submit(c *standin.Cell, id, body string) error {
+	_, err := c.Client().Submit(context.Background(), &operator.SubmitRequest{ID: id, File: id, Body: "team: t\n" + body})
+	return err
+}
+
+func awaitRunning(c *standin.Cell, n int) error {
+	if !standin.Await(patience, func() bool { return c.Platform.Oracle.Report().Running >= n }) {
+		return fmt.Errorf("%d of %d tasks run", c.Platform.Oracle.Report().Running, n)
+	}
+	return nil
+}
+
+// status asks one node about itself.
+func status(n *standin.Node) (operator.Status, bool) {
+	list, err := operator.NewClient([]string{n.Operators.String()}, time.Second, nil).Nodes(context.Background())
+	if err != nil {
+		return operator.Status{}, false
+	}
+	for _, s := range list {
+		if s.Node == n.Link.String() {
+			return s, true
+		}
+	}
+	return operator.Status{}, false
+}
+
+// newHistogram takes microseconds up to ten minutes.
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 3) }
+
+func quantiles(h *hdrhistogram.Histogram) string {
+	parts := []string{}
+	for _, q := range []float64{50, 99, 99.9, 100} {
+		parts = append(parts, (time.Duration(h.ValueAtQuantile(q)) * time.Microsecond).Round(10*time.Microsecond).String())
+	}
+	return strings.Join(parts, " / ")
+}
--- /dev/null
+++ b/tools/measure/owners.go
@@ -0,0 +1,144 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/operator"
+	"github.com/leverdyke/leverdyke/internal/standin"
+)
+
+// ownerless measures how long racks are without an owner after a node has gone
+// in three ways.
+func ownerless(binary string) error {
+	fmt.Println("| how the node goes | without an owner p50 / p99 / p99.9 / max | tasks that lost their lease |\n|---|---|---|")
+	for _, way := range []struct {
+		name   string
+		signal syscall.Signal
+	}{{"SIGKILL", syscall.SIGKILL}, {"SIGTERM", syscall.SIGTERM}, {"SIGSTOP", syscall.SIGSTOP}} {
+		err := withCell(binary, options{nodes: 3, racks: 6, workers: 4, settings: "drain_wait: 100ms\n"}, func(c *standin.Cell) error {
+			if err := submit(c, "s", "kind: service\ntasks: 60\neach: {milli_cpu: 100, memory_mib: 10}\n"); err != nil {
+				return err
+			}
+			if err := awaitRunning(c, 60); err != nil {
+				return err
+			}
+			h := newHistogram()
+			for i := range 6 {
+				if err := goAway(c, i%3, way.signal, h); err != nil {
+					return err
+				}
+			}
+			fmt.Printf("| %s, 6 times | %s | %d |\n", way.name, quantiles(h), c.Platform.Oracle.Report().Lapses)
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// goAway takes a node away, waits until the others own all, and brings it back.
+func goAway(c *standin.Cell, i int, s syscall.Signal, h interface{ RecordValue(int64) error }) error {
+	gone := c.Nodes[i]
+	began := time.Now()
+	gone.Signal(s)
+	if !standin.Await(patience, func() bool { return ownedBut(c, i) >= 6 }) {
+		return fmt.Errorf("the others own %d of 6 racks", ownedBut(c, i))
+	}
+	_ = h.RecordValue(time.Since(began).Microseconds())
+	if s == syscall.SIGSTOP {
+		gone.Signal(syscall.SIGCONT)
+	} else {
+		gone.Wait(patience)
+		if err := gone.Start(); err != nil {
+			return err
+		}
+	}
+	standin.Await(patience, func() bool {
+		st, ok := status(gone)
+		return ok && st.IsReady && len(st.Racks) > 0
+	})
+	return nil
+}
+
+func ownedBut(c *standin.Cell, i int) int {
+	sum := 0
+	for j, n := range c.Nodes {
+		if j == i {
+			continue
+		}
+		if s, ok := localStatus(n); ok {
+			sum += len(s.Racks)
+		}
+	}
+	return sum
+}
+
+// configInForce measures how long a change takes to be in force at 7 nodes.
+func configInForce(binary string) error {
+	return withCell(binary, options{nodes: 7, racks: 3, workers: 2}, func(c *standin.Cell) error {
+		h := newHistogram()
+		const changes = 60
+		for i := range changes {
+			began := time.Now()
+			body := fmt.Sprintf("waiting: 0.%d\npacking: 0.5\n", i+10)
+			if _, err := c.Client().Publish(context.Background(), "office/o", &operator.PublishRequest{Base: uint64(i), Body: body, Author: "measure"}); err != nil {
+				return err
+			}
+			for _, n := range c.Nodes {
+				client := operator.NewClient([]string{n.Operators.String()}, time.Second, nil)
+				standin.Await(patience, func() bool {
+					d, err := client.Doc(context.Background(), "office/o")
+					return err == nil && d.Version > uint64(i)
+				})
+			}
+			_ = h.RecordValue(time.Since(began).Microseconds())
+		}
+		fmt.Printf("| %d changes, 7 nodes | p50 / p99 / p99.9 / max |\n|---|---|\n| from the operator's call until in force at all | %s |\n", changes, quantiles(h))
+		return nil
+	})
+}
+
+// recovery measures how long the heirs of a killed node need until they know
+// all that runs, at several sizes.
+func recovery(binary string) error {
+	fmt.Println("| tasks running | heirs own all racks after | every rack has told all, after the claim (max) |\n|---|---|---|")
+	for _, tasks := range []int{100, 1000, 10000} {
+		big := leverdyke.Resources{MilliCPU: 64000, MemoryMiB: 1 << 20, Slots: 400}
+		err := withCell(binary, options{nodes: 3, racks: 6, workers: 8, capacity: big}, func(c *standin.Cell) error {
+			if err := submit(c, "s", fmt.Sprintf("kind: service\ntasks: %d\neach: {milli_cpu: 1, memory_mib: 1}\n", tasks)); err != nil {
+				return err
+			}
+			if err := awaitRunning(c, tasks); err != nil {
+				return err
+			}
+			before := len(completions(c))
+			h := newHistogram()
+			if err := goAway(c, 0, syscall.SIGKILL, h); err != nil {
+				return err
+			}
+			standin.Await(patience, func() bool { return len(completions(c)) > before })
+			worst := time.Duration(0)
+			for _, d := range completions(c)[before:] {
+				worst = max(worst, d)
+			}
+			fmt.Printf("| %d | %v | %v |\n", tasks, time.Duration(h.Max())*time.Microsecond, worst)
+			if got := c.Platform.Oracle.Report(); got.Lapses+got.DoubleRuns > 0 {
+				return fmt.Errorf("%d leases lapsed, %d double runs", got.Lapses, got.DoubleRuns)
+			}
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/tools/slopes/axis.go
+++ b/tools/slopes/axis.go
@@ -83,7 +83,8 @@
 		{
 			name: "peers", unit: "peers", sizes: []int{2, 5, 10}, atSize: 13, today: 13, x: func(size int) float64 { return float64(size) }, load: none,
 			cell: func(size int) standin.NewCellOptions {
-				o := baseCell(6, 8)
+				// As many racks a node at each size.
+				o := baseCell(2*(size+1), 4)
 				o.Nodes = size + 1
 				return o
 			},
