internal/state: name jobs by number in the records of ends

Cause: every node reads every node's ends; at 110 ends/s a 36-byte name in most of them is 4 KB/s of a node's 20. Change: the fold numbers accepted jobs; ends carry the number.

--- /dev/null
+++ b/internal/core/policy_test.go
@@ -0,0 +1,225 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package core_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/ownership"
+	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/state"
+)
+
+func newReadyWorld(t *testing.T, seed uint64) *world {
+	t.Helper()
+	w := newWorld(worldOptions{nodes: 3, racks: 3, workers: 2, seed: seed})
+	w.ready(t)
+	w.publishBasics(t)
+	return w
+}
+
+func (w *world) mustSubmit(t *testing.T, s leverdyke.JobSpec) {
+	t.Helper()
+	if !w.submit(s) {
+		t.Fatalf("%s: got: refused, want: accepted", s.ID)
+	}
+}
+
+func TestQuotaIsNeverExceeded(t *testing.T) {
+	w := newReadyWorld(t, 1)
+	body := []byte("office: head\nquota: {milli_cpu: 1500, memory_mib: 100000, accelerators: 0, slots: 100}\n")
+	if err := w.append(state.Record{Publish: &state.Publish{Doc: "team/small", Body: body}}); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		s := batchSpec(fmt.Sprint("job", i), 6, 2*time.Second)
+		s.Team = "small"
+		w.mustSubmit(t, s)
+	}
+	most := 0
+	for range 600 {
+		w.run(step)
+		most = max(most, w.runningNow())
+		if len(w.nodes) == 3 && most > 3 {
+			break
+		}
+	}
+	if most != 3 {
+		t.Errorf("got: at most %d tasks at once, want: 3, which the quota allows", most)
+	}
+	for i := range 3 {
+		if got := w.job(fmt.Sprint("job", i)).Final[leverdyke.TaskDone]; got != 6 {
+			t.Errorf("got: %d done, want: 6", got)
+		}
+	}
+}
+
+func gangSpec(id string, tasks int, runTime time.Duration) leverdyke.JobSpec {
+	s := batchSpec(id, tasks, runTime)
+	s.Kind = leverdyke.KindGang
+	return s
+}
+
+// Two large all-at-once jobs of two homes and a stream of small tasks: each
+// large one starts whole or not at all, and none waits for ever.
+func TestLargeJobsStartWholeAndAreNotStarved(t *testing.T) {
+	w := newReadyWorld(t, 2)
+	teams := []string{"filings", otherTeam("filings"), otherTeam("filings", otherTeam("filings"))}
+	for _, team := range teams[1:] {
+		body := []byte("office: head\nquota: {milli_cpu: 100000, memory_mib: 100000, accelerators: 0, slots: 100}\n")
+		if err := w.append(state.Record{Publish: &state.Publish{Doc: "team/" + team, Body: body}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i, team := range teams[:2] {
+		s := gangSpec(fmt.Sprint("gang", i), 20, 5*time.Second)
+		s.Team = team
+		w.mustSubmit(t, s)
+	}
+	partly := map[string]int{}
+	for i := range 1200 {
+		if i%10 == 0 && i < 1000 {
+			s := batchSpec(fmt.Sprint("small", i), 2, 3*time.Second)
+			s.Team = teams[2]
+			w.mustSubmit(t, s)
+		}
+		w.run(step)
+		for _, id := range []string{"gang0", "gang1"} {
+			j := w.job(id)
+			if n := w.running(id); n > 0 && n < 20 && j.Final[leverdyke.TaskDone] == 0 {
+				partly[id]++
+			}
+		}
+	}
+	for _, id := range []string{"gang0", "gang1"} {
+		if got := w.job(id).Final[leverdyke.TaskDone]; got != 20 {
+			t.Errorf("%s: got: %d done after a minute, want: 20", id, got)
+		}
+		if partly[id] > 30 {
+			t.Errorf("%s: got: %d steps with a part of it running, want: only while it starts and ends", id, partly[id])
+		}
+	}
+	w.check(t)
+}
+
+// otherTeam returns a team whose home is none of the others'.
+func otherTeam(others ...string) string {
+	for i := 0; ; i++ {
+		team := fmt.Sprint("team-", i)
+		isOther := true
+		for _, o := range others {
+			isOther = isOther && ownership.HomeShard(region, team) != ownership.HomeShard(region, o)
+		}
+		if isOther {
+			return team
+		}
+	}
+}
+
+func TestBrokenAllAtOnceJobStartsTogetherAgain(t *testing.T) {
+	w := newReadyWorld(t, 3)
+	w.mustSubmit(t, gangSpec("gang", 8, 20*time.Second))
+	w.run(3 * time.Second)
+	for _, name := range w.names {
+		if w.workers[name].Running("gang") > 0 {
+			w.workers[name].SetFaults(platform.WorkerFaults{Mode: platform.ModeDead})
+			break
+		}
+	}
+	w.run(70 * time.Second)
+	if got := w.job("gang").Final[leverdyke.TaskDone]; got != 8 {
+		t.Errorf("got: %d done, want: 8", got)
+	}
+	w.check(t)
+}
+
+func TestUrgentWorkStartsInAFullCell(t *testing.T) {
+	w := newReadyWorld(t, 4)
+	full := batchSpec("full", 100, time.Hour)
+	full.Class = leverdyke.ClassBatch
+	w.mustSubmit(t, full)
+	w.run(3 * time.Second)
+	urgent := batchSpec("urgent", 4, time.Second)
+	urgent.Class = leverdyke.ClassUrgent
+	w.mustSubmit(t, urgent)
+	w.run(3400*time.Millisecond + time.Second)
+	if got := w.job("urgent").Final[leverdyke.TaskDone] + w.running("urgent"); got != 4 {
+		t.Errorf("got: %d of 4 tasks started within 3.4 s, want: 4", got)
+	}
+	w.check(t)
+}
+
+func TestFailingJobIsGivenUpAndDoesNotBlameWorkers(t *testing.T) {
+	w := newReadyWorld(t, 5)
+	bad := batchSpec("always-fails", 3, time.Second)
+	bad.MaxFailures = 5
+	w.mustSubmit(t, bad)
+	w.mustSubmit(t, batchSpec("good", 6, time.Second))
+	w.run(2 * time.Minute)
+	j := w.job("always-fails")
+	if !j.IsEnded || j.Final[leverdyke.TaskFailed] != 3 || !strings.Contains(j.Reason, "budget") {
+		t.Errorf("got: %v %q, want: 3 failed by the budget", j.Final, j.Reason)
+	}
+	if got := w.job("good").Final[leverdyke.TaskDone]; got != 6 {
+		t.Errorf("the other job: got: %d done, want: 6", got)
+	}
+}
+
+func TestJobThatCanNeverRunSaysSoAndBlocksNobody(t *testing.T) {
+	w := newReadyWorld(t, 6)
+	never := batchSpec("never", 1, time.Second)
+	never.Each.MemoryMiB = 1 << 30
+	w.mustSubmit(t, never)
+	w.mustSubmit(t, batchSpec("good", 6, time.Second))
+	w.run(10 * time.Second)
+	n := w.ownerOf(string(ownership.HomeShard(region, "filings")))
+	if got := n.core.Home(ownership.HomeShard(region, "filings")).Status("never").Why; !strings.Contains(got, "memory") {
+		t.Errorf("got: %q, want: the reason", got)
+	}
+	if got := w.job("good").Final[leverdyke.TaskDone]; got != 6 {
+		t.Errorf("the other job: got: %d done, want: 6", got)
+	}
+	spec := never
+	spec.ID = "refused"
+	if err := n.core.CheckSubmit("f", &spec); err == nil {
+		t.Error("a second one: got: accepted, want: refused at submit")
+	}
+}
+
+func TestDeadlineMissedFailsTheJob(t *testing.T) {
+	w := newReadyWorld(t, 7)
+	full := batchSpec("full", 24, time.Hour)
+	w.mustSubmit(t, full)
+	w.run(3 * time.Second)
+	late := batchSpec("late", 1, time.Second)
+	late.Deadline = 5 * time.Second
+	w.mustSubmit(t, late)
+	w.run(15 * time.Second)
+	if j := w.job("late"); !j.IsEnded || !strings.Contains(j.Reason, "deadline") {
+		t.Errorf("got: %v %q, want: failed by its deadline", j.Final, j.Reason)
+	}
+}
+
+func TestHerdAfterARackComesBack(t *testing.T) {
+	w := newReadyWorld(t, 8)
+	w.mustSubmit(t, serviceSpec("service", 12))
+	w.run(5 * time.Second)
+	for _, name := range w.names[:2] {
+		w.workers[name].SetFaults(platform.WorkerFaults{Mode: platform.ModeDead})
+	}
+	w.run(4 * worldLease)
+	for _, name := range w.names[:2] {
+		w.workers[name].SetFaults(platform.WorkerFaults{Mode: platform.ModeUp})
+	}
+	w.mustSubmit(t, batchSpec("batch", 60, 2*time.Second))
+	w.run(60 * time.Second)
+	if got := w.job("batch").Final[leverdyke.TaskDone]; got != 60 || w.running("service") != 12 {
+		t.Errorf("got: %d done and %d of the service, want: 60 and 12", got, w.running("service"))
+	}
+	w.check(t)
+}
--- a/internal/home/job.go
+++ b/internal/home/job.go
@@ -55,10 +55,12 @@
 
 // job is a job that has not ended.
 type job struct {
-	id    string
-	spec  leverdyke.JobSpec
-	since time.Time
-	tasks []task
+	id string
+	// number names the job in the log.
+	number uint64
+	spec   leverdyke.JobSpec
+	since  time.Time
+	tasks  []task
 	// asked counts the unanswered asks by rack, running the running tasks.
 	asked, running map[state.ShardID]int
 	waiting        int
@@ -80,7 +82,7 @@
 		return
 	}
 	j := &job{
-		id: id, spec: s.Spec, since: now, tasks: make([]task, len(s.Marks)),
+		id: id, number: s.Number, spec: s.Spec, since: now, tasks: make([]task, len(s.Marks)),
 		asked: map[state.ShardID]int{}, running: map[state.ShardID]int{}, failures: s.Failures,
 	}
 	h.jobs[id] = j
--- a/internal/home/news.go
+++ b/internal/home/news.go
@@ -285,7 +285,7 @@
 
 // finalKey joins ends that go into one record.
 type finalKey struct {
-	job    string
+	number uint64
 	state  leverdyke.TaskState
 	reason string
 }
@@ -312,7 +312,7 @@
 // key only when the log has it.
 func (h *Home) final(j *job, i int, s leverdyke.TaskState, key *worker.Key, failures int, reason string) {
 	j.tasks[i].final = s
-	b := h.batchOf(finalKey{j.id, s, reason})
+	b := h.batchOf(finalKey{j.number, s, reason})
 	b.tasks = append(b.tasks, i)
 	b.failures += failures
 	if key != nil {
@@ -331,7 +331,7 @@
 	for _, fk := range h.finalOrder {
 		b := h.finals[fk]
 		h.record(recording{final: b, key: fk}, state.Record{Finals: &state.Finals{
-			Job: fk.job, Tasks: b.tasks, State: fk.state, Failures: b.failures, Reason: fk.reason,
+			Number: fk.number, Tasks: b.tasks, State: fk.state, Failures: b.failures, Reason: fk.reason,
 		}})
 	}
 	clear(h.finals)
--- a/internal/state/fold.go
+++ b/internal/state/fold.go
@@ -145,8 +145,10 @@
 		// The same submit sent again is the same job.
 		return nil
 	}
+	s.Numbers++
+	s.byNumber[s.Numbers] = r.Spec.ID
 	s.Jobs[r.Spec.ID] = &Job{
-		Spec: r.Spec, Offset: offset, Millis: millis,
+		Spec: r.Spec, Number: s.Numbers, Offset: offset, Millis: millis,
 		Marks: make([]Mark, max(r.Spec.Tasks, 0)), Final: map[leverdyke.TaskState]int{},
 	}
 	return nil
@@ -214,6 +216,9 @@
 }
 
 func (s *State) applyFinals(f *Finals) error {
+	if f.Job == "" {
+		f.Job = s.byNumber[f.Number]
+	}
 	j := s.Jobs[f.Job]
 	if j == nil || j.IsEnded {
 		return ErrUnknown
@@ -260,6 +265,7 @@
 	j.Marks = nil
 	s.Ended = append(s.Ended, id)
 	for len(s.Ended) > maxEndedJobs {
+		delete(s.byNumber, s.Jobs[s.Ended[0]].Number)
 		delete(s.Jobs, s.Ended[0])
 		s.Ended = s.Ended[1:]
 	}
--- a/internal/state/record.go
+++ b/internal/state/record.go
@@ -101,9 +101,12 @@
 	Tasks []int  `msgpack:"t"`
 }
 
-// Finals says how tasks ended, and how many attempts failed on the way.
+// Finals says how tasks ended, and how many attempts failed on the way. It is
+// by far the most frequent record, so that it names its job by number.
 type Finals struct {
-	Job      string              `msgpack:"j"`
+	// Job is set by the fold from Number; a writer sets either.
+	Job      string              `msgpack:"j,omitempty"`
+	Number   uint64              `msgpack:"n,omitempty"`
 	Tasks    []int               `msgpack:"t"`
 	State    leverdyke.TaskState `msgpack:"s"`
 	Failures int                 `msgpack:"f,omitempty"`
--- a/internal/state/snapshot.go
+++ b/internal/state/snapshot.go
@@ -41,6 +41,12 @@
 	if err := codec.Unmarshal(data, s); err != nil {
 		return nil, fmt.Errorf("state: cannot decode a snapshot: %w", err)
 	}
+	for id, j := range s.Jobs {
+		if j == nil {
+			return nil, fmt.Errorf("state: the snapshot has no job %q", id)
+		}
+		s.byNumber[j.Number] = id
+	}
 	return s, nil
 }
 
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -31,6 +31,10 @@
 	Docs map[string]*Doc `msgpack:"d"`
 	// Jobs has every job that has not ended, and the last that have.
 	Jobs map[string]*Job `msgpack:"j"`
+	// Numbers is the number of the last accepted job; it only grows.
+	Numbers uint64 `msgpack:"n"`
+	// byNumber has the remembered jobs.
+	byNumber map[uint64]string
 	// Ended lists the ended jobs that are still remembered, oldest first.
 	Ended []string `msgpack:"e"`
 	// Keys has the once-only keys of the window.
@@ -96,11 +100,13 @@
 
 // Job is an accepted job.
 type Job struct {
-	Spec        leverdyke.JobSpec `msgpack:"s"`
-	Offset      int64             `msgpack:"o"`
-	Millis      int64             `msgpack:"t"`
-	IsCancelled bool              `msgpack:"x,omitempty"`
-	IsEnded     bool              `msgpack:"e,omitempty"`
+	Spec leverdyke.JobSpec `msgpack:"s"`
+	// Number counts the accepted jobs, from 1.
+	Number      uint64 `msgpack:"u"`
+	Offset      int64  `msgpack:"o"`
+	Millis      int64  `msgpack:"t"`
+	IsCancelled bool   `msgpack:"x,omitempty"`
+	IsEnded     bool   `msgpack:"e,omitempty"`
 	// Marks has one byte a task; nil once the job has ended.
 	Marks []Mark `msgpack:"m"`
 	// Final counts tasks by final state.
@@ -135,6 +141,8 @@
 		Docs:    map[string]*Doc{},
 		Jobs:    map[string]*Job{},
 		Keys:    map[[16]byte]Owner{},
+
+		byNumber: map[uint64]string{},
 	}
 }
 
