--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,8 +56,9 @@
 	Disconnect(peer state.NodeID)
 	// Append hands a record to the log; done is called later, as an event of
 	// the core: nil when the record took effect, an error of the fold when it
-	// did not, state.ErrNotTaken when it is not in the log and will not be.
-	Append(r state.Record, done func(error))
+	// did not, state.ErrNotTaken when it is not in the log and will not be. It
+	// reports false, and done is not called, when it does not take the record.
+	Append(r state.Record, done func(error)) bool
 	// Folded tells the log's writer that its batch was seen in the log.
 	Folded(seq uint64, out state.Outcome)
 	// IsAppendOut reports whether appends have been failing for some time.
@@ -250,11 +251,9 @@
 	if done == nil {
 		done = func(error) {}
 	}
-	if c.isLogOut(c.now()) {
+	if c.isLogOut(c.now()) || !c.out.Append(r, done) {
 		c.refused = append(c.refused, done)
-		return
 	}
-	c.out.Append(r, done)
 }
 
 // refuse tells those whose records were not handed over.
--- a/internal/core/fakenode_test.go
+++ b/internal/core/fakenode_test.go
@@ -281,15 +281,12 @@
 func (n *fakeNode) Connect(state.NodeID, netip.AddrPort) {}
 func (n *fakeNode) Disconnect(state.NodeID)              {}
 
-func (n *fakeNode) Append(r state.Record, done func(error)) {
-	if done == nil {
-		done = func(error) {}
-	}
+func (n *fakeNode) Append(r state.Record, done func(error)) bool {
 	if n.IsAppendOut() {
-		n.later = append(n.later, func() { done(state.ErrNotTaken) })
-		return
+		return false
 	}
 	n.pending = append(n.pending, pendingRecord{r, done, n.world.clock.Now()})
+	return true
 }
 
 func (n *fakeNode) Folded(seq uint64, out state.Outcome) {
--- a/internal/entry/outside.go
+++ b/internal/entry/outside.go
@@ -26,7 +26,7 @@
 func (n *Node) Disconnect(peer state.NodeID) { n.links.Disconnect(peer) }
 
 // Append hands a record to the log's writer.
-func (n *Node) Append(r state.Record, done func(error)) { n.writer.Put(r, done) }
+func (n *Node) Append(r state.Record, done func(error)) bool { return n.writer.Put(r, done) }
 
 // Folded tells the log's writer that its batch was seen in the log.
 func (n *Node) Folded(seq uint64, out state.Outcome) { n.writer.Folded(seq, out) }
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,189 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package journal_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/journal"
+	"github.com/leverdyke/leverdyke/internal/logservice"
+	"github.com/leverdyke/leverdyke/internal/state"
+)
+
+// fakeLog is a log in memory that loses answers.
+type fakeLog struct {
+	mu      sync.Mutex
+	entries []logservice.Entry
+	first   int64
+	// lose is how many appends take effect without an answer, fail how many
+	// are not taken.
+	lose, fail int
+	appended   chan []byte
+}
+
+var errLost = errors.New("lost")
+
+func (l *fakeLog) Append(_ context.Context, data []byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fail > 0 {
+		l.fail--
+		return 0, logservice.ErrRefused
+	}
+	offset := int64(len(l.entries))
+	l.entries = append(l.entries, logservice.Entry{Offset: offset, Data: data})
+	if l.appended != nil {
+		l.appended <- data
+	}
+	if l.lose > 0 {
+		l.lose--
+		return 0, errLost
+	}
+	return offset, nil
+}
+
+func (l *fakeLog) Read(_ context.Context, from int64, _ time.Duration) (logservice.Page, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	page := logservice.Page{First: l.first, Next: int64(len(l.entries))}
+	if from < l.first {
+		return page, logservice.ErrTrimmed
+	}
+	page.Entries = append(page.Entries, l.entries[min(from, page.Next):]...)
+	return page, nil
+}
+
+// advance moves a fake clock until done is closed.
+func advance(c *clock.Fake, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		default:
+			c.Advance(50 * time.Millisecond)
+		}
+	}
+}
+
+func join() state.Record {
+	return state.Record{Join: &state.Join{Node: "n", Incarnation: 1}}
+}
+
+func TestLostAnswersAreSettledBySendingTheSameBatchAgain(t *testing.T) {
+	log := &fakeLog{lose: 2, fail: 1, appended: make(chan []byte, 9)}
+	c := clock.NewFake()
+	w := journal.NewWriter(log, state.Owner{Node: "n", Incarnation: 1}, journal.NewWriterOptions{Clock: c, MaxWait: 1 << 60})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx)
+	results := make(chan error, 2)
+	w.Put(join(), func(err error) { results <- err })
+	done := make(chan struct{})
+	go advance(c, done)
+	s := state.NewState()
+	first := state.Outcome{}
+	for i := range 3 {
+		b, err := state.DecodeBatch(<-log.appended)
+		if err != nil {
+			t.Fatal(err)
+		}
+		out := s.Apply(int64(i), b)
+		if i == 0 {
+			first = out
+		} else if !errors.Is(out.Err, state.ErrDuplicate) {
+			t.Errorf("copy %d: got: %v, want: %v", i, out.Err, state.ErrDuplicate)
+		}
+	}
+	close(done)
+	w.Folded(1, first)
+	if err := <-results; err != nil {
+		t.Errorf("got: %v, want: nil", err)
+	}
+	select {
+	case err := <-results:
+		t.Errorf("got: a second callback with %v, want: one", err)
+	default:
+	}
+}
+
+func TestRecordThatWaitsTooLongIsNotTaken(t *testing.T) {
+	log := &fakeLog{}
+	c := clock.NewFake()
+	w := journal.NewWriter(log, state.Owner{Node: "n", Incarnation: 1}, journal.NewWriterOptions{Clock: c, MaxWait: time.Second})
+	results := make(chan error, 1)
+	w.Put(join(), func(err error) { results <- err })
+	c.Advance(2 * time.Second)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx)
+	if err := <-results; !errors.Is(err, state.ErrNotTaken) {
+		t.Errorf("got: %v, want: %v", err, state.ErrNotTaken)
+	}
+	if got := len(log.entries); got != 0 {
+		t.Errorf("got: %d appends, want: 0", got)
+	}
+}
+
+func TestRecordsThatComeTogetherShareAnAppend(t *testing.T) {
+	log := &fakeLog{appended: make(chan []byte, 200)}
+	w := journal.NewWriter(log, state.Owner{Node: "n", Incarnation: 1}, journal.NewWriterOptions{Clock: clock.NewFake()})
+	for range 100 {
+		w.Put(join(), nil)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx)
+	b, err := state.DecodeBatch(<-log.appended)
+	if err != nil || len(b.Records) != 100 {
+		t.Errorf("got: %d records, %v, want: 100 in one batch", len(b.Records), err)
+	}
+}
+
+func TestReaderStartsAtAWholeSnapshotWhenTheOldestAreGone(t *testing.T) {
+	log := &fakeLog{}
+	s := state.NewState()
+	put := func(seq uint64, records ...state.Record) {
+		b := &state.Batch{Node: "n", Incarnation: 1, Seq: seq, Records: records}
+		data, err := b.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		offset, _ := log.Append(context.Background(), data)
+		s.Apply(offset, b)
+	}
+	put(1, join())
+	put(2, state.Record{Publish: &state.Publish{Doc: "d", Body: []byte("one")}})
+	chunks, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(3, state.Record{Publish: &state.Publish{Doc: "d", Base: 1, Body: []byte("two")}})
+	put(4, chunks...)
+	put(5, state.Record{Publish: &state.Publish{Doc: "d", Base: 2, Body: []byte("three")}})
+	log.first = 2
+	found := make(chan journal.Tailed, 9)
+	r := journal.NewReader(log, clock.NewFake(), func() bool { return false }, func(t journal.Tailed) { found <- t })
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go r.Run(ctx)
+	got := <-found
+	if got.State == nil || !got.IsCaughtUp {
+		t.Fatalf("got: %+v, want: a snapshot and its tail", got)
+	}
+	for _, e := range got.Entries {
+		b, err := state.DecodeBatch(e.Data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got.State.Apply(e.Offset, b)
+	}
+	if d := got.State.Docs["d"]; d.Version != 3 || string(d.Body) != "three" {
+		t.Errorf("got: version %d %q, want: 3, three", d.Version, d.Body)
+	}
+}
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -24,13 +24,6 @@
 	Read(ctx context.Context, from int64, wait time.Duration) (logservice.Page, error)
 }
 
-var (
-	// ErrOut means that the log is out: the record was not appended.
-	ErrOut = errors.Join(state.ErrNotTaken, errors.New("journal: the log is out"))
-	// ErrFull means that too many records wait: it was not appended.
-	ErrFull = errors.Join(state.ErrNotTaken, errors.New("journal: too many records wait for the log"))
-)
-
 // Done is told what became of a record: nil when it took effect, an error of
 // the fold when it did not, state.ErrNotTaken when it is not in the log. It is called
 // in the goroutine that folds.
@@ -114,19 +107,13 @@
 	}
 }
 
-// Put queues a record. When the log is out or too many wait, done is told so
-// and the record is not appended.
-func (w *Writer) Put(r state.Record, done Done) {
+// Put queues a record. It reports false, and done is not called, when the log
+// is out or too many records wait: the record is surely not appended.
+func (w *Writer) Put(r state.Record, done Done) bool {
 	if done == nil {
 		done = func(error) {}
 	}
-	if w.IsOut() {
-		w.options.Settle(func() { done(ErrOut) })
-		return
-	}
-	if !w.queue.TryPut(queued{r, done, w.options.Clock.Now()}) {
-		w.options.Settle(func() { done(ErrFull) })
-	}
+	return !w.IsOut() && w.queue.TryPut(queued{r, done, w.options.Clock.Now()})
 }
 
 // IsAwaited reports whether a batch has been handed to the log and has not been
