--- a/tools/measure/owners.go
+++ b/tools/measure/owners.go
@@ -62,9 +62,10 @@
 			return err
 		}
 	}
+	// Until it has seen what it no longer owns.
 	standin.Await(patience, func() bool {
 		st, ok := status(gone)
-		return ok && st.IsReady
+		return ok && st.IsReady && ownedBut(c, -1) == 6
 	})
 	return nil
 }
