internal/rack: take grants back from workers that get nothing new

Cause: found by reading: a leaving or drained worker got no new tasks, but nodes went on sending callers' requests under the grants they had; the stand-in's oracle looked at starts only. Change: the owner recalls and stops such grants; the worker finishes what is in progress. The oracle counts requests on leaving VMs too. The new test fails without the change. Conclusion: a promise that was broken for requests is kept.

--- a/internal/platform/worker.go
+++ b/internal/platform/worker.go
@@ -200,6 +200,9 @@
 	if w.inFlight[grant] >= a.task.Each.Slots {
 		w.oracle.overCommitted(w.Name, "requests of grant "+grant.String())
 	}
+	if !w.leavingAt.IsZero() && w.clock.Now().Sub(w.leavingAt) > leavingGrace {
+		w.oracle.startedOnLeaving(w.Name, grant)
+	}
 	w.inFlight[grant]++
 	w.oracle.served(onceKey)
 	return func() { w.finish(grant) }, ""
--- a/internal/rack/grants.go
+++ b/internal/rack/grants.go
@@ -121,6 +121,23 @@
 	r.out.Acts = append(r.out.Acts, ActOrder{h.vm.id, worker.DeedStop, []worker.Key{h.task.Key}})
 }
 
+// recallLeaving takes back the grants on workers that get nothing new: requests
+// are new work too.
+func (r *Rack) recallLeaving(now time.Time) {
+	for _, id := range r.order {
+		v := r.vms[id]
+		if !v.isLeaving && !v.isListedLeaving && !v.isDrained && !v.isGone {
+			continue
+		}
+		for _, h := range sortedHeld(v.held) {
+			if h.task.Holder != "" && h.deed == "" && h.phase != phaseEnded {
+				r.recall(h)
+				r.stopGrant(now, h)
+			}
+		}
+	}
+}
+
 // dropGrantsWithout takes back the grants of services that no longer run on
 // the worker.
 func (r *Rack) dropGrantsWithout(now time.Time, v *vm) {
--- a/internal/rack/rack_test.go
+++ b/internal/rack/rack_test.go
@@ -353,6 +353,42 @@
 	}
 }
 
+func TestGrantsOfALeavingWorkerAreTakenBack(t *testing.T) {
+	for name, leave := range map[string]func(b *bench){
+		"by its own word": func(b *bench) { b.workers["w0"].Leave() },
+		"by the list": func(b *bench) {
+			b.rack.SetWorkers(b.clock.Now(), []vmlist.VM{{Name: "w0", Status: vmlist.StatusLeaving}})
+		},
+		"by the operator":     func(b *bench) { b.rack.SetDrained(func(worker.ID) bool { return true }) },
+		"for comparison, not": nil,
+	} {
+		b := newBench(t, 1, vm)
+		replica := b.task("service", small, leverdyke.ClassNormal)
+		replica.Service, replica.Request = "s", leverdyke.Resources{MilliCPU: 100, Slots: 1}
+		b.ask(node.AskItem{Task: replica})
+		b.rack.OnGrantAsk(b.clock.Now(), "n1", &node.GrantAsk{Service: "s", Slots: 2})
+		b.perform()
+		b.run(1)
+		grant := b.toNode[0].Grant.Key
+		finish, _ := b.workers["w0"].Begin(grant, "")
+		if leave != nil {
+			leave(b)
+		}
+		b.run(2)
+		_, refused := b.workers["w0"].Begin(grant, "")
+		if got, want := refused != "", leave != nil; got != want {
+			t.Errorf("%s: got: new requests refused %v, want: %v", name, got, want)
+		}
+		if got := b.workers["w0"].Running(grant.Task.Job); got != 1 {
+			t.Errorf("%s: got: %d grants that count, want: 1 until its request has ended", name, got)
+		}
+		finish()
+		if got, want := b.workers["w0"].Running(grant.Task.Job), 0; leave != nil && got != want {
+			t.Errorf("%s: got: %d grants after the last request, want: %d", name, got, want)
+		}
+	}
+}
+
 // TestNeverOverCapacity asks for tasks of random sizes and classes, ends some,
 // and compares with the workers' own books.
 func TestNeverOverCapacity(t *testing.T) {
--- a/internal/rack/reports.go
+++ b/internal/rack/reports.go
@@ -250,6 +250,7 @@
 		r.retryOrders(now, r.vms[id])
 	}
 	r.resendNews(now)
+	r.recallLeaving(now)
 	r.unthrottle(now)
 }
 
