internal/state: bound the remembered keys, and keep them no longer than needed

Cause: measured, a remembered key takes 109 bytes; kept for four hours without a bound, 50 once-only requests a second would have taken 78 MB of a node's 32. Change: keys are kept for the window and ten minutes (the clocks' difference); with 65,536 of them (7 MB) further once-only requests are refused as not-run with a time to come back. A job's start is not held to 32 tasks a quarter second.

--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -138,7 +138,7 @@
 	default:
 		slot.Release(false)
 		table.Abandon(e, node.SavedAnswer{Verdict: leverdyke.VerdictNotRun})
-		h.refuse(w, leverdyke.NotRun("requests that may not be repeated need the log, which is out", 5))
+		h.refuse(w, leverdyke.NotRun("the log is out, or too many keys are remembered: requests that may not be repeated have to wait", 5))
 		return
 	}
 	h.options.Metrics.Waited("once", x.class, h.options.Clock.Now().Sub(x.began))
--- a/internal/core/once.go
+++ b/internal/core/once.go
@@ -24,7 +24,7 @@
 		done(KeyResult{once.FateLost, owner})
 		return
 	}
-	if !c.IsJoined() || c.isLogOut(c.now()) {
+	if !c.IsJoined() || c.isLogOut(c.now()) || len(c.state.Keys) >= state.MaxKeys {
 		done(KeyResult{Fate: once.FateNotTaken})
 		return
 	}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/core"
+	"github.com/leverdyke/leverdyke/internal/once"
 	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/state"
 	"github.com/leverdyke/leverdyke/internal/vmlist"
@@ -301,6 +302,35 @@
 	w.check(t)
 }
 
+func TestKeysAreBounded(t *testing.T) {
+	w := newWorld(worldOptions{nodes: 1, racks: 1, workers: 1, seed: 3})
+	w.ready(t)
+	c := w.nodes[0].core
+	claim := func(n int) once.Fate {
+		fate := once.Fate("")
+		c.ClaimKey(once.Key{byte(n >> 16), byte(n >> 8), byte(n)}, func(r core.KeyResult) { fate = r.Fate })
+		for range 20 {
+			if fate != "" {
+				break
+			}
+			w.run(step)
+		}
+		return fate
+	}
+	if got := claim(0); got != once.FateWon {
+		t.Errorf("the first: got: %v, want: %v", got, once.FateWon)
+	}
+	for i := range state.MaxKeys {
+		c.State().Keys[once.Key{0xff, byte(i >> 8), byte(i)}] = state.Owner{}
+	}
+	if got := claim(1); got != once.FateNotTaken {
+		t.Errorf("one too many: got: %v, want: %v", got, once.FateNotTaken)
+	}
+	if got := claim(0); got != once.FateLost {
+		t.Errorf("a remembered one: got: %v, want: %v", got, once.FateLost)
+	}
+}
+
 func TestServicesSpreadOverZonesRacksAndVMs(t *testing.T) {
 	w := newWorld(worldOptions{nodes: 3, racks: 4, workers: 2, seed: 2})
 	w.ready(t)
--- a/internal/home/scan.go
+++ b/internal/home/scan.go
@@ -159,6 +159,10 @@
 		started++
 	}
 	h.requeueQuietly(j)
+	if started >= limit && j.waiting > 0 {
+		// It was its turn's bound that stopped it: go on at the next tick.
+		h.isDirty = true
+	}
 	switch {
 	case started > 0:
 		return queue.Started
--- a/internal/state/fold.go
+++ b/internal/state/fold.go
@@ -271,11 +271,11 @@
 	}
 }
 
-// ageKeys forgets keys for twice the window, so that a key that is refused as
-// too old is never one that the fold has forgotten.
+// ageKeys forgets keys somewhat later than the window, so that a key that the
+// fold has forgotten is refused as too old.
 func (s *State) ageKeys() {
 	n := 0
-	for n < len(s.KeyQueue) && s.KeyQueue[n].Millis < s.Millis-2*OnceWindowMillis {
+	for n < len(s.KeyQueue) && s.KeyQueue[n].Millis < s.Millis-OnceWindowMillis-OnceSlackMillis {
 		delete(s.Keys, s.KeyQueue[n].Key)
 		n++
 	}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -13,8 +13,13 @@
 	// OnceWindowMillis is how long a key is remembered. An older key is
 	// refused, since nobody can say whether it ran (decision 0004).
 	OnceWindowMillis = 2 * 60 * 60 * 1000
-	maxEndedJobs     = 2000
-	maxDocHistory    = 8
+	// OnceSlackMillis is for how much longer than the window the fold keeps a
+	// key: it covers how far apart the clocks of nodes and callers may be.
+	OnceSlackMillis = 10 * 60 * 1000
+	// MaxKeys bounds the remembered keys: 109 bytes each, by BenchmarkMemory.
+	MaxKeys       = 64 << 10
+	maxEndedJobs  = 2000
+	maxDocHistory = 8
 )
 
 // State is the fold of all records up to Applied. It belongs to one goroutine.
