internal/integration: run two regions on one log

Cause: cells of more than one region had never been started as processes; a request for another region's service waited for its whole deadline, since a node knows the rooms of its own region only.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOBIN := $(CURDIR)/.tools
 export GOBIN
 
-.PHONY: build test quickstart lint tools soak bench slopes compare
+.PHONY: build test quickstart lint tools soak bench slopes compare measure
 
 build:
 	go build -o bin/ ./cmd/... ./tools/...
@@ -28,8 +28,12 @@
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
+# Longer runs with seeds of their own, bounded in time: some fifteen minutes.
 soak: build
-	LEVERDYKE_SOAK=1 go test -count=1 -timeout 20m -v ./internal/integration/...
+	seed=$$(date +%s); echo "seed $$seed"; LEVERDYKE_FUZZ_SEED=$$seed LEVERDYKE_FUZZ_SEQUENCES=1000 go test -count=1 -timeout 10m -run FaultsInAny ./internal/core
+	for f in state:FuzzDecodeBatch state:FuzzUnmarshalState node:FuzzReadFrame policy:FuzzParseJob; do \
+		go test -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime 30s ./internal/$${f%%:*} || exit 1; done
+	go test -count=2 -timeout 10m ./internal/integration
 
 # Measures a node's control at several sizes; about four minutes.
 slopes: build
@@ -38,3 +42,7 @@
 # Prints how the policies do against baselines.
 compare:
 	go test -count=1 -v -run Compare ./internal/compare
+
+# Prints the figures of docs/MEASUREMENTS.md; about six minutes.
+measure: build
+	bin/measure -bin bin
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -157,7 +157,7 @@
 	defer cancel()
 	info, ok := h.options.Router.Info(x.service)
 	if !ok {
-		h.writeProblem(w, http.StatusNotFound, leverdyke.NotRun("there is no service named "+x.service, 0))
+		h.writeProblem(w, http.StatusNotFound, leverdyke.NotRun("there is no service named "+x.service+" in this region", 0))
 		return
 	}
 	x.isOnce = info.IsOnce && !isSafe(r.Method)
--- a/internal/core/fold.go
+++ b/internal/core/fold.go
@@ -172,7 +172,9 @@
 func (c *Core) listServices() {
 	infos := map[string]front.Info{}
 	for _, j := range c.state.Jobs {
-		if j.Spec.Service != "" && !j.IsEnded {
+		// A node knows the rooms of its own region only: a request for another
+		// region's service is refused at once.
+		if j.Spec.Service != "" && !j.IsEnded && j.Spec.Region == c.options.Region {
 			old := infos[j.Spec.Service]
 			infos[j.Spec.Service] = front.Info{IsOnce: old.IsOnce || j.Spec.IsRequestOnce}
 		}
--- a/internal/front/router.go
+++ b/internal/front/router.go
@@ -186,7 +186,7 @@
 	s := r.services[name]
 	if s == nil || !s.isListed {
 		r.mu.Unlock()
-		return nil, leverdyke.NotRun("there is no service named "+name, 0)
+		return nil, leverdyke.NotRun("there is no service named "+name+" in this region", 0)
 	}
 	if len(s.waiting) == 0 {
 		if slot := r.take(s); slot != nil {
--- a/internal/integration/faults_test.go
+++ b/internal/integration/faults_test.go
@@ -351,3 +351,54 @@
 	}
 	c.verify()
 }
+
+// Two regions on one log: each owns its own, jobs run where they say, and what
+// one region's node is told of the other's is enough for operators.
+func TestTwoRegions(t *testing.T) {
+	t.Parallel()
+	inner, err := standin.NewCell(standin.NewCellOptions{
+		Binary: binary, Dir: t.TempDir(), Nodes: 4, Settings: "lease: 7s\nappends_per_second: 20\n",
+		Platform: platform.NewServerOptions{Regions: 2, Zones: 2, Racks: 1, Workers: 2},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(inner.Close)
+	c := &cell{Cell: inner, t: t}
+	if !c.AwaitOwned(patience, 4, 32) {
+		t.Fatal("not all shards of both regions have an owner")
+	}
+	for _, d := range [][2]string{{"office/head", "waiting: 0.8\npacking: 0.2\n"}, {"team/t", "office: head\nquota: {milli_cpu: 90000, memory_mib: 190000, slots: 48}\n"}} {
+		if _, err := c.Client().Publish(context.Background(), d[0], &operator.PublishRequest{Body: d[1], Author: "test"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, region := range []string{"r1", "r2"} {
+		c.submit(region, "team: t\nregion: "+region+"\nkind: service\ntasks: 4\neach: {milli_cpu: 100, memory_mib: 10}\nservice: s-"+region+"\nrequest: {milli_cpu: 10, memory_mib: 1}\n")
+	}
+	for _, region := range []string{"r1", "r2"} {
+		if !standin.Await(patience, func() bool { return runsIn(c, region) == 4 }) {
+			t.Errorf("%s: got: %d of its tasks run there, want: 4", region, runsIn(c, region))
+		}
+	}
+	l := &load{}
+	for _, n := range c.Nodes {
+		for _, region := range []string{"r1", "r2"} {
+			want := n.Region == region
+			if !standin.Await(patience, func() bool { return (l.call(http.DefaultClient, n, "s-"+region, "x", "") == "ran") == want }) {
+				t.Errorf("node in %s: got: the service of %s answers %v, want: %v", n.Region, region, !want, want)
+			}
+		}
+	}
+}
+
+// runsIn counts the tasks of the job with the region's name on its workers.
+func runsIn(c *cell, region string) int {
+	count := 0
+	for _, name := range c.Platform.Names() {
+		if strings.HasPrefix(name, region+"-") {
+			count += c.Platform.Worker(name).Running(region)
+		}
+	}
+	return count
+}
