internal/caller: try a once-only request elsewhere when a refusal proves that nothing ran

Cause: a worker that refused or could not be reached ended a once-only request as not-run, with its key spent, though another worker was free: a notary would have had to press again. Change: the key is won once; the request goes on to another worker after not-run, never after may-have-run. Measured: with one of two workers refusing or down, one request of two was refused before, none after (the test fails without the change).

--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -228,10 +228,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	for name, bad := range map[string]string{"nobody listens": closedAddr(t), "the worker refuses": refusing} {
-		s := newFront(t, false, newFakeKeys(1)[0], bad, good)
-		for range 2 {
-			if got := call(t, s.URL+"/s/s/", http.MethodPost, "x"); got.body != "ok" {
-				t.Errorf("%s: got: %+v, want: ok", name, got)
+		for _, isOnce := range []bool{false, true} {
+			s := newFront(t, isOnce, newFakeKeys(1)[0], bad, good)
+			for range 2 {
+				if got := call(t, s.URL+"/s/s/", http.MethodPost, "x", caller.KeyHeader, newKey(t)); got.body != "ok" {
+					t.Errorf("%s, once %v: got: %+v, want: ok", name, isOnce, got)
+				}
 			}
 		}
 	}
--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -15,6 +15,7 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/front"
 	"github.com/leverdyke/leverdyke/internal/node"
 	"github.com/leverdyke/leverdyke/internal/once"
 	"github.com/leverdyke/leverdyke/internal/state"
@@ -142,22 +143,39 @@
 		return
 	}
 	h.options.Metrics.Waited("once", x.class, h.options.Clock.Now().Sub(x.began))
-	events.Log(events.RequestRouted, "service", x.service, "worker", slot.Worker, "why", "least loaded, near first", "runnerUp", slot.RunnerUp, "once", true)
+	h.sendWon(ctx, w, r, x, slot, e)
+}
+
+// sendWon sends a request whose key this node has won. It goes to another
+// worker only after a refusal that proves that nothing ran.
+func (h *Handler) sendWon(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange, slot *front.Slot, e *once.Entry) {
 	// The answer is for the caller's retry too: it is fetched to its end even if
 	// the caller goes away.
 	stay, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.options.MaxTimeout)
 	defer cancel()
-	res, problem := h.send(stay, r, x, slot)
-	if problem != nil {
+	var last *leverdyke.Error
+	for try := range maxTries {
+		events.Log(events.RequestRouted, "service", x.service, "worker", slot.Worker, "why", "least loaded, near first", "runnerUp", slot.RunnerUp, "once", true)
+		res, problem := h.send(stay, r, x, slot)
+		if problem == nil {
+			defer slot.Release(false)
+			defer func() { _ = res.Body.Close() }()
+			h.options.Metrics.Served()
+			h.copyAndKeep(w, res, x, e)
+			return
+		}
 		slot.Release(true)
-		table.End(e, node.SavedAnswer{Verdict: problem.Verdict, Digest: e.Digest})
-		h.refuse(w, problem)
-		return
+		last = problem
+		if problem.Verdict != leverdyke.VerdictNotRun || x.rest != nil || try == maxTries-1 {
+			break
+		}
+		if slot, problem = h.options.Router.Acquire(ctx, x.service, x.class); problem != nil {
+			last = problem
+			break
+		}
 	}
-	defer slot.Release(false)
-	defer func() { _ = res.Body.Close() }()
-	h.options.Metrics.Served()
-	h.copyAndKeep(w, res, x, table, e)
+	h.options.Keys.Answers().End(e, node.SavedAnswer{Verdict: last.Verdict, Digest: e.Digest})
+	h.refuse(w, last)
 }
 
 // replayFrom gets the answer from the node that was first.
@@ -173,10 +191,10 @@
 
 // copyAndKeep sends the answer on and keeps it for a retry. Whatever becomes
 // of the caller's connection, the answer is read to its end.
-func (h *Handler) copyAndKeep(w http.ResponseWriter, res *http.Response, x *exchange, table *once.Table, e *once.Entry) {
+func (h *Handler) copyAndKeep(w http.ResponseWriter, res *http.Response, x *exchange, e *once.Entry) {
 	kept := &keeper{ResponseWriter: w}
 	saved := node.SavedAnswer{Verdict: leverdyke.VerdictMayHaveRun, Digest: e.Digest}
-	defer func() { table.End(e, saved) }()
+	defer func() { h.options.Keys.Answers().End(e, saved) }()
 	copyHeader(w.Header(), res.Header)
 	w.Header().Set(leverdyke.VerdictHeader, string(leverdyke.VerdictRan))
 	w.WriteHeader(res.StatusCode)
