internal/core: take an operator's word that a node has ended

Cause: a node that died for good and is not in the platform's list kept its former workers' leases open for ever: only its end, its own word or a later process under its address prove that it renews nothing. Members that left were kept for ever. Change: leverdyke node retire, refused for a node that is heard; members that left and that no shard names are forgotten. Measured (fake clock): with the owner and one of its workers dead, the worker's tasks had not started again after four leases; they run within three leases of the retirement. 201 members came and left: 65 or fewer are remembered. Conclusion: the design's rule (by the log, by word, or not at all) has the operator's word too.

--- a/internal/cli/config.go
+++ b/internal/cli/config.go
@@ -205,7 +205,17 @@
 }
 
 func (a *app) newNode() *cobra.Command {
-	n := &cobra.Command{Use: "node", Short: "List nodes"}
+	n := &cobra.Command{Use: "node", Short: "List nodes, and retire dead ones"}
+	n.AddCommand(&cobra.Command{
+		Use: "retire NODE", Short: "Say that a silent node's process has ended and does not come back", Args: args(cobra.ExactArgs(1)),
+		Long: "retire is for a node that died and whose VM neither comes back nor is shown as\ngone in the platform's list. Until it is known to have ended, the tasks of\nworkers that nobody reaches and that it owned wait. Be sure that its process has\nended: tasks may start a second time if it has not.",
+		RunE: a.run(func(ctx context.Context, c *operator.Client, cmd *cobra.Command, list []string) error {
+			if err := c.Retire(ctx, list[0]); err != nil {
+				return err
+			}
+			return a.print(cmd, operator.RetireRequest{Node: list[0]}, command.Table{Head: []string{"RETIRED"}, Rows: [][]string{{list[0]}}})
+		}),
+	})
 	n.AddCommand(&cobra.Command{
 		Use: "list", Short: "List the nodes and what each owns", Args: args(cobra.NoArgs),
 		RunE: a.run(func(ctx context.Context, c *operator.Client, cmd *cobra.Command, _ []string) error {
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -504,3 +504,29 @@
 func startsOn(w *world, id worker.ID) int {
 	return w.workers[id].Starts()
 }
+
+// A node that died for good keeps the tasks of a worker that nobody reaches
+// from starting again, until an operator says that it has ended.
+func TestRetiredNodeLetsLeasesLapse(t *testing.T) {
+	w := newBusyWorld(t, 24)
+	n := w.ownerOf("rack/r1/k0")
+	n.kill()
+	w.workers["k0-w0"].SetFaults(platform.WorkerFaults{Mode: platform.ModeDead})
+	w.run(4 * worldLease)
+	if got := w.runningNow(); got == 6 {
+		t.Fatalf("got: all 6 running, want: some to wait for the dead owner's end to be known")
+	}
+	other := w.nodes[(n.index+1)%3]
+	if _, err := other.core.CheckRetire(w.nodes[(n.index+2)%3].id()); err == nil {
+		t.Error("a node that is heard: got: retired, want: refused")
+	}
+	leave, err := other.core.CheckRetire(n.id())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := w.append(state.Record{Leave: leave}); err != nil {
+		t.Fatal(err)
+	}
+	w.run(3 * worldLease)
+	w.expect(t, 6, 0)
+}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -20,6 +20,19 @@
 // retryQueueFull is after how many seconds to come back when too many jobs wait.
 const retryQueueFull = 5
 
+// CheckRetire returns the record that a silent node has ended, or why it must
+// not be written.
+func (c *Core) CheckRetire(id state.NodeID) (*state.Leave, error) {
+	m := c.state.Members[id]
+	switch {
+	case m == nil || m.HasLeft:
+		return nil, &document.FieldError{File: "node", Key: string(id), Problem: "is no member of the cell", Allowed: "a node of `leverdyke node list`"}
+	case id == c.options.Self.Node || !c.members.IsSuspect(c.now(), id):
+		return nil, &document.FieldError{File: "node", Key: string(id), Problem: "is heard: its process has not ended", Allowed: "a node that is silent; stop it first"}
+	}
+	return &state.Leave{Node: id, Incarnation: m.Incarnation}, nil
+}
+
 // View is what a node says of what it owns and hears.
 type View struct {
 	Racks, Homes, Suspects []string
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -258,6 +258,27 @@
 	return ask(n, func(c *core.Core) []operator.Worker { return c.Workers() })
 }
 
+// Retire records that a node's process has ended, on an operator's word. A node
+// that is heard is not retired: its word goes before the operator's.
+func (n *Node) Retire(ctx context.Context, id string) error {
+	type found struct {
+		leave *state.Leave
+		err   error
+	}
+	f := ask(n, func(c *core.Core) found {
+		leave, err := c.CheckRetire(state.NodeID(id))
+		return found{leave, err}
+	})
+	if f.err != nil {
+		return f.err
+	}
+	errs, err := n.append(ctx, []state.Record{{Leave: f.leave}})
+	if err != nil {
+		return err
+	}
+	return notTaken(errs[0])
+}
+
 // Peers lists the operators' addresses of all members.
 func (n *Node) Peers() []string {
 	return ask(n, func(c *core.Core) []string {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -110,6 +110,11 @@
 	return out, c.do(ctx, http.MethodGet, "/v1/nodes", nil, &out)
 }
 
+// Retire says that a node's process has ended and does not come back.
+func (c *Client) Retire(ctx context.Context, node string) error {
+	return c.do(ctx, http.MethodPost, "/v1/retire", RetireRequest{node}, &RetireRequest{})
+}
+
 // Workers lists the workers as their owners see them.
 func (c *Client) Workers(ctx context.Context) ([]Worker, error) {
 	out := []Worker{}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -38,6 +38,8 @@
 	Job(id string) (*Job, string)
 	Status() Status
 	Workers() []Worker
+	// Retire records that a silent node's process has ended.
+	Retire(ctx context.Context, node string) error
 	// Peers lists the operators' addresses of all members, this one's included.
 	Peers() []string
 	// Self is this node's own operators' address.
@@ -64,6 +66,7 @@
 	s.mux.HandleFunc("GET /v1/docs", func(w http.ResponseWriter, _ *http.Request) { reply(w, s.cell.Docs()) })
 	s.mux.HandleFunc("GET /v1/docs/{kind}/{name}", s.doc)
 	s.mux.HandleFunc("GET /v1/nodes", s.nodes)
+	s.mux.HandleFunc("POST /v1/retire", s.retire)
 	s.mux.HandleFunc("GET /v1/workers", s.workers)
 	return s
 }
@@ -101,6 +104,16 @@
 	answer(w, CancelReply{n}, err)
 }
 
+func (s *Server) retire(w http.ResponseWriter, r *http.Request) {
+	in := &RetireRequest{}
+	if !read(w, r, in) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), waitTimeout)
+	defer cancel()
+	answer(w, in, s.cell.Retire(ctx, in.Node))
+}
+
 func (s *Server) publish(w http.ResponseWriter, r *http.Request) {
 	in := &PublishRequest{}
 	if !read(w, r, in) {
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -39,6 +39,11 @@
 	Cancelled int `json:"cancelled"`
 }
 
+// RetireRequest says that a node's process has ended and does not come back.
+type RetireRequest struct {
+	Node string `json:"node"`
+}
+
 // PublishRequest replaces a document whose version is still Base.
 type PublishRequest struct {
 	Base   uint64 `json:"base"`
--- a/internal/state/fold.go
+++ b/internal/state/fold.go
@@ -101,10 +101,31 @@
 	if j.Node != b.Node || j.Incarnation != b.Incarnation {
 		return ErrStale
 	}
+	s.forgetMembers()
 	s.Members[j.Node] = &Member{Incarnation: j.Incarnation, Link: j.Link, Operators: j.Operators, Zone: j.Zone, Region: j.Region, Seq: b.Seq}
 	return nil
 }
 
+// forgetMembers drops those who have left and whom no shard names any more:
+// VMs are replaced every day, under new addresses.
+func (s *State) forgetMembers() {
+	if len(s.Members) < manyMembers {
+		return
+	}
+	named := map[NodeID]bool{}
+	for _, h := range s.Shards {
+		named[h.Owner.Node] = true
+		for _, p := range h.Past {
+			named[p.Node] = true
+		}
+	}
+	for id, m := range s.Members {
+		if m.HasLeft && !named[id] {
+			delete(s.Members, id)
+		}
+	}
+}
+
 func (s *State) applyLeave(l *Leave) error {
 	m := s.Members[l.Node]
 	if m == nil || m.Incarnation != l.Incarnation {
--- a/internal/state/fold_test.go
+++ b/internal/state/fold_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"math/rand"
 	"reflect"
 	"testing"
@@ -168,6 +169,23 @@
 	}
 }
 
+func TestMembersThatLeftAreForgottenUnlessAShardNamesThem(t *testing.T) {
+	s, offset := state.NewState(), int64(-1)
+	owner := newWriter(s, &offset, "owner", 1)
+	owner.put(claim("rack/r1/k", 1, "owner", 1))
+	owner.put(state.Record{Leave: &state.Leave{Node: "owner", Incarnation: 1}})
+	for i := range 200 {
+		id := state.NodeID(fmt.Sprint("n", i))
+		newWriter(s, &offset, id, 1).put(state.Record{Leave: &state.Leave{Node: id, Incarnation: 1}})
+	}
+	if got := len(s.Members); got > 65 {
+		t.Errorf("got: %d members, want: at most 65", got)
+	}
+	if !s.IsEnded(state.Owner{Node: "owner", Incarnation: 1}) {
+		t.Error("the owner: got: not known to have ended, want: known")
+	}
+}
+
 // randomBatch makes a batch out of a number; most have some effect.
 func randomBatch(r *rand.Rand, seq map[state.NodeID]uint64) *state.Batch {
 	n := state.NodeID([]string{"a", "b", "c"}[r.Intn(3)])
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -17,8 +17,10 @@
 	// key: it covers how far apart the clocks of nodes and callers may be.
 	OnceSlackMillis = 10 * 60 * 1000
 	// MaxKeys bounds the remembered keys: 109 bytes each, by BenchmarkMemory.
-	MaxKeys       = 64 << 10
-	maxEndedJobs  = 2000
+	MaxKeys      = 64 << 10
+	maxEndedJobs = 2000
+	// manyMembers is from how many members on those who left are forgotten.
+	manyMembers   = 64
 	maxDocHistory = 8
 )
 
