internal/home: wait for every rack before acting on an old end

A worker lists an ended attempt until it is told to forget it, and that word is lost when the owner's link closes first. A home that had just moved took the first end that any rack told as the task's last word and started the task again, before the rack of the attempt that had followed was heard. Ruled out: a rack that calls itself complete too early (all six tasks would have been doubled, not just the three that had moved before), and the fold (both attempts carry the right epochs).

While a task is unsure, the newest end is kept and acted on only when every rack has told all that runs; an attempt found running, or a later end, replaces it. Ends that nothing can follow (done, or of tasks that may not be repeated) are taken at once as before. A rack tells a worker to forget ends that it does not hold itself, so that they are no news to its next owner.

--- a/internal/core/fakelink_test.go
+++ b/internal/core/fakelink_test.go
@@ -43,7 +43,11 @@
 	l.acts = append(l.acts, worker.Act{Epoch: l.epoch, Deed: deed, Keys: keys})
 }
 
-func (l *fakeLink) Forget(keys []worker.Key) { l.forgets = append(l.forgets, keys...) }
+func (l *fakeLink) Forget(keys []worker.Key) {
+	if !l.node.world.isLosingForgets {
+		l.forgets = append(l.forgets, keys...)
+	}
+}
 
 func (l *fakeLink) Stop() { l.isStopped = true }
 
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -494,3 +494,25 @@
 	w.run(3 * worldLease)
 	w.expect(t, 6, 0)
 }
+
+// The home of a service moves while workers still list the ends of attempts
+// that others, on other racks, have followed.
+func TestMovedHomeStartsNothingForOldEnds(t *testing.T) {
+	w := newBusyWorld(t, 30)
+	w.isLosingForgets = true
+	for _, name := range w.names[:2] {
+		w.workers[name].SetFaults(platform.WorkerFaults{Mode: platform.ModeCut})
+	}
+	w.run(3 * worldLease)
+	for _, name := range w.names[:2] {
+		w.workers[name].SetFaults(platform.WorkerFaults{})
+	}
+	w.run(5 * time.Second)
+	for _, n := range w.nodes {
+		n.kill()
+		w.run(8 * time.Second)
+		n.start()
+		w.run(8 * time.Second)
+	}
+	w.expect(t, 6, 6)
+}
--- a/internal/core/stateful_test.go
+++ b/internal/core/stateful_test.go
@@ -226,6 +226,8 @@
 		return &command{name("heal cuts"), func(s *system) { s.cuts = map[[2]string]bool{} }}
 	case 28:
 		return &command{name("settle"), (*system).settle}
+	case 29:
+		return &command{name("lose words to forget"), func(s *system) { s.isLosingForgets = true }}
 	}
 	d := time.Duration(i%12+1) * time.Second
 	return &command{"run " + d.String(), func(s *system) { s.run(d) }}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -43,6 +43,8 @@
 	// loseReplies is how many appends take effect without an answer.
 	loseReplies int
 	isLogOut    bool
+	// isLosingForgets keeps the words to forget from the workers.
+	isLosingForgets bool
 	violations  []string
 	// flights has the callbacks of the batches that were handed to the log.
 	flights map[flightID][]func(error)
@@ -123,6 +125,7 @@
 func (w *world) heal() {
 	w.cuts = map[[2]string]bool{}
 	w.isLogOut = false
+	w.isLosingForgets = false
 	w.loseReplies = 0
 	for _, name := range w.names {
 		if w.workers[name].Mode() != platform.ModeUp {
--- /dev/null
+++ b/internal/home/home_test.go
@@ -0,0 +1,172 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package home_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/home"
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/placement"
+	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/worker"
+)
+
+const (
+	homeID    = state.ShardID("home/r1/0")
+	homeEpoch = 2
+	rackEpoch = worker.Epoch(256)
+)
+
+var (
+	begin = time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	large = leverdyke.Resources{MilliCPU: 16000, MemoryMiB: 32000, Slots: 16}
+	racks = []state.ShardID{"rack/r1/k1", "rack/r1/k2"}
+)
+
+// openPolicies lets every team use as much as one VM has.
+type openPolicies struct{}
+
+func (openPolicies) Quota(string) (leverdyke.Resources, bool) { return large, true }
+func (openPolicies) Weights(string) placement.Policy          { return placement.Policy{Waiting: 1} }
+
+// newMovedHome returns a home that has just moved, with a job of one task that
+// its earlier owner may have started.
+func newMovedHome(spec leverdyke.JobSpec) *home.Home {
+	h := home.NewHome(begin, homeID, homeEpoch, openPolicies{}, home.NewHomeOptions{})
+	infos := []home.RackInfo{}
+	for _, id := range racks {
+		infos = append(infos, home.RackInfo{ID: id, Epoch: rackEpoch})
+	}
+	h.SetRacks(infos)
+	for _, id := range racks {
+		h.OnRoom(&node.Room{Rack: id, Epoch: rackEpoch, Workers: 1, Free: large, Largest: large, Capacity: large})
+	}
+	h.AddJob(begin, spec.ID, &state.Job{Spec: spec, Number: 1, Marks: make([]state.Mark, spec.Tasks)}, false)
+	return h
+}
+
+func jobSpec(kind leverdyke.Kind) leverdyke.JobSpec {
+	return leverdyke.JobSpec{
+		ID: "deeds", Team: "filings", Region: "r1", Kind: kind, Class: leverdyke.ClassNormal, Tasks: 1,
+		Each: leverdyke.Resources{MilliCPU: 500, MemoryMiB: 256, Slots: 1},
+	}
+}
+
+func key(attempt uint64) worker.Key {
+	return worker.Key{Task: leverdyke.TaskID{Job: "deeds"}, Attempt: attempt}
+}
+
+// whole is a rack's whole word on the home's attempts.
+func whole(rack state.ShardID, items ...node.NewsItem) *node.News {
+	return &node.News{Home: homeID, Rack: rack, RackEpoch: rackEpoch, IsWhole: true, IsComplete: true, Items: items}
+}
+
+func ended(attempt uint64, s worker.TaskState) node.NewsItem {
+	return node.NewsItem{Key: key(attempt), State: s, Worker: "w1"}
+}
+
+// sent is what a home has sent to the racks.
+type sent struct {
+	asked, acked []worker.Key
+}
+
+// drain lets the home decide for some seconds and returns what it sent.
+func drain(h *home.Home) sent {
+	s := sent{}
+	for i := range 40 {
+		h.Tick(begin.Add(time.Duration(i) * 100 * time.Millisecond))
+		for _, m := range h.Take().ToRack {
+			if m.Message.Ask != nil {
+				for _, item := range m.Message.Ask.Items {
+					s.asked = append(s.asked, item.Task.Key)
+				}
+			}
+			if m.Message.NewsAck != nil {
+				s.acked = append(s.acked, m.Message.NewsAck.Keys...)
+			}
+		}
+	}
+	return s
+}
+
+// A worker keeps an ended attempt until it is told to forget it, and the word to
+// forget may be lost with whoever had to give it. The end of an old attempt says
+// nothing of the attempt that followed it on another rack.
+func TestEndOfAnOldAttemptDoesNotStartAnother(t *testing.T) {
+	old, current := ended(3, worker.StateStopped), node.NewsItem{Key: key(9), State: worker.StateRunning, Worker: "w2"}
+	for name, order := range map[string][]*node.News{
+		"the end first":   {whole(racks[0], old), whole(racks[1], current)},
+		"the end last":    {whole(racks[1], current), whole(racks[0], old)},
+		"both of a rack":  {whole(racks[0], old, current), whole(racks[1])},
+		"failed, not old": {whole(racks[0], ended(3, worker.StateFailed)), whole(racks[1], current)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newMovedHome(jobSpec(leverdyke.KindService))
+			asked := []worker.Key{}
+			acked := map[worker.Key]bool{}
+			for _, n := range order {
+				h.OnNews(begin, n)
+				s := drain(h)
+				asked = append(asked, s.asked...)
+				for _, k := range s.acked {
+					acked[k] = true
+				}
+			}
+			if len(asked) > 0 {
+				t.Errorf("got: %v asked for, want: nothing while attempt 9 runs", asked)
+			}
+			if !acked[key(3)] {
+				t.Errorf("got: %v acknowledged, want: %v", acked, key(3))
+			}
+			if got := h.Status("deeds").Tasks[0]; got.Worker != "w2" || got.State != leverdyke.TaskRunning {
+				t.Errorf("got: %+v, want: running on w2", got)
+			}
+		})
+	}
+}
+
+func TestTaskThatRunsNowhereStartsOnceAllRacksHaveTold(t *testing.T) {
+	h := newMovedHome(jobSpec(leverdyke.KindService))
+	h.OnNews(begin, whole(racks[0], ended(3, worker.StateStopped)))
+	if got := drain(h).asked; len(got) > 0 {
+		t.Errorf("got: %v asked for, want: nothing before the other rack has told", got)
+	}
+	h.OnNews(begin, whole(racks[1], ended(5, worker.StateStopped)))
+	s := drain(h)
+	want := fmt.Sprint([]worker.Key{key(homeEpoch<<24 | 1)})
+	if got := fmt.Sprint(s.asked[:1]); got != want {
+		t.Errorf("got: %v, want: %v", got, want)
+	}
+	if got := len(s.acked); got != 2 {
+		t.Errorf("got: %d ends acknowledged, want: 2", got)
+	}
+}
+
+// An end that nothing can follow is taken from whichever rack tells it first.
+func TestEndsThatNothingCanFollowAreTakenAtOnce(t *testing.T) {
+	done := jobSpec(leverdyke.KindBatch)
+	once := jobSpec(leverdyke.KindBatch)
+	once.IsOnce = true
+	for name, c := range map[string]struct {
+		spec leverdyke.JobSpec
+		end  worker.TaskState
+		want leverdyke.TaskState
+	}{
+		"done":                        {done, worker.StateDone, leverdyke.TaskDone},
+		"failed, not to be repeated":  {once, worker.StateFailed, leverdyke.TaskFailed},
+		"stopped, not to be repeated": {once, worker.StateStopped, leverdyke.TaskUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newMovedHome(c.spec)
+			h.OnNews(begin, whole(racks[0], ended(3, c.end)))
+			if got := h.Status("deeds").Tasks[0].State; got != c.want {
+				t.Errorf("got: %v, want: %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/home/job.go
+++ b/internal/home/job.go
@@ -50,7 +50,10 @@
 	// isIntended means that the log has the intent to start it, which may be
 	// acted on once, by the home that wrote it.
 	isIntended bool
-	final      leverdyke.TaskState
+	// kept is the newest end that was told while the phase is phaseUnsure; nil
+	// for none.
+	kept  *keptEnd
+	final leverdyke.TaskState
 }
 
 // job is a job that has not ended.
--- a/internal/home/news.go
+++ b/internal/home/news.go
@@ -118,12 +118,15 @@
 	}
 	t := &j.tasks[i]
 	switch {
+	case t.phase == phaseUnsure && isOver && mayBeFollowed(j, item):
+		return h.keepEnd(t, n, item)
 	case t.phase == phaseUnsure:
 		h.unsure--
-		h.take(j, i, n, item)
+		h.ackKept(t)
+		h.take(j, i, n.Rack, n.RackEpoch, item)
 	case t.attempt == item.Key.Attempt && t.rack == n.Rack:
 		if t.rackEpoch != n.RackEpoch {
-			h.take(j, i, n, item)
+			h.take(j, i, n.Rack, n.RackEpoch, item)
 		}
 	default:
 		if !isOver {
@@ -142,12 +145,12 @@
 }
 
 // take makes an attempt that a rack tells of the task's current one.
-func (h *Home) take(j *job, i int, n *node.News, item *node.NewsItem) {
+func (h *Home) take(j *job, i int, rack state.ShardID, epoch worker.Epoch, item *node.NewsItem) {
 	t := &j.tasks[i]
 	// Out of all counts while the fields change on which they hang.
 	h.count(j, t, -1)
 	t.phase = phaseRunning
-	t.attempt, t.rack, t.rackEpoch, t.worker = item.Key.Attempt, n.Rack, n.RackEpoch, item.Worker
+	t.attempt, t.rack, t.rackEpoch, t.worker = item.Key.Attempt, rack, epoch, item.Worker
 	h.count(j, t, +1)
 	j.hasStarted = true
 	if j.spec.Kind == leverdyke.KindGang {
@@ -244,43 +247,3 @@
 		}
 	}
 }
-
-// resolveUnsure lets tasks start that no rack knows, once every rack has told.
-func (h *Home) resolveUnsure(now time.Time) {
-	if !h.isAllSynced() {
-		return
-	}
-	if h.unsure > 0 {
-		h.event(EventSynced, "", fmt.Sprintf("%d tasks run nowhere", h.unsure))
-	}
-	for _, j := range h.list {
-		if h.unsure == 0 {
-			break
-		}
-		h.resolveJob(now, j)
-	}
-	h.isDirty = true
-}
-
-func (h *Home) resolveJob(now time.Time, j *job) {
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.phase != phaseUnsure {
-			continue
-		}
-		h.unsure--
-		if t.isIntended {
-			// An earlier home meant to start it, and nobody knows whether it did.
-			h.setPhase(j, i, phaseFinal)
-			h.event(EventUnknownFate, j.id, fmt.Sprintf("task %d", i))
-			h.final(j, i, leverdyke.TaskUnknown, nil, 0, "")
-			continue
-		}
-		t.notBefore = now
-		h.setPhase(j, i, phaseWaiting)
-	}
-	h.requeue(j)
-	if j.gang.isStarted && j.waiting > 0 {
-		h.breakGang(j, "a part of it was lost with its home")
-	}
-}
--- a/internal/rack/rack_test.go
+++ b/internal/rack/rack_test.go
@@ -42,6 +42,8 @@
 	news    map[worker.Key]node.NewsItem
 	toNode  []node.Message
 	events  []rack.Event
+	// forgets is what each worker is told to forget with its next sync.
+	forgets map[worker.ID][]worker.Key
 	decided []rack.Decision
 	starts  int
 	// isMute keeps starts from reaching the workers.
@@ -54,6 +56,7 @@
 	b := &bench{
 		t: t, clock: clock.NewFake(), oracle: platform.NewOracle(), workers: map[worker.ID]*platform.Worker{},
 		reports: map[worker.ID]*worker.Report{}, answers: map[worker.Key]node.AnswerResult{}, news: map[worker.Key]node.NewsItem{},
+		forgets: map[worker.ID][]worker.Key{},
 	}
 	b.rack = rack.NewRack(b.clock.Now(), "rack/r1/k", epoch, rack.NewRackOptions{})
 	list := []vmlist.VM{}
@@ -76,7 +79,8 @@
 			b.rack.OnSilent(id)
 			continue
 		}
-		s := &worker.Sync{Epoch: epoch, TTL: b.rack.TTL()}
+		s := &worker.Sync{Epoch: epoch, TTL: b.rack.TTL(), Forget: b.forgets[id]}
+		delete(b.forgets, id)
 		if r := b.reports[id]; r != nil {
 			s.Boot, s.AsOf, s.Seen = r.Boot, r.Now, r.Rev
 		}
@@ -107,6 +111,9 @@
 		}
 		b.rack.OnStartResults(b.clock.Now(), o.Worker, results)
 	}
+	for _, f := range out.Forgets {
+		b.forgets[f.Worker] = append(b.forgets[f.Worker], f.Keys...)
+	}
 	for _, o := range out.Acts {
 		if err := b.workers[o.Worker].Act(&worker.Act{Epoch: epoch, Deed: o.Deed, Keys: o.Keys}); err != nil {
 			b.t.Fatal(err)
@@ -303,6 +310,33 @@
 	}
 }
 
+// A worker that was out of reach while the home acknowledged the loss of its
+// attempt must forget the attempt all the same: to a later owner, its end would
+// be news.
+func TestEndOfALostAttemptIsForgottenWhenItsWorkerIsBack(t *testing.T) {
+	b := newBench(t, 1, vm)
+	task := b.task("j", small, leverdyke.ClassNormal)
+	b.ask(node.AskItem{Task: task})
+	b.run(1)
+	b.workers["w0"].SetFaults(platform.WorkerFaults{Mode: platform.ModeCut})
+	b.run(30)
+	if got := b.news[task.Key]; !got.IsLost {
+		t.Fatalf("got: %+v, want: lost", got)
+	}
+	b.rack.OnNewsAck(&node.NewsAck{Home: home, Keys: []worker.Key{task.Key}})
+	// The word to forget goes with the link of an owner that is replaced.
+	b.rack.Take()
+	b.workers["w0"].SetFaults(platform.WorkerFaults{})
+	b.run(3)
+	rep, err := b.workers["w0"].Sync(&worker.Sync{Epoch: epoch})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(rep.Tasks) != 0 {
+		t.Errorf("got: %+v in its list, want: nothing", rep.Tasks)
+	}
+}
+
 func TestHoldIsAllThereIsAndExpires(t *testing.T) {
 	b := newBench(t, 2, vm)
 	hold := &node.Hold{Home: home, HomeEpoch: 1, Rack: "rack/r1/k", RackEpoch: epoch, ID: 9, Each: small, Count: 20, Expiry: 5 * time.Second}
--- a/internal/rack/reports.go
+++ b/internal/rack/reports.go
@@ -83,7 +83,9 @@
 		return
 	}
 	if t.Home == "" && t.Holder == "" {
-		// The end of an attempt that was forgotten meanwhile.
+		// The end of an attempt that was forgotten here while the worker was out
+		// of reach. Left in its list, it would be news to every later owner.
+		r.out.Forgets = append(r.out.Forgets, ForgetOrder{v.id, []worker.Key{t.Key}})
 		return
 	}
 	h := &held{task: *t, vm: v, phase: phaseRunning, since: now}
