--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -56,11 +56,15 @@
 	Disconnect(peer state.NodeID)
 	// Append hands a record to the log; done is called later, as an event of
 	// the core: nil when the record took effect, an error of the fold when it
-	// did not, state.ErrNotTaken when it is not in the log and will not be. It
-	// reports false, and done is not called, when it does not take the record.
+	// did not, state.ErrNotTaken when it is not in the log and will not be,
+	// state.ErrUnseen after Passed. It reports false, and done is not called, when
+	// it does not take the record.
 	Append(r state.Record, done func(error)) bool
 	// Folded tells the log's writer that its batch was seen in the log.
 	Folded(seq uint64, out state.Outcome)
+	// Passed tells the log's writer that its batches up to seq are in the log,
+	// and that what became of them will not be seen.
+	Passed(seq uint64)
 	// IsAppendOut reports whether appends have been failing for some time.
 	IsAppendOut() bool
 	// SkipTo lets the log's reader go on after offset.
@@ -225,10 +229,8 @@
 // join appends this process's entry into the cell, once the log has been read.
 func (c *Core) join() {
 	if c.IsJoined() && c.joinedAt.IsZero() {
-		// The own entry came with a peer's state, past the fold that would have
-		// told: without this, the node would own nothing for ever.
 		c.joinedAt = c.now()
-		c.isJoining = false
+		events.Log(events.NodeJoined, "offset", c.state.Applied, "took", c.joinedAt.Sub(c.startedAt).Round(time.Millisecond))
 	}
 	if c.IsJoined() || c.isJoining || c.isDraining || c.caughtUpAt.IsZero() || c.out.IsAppendOut() {
 		return
@@ -242,13 +244,7 @@
 	c.Append(state.Record{Join: &state.Join{
 		Node: c.options.Self.Node, Incarnation: c.options.Self.Incarnation, Link: s.Link, Operators: s.Operators,
 		Zone: s.Zone, Region: s.Region,
-	}}, func(err error) {
-		c.isJoining = false
-		if err == nil {
-			c.joinedAt = c.now()
-			events.Log(events.NodeJoined, "offset", c.state.Applied, "took", c.joinedAt.Sub(c.startedAt).Round(time.Millisecond))
-		}
-	})
+	}}, func(error) { c.isJoining = false })
 }
 
 // Append hands a record to the log; done may be nil. While the log is out
--- a/internal/core/fakenode_test.go
+++ b/internal/core/fakenode_test.go
@@ -196,7 +196,7 @@
 
 func (n *fakeNode) read() {
 	t := &journal.Tailed{SentAt: n.world.clock.Now()}
-	if !n.hasLog() {
+	if !n.hasLog() || n.world.isCut("log", n.name()) {
 		t.Err = fmt.Errorf("out")
 		n.core.OnTailed(t)
 		return
@@ -305,6 +305,13 @@
 	}
 }
 
+// Passed settles the batches that a peer's state already has.
+func (n *fakeNode) Passed(seq uint64) {
+	for s := uint64(1); s <= seq; s++ {
+		n.Folded(s, state.Outcome{Err: state.ErrUnseen})
+	}
+}
+
 func (n *fakeNode) IsAppendOut() bool {
 	return !n.failingSince.IsZero() && n.world.clock.Now().Sub(n.failingSince) > outAfter
 }
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -516,3 +516,27 @@
 	}
 	w.expect(t, 6, 6)
 }
+
+// A node whose record is in the log, but which hears of it only as part of a
+// peer's whole state, must tell whoever waits for the record's fate.
+func TestRecordThatComesWithAPeersStateIsSettled(t *testing.T) {
+	w := newReadyWorldOf(t, worldOptions{nodes: 3, racks: 1, workers: 1, seed: 31})
+	n := w.nodes[0]
+	w.cut("log", n.name())
+	var got error
+	n.core.Append(state.Record{Submit: &state.Submit{Spec: batchSpec("job", 1, time.Second)}}, func(err error) { got = err })
+	w.run(step)
+	// More than peers keep of the log, so that they send their state.
+	for i := range 5 {
+		doc := fmt.Sprint("template/large-", i)
+		w.nodes[1].core.Append(state.Record{Publish: &state.Publish{Doc: doc, Body: make([]byte, 100<<10)}}, nil)
+		w.run(step)
+	}
+	w.run(10 * time.Second)
+	if !errors.Is(got, state.ErrUnseen) {
+		t.Errorf("got: %v, want: %v", got, state.ErrUnseen)
+	}
+	if n.core.State().Jobs["job"] == nil {
+		t.Error("got: no such job, want: it is in the state that the peer sent")
+	}
+}
--- a/internal/core/fold.go
+++ b/internal/core/fold.go
@@ -208,6 +208,10 @@
 		}
 	}
 	c.isJobsChanged = true
+	if s.IsLive(c.options.Self) {
+		// Records of this process that stand before the state are not folded here.
+		c.out.Passed(s.Members[c.options.Self.Node].Seq)
+	}
 }
 
 func (c *Core) keepTail(offset int64, data []byte) {
--- a/internal/core/owners.go
+++ b/internal/core/owners.go
@@ -4,6 +4,7 @@
 package core
 
 import (
+	"errors"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
@@ -181,6 +182,10 @@
 				return
 			}
 			delete(c.claiming, claim.Shard)
+			if errors.Is(err, state.ErrUnseen) {
+				// Whose the shard is stands in the state that came instead.
+				return
+			}
 			events.Log(events.ClaimRefused, "shard", claim.Shard, "epoch", claim.Epoch, "err", err.Error())
 		})
 	}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -45,7 +45,7 @@
 	isLogOut    bool
 	// isLosingForgets keeps the words to forget from the workers.
 	isLosingForgets bool
-	violations  []string
+	violations      []string
 	// flights has the callbacks of the batches that were handed to the log.
 	flights map[flightID][]func(error)
 }
--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -79,6 +79,9 @@
 	if err == nil || errors.Is(err, state.ErrConflict) {
 		return err
 	}
+	if errors.Is(err, state.ErrUnseen) {
+		return leverdyke.MayHaveRun("the change is in the log, but this node did not see what became of it: look, or send it again", err)
+	}
 	e := leverdyke.NotRun("the change was not accepted", retryLogOut)
 	e.Err = err
 	return e
--- a/internal/entry/outside.go
+++ b/internal/entry/outside.go
@@ -31,6 +31,9 @@
 // Folded tells the log's writer that its batch was seen in the log.
 func (n *Node) Folded(seq uint64, out state.Outcome) { n.writer.Folded(seq, out) }
 
+// Passed tells the log's writer up to which of its batches a peer's state goes.
+func (n *Node) Passed(seq uint64) { n.writer.Passed(seq) }
+
 // IsAppendOut reports whether appends have been failing for some time.
 func (n *Node) IsAppendOut() bool { return n.writer.IsOut() }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -112,6 +113,36 @@
 	}
 }
 
+func TestBatchThatWasPassedIsSettledOnceAsUnseen(t *testing.T) {
+	log := &fakeLog{fail: 1 << 30, appended: make(chan []byte, 9)}
+	c := clock.NewFake()
+	w := journal.NewWriter(log, state.Owner{Node: "n", Incarnation: 1}, journal.NewWriterOptions{Clock: c, MaxWait: 1 << 60})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	results := make(chan error, 9)
+	w.Put(join(), func(err error) { results <- err })
+	go w.Run(ctx)
+	done := make(chan struct{})
+	go advance(c, done)
+	for !w.IsAwaited() {
+		runtime.Gosched()
+	}
+	w.Passed(1)
+	close(done)
+	if err := <-results; !errors.Is(err, state.ErrUnseen) {
+		t.Errorf("got: %v, want: %v", err, state.ErrUnseen)
+	}
+	w.Folded(1, state.Outcome{Results: []error{nil}})
+	select {
+	case err := <-results:
+		t.Errorf("got: a second callback with %v, want: one", err)
+	default:
+	}
+	if w.IsAwaited() {
+		t.Error("got: a batch in flight, want: none")
+	}
+}
+
 func TestRecordThatWaitsTooLongIsNotTaken(t *testing.T) {
 	log := &fakeLog{}
 	c := clock.NewFake()
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -9,6 +9,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,8 +27,9 @@
 }
 
 // Done is told what became of a record: nil when it took effect, an error of
-// the fold when it did not, state.ErrNotTaken when it is not in the log. It is called
-// in the goroutine that folds.
+// the fold when it did not, state.ErrNotTaken when it is not in the log,
+// state.ErrUnseen when it is but was never folded here. It is called in the
+// goroutine that folds.
 type Done func(error)
 
 // NewWriterOptions sets the bounds. Zero values mean the defaults.
@@ -144,11 +147,7 @@
 	w.mu.Lock()
 	dones := w.inFlight[seq]
 	delete(w.inFlight, seq)
-	if seq > w.folded {
-		w.folded = seq
-		close(w.foldedCh)
-		w.foldedCh = make(chan struct{})
-	}
+	w.noteSeen(seq)
 	w.mu.Unlock()
 	for i, done := range dones {
 		switch {
@@ -160,6 +159,35 @@
 	}
 }
 
+// Passed tells the writer that its batches up to seq stand in the log, but were
+// not folded here: whoever waits for their records hears state.ErrUnseen. It
+// must be called in the goroutine that folds.
+func (w *Writer) Passed(seq uint64) {
+	w.mu.Lock()
+	passed := []Done{}
+	for _, s := range slices.Sorted(maps.Keys(w.inFlight)) {
+		if s <= seq {
+			passed = append(passed, w.inFlight[s]...)
+			delete(w.inFlight, s)
+		}
+	}
+	w.noteSeen(seq)
+	w.mu.Unlock()
+	for _, done := range passed {
+		done(state.ErrUnseen)
+	}
+}
+
+// noteSeen ends the sending of batches up to seq. The caller holds mu.
+func (w *Writer) noteSeen(seq uint64) {
+	if seq <= w.folded {
+		return
+	}
+	w.folded = seq
+	close(w.foldedCh)
+	w.foldedCh = make(chan struct{})
+}
+
 // Run appends batches until ctx ends.
 func (w *Writer) Run(ctx context.Context) { w.loop(ctx) }
 
--- a/internal/state/fold.go
+++ b/internal/state/fold.go
@@ -22,6 +22,9 @@
 	ErrTasks     = errors.New("state: a job has at least 1 and at most 1,048,576 tasks")
 	// ErrNotTaken means that a record is not in the log and will not be.
 	ErrNotTaken = errors.New("state: the record was not appended")
+	// ErrUnseen means that a record is in the log, but that this process went on
+	// from a later state: whether it took effect is not known.
+	ErrUnseen = errors.New("state: the record is in the log, and its effect was not seen")
 )
 
 // Outcome is what became of a batch.
