internal/rack: ask holders whether they still have their grants

Two holes by reading, each shown by a test: (1) a grant's return that is sent while the rack's owner is dead, or a grant that never reaches its holder, was lost for good: the next owner finds the grant on the worker, its holder lives, and nobody gives the slots back; each take-over could cost a few of a worker's 8 slots. (2) A router took a refusal as "no room until the rack tells anew", and took slots off that it had asked for and got; a rack whose room was the same again a moment later had nothing new to tell, so that the service was not asked for at this node for up to 15 s.

A rack's owner asks each holder every 5 s which of its grants it has; what the holder lacks it returns. A router keeps what a rack told, less what it has asked for and got, and puts back what it returns; a refusal shuts the rack for 150 ms, doubling up to 2.4 s, until the next grant or summary.

Cost: a message of some 40 bytes a grant and 5 s between owner and holder.

--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -4,12 +4,15 @@
 package core_test
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/front"
 	"github.com/leverdyke/leverdyke/internal/ownership"
 	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/state"
@@ -540,3 +543,47 @@
 		t.Error("got: no such job, want: it is in the state that the peer sent")
 	}
 }
+
+// acquire takes a slot of a service through a node's router.
+func (w *world) acquire(t *testing.T, n *fakeNode, service string) *front.Slot {
+	t.Helper()
+	slots := make(chan *front.Slot, 1)
+	go func() {
+		s, _ := n.router.Acquire(context.Background(), service, leverdyke.ClassNormal)
+		slots <- s
+	}()
+	for waiting := 0; waiting == 0; waiting, _, _ = n.router.Load() {
+		runtime.Gosched()
+	}
+	for range 100 {
+		w.run(step)
+		select {
+		case s := <-slots:
+			return s
+		default:
+		}
+	}
+	t.Fatal("got: no slot in 5 s, want: one")
+	return nil
+}
+
+// The holder of a grant gives it back while the rack has no owner: the next
+// owner, who finds the grant on the worker, must get the slots back.
+func TestGrantReturnedToADeadOwnerComesBack(t *testing.T) {
+	w := newReadyWorldOf(t, worldOptions{nodes: 3, racks: 1, workers: 1, seed: 32})
+	spec := serviceSpec("service", 1)
+	spec.Service, spec.Request = "s", leverdyke.Resources{MilliCPU: 100, MemoryMiB: 1, Slots: 1}
+	w.mustSubmit(t, spec)
+	w.run(5 * time.Second)
+	owner := w.ownerOf("rack/r1/k0")
+	holder := w.nodes[(owner.index+1)%3]
+	slot := w.acquire(t, holder, "s")
+	slot.Release(false)
+	w.run(1900 * time.Millisecond)
+	owner.kill()
+	w.run(20 * time.Second)
+	if got := w.workers["k0-w0"].Running(slot.Grant.Task.Job); got != 0 {
+		t.Errorf("got: %d grants that count on the worker, want: 0: nobody holds one", got)
+	}
+	w.check(t)
+}
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -36,6 +36,8 @@
 		c.options.Router.OnGrant(m.Grant)
 	case m.GrantRecall != nil:
 		c.options.Router.OnRecall(m.GrantRecall.Key)
+	case m.GrantCheck != nil:
+		c.onGrantCheck(m.GrantCheck)
 	case m.TailAsk != nil:
 		c.onTailAsk(e.From.Node, m.TailAsk)
 	case m.Tail != nil:
@@ -51,6 +53,13 @@
 	}
 }
 
+// onGrantCheck returns the grants that this node does not have.
+func (c *Core) onGrantCheck(m *node.GrantCheck) {
+	for _, k := range c.options.Router.Lacking(m.Keys) {
+		c.sendToRack(m.Rack, &node.Message{GrantDone: &node.GrantDone{Rack: m.Rack, Key: k}})
+	}
+}
+
 func (c *Core) toOwnedRack(now time.Time, from state.NodeID, m *node.Message) {
 	id := rackOf(m)
 	o := c.racks[id]
--- a/internal/front/grants.go
+++ b/internal/front/grants.go
@@ -14,6 +14,9 @@
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
 
+// maxDoublings keeps the doubled time of shut within its type.
+const maxDoublings = 8
+
 // Plan is what the router wants of the racks' owners.
 type Plan struct {
 	Asks []node.GrantAsk
@@ -25,25 +28,58 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.service(g.Service)
-	delete(s.asked, g.Rack)
+	s.answered(g.Rack)
 	now := r.options.Clock.Now()
 	if g.Refused != "" {
-		if room := s.rooms[g.Rack]; room != nil {
-			room.slots = 0
-			room.shutUntil = now.Add(refusedShut)
-		}
+		s.shut(now, g.Rack)
 		return
 	}
 	if slices.ContainsFunc(s.grants, func(o *grant) bool { return o.Key == g.Key }) {
 		return
 	}
 	s.grants = append(s.grants, &grant{Grant: *g, usedAt: now})
+	if room := s.rooms[g.Rack]; room != nil {
+		room.slots -= g.Slots
+		room.refusals = 0
+	}
 	r.serve(s)
 	if len(s.waiting) > 0 {
 		r.wake()
 	}
 }
 
+// answered ends an ask; what it was for counts as free at the rack again.
+func (s *service) answered(rack state.ShardID) {
+	if room := s.rooms[rack]; room != nil {
+		room.slots += s.asked[rack].slots
+	}
+	delete(s.asked, rack)
+}
+
+// shut keeps from asking a rack for a while. What the rack told stays: the rack
+// tells no more if it is the same after a moment without room.
+func (s *service) shut(now time.Time, rack state.ShardID) {
+	room := s.rooms[rack]
+	if room == nil {
+		return
+	}
+	room.shutUntil = now.Add(min(firstShut<<min(room.refusals, maxDoublings), lastShut))
+	room.refusals++
+}
+
+// Lacking returns those of the grants that the router does not have.
+func (r *Router) Lacking(keys []worker.Key) []worker.Key {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	has := map[worker.Key]bool{}
+	for _, s := range r.services {
+		for _, g := range s.grants {
+			has[g.Key] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(keys), func(k worker.Key) bool { return has[k] })
+}
+
 // OnRecall takes an owner's wish to have a grant back.
 func (r *Router) OnRecall(k worker.Key) {
 	r.mu.Lock()
@@ -81,6 +117,9 @@
 			return false
 		}
 		p.Done = append(p.Done, node.GrantDone{Rack: g.Rack, Key: g.Key})
+		if room := s.rooms[g.Rack]; room != nil {
+			room.slots += g.Slots
+		}
 		return true
 	})
 }
@@ -88,9 +127,9 @@
 // planAsks asks for slots for those who wait, near racks first, then those
 // with the most room.
 func (r *Router) planAsks(now time.Time, name string, s *service, p *Plan) {
-	for rack, at := range s.asked {
-		if now.Sub(at) > askPatience {
-			delete(s.asked, rack)
+	for rack, a := range s.asked {
+		if now.Sub(a.at) > askPatience {
+			s.answered(rack)
 		}
 	}
 	need := len(s.waiting)
@@ -100,7 +139,7 @@
 			return
 		}
 		n := min(need, room.slots)
-		s.asked[rack] = now
+		s.asked[rack] = ask{n, now}
 		room.slots -= n
 		need -= n
 		p.Asks = append(p.Asks, node.GrantAsk{Rack: rack, Service: name, Slots: n, Class: leverdyke.ClassNormal})
--- a/internal/front/router.go
+++ b/internal/front/router.go
@@ -37,9 +37,12 @@
 	defaultMaxWaiting = 512
 	defaultIdle       = 2 * time.Second
 	// asksAtOnce bounds the unanswered asks for one service.
-	asksAtOnce   = 4
-	askPatience  = time.Second
-	refusedShut  = 150 * time.Millisecond
+	asksAtOnce  = 4
+	askPatience = time.Second
+	// firstShut is how long a rack is not asked after a refusal; it doubles with
+	// each further one up to lastShut.
+	firstShut    = 150 * time.Millisecond
+	lastShut     = 2400 * time.Millisecond
 	serviceGuess = 20 * time.Millisecond
 	// estimateShare is the weight of the newest service time in the estimate.
 	estimateShare = 0.1
@@ -69,19 +72,30 @@
 	waiting  []*waiter
 	// rooms has the racks that run the service, as they last said.
 	rooms map[state.ShardID]*rackRoom
-	// asked has when each unanswered ask was sent, by rack.
-	asked map[state.ShardID]time.Time
+	// asked has the unanswered asks by rack.
+	asked map[state.ShardID]ask
 	// perRequest estimates how long one request holds a slot.
 	perRequest time.Duration
 	sequence   uint64
 }
 
+// rackRoom is what a rack last told of a service.
 type rackRoom struct {
-	slots     int
-	zone      string
+	// slots is what was told less what this node has asked for and got since.
+	slots int
+	zone  string
+	// refusals counts the refusals in a row; shutUntil is until when nothing is
+	// asked after the last one.
+	refusals  int
 	shutUntil time.Time
 }
 
+// ask is an ask for slots that has not been answered.
+type ask struct {
+	slots int
+	at    time.Time
+}
+
 type grant struct {
 	node.Grant
 	inUse  int
@@ -160,7 +174,7 @@
 func (r *Router) service(name string) *service {
 	s := r.services[name]
 	if s == nil {
-		s = &service{rooms: map[state.ShardID]*rackRoom{}, asked: map[state.ShardID]time.Time{}, perRequest: serviceGuess}
+		s = &service{rooms: map[state.ShardID]*rackRoom{}, asked: map[state.ShardID]ask{}, perRequest: serviceGuess}
 		r.services[name] = s
 	}
 	return s
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -37,6 +37,7 @@
 	Grant       *Grant       `msgpack:"gr,omitempty"`
 	GrantDone   *GrantDone   `msgpack:"gd,omitempty"`
 	GrantRecall *GrantRecall `msgpack:"gc,omitempty"`
+	GrantCheck  *GrantCheck  `msgpack:"gk,omitempty"`
 
 	TailAsk  *TailAsk  `msgpack:"ta,omitempty"`
 	Tail     *Tail     `msgpack:"tl,omitempty"`
@@ -261,6 +262,13 @@
 	Key worker.Key `msgpack:"k"`
 }
 
+// GrantCheck asks the holder of grants which of them it has: those that it
+// lacks it returns. A grant, or its return, may have been lost on the way.
+type GrantCheck struct {
+	Rack state.ShardID `msgpack:"r"`
+	Keys []worker.Key  `msgpack:"k"`
+}
+
 // TailAsk asks a peer for the log's batches after an offset.
 type TailAsk struct {
 	After int64 `msgpack:"a"`
--- a/internal/rack/grants.go
+++ b/internal/rack/grants.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/node"
@@ -12,8 +14,12 @@
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
 
-// maxGrantSlots bounds one grant, so that slots are shared among nodes.
-const maxGrantSlots = 4
+const (
+	// maxGrantSlots bounds one grant, so that slots are shared among nodes.
+	maxGrantSlots = 4
+	// grantCheckPeriod is how often a holder is asked whether it has a grant.
+	grantCheckPeriod = 5 * time.Second
+)
 
 // OnGrantAsk gives a node slots of a worker that runs the service.
 func (r *Rack) OnGrantAsk(now time.Time, from state.NodeID, m *node.GrantAsk) {
@@ -31,7 +37,7 @@
 		Key: key, Holder: string(from), Each: replica.task.Request.Times(slots), Class: m.Class,
 		Service: m.Service, Request: replica.task.Request, IsRequestOnce: replica.task.IsRequestOnce, State: worker.StateRunning,
 	}
-	h := &held{task: t, vm: v, phase: phaseStarting, since: now}
+	h := &held{task: t, vm: v, phase: phaseStarting, since: now, told: now}
 	r.add(h)
 	r.orderStart(now, h)
 	r.isChanged = true
@@ -134,6 +140,25 @@
 	r.out.Acts = append(r.out.Acts, ActOrder{h.vm.id, worker.DeedStop, []worker.Key{h.task.Key}})
 }
 
+// checkGrants asks the holders of grants whether they have them. Without this,
+// one lost message would keep a slot from everybody for as long as its holder
+// lives.
+func (r *Rack) checkGrants(now time.Time) {
+	checks := map[state.NodeID][]worker.Key{}
+	for _, h := range liveGrants(r.held) {
+		if h.phase != phaseRunning || h.deed != "" || now.Sub(later(h.since, h.told)) < grantCheckPeriod {
+			continue
+		}
+		h.told = now
+		holder := state.NodeID(h.task.Holder)
+		checks[holder] = append(checks[holder], h.task.Key)
+	}
+	for _, holder := range slices.Sorted(maps.Keys(checks)) {
+		m := node.Message{GrantCheck: &node.GrantCheck{Rack: r.ID, Keys: checks[holder]}}
+		r.out.ToNode = append(r.out.ToNode, NodeMessage{holder, m})
+	}
+}
+
 // recallLeaving takes back the grants on workers that get nothing new: requests
 // are new work too.
 func (r *Rack) recallLeaving(now time.Time) {
--- a/internal/rack/rack_test.go
+++ b/internal/rack/rack_test.go
@@ -387,6 +387,30 @@
 	}
 }
 
+// A grant whose holder never got it, or whose return was lost, comes back by the
+// holder's answer to a check.
+func TestHoldersAreAskedWhetherTheyHaveTheirGrants(t *testing.T) {
+	b := newBench(t, 1, vm)
+	replica := b.task("service", small, leverdyke.ClassNormal)
+	replica.Service, replica.Request = "s", leverdyke.Resources{MilliCPU: 100, Slots: 1}
+	b.ask(node.AskItem{Task: replica})
+	b.rack.OnGrantAsk(b.clock.Now(), "n1", &node.GrantAsk{Service: "s", Slots: 2})
+	b.perform()
+	b.run(1)
+	grant := b.toNode[0].Grant.Key
+	b.toNode = nil
+	b.run(11)
+	if len(b.toNode) != 2 || b.toNode[0].GrantCheck == nil || b.toNode[0].GrantCheck.Keys[0] != grant {
+		t.Fatalf("got: %+v, want: two checks of the grant in 11 s", b.toNode)
+	}
+	b.rack.OnGrantDone(b.clock.Now(), "n1", &node.GrantDone{Key: grant})
+	b.perform()
+	b.run(2)
+	if got := b.rack.Room(b.clock.Now()).Free.Slots; got != 3 {
+		t.Errorf("got: %d slots free, want: 3 after the holder said that it lacks the grant", got)
+	}
+}
+
 func TestGrantsOfALeavingWorkerAreTakenBack(t *testing.T) {
 	for name, leave := range map[string]func(b *bench){
 		"by its own word": func(b *bench) { b.workers["w0"].Leave() },
--- a/internal/rack/reports.go
+++ b/internal/rack/reports.go
@@ -253,6 +253,7 @@
 	}
 	r.resendNews(now)
 	r.recallLeaving(now)
+	r.checkGrants(now)
 	r.unthrottle(now)
 }
 
