internal/integration: cut, slow and break the links between real nodes

One-way cuts and delays between nodes were proved only on the fake network, and regions apart not at all: a node's name is its link's address, so that no proxy could stand in between.

A node's settings may say by which other address a link is reached (routes), which address translation between regions needs as well; tests put a proxy on each of the ways between nodes. LEVERDYKE_LOGS names a directory that keeps the nodes' logs of the integration tests.

The logs show a weakness that is no breach: a node that is cut off from its peers but not from the log and they claim the same shards back and forth, 658 changes of owner in 9 s where 19 shards exist.

--- a/internal/entry/outside.go
+++ b/internal/entry/outside.go
@@ -20,7 +20,9 @@
 func (n *Node) Send(to state.NodeID, m *node.Message) bool { return n.links.Send(to, m) }
 
 // Connect keeps a link to a peer.
-func (n *Node) Connect(peer state.NodeID, addr netip.AddrPort) { n.links.Connect(peer, addr) }
+func (n *Node) Connect(peer state.NodeID, addr netip.AddrPort) {
+	n.links.Connect(peer, n.settings.Route(addr))
+}
 
 // Disconnect ends the link to a peer.
 func (n *Node) Disconnect(peer state.NodeID) { n.links.Disconnect(peer) }
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -57,10 +57,14 @@
 // lead through proxies.
 type cell struct {
 	*standin.Cell
-	t       *testing.T
+	t *testing.T
+	// name is the test's that made the cell.
+	name    string
 	log     *toxiproxy.Proxy
 	workers map[string]*toxiproxy.Proxy
-	load    load
+	// links has the proxy on the way from one node to another.
+	links map[[2]int]*toxiproxy.Proxy
+	load  load
 }
 
 func newProxy(name string, upstream netip.AddrPort) (*toxiproxy.Proxy, netip.AddrPort, error) {
@@ -84,14 +88,12 @@
 
 func newCell(t *testing.T, extra string) *cell {
 	t.Helper()
-	c := &cell{t: t, workers: map[string]*toxiproxy.Proxy{}}
+	c := &cell{t: t, name: t.Name(), workers: map[string]*toxiproxy.Proxy{}, links: map[[2]int]*toxiproxy.Proxy{}}
 	var err error
 	c.Cell, err = standin.NewCell(standin.NewCellOptions{
 		Binary: binary, Dir: t.TempDir(), Nodes: 3,
-		LogVia: func(platform netip.AddrPort) (via netip.AddrPort, err error) {
-			c.log, via, err = newProxy("log", platform)
-			return via, err
-		},
+		LogVia:   c.logVia,
+		LinkVia:  c.linkVia,
 		Settings: fmt.Sprintf("lease: %s\nsync: 500ms\ndrain_wait: 300ms\nappends_per_second: 25\n%s", lease, extra),
 		Platform: platform.NewServerOptions{
 			Zones: 1, Racks: 3, Workers: 2, Lag: 500 * time.Millisecond,
@@ -113,12 +115,49 @@
 	return c
 }
 
+// logVia puts one proxy between all nodes and the log.
+func (c *cell) logVia(_ int, platform netip.AddrPort) (netip.AddrPort, error) {
+	if c.log != nil {
+		return netip.ParseAddrPort(c.log.Listen)
+	}
+	var via netip.AddrPort
+	var err error
+	c.log, via, err = newProxy("log", platform)
+	return via, err
+}
+
+// linkVia puts a proxy on the way from one node to another.
+func (c *cell) linkVia(from, to int, link netip.AddrPort) (netip.AddrPort, error) {
+	p, via, err := newProxy(fmt.Sprintf("link-%d-%d", from, to), link)
+	c.links[[2]int{from, to}] = p
+	return via, err
+}
+
 func (c *cell) close() {
 	c.Close()
-	c.log.Stop()
+	c.keepLogs()
+	if c.log != nil {
+		c.log.Stop()
+	}
 	for _, p := range c.workers {
 		p.Stop()
 	}
+	for _, p := range c.links {
+		p.Stop()
+	}
+}
+
+// keepLogs copies the nodes' logs to the directory that LEVERDYKE_LOGS names,
+// since the test's own is removed.
+func (c *cell) keepLogs() {
+	dir := os.Getenv("LEVERDYKE_LOGS")
+	if dir == "" {
+		return
+	}
+	for i, n := range c.Nodes {
+		name := filepath.Join(dir, fmt.Sprintf("%s-node%d.log", strings.ReplaceAll(c.name, "/", "_"), i))
+		_ = os.WriteFile(name, []byte(n.Log()), 0o600)
+	}
 }
 
 // prepare publishes a configuration and starts two services.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,8 +5,10 @@
 package settings
 
 import (
+	"maps"
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/document"
@@ -25,6 +27,9 @@
 	Zone   string `yaml:"zone"`
 	// Peers are links to try before the log has told of any.
 	Peers []string `yaml:"peers"`
+	// Routes says for each link that this node reaches by another address,
+	// such as through address translation between regions, by which one.
+	Routes map[string]string `yaml:"routes"`
 	// Log and VMList are the platform's services.
 	Log    string `yaml:"log"`
 	VMList string `yaml:"vm_list"`
@@ -50,6 +55,8 @@
 
 	LinkAddr, CallersAddr, OperatorsAddr, LogAddr, VMListAddr netip.AddrPort   `yaml:"-"`
 	PeerAddrs                                                 []netip.AddrPort `yaml:"-"`
+	// RouteAddrs is Routes; links that are not in it are dialled as they are.
+	RouteAddrs map[netip.AddrPort]netip.AddrPort `yaml:"-"`
 }
 
 const (
@@ -114,9 +121,33 @@
 		}
 		n.PeerAddrs = append(n.PeerAddrs, addr)
 	}
+	return n.parseRoutes(f)
+}
+
+func (n *Node) parseRoutes(f *document.File) error {
+	n.RouteAddrs = make(map[netip.AddrPort]netip.AddrPort, len(n.Routes))
+	for _, link := range slices.Sorted(maps.Keys(n.Routes)) {
+		to, err := netip.ParseAddrPort(link)
+		if err != nil {
+			return f.Errorf("routes", addrAllowed, "%q is no address", link)
+		}
+		via, err := netip.ParseAddrPort(n.Routes[link])
+		if err != nil {
+			return f.Errorf("routes", addrAllowed, "%q, for %s, is no address", n.Routes[link], link)
+		}
+		n.RouteAddrs[to] = via
+	}
 	return nil
 }
 
+// Route returns the address at which to dial the link of a node.
+func (n *Node) Route(link netip.AddrPort) netip.AddrPort {
+	if via, ok := n.RouteAddrs[link]; ok {
+		return via
+	}
+	return link
+}
+
 func (n *Node) check(f *document.File) error {
 	if !policy.IsName(n.Region) {
 		return f.Errorf("region", "a name", "%q is missing or no name", n.Region)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -33,6 +34,18 @@
 	}
 }
 
+func TestRoutes(t *testing.T) {
+	n, err := settings.Parse("node.yaml", []byte(good+"routes: {\"127.0.0.1:7201\": \"127.0.0.1:9999\"}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for link, want := range map[string]string{"127.0.0.1:7201": "127.0.0.1:9999", "127.0.0.1:7202": "127.0.0.1:7202"} {
+		if got := n.Route(netip.MustParseAddrPort(link)).String(); got != want {
+			t.Errorf("%s: got: %v, want: %v", link, got, want)
+		}
+	}
+}
+
 func TestErrorsNameFileLineKeyAndWhatIsAllowed(t *testing.T) {
 	for name, c := range map[string]struct {
 		text, key string
@@ -46,6 +59,8 @@
 		"missing":           {strings.Replace(good, "zone: r1-z1\n", "", 1), "zone", 1},
 		"no IP number":      {strings.Replace(good, "link: 127.0.0.1:7101", "link: host:7101", 1), "link", 1},
 		"bad peer":          {strings.Replace(good, `"127.0.0.1:7201"`, `"peer"`, 1), "peers", 6},
+		"bad route":         {good + "routes: {\"127.0.0.1:7201\": gate}\n", "routes", 9},
+		"bad route's link":  {good + "routes: {peer: \"127.0.0.1:7201\"}\n", "routes", 9},
 		"negative":          {good + "appends_per_second: -1\n", "appends_per_second", 9},
 		"memory too little": {good + "memory_limit_mib: 2\n", "memory_limit_mib", 9},
 		"no YAML":           {"link: [", "link", 1},
--- a/internal/standin/cell.go
+++ b/internal/standin/cell.go
@@ -43,6 +43,8 @@
 	process                  *exec.Cmd
 	done                     chan struct{}
 	log                      string
+	// routes is the settings' line for LinkVia.
+	routes string
 }
 
 // NewCellOptions says what to start. Zero values mean the defaults.
@@ -56,9 +58,12 @@
 	Nodes int
 	// Settings is added to each node's settings file.
 	Settings string
-	// LogVia returns where the nodes find the log, such as a proxy's address;
-	// nil means the platform itself.
-	LogVia func(platform netip.AddrPort) (netip.AddrPort, error)
+	// LogVia returns where a node finds the log, such as a proxy's address; nil
+	// means the platform itself.
+	LogVia func(node int, platform netip.AddrPort) (netip.AddrPort, error)
+	// LinkVia returns where a node finds the link of another, such as a proxy's
+	// address; nil means the link itself.
+	LinkVia func(from, to int, link netip.AddrPort) (netip.AddrPort, error)
 }
 
 // NewCell starts a platform and nodes.
@@ -68,13 +73,6 @@
 		return nil, err
 	}
 	c := &Cell{Platform: p, dir: o.Dir, binary: o.Binary, extra: o.Settings}
-	logAddr := p.Addr()
-	if o.LogVia != nil {
-		if logAddr, err = o.LogVia(logAddr); err != nil {
-			p.Close()
-			return nil, err
-		}
-	}
 	addrs, err := freeAddrs(3 * o.Nodes)
 	if err != nil {
 		p.Close()
@@ -89,7 +87,7 @@
 		c.Nodes = append(c.Nodes, n)
 	}
 	for i, n := range c.Nodes {
-		if err := n.writeSettings(i, logAddr); err != nil {
+		if err := n.prepare(i, &o); err != nil {
 			c.Close()
 			return nil, err
 		}
@@ -123,6 +121,41 @@
 
 func (n *Node) settingsFile() string { return strings.TrimSuffix(n.log, ".log") + ".yaml" }
 
+// prepare writes the settings of the i-th node.
+func (n *Node) prepare(i int, o *NewCellOptions) error {
+	log := n.cell.Platform.Addr()
+	if o.LogVia != nil {
+		via, err := o.LogVia(i, log)
+		if err != nil {
+			return err
+		}
+		log = via
+	}
+	if err := n.findRoutes(i, o.LinkVia); err != nil {
+		return err
+	}
+	return n.writeSettings(i, log)
+}
+
+func (n *Node) findRoutes(i int, via func(from, to int, link netip.AddrPort) (netip.AddrPort, error)) error {
+	if via == nil {
+		return nil
+	}
+	list := []string{}
+	for j, p := range n.cell.Nodes {
+		if j == i {
+			continue
+		}
+		addr, err := via(i, j, p.Link)
+		if err != nil {
+			return err
+		}
+		list = append(list, fmt.Sprintf("%q: %q", p.Link, addr))
+	}
+	n.routes = "routes: {" + strings.Join(list, ", ") + "}\n"
+	return nil
+}
+
 func (n *Node) writeSettings(i int, log netip.AddrPort) error {
 	peers := []string{}
 	for j, p := range n.cell.Nodes {
@@ -130,8 +163,8 @@
 			peers = append(peers, fmt.Sprintf("%q", p.Link))
 		}
 	}
-	text := fmt.Sprintf("link: %s\ncallers: %s\noperators: %s\nregion: %s\nzone: %s\npeers: [%s]\nlog: %s\nvm_list: %s\n%s",
-		n.Link, n.Callers, n.Operators, n.Region, n.Zone, strings.Join(peers, ", "), log, n.cell.Platform.Addr(), n.cell.extra)
+	text := fmt.Sprintf("link: %s\ncallers: %s\noperators: %s\nregion: %s\nzone: %s\npeers: [%s]\nlog: %s\nvm_list: %s\n%s%s",
+		n.Link, n.Callers, n.Operators, n.Region, n.Zone, strings.Join(peers, ", "), log, n.cell.Platform.Addr(), n.routes, n.cell.extra)
 	if err := os.WriteFile(n.settingsFile(), []byte(text), 0o600); err != nil {
 		return fmt.Errorf("standin: %w", err)
 	}
