internal/core: ask peers through the log before taking them all for dead

A node that is cut off from its peers, but not from the log, took them all for dead and claimed what they owned; they claimed it back, with each plan (300 ms). Found by counting owner changes in TestFaultsBetweenNodes. Ruled out: lost claims (each was folded by all).

A node that hears less than half of the others of its region writes a doubt of the silent ones to the log; who writes nothing within 2.5 s of the doubt's fold counts as dead. Members remember the offset of their last batch.

TestSnapshotAnywhereContinuesAsTheFold compares folds at other offsets and now leaves the members' new offset out, as it does the others.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -154,6 +154,7 @@
 	snapshotBase int64
 	isSnapping   bool
 
+	doubts         doubts
 	beatAt, planAt time.Time
 	silent         map[state.NodeID]time.Time
 	onceWaiting    map[uint64]chan node.OnceReply
@@ -185,7 +186,7 @@
 		policies: policy.NewSet(), racks: map[state.ShardID]*ownedRack{}, homes: map[state.ShardID]*home.Home{},
 		fenced: map[state.ShardID]worker.Epoch{}, deputised: map[state.ShardID]deputy{}, claiming: map[state.ShardID]uint64{},
 		rackCapacity: map[state.ShardID]leverdyke.Resources{}, startedAt: out.Now(), tailAfter: -1, silent: map[state.NodeID]time.Time{},
-		onceWaiting: map[uint64]chan node.OnceReply{},
+		onceWaiting: map[uint64]chan node.OnceReply{}, doubts: doubts{open: map[state.NodeID]doubted{}},
 	}
 	for _, p := range options.Peers {
 		out.Connect(state.NodeID(p.String()), p)
@@ -211,6 +212,7 @@
 	c.refuse()
 	c.join()
 	c.beat(now)
+	c.doubt(now)
 	c.plan(now)
 	c.watchDeputies(now)
 	c.watchPeers(now)
--- a/internal/core/fold.go
+++ b/internal/core/fold.go
@@ -61,7 +61,7 @@
 	isOwn := b.Node == c.options.Self.Node && b.Incarnation == c.options.Self.Incarnation
 	if out.Err == nil {
 		for i := range b.Records {
-			c.onRecord(&b.Records[i], out.Results[i])
+			c.onRecord(offset, b.Node, &b.Records[i], out.Results[i])
 		}
 	}
 	if isOwn {
@@ -69,7 +69,7 @@
 	}
 }
 
-func (c *Core) onRecord(r *state.Record, result error) {
+func (c *Core) onRecord(offset int64, writer state.NodeID, r *state.Record, result error) {
 	if result != nil {
 		return
 	}
@@ -91,6 +91,8 @@
 		c.noteEnded(r.Cancel.Job)
 	case r.Finals != nil:
 		c.noteEnded(r.Finals.Job)
+	case r.Doubt != nil:
+		c.onDoubt(offset, writer, r.Doubt)
 	case r.Chunk != nil:
 		c.snapshotBase = max(c.snapshotBase, r.Chunk.Base)
 	}
--- a/internal/core/owners.go
+++ b/internal/core/owners.go
@@ -196,7 +196,7 @@
 	return &ownership.View{
 		Now: now, Self: c.options.Self, Region: region, State: c.state, IsDraining: c.isDraining,
 		Alive:    c.members.Alive(now, region, !c.isDraining && c.IsJoined()),
-		IsDead:   func(n state.NodeID) bool { return n != c.options.Self.Node && c.members.IsDead(now, n, region) },
+		IsDead:   func(n state.NodeID) bool { return c.isDead(now, n) },
 		IsFenced: func(id state.ShardID) bool { _, ok := c.fenced[id]; return ok },
 		Shards:   c.shards(),
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -41,6 +41,7 @@
 	PeerSuspected = add(110, "peer is silent", LevelWarning)
 	PeerHeard     = add(111, "peer is heard again", LevelInfo)
 	PeerEnded     = add(112, "peer has ended", LevelInfo)
+	PeersDoubted  = add(113, "this node hears few peers and asks them through the log", LevelWarning)
 	BadFrame      = add(120, "link closed because of its bytes", LevelWarning)
 
 	LogOut        = add(200, "log does not answer", LevelError)
--- a/internal/state/fold.go
+++ b/internal/state/fold.go
@@ -42,7 +42,7 @@
 		return Outcome{Err: ErrDuplicate}
 	}
 	s.Applied = offset
-	if err := s.admit(b); err != nil {
+	if err := s.admit(offset, b); err != nil {
 		return Outcome{Err: err}
 	}
 	s.Millis = max(s.Millis, b.Millis)
@@ -59,7 +59,7 @@
 
 // admit drops second copies and batches of ended incarnations. A first batch
 // of an incarnation must begin with its Join.
-func (s *State) admit(b *Batch) error {
+func (s *State) admit(offset int64, b *Batch) error {
 	m := s.Members[b.Node]
 	if m == nil || m.Incarnation < b.Incarnation {
 		if len(b.Records) == 0 || b.Records[0].Join == nil {
@@ -73,14 +73,14 @@
 	if b.Seq <= m.Seq {
 		return ErrDuplicate
 	}
-	m.Seq = b.Seq
+	m.Seq, m.Offset = b.Seq, offset
 	return nil
 }
 
 func (s *State) applyRecord(offset int64, b *Batch, r *Record) error {
 	switch {
 	case r.Join != nil:
-		return s.applyJoin(b, r.Join)
+		return s.applyJoin(offset, b, r.Join)
 	case r.Leave != nil:
 		return s.applyLeave(r.Leave)
 	case r.Claim != nil:
@@ -101,12 +101,14 @@
 	return nil
 }
 
-func (s *State) applyJoin(b *Batch, j *Join) error {
+func (s *State) applyJoin(offset int64, b *Batch, j *Join) error {
 	if j.Node != b.Node || j.Incarnation != b.Incarnation {
 		return ErrStale
 	}
 	s.forgetMembers()
-	s.Members[j.Node] = &Member{Incarnation: j.Incarnation, Link: j.Link, Operators: j.Operators, Zone: j.Zone, Region: j.Region, Seq: b.Seq}
+	s.Members[j.Node] = &Member{
+		Incarnation: j.Incarnation, Link: j.Link, Operators: j.Operators, Zone: j.Zone, Region: j.Region, Seq: b.Seq, Offset: offset,
+	}
 	return nil
 }
 
--- a/internal/state/fold_test.go
+++ b/internal/state/fold_test.go
@@ -265,6 +265,9 @@
 // clearOffsets makes folds comparable that saw the batches at other offsets.
 func clearOffsets(states ...*state.State) {
 	for _, s := range states {
+		for _, m := range s.Members {
+			m.Offset = 0
+		}
 		for _, d := range s.Docs {
 			d.Offset = 0
 			for i := range d.History {
--- a/internal/state/record.go
+++ b/internal/state/record.go
@@ -47,6 +47,8 @@
 	Finals  *Finals  `msgpack:"f,omitempty"`
 	Once    *Once    `msgpack:"o,omitempty"`
 	Chunk   *Chunk   `msgpack:"k,omitempty"`
+	Doubt   *Doubt   `msgpack:"d,omitempty"`
+	Here    *Here    `msgpack:"h,omitempty"`
 }
 
 // Join makes a node a member under a new incarnation.
@@ -77,6 +79,16 @@
 	Deputies []NodeID `msgpack:"d,omitempty"`
 }
 
+// Doubt asks nodes whether they live: its writer hears neither them nor most
+// others. It changes nothing.
+type Doubt struct {
+	Of []NodeID `msgpack:"o"`
+}
+
+// Here answers a Doubt. Its batch says all: its writer lives and reaches the
+// log.
+type Here struct{}
+
 // Submit accepts a job.
 type Submit struct {
 	Spec leverdyke.JobSpec `msgpack:"s"`
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -60,8 +60,10 @@
 	Zone        string         `msgpack:"z"`
 	Region      string         `msgpack:"r"`
 	HasLeft     bool           `msgpack:"x,omitempty"`
-	// Seq is the last batch of this incarnation that was folded.
-	Seq uint64 `msgpack:"s"`
+	// Seq is the last batch of this incarnation that was folded, Offset where
+	// it stands in the log.
+	Seq    uint64 `msgpack:"s"`
+	Offset int64  `msgpack:"f"`
 }
 
 // Owner is a process.
