--- a/internal/core/fakenode_test.go
+++ b/internal/core/fakenode_test.go
@@ -155,11 +155,14 @@
 	if _, ok := n.world.log.Append(data); !ok {
 		return
 	}
-	n.failingSince = time.Time{}
 	if n.world.loseReplies > 0 {
 		n.world.loseReplies--
+		if n.failingSince.IsZero() {
+			n.failingSince = now
+		}
 		return
 	}
+	n.failingSince = time.Time{}
 	n.flight = nil
 }
 
@@ -297,6 +300,7 @@
 	delete(n.world.flights, id)
 	if n.flight != nil && n.flight.Seq <= seq {
 		n.flight = nil
+		n.failingSince = time.Time{}
 	}
 	for i, done := range dones {
 		if out.Err != nil {
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -113,6 +113,31 @@
 	}
 }
 
+// A log whose answers are lost has taken the batch that is read from it: it is
+// not out, and the next record must be taken.
+func TestBatchThatIsReadEndsTheOutage(t *testing.T) {
+	log := &fakeLog{lose: 1 << 30, appended: make(chan []byte, 1<<10)}
+	c := clock.NewFake()
+	w := journal.NewWriter(log, state.Owner{Node: "n", Incarnation: 1}, journal.NewWriterOptions{Clock: c, MaxWait: 1 << 60})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.Put(join(), nil)
+	go w.Run(ctx)
+	done := make(chan struct{})
+	go advance(c, done)
+	for !w.IsOut() {
+		runtime.Gosched()
+	}
+	w.Folded(1, state.Outcome{Results: []error{nil}})
+	for w.IsOut() {
+		runtime.Gosched()
+	}
+	close(done)
+	if !w.Put(join(), nil) {
+		t.Error("got: the next record is refused, want: taken")
+	}
+}
+
 func TestBatchThatWasPassedIsSettledOnceAsUnseen(t *testing.T) {
 	log := &fakeLog{fail: 1 << 30, appended: make(chan []byte, 9)}
 	c := clock.NewFake()
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -282,6 +282,15 @@
 		case <-w.options.Clock.After(retryPause):
 		}
 	}
+	// The batch was read from the log: its answers were lost, but the log takes
+	// appends. While it counts as out nothing else would ever be tried.
+	w.noteWorking()
+}
+
+func (w *Writer) noteWorking() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failingSince = time.Time{}
 }
 
 func (w *Writer) fail(seq uint64, err error) {
