internal/front: ask one rack for one waiting request

Each plan (50 ms, or at once when a request waits) asked another rack for the same waiting request, up to four, since unanswered asks were not taken off what is needed; three of the four grants were given back unused after 2 s. A rack that did not answer was asked again at once.

What is asked for counts for 50 ms; then another rack is asked as well. A rack that has not answered for 1 s is shut as after a refusal. TestGrantsAreAskedForNearFirst wants the rack that answered asked first and the silent one a moment later.

TestOneWaiterAsksOneRackAtATime: before, 3 asks for one waiter; after, 1, and 1 more after 60 ms.

--- a/internal/front/grants.go
+++ b/internal/front/grants.go
@@ -130,9 +130,10 @@
 	for rack, a := range s.asked {
 		if now.Sub(a.at) > askPatience {
 			s.answered(rack)
+			s.shut(now, rack)
 		}
 	}
-	need := len(s.waiting)
+	need := len(s.waiting) - s.awaited(now)
 	for need > 0 && len(s.asked) < asksAtOnce {
 		rack, room := r.bestRoom(now, s)
 		if room == nil {
@@ -146,6 +147,18 @@
 	}
 }
 
+// awaited is how many slots are asked for and may come any moment. An ask that
+// takes longer does not keep from asking another rack.
+func (s *service) awaited(now time.Time) int {
+	slots := 0
+	for _, a := range s.asked {
+		if now.Sub(a.at) < hedgeAfter {
+			slots += a.slots
+		}
+	}
+	return slots
+}
+
 func (r *Router) bestRoom(now time.Time, s *service) (state.ShardID, *rackRoom) {
 	var best *rackRoom
 	id := state.ShardID("")
--- a/internal/front/router.go
+++ b/internal/front/router.go
@@ -39,6 +39,8 @@
 	// asksAtOnce bounds the unanswered asks for one service.
 	asksAtOnce  = 4
 	askPatience = time.Second
+	// hedgeAfter is how long an unanswered ask keeps from asking other racks.
+	hedgeAfter = 50 * time.Millisecond
 	// firstShut is how long a rack is not asked after a refusal; it doubles with
 	// each further one up to lastShut.
 	firstShut    = 150 * time.Millisecond
