internal/rack: let callers' requests push batches aside

Measuring an hour without the log with a batch that fills the cell, no request was answered at all. Not the log: the same with the log in order. Each slot that a batch's task left went to the next task before a caller's node asked again, summaries told of no slots, and routers ask no rack that tells of none.

A rack without room for a grant pushes a task of a lower class aside beside a replica of the service, as for urgent tasks, and keeps the room by a hold; summaries tell for how many requests batches yield, and routers ask such racks after those with free slots, with the class of the most urgent request that waits.

--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -176,7 +176,7 @@
 	}
 	for i := range now.Services {
 		a, b := &told.Services[i], &now.Services[i]
-		if a.Service != b.Service || a.Slots > 2*b.Slots || b.Slots > 2*a.Slots {
+		if a.Service != b.Service || a.Slots > 2*b.Slots || b.Slots > 2*a.Slots || (a.Yield > 0) != (b.Yield > 0) {
 			return true
 		}
 	}
--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -213,3 +213,39 @@
 	}
 	w.check(t)
 }
+
+// An all-at-once job that needs most of the cell waits, beside a stream of
+// small tasks of another home that fills it, at most until racks keep room for
+// it, then for what runs there to end, and for the tries in between.
+func TestLargeJobWaitsNoLongerThanItsBound(t *testing.T) {
+	const (
+		untilEarmarked = 10 * time.Second
+		tries          = 6 * time.Second
+	)
+	for _, run := range []time.Duration{time.Second, 4 * time.Second, 15 * time.Second} {
+		w := newReadyWorld(t, 50)
+		team := otherTeam("filings")
+		body := []byte("office: head\nquota: {milli_cpu: 100000, memory_mib: 100000, accelerators: 0, slots: 100}\n")
+		if err := w.append(state.Record{Publish: &state.Publish{Doc: "team/" + team, Body: body}}); err != nil {
+			t.Fatal(err)
+		}
+		small := batchSpec("small", 3000, run)
+		small.Team = team
+		w.mustSubmit(t, small)
+		w.run(5 * time.Second)
+		if got := w.running("small"); got != 24 {
+			t.Fatalf("got: %d small tasks running, want: 24, a full cell", got)
+		}
+		w.mustSubmit(t, gangSpec("large", 16, time.Minute))
+		waited := time.Duration(0)
+		for w.running("large") < 16 && waited < 2*time.Minute {
+			w.run(step)
+			waited += step
+		}
+		if most := untilEarmarked + run + tries; waited > most {
+			t.Errorf("small tasks of %v: got: %v until all of it ran, want: at most %v", run, waited, most)
+		}
+		t.Logf("small tasks of %v: %v until all of it ran", run, waited)
+		w.check(t)
+	}
+}
--- a/internal/front/grants.go
+++ b/internal/front/grants.go
@@ -135,15 +135,16 @@
 	}
 	need := len(s.waiting) - s.awaited(now)
 	for need > 0 && len(s.asked) < asksAtOnce {
-		rack, room := r.bestRoom(now, s)
+		class := s.waiting[0].class
+		rack, room := r.bestRoom(now, s, class)
 		if room == nil {
 			return
 		}
-		n := min(need, room.slots)
+		n := min(need, room.available(class))
 		s.asked[rack] = ask{n, now}
 		room.slots -= n
 		need -= n
-		p.Asks = append(p.Asks, node.GrantAsk{Rack: rack, Service: name, Slots: n, Class: leverdyke.ClassNormal})
+		p.Asks = append(p.Asks, node.GrantAsk{Rack: rack, Service: name, Slots: n, Class: class})
 	}
 }
 
@@ -159,12 +160,21 @@
 	return slots
 }
 
-func (r *Router) bestRoom(now time.Time, s *service) (state.ShardID, *rackRoom) {
+// available is for how many requests of a class the rack may be asked: none but
+// batches can be pushed aside for a request, and not for a batch's.
+func (m *rackRoom) available(class leverdyke.Class) int {
+	if class == leverdyke.ClassBatch {
+		return m.slots
+	}
+	return m.slots + m.yield
+}
+
+func (r *Router) bestRoom(now time.Time, s *service, class leverdyke.Class) (state.ShardID, *rackRoom) {
 	var best *rackRoom
 	id := state.ShardID("")
 	for rack, room := range s.rooms {
 		_, isAsked := s.asked[rack]
-		if isAsked || room.slots <= 0 || now.Before(room.shutUntil) {
+		if isAsked || room.available(class) <= 0 || now.Before(room.shutUntil) {
 			continue
 		}
 		if best == nil || r.isBetterRoom(room, best) || (!r.isBetterRoom(best, room) && rack < id) {
@@ -175,6 +185,9 @@
 }
 
 func (r *Router) isBetterRoom(a, b *rackRoom) bool {
+	if freeA, freeB := a.slots > 0, b.slots > 0; freeA != freeB {
+		return freeA
+	}
 	nearA, nearB := a.zone == r.options.Zone, b.zone == r.options.Zone
 	if nearA != nearB {
 		return nearA
--- a/internal/front/router.go
+++ b/internal/front/router.go
@@ -85,6 +85,8 @@
 type rackRoom struct {
 	// slots is what was told less what this node has asked for and got since.
 	slots int
+	// yield counts further slots for which batches can be pushed aside.
+	yield int
 	zone  string
 	// refusals counts the refusals in a row; shutUntil is until when nothing is
 	// asked after the last one.
@@ -191,7 +193,7 @@
 	}
 	for _, sr := range room.Services {
 		s := r.service(sr.Service)
-		s.rooms[room.Rack] = &rackRoom{slots: sr.Slots, zone: room.Zone}
+		s.rooms[room.Rack] = &rackRoom{slots: sr.Slots, yield: sr.Yield, zone: room.Zone}
 	}
 }
 
--- a/internal/front/router_test.go
+++ b/internal/front/router_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -247,3 +248,27 @@
 		t.Errorf("got: %d waiting, %d in use, want: 0, 1", waiting, inUse)
 	}
 }
+
+func TestRacksWhoseBatchesYieldAreAskedLast(t *testing.T) {
+	for class, want := range map[leverdyke.Class][]state.ShardID{
+		leverdyke.ClassUrgent: {"rack/r1/free", "rack/r1/full"},
+		leverdyke.ClassNormal: {"rack/r1/free", "rack/r1/full"},
+		leverdyke.ClassBatch:  {"rack/r1/free"},
+	} {
+		r, _ := newRouter(0)
+		r.OnRoom(&node.Room{Rack: "rack/r1/full", Zone: "near", Services: []node.ServiceRoom{{Service: "s", Yield: 4}}})
+		r.OnRoom(&node.Room{Rack: "rack/r1/free", Zone: "far", Services: []node.ServiceRoom{{Service: "s", Slots: 1}}})
+		wait(t, r, class)
+		wait(t, r, class)
+		got := []state.ShardID{}
+		for _, a := range r.Plan().Asks {
+			got = append(got, a.Rack)
+			if a.Class != class {
+				t.Errorf("got: an ask of class %v, want: %v", a.Class, class)
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("%s: got: %v, want: %v", class, got, want)
+		}
+	}
+}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -99,6 +99,8 @@
 	Service  string `msgpack:"s"`
 	Replicas int    `msgpack:"n"`
 	Slots    int    `msgpack:"f"`
+	// Yield counts further ones for which batches could be pushed aside.
+	Yield int `msgpack:"y,omitempty"`
 }
 
 // Ask asks a rack's owner to start attempts. It is bound to the rack's epoch:
--- a/internal/rack/asks.go
+++ b/internal/rack/asks.go
@@ -96,6 +96,7 @@
 // share of its quota, then age.
 func (r *Rack) Flush(now time.Time) {
 	r.retryUrgents(now)
+	r.retryPushedGrants(now)
 	if len(r.asks) == 0 {
 		return
 	}
--- a/internal/rack/grants.go
+++ b/internal/rack/grants.go
@@ -24,18 +24,28 @@
 // OnGrantAsk gives a node slots of a worker that runs the service.
 func (r *Rack) OnGrantAsk(now time.Time, from state.NodeID, m *node.GrantAsk) {
 	v, replica := r.bestReplica(now, m.Service)
-	if v == nil {
-		g := &node.Grant{Rack: r.ID, RackEpoch: r.Epoch, Service: m.Service, Refused: whyNoRoom}
-		r.out.ToNode = append(r.out.ToNode, NodeMessage{from, node.Message{Grant: g}})
-		return
+	switch {
+	case v != nil:
+		r.giveGrant(now, from, m, v, &replica.task)
+	case !r.pushForGrant(now, from, m):
+		r.refuseGrantAsk(from, m)
 	}
-	slots := min(replica.task.Request.Count(r.free(v)), int64(max(m.Slots, 1)), maxGrantSlots)
+}
+
+func (r *Rack) refuseGrantAsk(to state.NodeID, m *node.GrantAsk) {
+	g := &node.Grant{Rack: r.ID, RackEpoch: r.Epoch, Service: m.Service, Refused: whyNoRoom}
+	r.out.ToNode = append(r.out.ToNode, NodeMessage{to, node.Message{Grant: g}})
+}
+
+// giveGrant starts a grant on a worker that has room for one slot at least.
+func (r *Rack) giveGrant(now time.Time, to state.NodeID, m *node.GrantAsk, v *vm, replica *worker.Task) {
+	slots := min(replica.Request.Count(r.free(v)), int64(max(m.Slots, 1)), maxGrantSlots)
 	r.nextGrant++
 	key := worker.Key{Attempt: r.nextGrant}
 	key.Task.Job = fmt.Sprintf("grant-%d", r.Epoch)
 	t := worker.Task{
-		Key: key, Holder: string(from), Each: replica.task.Request.Times(slots), Class: m.Class,
-		Service: m.Service, Request: replica.task.Request, IsRequestOnce: replica.task.IsRequestOnce, State: worker.StateRunning,
+		Key: key, Holder: string(to), Each: replica.Request.Times(slots), Class: m.Class,
+		Service: m.Service, Request: replica.Request, IsRequestOnce: replica.IsRequestOnce, State: worker.StateRunning,
 	}
 	h := &held{task: t, vm: v, phase: phaseStarting, since: now, told: now}
 	r.add(h)
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -69,9 +69,11 @@
 
 	asks    []pendingAsk
 	urgents []*urgent
-	holds   map[holdID]*hold
-	earmark *earmark
-	badJobs map[string]*failures
+	// pushedGrants wait for batches to leave, as urgents do.
+	pushedGrants []*pushedGrant
+	holds        map[holdID]*hold
+	earmark      *earmark
+	badJobs      map[string]*failures
 	// learned has the largest reported use of a task by job, for the jobs that
 	// use more than they declare.
 	learned   map[string]leverdyke.Resources
@@ -370,7 +372,9 @@
 			services[h.task.Service] = s
 		}
 		s.Replicas++
-		s.Slots += int(h.task.Request.Count(free))
+		slots := h.task.Request.Count(free)
+		s.Slots += int(slots)
+		s.Yield += int(h.task.Request.Count(yieldTo(v, free)) - slots)
 	}
 }
 
--- a/internal/rack/urgent.go
+++ b/internal/rack/urgent.go
@@ -160,7 +160,7 @@
 // unthrottle gives throttled tasks their processors back where there is room
 // and nobody urgent waits. The charge grows before the worker is told.
 func (r *Rack) unthrottle(now time.Time) {
-	if len(r.urgents) > 0 {
+	if len(r.urgents)+len(r.pushedGrants) > 0 {
 		return
 	}
 	for _, h := range sortedHeld(r.held) {
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -30,6 +30,8 @@
 	do   func(binary string) error
 }
 
+var logOutTime = flag.Duration("logout", time.Minute, "how long the log is out; 24m are as many leases of 8 s as an hour has of 20 s")
+
 func main() {
 	bin := flag.String("bin", "bin", "where the programs are")
 	only := flag.String("only", "", "measure this alone")
@@ -41,6 +43,8 @@
 		{"recovery", recovery},
 		{"urgent", urgent},
 		{"wave", wave},
+		{"mixed", mixed},
+		{"counter", counter},
 		{"logout", logOut},
 	} {
 		if *only != "" && *only != m.name {
