internal/front: give back the slots that the busiest moment did not need

Seen while measuring requests in a full cell: 24 callers' nodes held some 84 slots, and 108 of 192 tasks ran. Each waiting request brought a grant of up to 4 slots, and requests go to the least loaded grant, so that none of too many was ever idle for 2 s and went back.

Every 2 s without waiting requests, a node gives back the grants beyond the most requests that were in progress at once, a quarter and one.

TestGrantsBeyondTheBusiestMomentAreGivenBack: 9 requests at a time on 8 grants of 4: before, 0 given back in 5 s; after, 5, and 12 slots left.

--- a/internal/front/grants.go
+++ b/internal/front/grants.go
@@ -14,6 +14,9 @@
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
 
+// trimHeadroom is the part of the busiest moment's slots that is kept on top.
+const trimHeadroom = 4
+
 // maxDoublings keeps the doubled time of shut within its type.
 const maxDoublings = 8
 
@@ -102,12 +105,39 @@
 	p := Plan{}
 	for _, name := range slices.Sorted(maps.Keys(r.services)) {
 		s := r.services[name]
+		r.trim(now, s)
 		r.dropGrants(now, s, &p)
 		r.planAsks(now, name, s, &p)
 	}
 	return p
 }
 
+// trim recalls the grants that were not needed lately, even at the busiest
+// moment. Requests go to the least loaded grant, so that none of too many would
+// ever be idle.
+func (r *Router) trim(now time.Time, s *service) {
+	if s.trimmedAt.IsZero() {
+		s.trimmedAt = now
+	}
+	if now.Sub(s.trimmedAt) < r.options.Idle || len(s.waiting) > 0 {
+		return
+	}
+	total := 0
+	for _, g := range s.grants {
+		if !g.isRecalled {
+			total += g.Slots
+		}
+	}
+	spare := total - (s.peak + s.peak/trimHeadroom + 1)
+	for _, g := range slices.Backward(s.grants) {
+		if !g.isRecalled && g.Slots <= spare {
+			g.isRecalled = true
+			spare -= g.Slots
+		}
+	}
+	s.peak, s.trimmedAt = s.inUse, now
+}
+
 // dropGrants returns the grants that are recalled or idle, and of which no
 // request is in progress.
 func (r *Router) dropGrants(now time.Time, s *service, p *Plan) {
--- a/internal/front/router.go
+++ b/internal/front/router.go
@@ -76,6 +76,10 @@
 	rooms map[state.ShardID]*rackRoom
 	// asked has the unanswered asks by rack.
 	asked map[state.ShardID]ask
+	// inUse is how many requests are in progress, peak the most of them since
+	// trimmedAt.
+	inUse, peak int
+	trimmedAt   time.Time
 	// perRequest estimates how long one request holds a slot.
 	perRequest time.Duration
 	sequence   uint64
@@ -310,6 +314,8 @@
 	}
 	now := r.options.Clock.Now()
 	best.inUse++
+	s.inUse++
+	s.peak = max(s.peak, s.inUse)
 	best.usedAt = now
 	slot := &Slot{Worker: best.Worker, Addr: best.Addr, Grant: best.Key, router: r, service: s, grant: best, began: now}
 	if second != nil {
@@ -338,6 +344,7 @@
 	defer r.mu.Unlock()
 	now := r.options.Clock.Now()
 	s.grant.inUse--
+	s.service.inUse--
 	s.grant.usedAt = now
 	if isBad {
 		s.grant.isRecalled = true
--- a/internal/front/router_test.go
+++ b/internal/front/router_test.go
@@ -272,3 +272,31 @@
 		}
 	}
 }
+
+// Requests spread over all grants: what even the busiest moment did not need is
+// given back, and nothing that it did.
+func TestGrantsBeyondTheBusiestMomentAreGivenBack(t *testing.T) {
+	r, c := newRouter(0)
+	for i := range 8 {
+		r.OnGrant(grant(uint64(i+1), "near", 4))
+	}
+	returned := 0
+	for range 100 {
+		slots := []*front.Slot{}
+		for range 9 {
+			slots = append(slots, acquire(t, r))
+		}
+		c.Advance(50 * time.Millisecond)
+		for _, s := range slots {
+			s.Release(false)
+		}
+		returned += len(r.Plan().Done)
+	}
+	// Nine at once, two on top and one: three grants of four.
+	if returned != 5 {
+		t.Errorf("got: %d of 8 grants given back in 5 s, want: 5", returned)
+	}
+	if _, _, slots := r.Load(); slots != 12 {
+		t.Errorf("got: %d slots left, want: 12", slots)
+	}
+}
