--- a/cmd/leverdyked/main.go
+++ b/cmd/leverdyked/main.go
@@ -163,6 +163,7 @@
 	_ = d.callers.Shutdown(finish)
 	leave, cancelLeave := context.WithTimeout(context.Background(), leaveTime)
 	defer cancelLeave()
+	d.node.GiveAnswers(leave)
 	d.node.Leave(leave)
 	_ = d.operators.Close()
 	d.node.Close()
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -70,6 +70,8 @@
 	// SkipTo lets the log's reader go on after offset.
 	SkipTo(offset int64)
 	OpenWorker(rack state.ShardID, epoch worker.Epoch, id worker.ID, addr netip.AddrPort) WorkerLink
+	// KeepAnswers keeps the answers of a peer that stops, for callers' retries.
+	KeepAnswers(list []node.KeptAnswer)
 	// AnswerOnce answers a peer that asks for the answer to a key.
 	AnswerOnce(from state.NodeID, m *node.OnceAsk)
 }
@@ -157,8 +159,12 @@
 	doubts         doubts
 	beatAt, planAt time.Time
 	silent         map[state.NodeID]time.Time
-	onceWaiting    map[uint64]chan node.OnceReply
+	onceWaiting    map[uint64]*onceWait
 	onceID         uint64
+	// giving counts the messages of answers that the heir has not confirmed;
+	// given is called when there is none left.
+	giving int
+	given  func()
 }
 
 // ownedRack is a rack that this node owns, with the links to its workers.
@@ -186,7 +192,7 @@
 		policies: policy.NewSet(), racks: map[state.ShardID]*ownedRack{}, homes: map[state.ShardID]*home.Home{},
 		fenced: map[state.ShardID]worker.Epoch{}, deputised: map[state.ShardID]deputy{}, claiming: map[state.ShardID]uint64{},
 		rackCapacity: map[state.ShardID]leverdyke.Resources{}, startedAt: out.Now(), tailAfter: -1, silent: map[state.NodeID]time.Time{},
-		onceWaiting: map[uint64]chan node.OnceReply{}, doubts: doubts{open: map[state.NodeID]doubted{}},
+		onceWaiting: map[uint64]*onceWait{}, doubts: doubts{open: map[state.NodeID]doubted{}},
 	}
 	for _, p := range options.Peers {
 		out.Connect(state.NodeID(p.String()), p)
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -50,6 +50,10 @@
 		c.out.AnswerOnce(e.From.Node, m.OnceAsk)
 	case m.OnceReply != nil:
 		c.onOnceReply(m.OnceReply)
+	case m.OnceKept != nil:
+		c.onOnceKept(e.From.Node, m.OnceKept)
+	case m.OnceTaken != nil:
+		c.onOnceTaken()
 	}
 }
 
--- a/internal/core/once.go
+++ b/internal/core/once.go
@@ -6,7 +6,6 @@
 import (
 	"errors"
 
-	"github.com/leverdyke/leverdyke/internal/node"
 	"github.com/leverdyke/leverdyke/internal/once"
 	"github.com/leverdyke/leverdyke/internal/state"
 )
@@ -41,24 +40,3 @@
 		}
 	})
 }
-
-// AskOnce asks a peer for the answer to a key; reply must have room for one.
-// The returned number is for GiveUpOnce.
-func (c *Core) AskOnce(to state.NodeID, key once.Key, reply chan node.OnceReply) uint64 {
-	c.onceID++
-	c.onceWaiting[c.onceID] = reply
-	if !c.out.Send(to, &node.Message{OnceAsk: &node.OnceAsk{ID: c.onceID, Key: key}}) {
-		c.GiveUpOnce(c.onceID)
-	}
-	return c.onceID
-}
-
-// GiveUpOnce ends the wait for an answer that does not come.
-func (c *Core) GiveUpOnce(id uint64) { c.onOnceReply(&node.OnceReply{ID: id}) }
-
-func (c *Core) onOnceReply(m *node.OnceReply) {
-	if reply := c.onceWaiting[m.ID]; reply != nil {
-		delete(c.onceWaiting, m.ID)
-		reply <- *m
-	}
-}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -68,5 +68,21 @@
 	n.links.Send(from, &node.Message{OnceReply: &node.OnceReply{ID: id, IsKnown: isKnown, Answer: a}})
 }
 
+// KeepAnswers keeps the answers of a peer that stops.
+func (n *Node) KeepAnswers(list []node.KeptAnswer) { n.answers.Keep(list) }
+
+// GiveAnswers gives this node's kept answers to a peer before the node stops;
+// it returns when the peer has them, or ctx ends.
+func (n *Node) GiveAnswers(ctx context.Context) {
+	given := make(chan struct{})
+	list := n.answers.Kept()
+	n.put(func(c *core.Core) { c.GiveAnswers(list, func() { close(given) }) })
+	select {
+	case <-given:
+	case <-ctx.Done():
+	case <-n.done:
+	}
+}
+
 // Answers returns the answers that are kept for callers' retries.
 func (n *Node) Answers() *once.Table { return n.answers }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -85,6 +85,7 @@
 	WorkerSilent     = add(434, "worker does not answer", LevelWarning)
 	WorkerLeaving    = add(435, "worker is leaving", LevelInfo)
 	OnceKeyElsewhere = add(440, "request was run by another node", LevelInfo)
+	AnswersGiven     = add(441, "answers for retries given to a peer", LevelInfo)
 )
 
 var catalogue []Event
--- a/internal/integration/faults_test.go
+++ b/internal/integration/faults_test.go
@@ -13,6 +13,9 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+
+	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/operator"
 	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/standin"
@@ -210,6 +213,39 @@
 	}
 }
 
+// A retry after a planned stop gets the first answer, from whoever has it now.
+func TestPlannedStopKeepsTheAnswersForRetries(t *testing.T) {
+	t.Parallel()
+	c := newCell(t, "")
+	l := &load{}
+	keys := []string{}
+	for range 5 {
+		key, err := uuid.NewV7()
+		if err != nil {
+			t.Fatal(err)
+		}
+		keys = append(keys, key.String())
+		if !standin.Await(patience, func() bool {
+			return l.call(http.DefaultClient, c.Nodes[0], "deeds", key.String(), key.String()) == leverdyke.VerdictRan
+		}) {
+			t.Fatalf("%s: got: not answered, want: answered", key)
+		}
+	}
+	c.Nodes[0].Signal(syscall.SIGTERM)
+	if !c.Nodes[0].Wait(patience) {
+		t.Fatal("the node does not stop")
+	}
+	for i, key := range keys {
+		if got := l.call(http.DefaultClient, c.Nodes[1+i%2], "deeds", key, key); got != leverdyke.VerdictRan {
+			t.Errorf("%s at node %d: got: %v, want: %v", key, 1+i%2, got, leverdyke.VerdictRan)
+		}
+		if got := c.Platform.Oracle.RanKeys(key); got != 1 {
+			t.Errorf("%s: got: ran %d times, want: 1", key, got)
+		}
+	}
+	l.verify(t, c.Platform.Oracle)
+}
+
 func longRequest(n *standin.Node) error {
 	req, err := http.NewRequest(http.MethodPost, "http://"+n.Callers.String()+"/s/search/long", strings.NewReader("x"))
 	if err != nil {
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -46,6 +46,8 @@
 
 	OnceAsk   *OnceAsk   `msgpack:"oa,omitempty"`
 	OnceReply *OnceReply `msgpack:"or,omitempty"`
+	OnceKept  *OnceKept  `msgpack:"ok,omitempty"`
+	OnceTaken *OnceTaken `msgpack:"ot,omitempty"`
 }
 
 // Hello opens a link in both directions.
@@ -310,6 +312,20 @@
 	Answer  SavedAnswer `msgpack:"a"`
 }
 
+// OnceKept gives answers of a node that stops to a peer, for callers' retries.
+type OnceKept struct {
+	Answers []KeptAnswer `msgpack:"a"`
+}
+
+// KeptAnswer is the answer to a request that may not be repeated.
+type KeptAnswer struct {
+	Key    [16]byte    `msgpack:"k"`
+	Answer SavedAnswer `msgpack:"a"`
+}
+
+// OnceTaken says that the answers of one OnceKept are kept.
+type OnceTaken struct{}
+
 // SavedAnswer is an answer that is kept for a caller's retry.
 type SavedAnswer struct {
 	Status  int               `msgpack:"s"`
--- a/internal/once/table.go
+++ b/internal/once/table.go
@@ -121,6 +121,30 @@
 	}
 }
 
+// Kept returns the answers, oldest first.
+func (t *Table) Kept() []node.KeptAnswer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]node.KeptAnswer, 0, t.order.Len())
+	for el := t.order.Front(); el != nil; el = el.Next() {
+		if e, ok := el.Value.(*Entry); ok {
+			list = append(list, node.KeptAnswer{Key: e.key, Answer: e.answer})
+		}
+	}
+	return list
+}
+
+// Keep adds answers that another node had kept. A key that is here already
+// stays as it is.
+func (t *Table) Keep(list []node.KeptAnswer) {
+	for i := range list {
+		e, isNew := t.Begin(list[i].Key, list[i].Answer.Digest)
+		if isNew {
+			t.End(e, list[i].Answer)
+		}
+	}
+}
+
 // Wait returns the answer when there is one; false means that ctx ended first.
 func (e *Entry) Wait(ctx context.Context) (node.SavedAnswer, bool) {
 	select {
