internal/health: judge workers apart from placing

Reading it for the move showed a fault: a worker that is tried again with one task stayed set aside for good when that task was stopped, cancelled, moved on or lost instead of ending by itself, since nothing took the mark of the trial back.

The judgement is a package of its own, with states in and findings out; it remembers which attempt is the trial. Any end of the trial lets the next task try the worker.

TestOneTaskTriesAWorkerAgain (stopped, moved on): by the old rule set aside for ever, now open for the next task.

--- a/internal/rack/asks.go
+++ b/internal/rack/asks.go
@@ -159,7 +159,7 @@
 	candidates := make([]placement.Candidate, len(r.order))
 	for i, id := range r.order {
 		v := r.vms[id]
-		if !r.isUsable(now, v) || !r.mayTake(now, v) {
+		if !r.isUsable(now, v) || r.health.IsSetAside(now, v.id) {
 			candidates[i].IsShut = true
 			continue
 		}
@@ -184,7 +184,9 @@
 	// Until it reports itself, it counts for what others of its job have used.
 	h.task.Usage = r.expected(&h.task)
 	r.add(h)
-	r.noteProbe(now, v)
+	if r.health.Placed(now, v.id, h.task.Key) {
+		r.event(EventWorkerProbed, v.id, worker.Key{}, "")
+	}
 	r.orderStart(now, h)
 	d := Decision{Key: h.task.Key, Worker: v.id, Why: why}
 	if second != nil {
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/health"
 	"github.com/leverdyke/leverdyke/internal/node"
 	"github.com/leverdyke/leverdyke/internal/state"
 	"github.com/leverdyke/leverdyke/internal/vmlist"
@@ -73,7 +74,7 @@
 	pushedGrants []*pushedGrant
 	holds        map[holdID]*hold
 	earmark      *earmark
-	badJobs      map[string]*failures
+	health       *health.Judge
 	// learned has the largest reported use of a task by job, for the jobs that
 	// use more than they declare.
 	learned   map[string]leverdyke.Resources
@@ -103,7 +104,6 @@
 	// isSilent means that it did not answer the last time; it gets nothing new.
 	isSilent bool
 	held     map[worker.Key]*held
-	health   health
 }
 
 // phase is where an attempt is in the owner's eyes.
@@ -225,7 +225,7 @@
 		ID: id, Epoch: epoch, options: options, began: now,
 		vms: map[worker.ID]*vm{}, held: map[worker.Key]*held{}, byTask: map[leverdyke.TaskID]worker.Key{},
 		homes: map[state.ShardID]uint64{}, synced: map[state.ShardID]bool{},
-		settled: map[state.ShardID]*settled{}, holds: map[holdID]*hold{}, badJobs: map[string]*failures{}, learned: map[string]leverdyke.Resources{},
+		settled: map[state.ShardID]*settled{}, holds: map[holdID]*hold{}, health: health.NewJudge(), learned: map[string]leverdyke.Resources{},
 	}
 }
 
@@ -338,7 +338,7 @@
 	for _, id := range r.order {
 		v := r.vms[id]
 		room.Zone = v.zone
-		if !r.isUsable(now, v) || !r.mayTake(now, v) {
+		if !r.isUsable(now, v) || r.health.IsSetAside(now, v.id) {
 			continue
 		}
 		free := r.free(v).Max(leverdyke.Resources{})
@@ -456,7 +456,7 @@
 		return "leaving"
 	case !v.isKnown:
 		return "unknown"
-	case v.health.isSetAside(now):
+	case r.health.IsSetAside(now, v.id):
 		return "set-aside"
 	case !r.isUsable(now, v):
 		return "unreachable"
--- a/internal/rack/reports.go
+++ b/internal/rack/reports.go
@@ -148,6 +148,19 @@
 	r.dropGrantsWithout(now, h.vm)
 }
 
+// judge learns from the end of an attempt whether its worker or its job is at
+// fault. A lost one counts as stopped: its state says so.
+func (r *Rack) judge(now time.Time, h *held) {
+	f := r.health.Ended(now, h.vm.id, h.task.Key, h.task.State, len(r.vms))
+	h.isBlamed = f.IsBlamed
+	if f.IsBack {
+		r.event(EventWorkerBack, h.vm.id, worker.Key{}, "")
+	}
+	if f.AsideFor > 0 {
+		r.event(EventWorkerSetAside, h.vm.id, worker.Key{}, f.AsideFor.String())
+	}
+}
+
 // lose ends an attempt that went with its worker or its lease.
 func (r *Rack) lose(now time.Time, h *held) {
 	if h.phase == phaseEnded {
@@ -211,6 +224,7 @@
 		v := r.vms[id]
 		if v.isGone && v.isKnown && len(v.held) == 0 && now.Sub(v.heardAt) > r.lapse() {
 			delete(r.vms, id)
+			r.health.Forget(id)
 			continue
 		}
 		kept = append(kept, id)
