internal/rack: do not throttle and release the same task in turn

The stand-in reported the whole use of throttled tasks.

A task is released only where there is room for the most that its job is known to use. Also: a pushed grant is given only while the worker still runs the service; members that did not answer a doubt do not count as others (internal/core), so that a region with VMs that died unnoticed does not take itself for cut off at the next death.

TestDeadMembersAreDoubtedOnce: no append in 2 min after 3 of 5 nodes died.

--- a/internal/core/doubt.go
+++ b/internal/core/doubt.go
@@ -46,11 +46,12 @@
 }
 
 // isCutOff reports whether this node hears less than half of the other members
-// of its region: it may be the one that is not heard.
+// of its region: it may be the one that is not heard. Those who did not answer
+// its doubt do not count: a VM that died is a member until somebody knows.
 func (c *Core) isCutOff(now time.Time) bool {
 	others, heard := 0, 0
 	for id, m := range c.state.Members {
-		if m.HasLeft || m.Region != c.options.Region || id == c.options.Self.Node {
+		if m.HasLeft || m.Region != c.options.Region || id == c.options.Self.Node || c.isSilentInLog(now, id) {
 			continue
 		}
 		others++
--- a/internal/core/doubt_test.go
+++ b/internal/core/doubt_test.go
@@ -84,3 +84,21 @@
 	}
 	w.check(t)
 }
+
+// Members that died and that nobody retires are doubted once, not for ever.
+func TestDeadMembersAreDoubtedOnce(t *testing.T) {
+	w := newReadyWorldOf(t, worldOptions{nodes: 5, racks: 2, workers: 1, seed: 43})
+	for _, n := range w.nodes[:3] {
+		n.kill()
+	}
+	w.run(30 * time.Second)
+	page, _, _ := w.log.Page(0)
+	w.run(2 * time.Minute)
+	after, _, _ := w.log.Page(0)
+	if got := after.Next - page.Next; got != 0 {
+		t.Errorf("got: %d appends in 2 min after everything was taken over, want: 0", got)
+	}
+	if got := w.owned(); got != w.shards() {
+		t.Errorf("got: %d shards with an owner, want: %d", got, w.shards())
+	}
+}
--- a/internal/platform/worker.go
+++ b/internal/platform/worker.go
@@ -289,6 +289,9 @@
 	u := t.Each
 	u.MilliCPU = int64(float64(u.MilliCPU) * f)
 	u.MemoryMiB = int64(float64(u.MemoryMiB) * f)
+	if t.IsThrottled {
+		u.MilliCPU /= worker.ThrottleDivisor
+	}
 	return u
 }
 
--- a/internal/rack/pushes.go
+++ b/internal/rack/pushes.go
@@ -80,7 +80,7 @@
 func (r *Rack) retryPushedGrants(now time.Time) {
 	r.pushedGrants = slices.DeleteFunc(r.pushedGrants, func(g *pushedGrant) bool {
 		isOver := now.Sub(g.since) >= urgentPatience
-		isFree := r.isUsable(now, g.vm) && zero.FitsIn(r.free(g.vm))
+		isFree := r.isUsable(now, g.vm) && zero.FitsIn(r.free(g.vm)) && replicaOn(g.vm, g.ask.Service) != nil
 		if !isOver && !isFree {
 			return false
 		}
--- a/internal/rack/sizes_test.go
+++ b/internal/rack/sizes_test.go
@@ -11,6 +11,7 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/node"
 	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/rack"
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
 
@@ -176,6 +177,16 @@
 					throttled++
 				}
 			}
+			b.run(20)
+			pushes := 0
+			for _, e := range b.events {
+				if e.Kind == rack.EventPreempted {
+					pushes++
+				}
+			}
+			if pushes > 4 {
+				t.Errorf("got: %d tasks pushed, want: at most one push a task", pushes)
+			}
 			if want := c.each == processors && c.change == nil; (throttled > 0) != want {
 				t.Errorf("got: %d throttled, want some: %v", throttled, want)
 			}
--- a/internal/rack/urgent.go
+++ b/internal/rack/urgent.go
@@ -167,6 +167,8 @@
 		if h.phase != phaseRunning || !h.task.IsThrottled || h.deed != "" {
 			continue
 		}
+		// A throttled task reports less than it will use.
+		h.task.Usage = h.task.Usage.Max(r.expected(&h.task))
 		h.task.IsThrottled = false
 		if !zero.FitsIn(r.free(h.vm)) {
 			h.task.IsThrottled = true
