--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,6 +25,7 @@
 	"github.com/leverdyke/leverdyke/internal/policy"
 	"github.com/leverdyke/leverdyke/internal/rack"
 	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/tail"
 	"github.com/leverdyke/leverdyke/internal/vmlist"
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
@@ -147,10 +148,8 @@
 	refused       []func(error)
 	isJobsChanged bool
 
-	// tail has every batch after tailAfter, for peers who lag behind.
-	tail         []node.TailEntry
-	tailAfter    int64
-	tailBytes    int
+	// tail has the last batches, for peers who lag behind.
+	tail         *tail.Buffer
 	askedTailAt  time.Time
 	askedStateAt time.Time
 	snapshotBase int64
@@ -191,7 +190,7 @@
 		members:  membership.NewTable(options.Self.Node, membership.NewTableOptions{}),
 		policies: policy.NewSet(), racks: map[state.ShardID]*ownedRack{}, homes: map[state.ShardID]*home.Home{},
 		fenced: map[state.ShardID]worker.Epoch{}, deputised: map[state.ShardID]deputy{}, claiming: map[state.ShardID]uint64{},
-		rackCapacity: map[state.ShardID]leverdyke.Resources{}, startedAt: out.Now(), tailAfter: -1, silent: map[state.NodeID]time.Time{},
+		rackCapacity: map[state.ShardID]leverdyke.Resources{}, startedAt: out.Now(), tail: tail.NewBuffer(-1), silent: map[state.NodeID]time.Time{},
 		onceWaiting: map[uint64]*onceWait{}, doubts: doubts{open: map[state.NodeID]doubted{}},
 	}
 	for _, p := range options.Peers {
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -6,12 +6,12 @@
 import (
 	"time"
 
-	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/home"
 	"github.com/leverdyke/leverdyke/internal/node"
 	"github.com/leverdyke/leverdyke/internal/rack"
 	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/summary"
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
 
@@ -157,10 +157,10 @@
 			continue
 		}
 		room := o.rack.Room(c.now())
-		if sameRoom(&room, &o.room) {
+		if summary.IsSame(&room, &o.room) {
 			continue
 		}
-		if isWorthTelling(&o.told, &room) {
+		if summary.IsWorthTelling(&o.told, &room) {
 			o.isRoomTold = false
 		}
 		o.room = room
@@ -168,39 +168,6 @@
 	}
 }
 
-// isWorthTelling reports whether peers would decide differently by the new
-// summary.
-func isWorthTelling(told, now *node.Room) bool {
-	if told.Epoch != now.Epoch || told.Workers != now.Workers || len(told.Services) != len(now.Services) {
-		return true
-	}
-	for i := range now.Services {
-		a, b := &told.Services[i], &now.Services[i]
-		if a.Service != b.Service || a.Slots > 2*b.Slots || b.Slots > 2*a.Slots || (a.Yield > 0) != (b.Yield > 0) {
-			return true
-		}
-	}
-	return isFar(told.Free, now.Free) || isFar(told.Largest, now.Largest)
-}
-
-// isFar reports whether an amount has doubled or halved in some dimension: the
-// less room there is, the smaller the change that matters.
-func isFar(a, b leverdyke.Resources) bool {
-	return !a.FitsIn(b.Times(2)) || !b.FitsIn(a.Times(2))
-}
-
-func sameRoom(a, b *node.Room) bool {
-	if a.Epoch != b.Epoch || a.Free != b.Free || a.Largest != b.Largest || a.Yield != b.Yield || a.Workers != b.Workers || len(a.Services) != len(b.Services) {
-		return false
-	}
-	for i := range a.Services {
-		if a.Services[i] != b.Services[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // PlanGrants asks for the slots that callers' requests wait for.
 func (c *Core) PlanGrants() {
 	p := c.options.Router.Plan()
--- a/internal/core/fold.go
+++ b/internal/core/fold.go
@@ -9,14 +9,11 @@
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/front"
 	"github.com/leverdyke/leverdyke/internal/journal"
-	"github.com/leverdyke/leverdyke/internal/node"
 	"github.com/leverdyke/leverdyke/internal/ownership"
 	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/tail"
 )
 
-// maxTailBytes bounds the batches that are kept for peers who lag behind.
-const maxTailBytes = 256 << 10
-
 // OnTailed takes what the log's reader found.
 func (c *Core) OnTailed(e *journal.Tailed) {
 	now := c.now()
@@ -50,7 +47,7 @@
 	if offset <= c.state.Applied {
 		return
 	}
-	c.keepTail(offset, data)
+	c.tail.Add(offset, data)
 	b, err := state.DecodeBatch(data)
 	if err != nil {
 		events.Log(events.BadRecord, "offset", offset, "err", err.Error())
@@ -188,7 +185,7 @@
 func (c *Core) replaceState(s *state.State) {
 	c.state = s
 	c.snapshotBase = max(c.snapshotBase, s.Applied)
-	c.tail, c.tailBytes, c.tailAfter = nil, 0, s.Applied
+	c.tail = tail.NewBuffer(s.Applied)
 	c.out.SkipTo(s.Applied)
 	c.policies.Clear()
 	for _, doc := range sorted(s.Docs) {
@@ -216,16 +213,6 @@
 	}
 }
 
-func (c *Core) keepTail(offset int64, data []byte) {
-	c.tail = append(c.tail, node.TailEntry{Offset: offset, Data: data})
-	c.tailBytes += len(data)
-	for c.tailBytes > maxTailBytes && len(c.tail) > 1 {
-		c.tailBytes -= len(c.tail[0].Data)
-		c.tailAfter = c.tail[0].Offset
-		c.tail = c.tail[1:]
-	}
-}
-
 // snapshot writes the state back into the log long before the records that it
 // is made of are dropped. The first node of the cell's list does it.
 func (c *Core) snapshot(now time.Time) {
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -257,13 +257,7 @@
 }
 
 func (c *Core) onTailAsk(from state.NodeID, m *node.TailAsk) {
-	t := &node.Tail{After: m.After}
-	for _, e := range c.tail {
-		if m.After >= c.tailAfter && e.Offset > m.After {
-			t.Entries = append(t.Entries, e)
-		}
-	}
-	c.out.Send(from, &node.Message{Tail: t})
+	c.out.Send(from, &node.Message{Tail: &node.Tail{After: m.After, Entries: c.tail.After(m.After)}})
 }
 
 func (c *Core) onTail(from state.NodeID, m *node.Tail) {
--- /dev/null
+++ b/internal/tail/buffer_test.go
@@ -0,0 +1,41 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package tail_test
+
+import (
+	"testing"
+
+	"github.com/leverdyke/leverdyke/internal/tail"
+)
+
+func TestAfterHasNoGaps(t *testing.T) {
+	b := tail.NewBuffer(-1)
+	large := make([]byte, 100<<10)
+	for offset := range int64(5) {
+		b.Add(offset, large)
+	}
+	for offset, want := range map[int64]int{
+		// Two fit; what follows offset 1 has been dropped in part.
+		-1: 0, 1: 0, 2: 2, 3: 1, 4: 0, 9: 0,
+	} {
+		got := b.After(offset)
+		if len(got) != want {
+			t.Errorf("after %d: got: %d batches, want: %d", offset, len(got), want)
+		}
+		if len(got) > 0 && got[0].Offset != offset+1 {
+			t.Errorf("after %d: got: from %d, want: from %d", offset, got[0].Offset, offset+1)
+		}
+	}
+}
+
+func TestLastBatchIsKeptHoweverLong(t *testing.T) {
+	b := tail.NewBuffer(6)
+	b.Add(7, make([]byte, 1<<20))
+	if got := len(b.After(6)); got != 1 {
+		t.Errorf("got: %d batches, want: 1", got)
+	}
+	if got := len(b.After(5)); got != 0 {
+		t.Errorf("before its begin: got: %d batches, want: 0", got)
+	}
+}
