internal/rack: keep a VM for a task that smaller ones starve

Racks give what becomes free to whoever asks for it, and a home asks no rack that does not tell of enough room.

Decision 0012: a job that found no room for 10 s asks one rack once a second all the same; the rack keeps the VM that lacks the least for it, from everything but more urgent work and services, until it fits.

--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -249,3 +249,34 @@
 		w.check(t)
 	}
 }
+
+// One task that needs a whole VM, beside a stream of small tasks of another
+// home that fills the cell.
+func TestLargeTaskIsNotStarvedBySmallOnes(t *testing.T) {
+	w := newReadyWorld(t, 51)
+	team := otherTeam("filings")
+	body := []byte("office: head\nquota: {milli_cpu: 100000, memory_mib: 100000, accelerators: 0, slots: 100}\n")
+	if err := w.append(state.Record{Publish: &state.Publish{Doc: "team/" + team, Body: body}}); err != nil {
+		t.Fatal(err)
+	}
+	// Tasks of many lengths, so that no VM empties by itself.
+	for i := range 600 {
+		small := batchSpec(fmt.Sprintf("small-%03d", i), 3, time.Duration(2000+i*377%4000)*time.Millisecond)
+		small.Team = team
+		w.nodes[0].core.Append(state.Record{Submit: &state.Submit{Spec: small}}, nil)
+	}
+	w.run(20 * time.Second)
+	large := batchSpec("large", 1, time.Second)
+	large.Each = leverdyke.Resources{MilliCPU: 4000, MemoryMiB: 256, Slots: 1}
+	w.mustSubmit(t, large)
+	waited := time.Duration(0)
+	for w.running("large") == 0 && waited < 5*time.Minute {
+		w.run(step)
+		waited += step
+	}
+	if most := 25 * time.Second; waited > most {
+		t.Errorf("got: %v until it ran, want: at most %v", waited, most)
+	}
+	t.Logf("%v until it ran", waited)
+	w.check(t)
+}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -71,6 +71,8 @@
 	order []state.ShardID
 	// used is what each team's asked and running attempts take.
 	used map[string]leverdyke.Resources
+	// starved is the job for which racks are asked to keep a VM; nil for none.
+	starved *job
 	// unsure counts the tasks that an earlier owner may have started.
 	unsure  int
 	counter uint64
--- a/internal/home/job.go
+++ b/internal/home/job.go
@@ -72,6 +72,11 @@
 	// isEnding means that no task starts any more.
 	isEnding bool
 	gang     gang
+	// blockedSince is since when there is no room for any of its tasks; zero
+	// while there is. starvedAt and starvedRack are the last ask of a starved
+	// job, and the place of the rack in the order.
+	blockedSince, starvedAt time.Time
+	starvedRack             int
 	// why says why the job's tasks wait, for an operator.
 	why string
 	// never names what no worker has enough of; empty if the job can run.
@@ -120,6 +125,7 @@
 			h.collectStop(j, i, stops)
 		}
 		h.releaseGang(j)
+		h.endStarved(j)
 		delete(h.jobs, id)
 	}
 	h.list = slices.DeleteFunc(h.list, func(j *job) bool { return h.jobs[j.id] != j })
@@ -229,6 +235,7 @@
 		return
 	}
 	j.isEnding = true
+	h.endStarved(j)
 	j.why = reason
 	h.event(EventJobFailed, j.id, reason)
 	stops := map[state.ShardID][]worker.Key{}
--- a/internal/home/news.go
+++ b/internal/home/news.go
@@ -48,8 +48,10 @@
 	}
 	// The home keeps to its own order of racks, so that homes keep out of each
 	// other's way, and goes on in it after a refusal (docs/MEASUREMENTS.md).
-	h.offset = slices.Index(h.order, a.Rack) + 1
-	v.shutUntil = now.Add(refusedShut)
+	if !h.isStarvedAsk(j) {
+		h.offset = slices.Index(h.order, a.Rack) + 1
+		v.shutUntil = now.Add(refusedShut)
+	}
 	v.pending = v.pending.Sub(j.spec.Each)
 	h.setPhase(j, r.Key.Task.Index, phaseWaiting)
 	j.why = "a rack refused it: " + r.Refused
@@ -64,6 +66,7 @@
 	h.setPhase(j, i, phaseRunning)
 	t.worker = w
 	j.hasStarted = true
+	h.endStarved(j)
 	h.out.Starts = append(h.out.Starts, StartNote{j.key(i), j.spec.Class, now.Sub(later(j.since, t.notBefore)), w})
 }
 
--- a/internal/home/records.go
+++ b/internal/home/records.go
@@ -167,7 +167,8 @@
 			t.notBefore = now.Add(firstBackoff)
 			h.setPhase(j, i, phaseWaiting)
 		default:
-			// Another home intended it first; it is that one's to start.
+			// Another home intended it first, whose it is to start; or the record
+			// came with a peer's state, and nobody can tell whether it did.
 			h.setPhase(j, i, phaseFinal)
 			h.event(EventUnknownFate, j.id, fmt.Sprintf("task %d", i))
 			h.final(j, i, leverdyke.TaskUnknown, nil, 0, "")
--- a/internal/home/scan.go
+++ b/internal/home/scan.go
@@ -150,6 +150,9 @@
 			continue
 		}
 		rack := h.chooseRack(s, j)
+		if rack < 0 && started == 0 {
+			rack = h.noteBlocked(s, j)
+		}
 		if rack < 0 {
 			j.why = whyNoRoom
 			isBlocked = true
@@ -279,7 +282,7 @@
 	}
 	return node.AskItem{
 		Task: t, Share: h.Share(j.spec.Team), Age: now.Sub(j.since), Waiting: w.Waiting, Packing: w.Packing,
-		HoldID: j.tasks[i].holdID,
+		HoldID: j.tasks[i].holdID, IsStarved: h.isStarvedAsk(j),
 	}
 }
 
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -132,6 +132,9 @@
 	Packing float64       `msgpack:"p"`
 	// HoldID is set when the attempt takes a place that was held before.
 	HoldID uint64 `msgpack:"h,omitempty"`
+	// IsStarved means that the job has long found no room anywhere: if there is
+	// none here either, a VM is kept for it.
+	IsStarved bool `msgpack:"v,omitempty"`
 }
 
 // Answer is the rack owner's word on asked attempts.
--- a/internal/rack/asks.go
+++ b/internal/rack/asks.go
@@ -148,6 +148,7 @@
 	}
 	best, second := r.choose(now, p.item)
 	if best == nil {
+		r.keepFor(now, p.item)
 		r.settleUrgent(now, p)
 		return
 	}
@@ -159,7 +160,7 @@
 	candidates := make([]placement.Candidate, len(r.order))
 	for i, id := range r.order {
 		v := r.vms[id]
-		if !r.isUsable(now, v) || r.health.IsSetAside(now, v.id) {
+		if !r.isUsable(now, v) || r.health.IsSetAside(now, v.id) || r.isKeptFrom(now, v, item) {
 			candidates[i].IsShut = true
 			continue
 		}
@@ -184,6 +185,7 @@
 	// Until it reports itself, it counts for what others of its job have used.
 	h.task.Usage = r.expected(&h.task)
 	r.add(h)
+	r.endKeep(h.task.Key.Task.Job)
 	if r.health.Placed(now, v.id, h.task.Key) {
 		r.event(EventWorkerProbed, v.id, worker.Key{}, "")
 	}
--- a/internal/rack/holds.go
+++ b/internal/rack/holds.go
@@ -88,7 +88,8 @@
 
 // bestFor returns the worker that the need fills best, or nil.
 func (r *Rack) bestFor(now time.Time, need leverdyke.Resources) *vm {
-	item := &node.AskItem{Task: worker.Task{Each: need}, Packing: 1}
+	// A run time, since only services pass a VM that is kept for another task.
+	item := &node.AskItem{Task: worker.Task{Each: need, Class: leverdyke.ClassBatch, RunTime: 1}, Packing: 1}
 	best, _ := r.choose(now, item)
 	return best
 }
@@ -160,4 +161,7 @@
 	if r.earmark != nil && !now.Before(r.earmark.until) {
 		r.earmark = nil
 	}
+	if r.kept != nil && !now.Before(r.kept.until) {
+		r.endKeep(r.kept.job)
+	}
 }
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -77,7 +77,9 @@
 	health       *health.Judge
 	// learned has the largest reported use of a task by job, for the jobs that
 	// use more than they declare.
-	learned   map[string]leverdyke.Resources
+	learned map[string]leverdyke.Resources
+	// kept is the VM that is kept for a starved task; nil for none.
+	kept      *keep
 	nextGrant uint64
 	isChanged bool
 	out       Output
@@ -343,8 +345,10 @@
 		}
 		free := r.free(v).Max(leverdyke.Resources{})
 		room.Workers++
-		room.Free = room.Free.Add(free)
-		room.Largest = room.Largest.Max(free)
+		if !r.isKept(now, v) {
+			room.Free = room.Free.Add(free)
+			room.Largest = room.Largest.Max(free)
+		}
 		room.Capacity = room.Capacity.Max(v.capacity)
 		room.Yield = room.Yield.Max(r.yield(v))
 		countServices(v, free, services)
