tools/measure: let the log be out for as long as one likes

A run of 24 minutes was refused at once: its batch had 34,560 tasks, and a job has at most 20,000.

The work is submitted as jobs of 10,000 tasks.

--- a/tools/measure/logout.go
+++ b/tools/measure/logout.go
@@ -18,8 +18,12 @@
 	logOutLease = 8 * time.Second
 	// logOutTasks a second is what the cell of this measurement can run.
 	logOutTasks = 24
+	// logOutJob is how many of them are one job.
+	logOutJob = 10000
 )
 
+func batchName(at int) string { return fmt.Sprint("batch-", at) }
+
 // logOut measures what goes on and what is refused while the log is out, with
 // a node killed in the middle.
 func logOut(binary string) error {
@@ -32,8 +36,11 @@
 			}
 		}
 		tasks := int(logOutTime.Seconds()) * logOutTasks
-		if err := submit(c, "batch", fmt.Sprintf("kind: batch\ntasks: %d\neach: {milli_cpu: 1000, memory_mib: 10}\nrun_time: 4s\n", tasks)); err != nil {
-			return err
+		for at := 0; at < tasks; at += logOutJob {
+			job := fmt.Sprintf("kind: batch\ntasks: %d\neach: {milli_cpu: 1000, memory_mib: 10}\nrun_time: 4s\n", min(tasks-at, logOutJob))
+			if err := submit(c, batchName(at), job); err != nil {
+				return err
+			}
 		}
 		if err := awaitRunning(c, 20); err != nil {
 			return err
@@ -69,14 +76,19 @@
 		return err
 	}
 	isBack := standin.Await(patience+*logOutTime, func() bool {
-		j, err := c.Client().Job(context.Background(), "batch")
-		return err == nil && j.IsEnded
+		for at := 0; at < tasks; at += logOutJob {
+			j, err := c.Client().Job(context.Background(), batchName(at))
+			if err != nil || !j.IsEnded {
+				return false
+			}
+		}
+		return true
 	})
 	end := c.Platform.Oracle.Report()
 	fmt.Printf("| the log out for %v (%.0f leases of %v), a node killed after half of it | |\n|---|---|\n", *logOutTime, float64(*logOutTime)/float64(logOutLease), logOutLease)
 	fmt.Printf("| repeatable requests answered, not run | %d, %d |\n| once-only requests answered, not run | %d, %d |\n", counts["plain ran"], counts["plain not-run"], counts["deeds ran"], counts["deeds not-run"])
 	fmt.Printf("| tasks started before the kill, after it | %d, %d |\n| leases lapsed | %d |\n", killed-before.Starts, r.Starts-killed, r.Lapses)
-	fmt.Printf("| most resident memory of a node (MiB) | %.1f |\n| batch of %d done afterwards | %v |\n", most, tasks, isBack)
+	fmt.Printf("| most resident memory of a node (MiB) | %.1f |\n| %d tasks done afterwards | %v |\n", most, tasks, isBack)
 	fmt.Printf("| starts in all, double runs, over-commits | %d, %d, %d |\n", end.Starts, end.DoubleRuns, end.OverCommits)
 	return nil
 }
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -30,7 +30,7 @@
 	do   func(binary string) error
 }
 
-var logOutTime = flag.Duration("logout", time.Minute, "how long the log is out; 24m are as many leases of 8 s as an hour has of 20 s")
+var logOutTime = flag.Duration("logout", time.Minute, "how long the log is out; 24m has as many leases of 8 s as an hour has of 20 s")
 
 func main() {
 	bin := flag.String("bin", "bin", "where the programs are")
