internal/home: learn from a rack what a job's tasks will take

The home asked each rack again and again, and each refusal shut the rack for all of the home's jobs for 300 ms.

Such a refusal says what the task is expected to take; the home chooses racks by that from then on, and does not shut the rack. Doubts of nodes that have left are forgotten.

TestRefusalForUseShutsNoRackForOtherJobs: without the word, the job is asked for at the next rack at once and the other job's ask finds its rack shut; with it, the other job is asked for within 10 ms and the hungry one only when a rack has room for it.

--- a/internal/core/doubt.go
+++ b/internal/core/doubt.go
@@ -77,7 +77,7 @@
 // if it hears few at all.
 func (c *Core) doubt(now time.Time) {
 	for n := range c.doubts.open {
-		if !c.members.IsSuspect(now, n) {
+		if m := c.state.Members[n]; m == nil || m.HasLeft || !c.members.IsSuspect(now, n) {
 			delete(c.doubts.open, n)
 		}
 	}
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -170,3 +170,47 @@
 		})
 	}
 }
+
+// A rack that refuses a task because its job uses more than it declares is not
+// full: it is asked for other jobs at once, and for this one when it has more.
+func TestRefusalForUseShutsNoRackForOtherJobs(t *testing.T) {
+	h := newMovedHome(jobSpec(leverdyke.KindBatch))
+	h.EndJobs([]string{"deeds"})
+	for _, n := range racks {
+		h.OnNews(begin, whole(n))
+	}
+	add := func(id string) {
+		spec := jobSpec(leverdyke.KindBatch)
+		spec.ID = id
+		h.AddJob(begin, id, &state.Job{Spec: spec, Number: 2, Marks: make([]state.Mark, 1)}, true)
+	}
+	asks := func(at time.Duration) map[string]state.ShardID {
+		h.Tick(begin.Add(at))
+		list := map[string]state.ShardID{}
+		for _, m := range h.Take().ToRack {
+			if a := m.Message.Ask; a != nil {
+				list[a.Items[0].Task.Key.Task.Job] = a.Rack
+				if a.Items[0].Task.Key.Task.Job == "hungry" {
+					expected := leverdyke.Resources{MilliCPU: 500, MemoryMiB: 40000, Slots: 1}
+					h.OnAnswer(begin.Add(at), &node.Answer{Home: homeID, Rack: a.Rack, RackEpoch: rackEpoch, Results: []node.AnswerResult{
+						{Key: a.Items[0].Task.Key, Refused: "no room", Expected: &expected},
+					}})
+				}
+			}
+		}
+		return list
+	}
+	add("hungry")
+	if got := asks(0); got["hungry"] == "" {
+		t.Fatalf("got: %v, want: it is asked for", got)
+	}
+	add("modest")
+	if got := asks(10 * time.Millisecond); got["modest"] == "" || got["hungry"] != "" {
+		t.Errorf("got: %v, want: the modest one alone, at once", got)
+	}
+	more := leverdyke.Resources{MilliCPU: 64000, MemoryMiB: 64000, Slots: 64}
+	h.OnRoom(&node.Room{Rack: racks[1], Epoch: rackEpoch, Workers: 1, Free: more, Largest: more, Capacity: more})
+	if got := asks(20 * time.Millisecond); got["hungry"] != racks[1] {
+		t.Errorf("got: %v, want: asked for where there is room for it", got)
+	}
+}
--- a/internal/home/job.go
+++ b/internal/home/job.go
@@ -72,6 +72,9 @@
 	// isEnding means that no task starts any more.
 	isEnding bool
 	gang     gang
+	// expected is the most that a rack has told its tasks to take; zero while
+	// that is what they declare.
+	expected leverdyke.Resources
 	// blockedSince is since when there is no room for any of its tasks; zero
 	// while there is. starvedAt and starvedRack are the last ask of a starved
 	// job, and the place of the rack in the order.
@@ -157,6 +160,9 @@
 	return worker.Key{Task: leverdyke.TaskID{Job: j.id, Index: i}, Attempt: j.tasks[i].attempt}
 }
 
+// need is what a rack must have for one more task.
+func (j *job) need() leverdyke.Resources { return j.spec.Each.Max(j.expected) }
+
 // setPhase moves a task and keeps the counts that hang on it: what the team
 // uses, what is asked for and runs by rack, how many tasks wait.
 func (h *Home) setPhase(j *job, i int, p phase) {
--- a/internal/home/news.go
+++ b/internal/home/news.go
@@ -48,7 +48,11 @@
 	}
 	// The home keeps to its own order of racks, so that homes keep out of each
 	// other's way, and goes on in it after a refusal (docs/MEASUREMENTS.md).
-	if !h.isStarvedAsk(j) {
+	switch {
+	case r.Expected != nil:
+		// The rack has room, but not for what the task will take.
+		j.expected = j.expected.Max(*r.Expected)
+	case !h.isStarvedAsk(j):
 		h.offset = slices.Index(h.order, a.Rack) + 1
 		v.shutUntil = now.Add(refusedShut)
 	}
--- a/internal/home/scan.go
+++ b/internal/home/scan.go
@@ -184,7 +184,7 @@
 
 // chooseRack returns the index of the rack to ask, or -1.
 func (h *Home) chooseRack(s *scanner, j *job) int {
-	need := j.spec.Each
+	need := j.need()
 	if s.failed[need] {
 		return h.chooseYield(s, j)
 	}
--- a/internal/node/message.go
+++ b/internal/node/message.go
@@ -153,6 +153,9 @@
 	// Worker is where it runs; empty when it was refused.
 	Worker  worker.ID `msgpack:"w,omitempty"`
 	Refused string    `msgpack:"x,omitempty"`
+	// Expected is set when the task was refused because others of its job use
+	// more than they declare: what it will most likely take.
+	Expected *leverdyke.Resources `msgpack:"e,omitempty"`
 }
 
 // Deed tells a rack's owner to do something to a home's attempts.
--- a/internal/rack/asks.go
+++ b/internal/rack/asks.go
@@ -220,11 +220,25 @@
 }
 
 func (r *Rack) answerRefused(ask *node.Ask, key worker.Key, why string) {
+	r.refuse(ask, node.AnswerResult{Key: key, Refused: why})
+}
+
+func (r *Rack) refuse(ask *node.Ask, result node.AnswerResult) {
 	if ask == nil {
 		return
 	}
-	r.settledOf(ask.Home).why[key.Attempt] = why
-	r.answer(ask, node.AnswerResult{Key: key, Refused: why})
+	r.settledOf(ask.Home).why[result.Key.Attempt] = result.Refused
+	r.answer(ask, result)
+}
+
+// refuseForRoom refuses an ask for which there is no room, and tells the home
+// if more was needed than the task declares.
+func (r *Rack) refuseForRoom(p pendingAsk) {
+	result := node.AnswerResult{Key: p.item.Task.Key, Refused: whyNoRoom}
+	if need := r.expected(&p.item.Task); need != p.item.Task.Each {
+		result.Expected = &need
+	}
+	r.refuse(p.ask, result)
 }
 
 // answer adds a result to the answers, joined with others for the same home.
--- a/internal/rack/urgent.go
+++ b/internal/rack/urgent.go
@@ -33,16 +33,16 @@
 
 // settleUrgent makes room for urgent work by pushing others aside, or refuses.
 func (r *Rack) settleUrgent(now time.Time, p pendingAsk) {
-	key := p.item.Task.Key
 	if p.item.Task.Class != leverdyke.ClassUrgent {
-		r.answerRefused(p.ask, key, whyNoRoom)
+		r.refuseForRoom(p)
 		return
 	}
 	v, pushes := r.cheapest(now, p.item)
 	if v == nil {
-		r.answerRefused(p.ask, key, whyNoRoom)
+		r.refuseForRoom(p)
 		return
 	}
+	key := p.item.Task.Key
 	id := holdID{home: state.ShardID(key.String())}
 	r.holds[id] = &hold{each: r.expected(&p.item.Task), places: map[worker.ID]int{v.id: 1}, until: now.Add(maxHold)}
 	r.urgents = append(r.urgents, &urgent{p, v, id, now})
@@ -115,7 +115,7 @@
 		if now.Sub(u.since) < urgentPatience {
 			return false
 		}
-		r.answerRefused(u.ask.ask, u.ask.item.Task.Key, whyNoRoom)
+		r.refuseForRoom(u.ask)
 		return true
 	})
 }
