internal/home: place services when all racks have told their room

The quickstart's table showed all replicas of a service in one rack of one zone. It is submitted within a second of the cell's start, when its home had heard of one rack's room only; and a home that moves to another node knew of that node's own racks until the others told theirs anew, up to 15 s later. Services stay where they are placed: a rack's loss would have taken all of it.

Services wait for racks of a new owner to tell their room, for at most 2 s (urgent ones do not); a node keeps the summaries it hears for homes that come to it later.

TestMovedHomeSpreadsAServiceAtOnce: without the kept summaries not two in each zone, with them two and two. TestServiceWaitsForTheRoomOfAllRacks.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -130,6 +130,9 @@
 	fenced    map[state.ShardID]worker.Epoch
 	deputised map[state.ShardID]deputy
 	claiming  map[state.ShardID]uint64
+	// rooms has the last summary of each rack of the region, for homes that come
+	// here later; none is changed once it is kept.
+	rooms map[state.ShardID]*node.Room
 	// rackCapacity has the largest VM that each rack has told of.
 	rackCapacity map[state.ShardID]leverdyke.Resources
 
@@ -190,6 +193,7 @@
 		members:  membership.NewTable(options.Self.Node, membership.NewTableOptions{}),
 		policies: policy.NewSet(), racks: map[state.ShardID]*ownedRack{}, homes: map[state.ShardID]*home.Home{},
 		fenced: map[state.ShardID]worker.Epoch{}, deputised: map[state.ShardID]deputy{}, claiming: map[state.ShardID]uint64{},
+		rooms:        map[state.ShardID]*node.Room{},
 		rackCapacity: map[state.ShardID]leverdyke.Resources{}, startedAt: out.Now(), tail: tail.NewBuffer(-1), silent: map[state.NodeID]time.Time{},
 		onceWaiting: map[uint64]*onceWait{}, doubts: doubts{open: map[state.NodeID]doubted{}},
 	}
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -164,7 +164,7 @@
 			o.isRoomTold = false
 		}
 		o.room = room
-		c.onRoom(&o.room)
+		c.onRoom(&room)
 	}
 }
 
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -192,7 +192,8 @@
 		IsLogOut: hb.IsLogOut, IsDraining: hb.IsDraining, Suspects: hb.Suspects,
 	})
 	for i := range hb.Rooms {
-		c.onRoom(&hb.Rooms[i])
+		room := hb.Rooms[i]
+		c.onRoom(&room)
 	}
 	c.onDeputised(from.Node, hb.Deputised)
 }
@@ -201,6 +202,7 @@
 	if room.Workers > 0 {
 		c.rackCapacity[room.Rack] = c.rackCapacity[room.Rack].Max(room.Capacity)
 	}
+	c.rooms[room.Rack] = room
 	c.options.Router.OnRoom(room)
 	for _, id := range sorted(c.homes) {
 		c.homes[id].OnRoom(room)
--- a/internal/core/owners.go
+++ b/internal/core/owners.go
@@ -114,9 +114,9 @@
 	h := home.NewHome(now, id, cur.Epoch, c, home.NewHomeOptions{})
 	c.homes[id] = h
 	c.changed(events.ShardOwned, id, cur.Epoch)
-	h.SetRacks(c.rackInfos())
-	for _, rack := range sorted(c.racks) {
-		h.OnRoom(&c.racks[rack].room)
+	h.SetRacks(now, c.rackInfos())
+	for _, rack := range sorted(c.rooms) {
+		h.OnRoom(c.rooms[rack])
 	}
 	for _, job := range sorted(c.state.Jobs) {
 		j := c.state.Jobs[job]
@@ -149,7 +149,7 @@
 	}
 	infos := c.rackInfos()
 	for _, h := range c.homes {
-		h.SetRacks(infos)
+		h.SetRacks(c.now(), infos)
 	}
 }
 
--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -13,6 +13,7 @@
 	"github.com/leverdyke/leverdyke/internal/ownership"
 	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/worker"
 )
 
 func newReadyWorld(t *testing.T, seed uint64) *world {
@@ -280,3 +281,27 @@
 	t.Logf("%v until it ran", waited)
 	w.check(t)
 }
+
+// A home that has just moved knows the rooms of all racks: its new owner keeps
+// what it heard before.
+func TestMovedHomeSpreadsAServiceAtOnce(t *testing.T) {
+	w := newReadyWorldOf(t, worldOptions{nodes: 3, racks: 4, workers: 2, seed: 52})
+	shard := string(ownership.HomeShard(region, "filings"))
+	w.run(20 * time.Second)
+	w.ownerOf(shard).kill()
+	for range 200 {
+		if w.ownerOf(shard) != nil {
+			break
+		}
+		w.run(step)
+	}
+	w.mustSubmit(t, serviceSpec("service", 4))
+	w.run(4 * time.Second)
+	zones := map[string]int{}
+	for _, vm := range w.vms {
+		zones[vm.Zone] += w.workers[worker.ID(vm.Name)].Running("service")
+	}
+	if zones["z0"] != 2 || zones["z1"] != 2 {
+		t.Errorf("got: %v, want: two in each zone", zones)
+	}
+}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -46,10 +46,13 @@
 	askRetry           = time.Second
 	syncRetry          = time.Second
 	scanPeriod         = 250 * time.Millisecond
-	refusedShut        = 300 * time.Millisecond
-	firstBackoff       = time.Second
-	maxBackoff         = 2 * time.Minute
-	finalsRetry        = time.Second
+	// roomPatience is how long services wait for racks to tell their room; they
+	// do so once a second at least when it is new.
+	roomPatience = 2 * time.Second
+	refusedShut  = 300 * time.Millisecond
+	firstBackoff = time.Second
+	maxBackoff   = 2 * time.Minute
+	finalsRetry  = time.Second
 	// finalsPeriod joins ends into few records: nobody waits for them.
 	finalsPeriod = time.Second
 )
@@ -92,6 +95,8 @@
 // rackView is what the home knows of a rack.
 type rackView struct {
 	epoch worker.Epoch
+	// since is when the home heard of the epoch.
+	since time.Time
 	// isSynced means that the rack's owner of this epoch has told all that runs
 	// there, and that nothing else may.
 	isSynced bool
@@ -193,7 +198,7 @@
 
 // SetRacks tells the home which racks there are and under which epochs. A new
 // epoch has to tell everything before the home decides about what ran there.
-func (h *Home) SetRacks(racks []RackInfo) {
+func (h *Home) SetRacks(now time.Time, racks []RackInfo) {
 	for _, info := range racks {
 		v := h.racks[info.ID]
 		if v == nil {
@@ -203,7 +208,7 @@
 			slices.Sort(h.order)
 		}
 		if info.Epoch > v.epoch {
-			*v = rackView{epoch: info.Epoch, capacity: v.capacity}
+			*v = rackView{epoch: info.Epoch, since: now, capacity: v.capacity}
 			h.isDirty = true
 		}
 	}
@@ -226,6 +231,18 @@
 	v.capacity = v.capacity.Max(room.Capacity)
 }
 
+// isRoomAwaited reports whether a rack has not told its room and may do so at
+// any moment: a service that is placed now could not be spread over it, and
+// stays where it is.
+func (h *Home) isRoomAwaited(now time.Time) bool {
+	for _, v := range h.racks {
+		if !v.hasRoom && now.Sub(v.since) < roomPatience {
+			return true
+		}
+	}
+	return false
+}
+
 // askedAt is what is asked for at a rack and not answered.
 func (h *Home) askedAt(rack state.ShardID) leverdyke.Resources {
 	sum := leverdyke.Resources{}
--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -42,14 +42,19 @@
 	for _, id := range racks {
 		infos = append(infos, home.RackInfo{ID: id, Epoch: rackEpoch})
 	}
-	h.SetRacks(infos)
+	h.SetRacks(begin, infos)
 	for _, id := range racks {
-		h.OnRoom(&node.Room{Rack: id, Epoch: rackEpoch, Workers: 1, Free: large, Largest: large, Capacity: large})
+		h.OnRoom(roomOf(id))
 	}
 	h.AddJob(begin, spec.ID, &state.Job{Spec: spec, Number: 1, Marks: make([]state.Mark, spec.Tasks)}, false)
 	return h
 }
 
+// roomOf is the summary of a rack with one empty worker.
+func roomOf(rack state.ShardID) *node.Room {
+	return &node.Room{Rack: rack, Epoch: rackEpoch, Workers: 1, Free: large, Largest: large, Capacity: large}
+}
+
 func jobSpec(kind leverdyke.Kind) leverdyke.JobSpec {
 	return leverdyke.JobSpec{
 		ID: "deeds", Team: "filings", Region: "r1", Kind: kind, Class: leverdyke.ClassNormal, Tasks: 1,
@@ -214,3 +219,56 @@
 		t.Errorf("got: %v, want: asked for where there is room for it", got)
 	}
 }
+
+// A service stays where it is placed: it waits for the racks over which it could
+// be spread to tell their room, but not for ever. Tasks that end do not wait.
+func TestServiceWaitsForTheRoomOfAllRacks(t *testing.T) {
+	const tasks = 2
+	for name, c := range map[string]struct {
+		kind leverdyke.Kind
+		// toldAt is when the second rack tells its room; 0 means never.
+		toldAt, want time.Duration
+		isSpread     bool
+	}{
+		"a service":                       {leverdyke.KindService, time.Second, time.Second, true},
+		"a service, and a silent rack":    {leverdyke.KindService, 0, 2 * time.Second, false},
+		"a batch takes what is there now": {leverdyke.KindBatch, time.Second, 0, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := home.NewHome(begin, homeID, homeEpoch, openPolicies{}, home.NewHomeOptions{})
+			h.SetRacks(begin, []home.RackInfo{{ID: racks[0], Epoch: rackEpoch}, {ID: racks[1], Epoch: rackEpoch}})
+			h.OnRoom(roomOf(racks[0]))
+			if c.toldAt == 0 {
+				// Known from an earlier owner, so that the job is not held back by that.
+				h.OnRoom(&node.Room{Rack: racks[1], Epoch: rackEpoch, Capacity: large})
+				h.SetRacks(begin, []home.RackInfo{{ID: racks[1], Epoch: rackEpoch + 1}})
+			}
+			spec := jobSpec(c.kind)
+			spec.Tasks = tasks
+			h.AddJob(begin, spec.ID, &state.Job{Spec: spec, Number: 1, Marks: make([]state.Mark, tasks)}, true)
+			asked, first := map[state.ShardID]int{}, time.Duration(-1)
+			for at := time.Duration(0); at < 4*time.Second; at += 100 * time.Millisecond {
+				if c.toldAt > 0 && at == c.toldAt {
+					h.OnRoom(roomOf(racks[1]))
+				}
+				h.Tick(begin.Add(at))
+				for _, m := range h.Take().ToRack {
+					if m.Message.Ask == nil {
+						continue
+					}
+					if first < 0 {
+						first = at
+					}
+					asked[m.Rack]++
+				}
+			}
+			// A home scans four times a second.
+			if late := first - c.want; late < 0 || late > 250*time.Millisecond {
+				t.Errorf("got: first asked after %v, want: %v", first, c.want)
+			}
+			if got := len(asked) == len(racks); got != c.isSpread {
+				t.Errorf("got: asked at %v, want: spread %v", asked, c.isSpread)
+			}
+		})
+	}
+}
--- a/internal/home/scan.go
+++ b/internal/home/scan.go
@@ -30,6 +30,7 @@
 	whyTurn     = "more urgent or older work goes first"
 	whyStarting = "its tasks are being started"
 	whyIntent   = "its tasks may run once only, and the log has not taken their intent yet"
+	whyRooms    = "a rack has a new owner and has not told its room yet"
 	whyNoRacks  = "no rack of the region has an owner that this node knows"
 )
 
@@ -136,6 +137,11 @@
 
 // trySingles asks for up to limit tasks, each on its own.
 func (h *Home) trySingles(s *scanner, j *job, limit int) queue.Result {
+	isUrgent := j.spec.Class == leverdyke.ClassUrgent
+	if j.spec.Kind == leverdyke.KindService && !isUrgent && h.isRoomAwaited(s.now) {
+		j.why = whyRooms
+		return queue.Skipped
+	}
 	started := 0
 	j.why = whyDelay
 	isBlocked := false
