internal/sizes: learn what tasks take apart from placing

Cause. internal/rack is the largest package; what is learned of jobs hangs on nothing else in it, and rack.go had the rack's state and its summaries in one file of 480 lines.

Change. internal/sizes learns and expects; room.go tells.

Tests unchanged and green; TestExpected has the six cases by themselves, TestWhatIsRememberedIsBounded 10,000 jobs.

--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -14,6 +14,7 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/health"
 	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/sizes"
 	"github.com/leverdyke/leverdyke/internal/state"
 	"github.com/leverdyke/leverdyke/internal/vmlist"
 	"github.com/leverdyke/leverdyke/internal/worker"
@@ -75,9 +76,7 @@
 	holds        map[holdID]*hold
 	earmark      *earmark
 	health       *health.Judge
-	// learned has the largest reported use of a task by job, for the jobs that
-	// use more than they declare.
-	learned map[string]leverdyke.Resources
+	learned      *sizes.Learned
 	// kept is the VM that is kept for a starved task; nil for none.
 	kept      *keep
 	nextGrant uint64
@@ -227,7 +226,7 @@
 		ID: id, Epoch: epoch, options: options, began: now,
 		vms: map[worker.ID]*vm{}, held: map[worker.Key]*held{}, byTask: map[leverdyke.TaskID]worker.Key{},
 		homes: map[state.ShardID]uint64{}, synced: map[state.ShardID]bool{},
-		settled: map[state.ShardID]*settled{}, holds: map[holdID]*hold{}, health: health.NewJudge(), learned: map[string]leverdyke.Resources{},
+		settled: map[state.ShardID]*settled{}, holds: map[holdID]*hold{}, health: health.NewJudge(), learned: sizes.NewLearned(),
 	}
 }
 
@@ -333,141 +332,6 @@
 	return isFresh && !v.isSilent && !v.isLeaving && !v.isListedLeaving && !v.isDrained && !v.isGone && !r.options.IsDeputy
 }
 
-// Room returns the rack's summary.
-func (r *Rack) Room(now time.Time) node.Room {
-	room := node.Room{Rack: r.ID, Epoch: r.Epoch}
-	services := map[string]*node.ServiceRoom{}
-	for _, id := range r.order {
-		v := r.vms[id]
-		room.Zone = v.zone
-		if !r.isUsable(now, v) || r.health.IsSetAside(now, v.id) {
-			continue
-		}
-		free := r.free(v).Max(leverdyke.Resources{})
-		room.Workers++
-		if !r.isKept(now, v) {
-			room.Free = room.Free.Add(free)
-			room.Largest = room.Largest.Max(free)
-		}
-		room.Capacity = room.Capacity.Max(v.capacity)
-		room.Yield = room.Yield.Max(r.yield(v))
-		countServices(v, free, services)
-	}
-	for _, s := range services {
-		room.Services = append(room.Services, *s)
-	}
-	slices.SortFunc(room.Services, func(a, b node.ServiceRoom) int {
-		if a.Service < b.Service {
-			return -1
-		}
-		return 1
-	})
-	return room
-}
-
-func countServices(v *vm, free leverdyke.Resources, services map[string]*node.ServiceRoom) {
-	for _, h := range v.held {
-		if h.phase != phaseRunning || h.task.Service == "" || h.task.Holder != "" {
-			continue
-		}
-		s := services[h.task.Service]
-		if s == nil {
-			s = &node.ServiceRoom{Service: h.task.Service}
-			services[h.task.Service] = s
-		}
-		s.Replicas++
-		slots := h.task.Request.Count(free)
-		s.Slots += int(slots)
-		s.Yield += int(h.task.Request.Count(yieldTo(v, free)) - slots)
-	}
-}
-
-// yield is what preemption for urgent work could leave on a worker at most.
-func (r *Rack) yield(v *vm) leverdyke.Resources {
-	free := r.free(v)
-	for _, h := range v.held {
-		if h.phase == phaseRunning && !h.task.IsOnce && h.task.Holder == "" && h.task.Class != leverdyke.ClassUrgent {
-			free = free.Add(h.task.Charge())
-		}
-	}
-	return free.Max(leverdyke.Resources{})
-}
-
-// Counts returns how many workers there are, how many are usable, and how many
-// attempts run.
-func (r *Rack) Counts(now time.Time) (workers, usable, running int) {
-	for _, v := range r.vms {
-		workers++
-		if r.isUsable(now, v) {
-			usable++
-		}
-		for _, h := range v.held {
-			if h.phase != phaseEnded && h.task.Holder == "" {
-				running++
-			}
-		}
-	}
-	return workers, usable, running
-}
-
-// Used returns what the attempts and grants take, and what there is in all.
-func (r *Rack) Used() (used, capacity leverdyke.Resources) {
-	for _, v := range r.vms {
-		capacity = capacity.Add(v.capacity)
-		for _, h := range v.held {
-			if h.phase != phaseEnded {
-				used = used.Add(h.task.Charge())
-			}
-		}
-	}
-	return used, capacity
-}
-
-// WorkerStatus is what an operator sees of a worker.
-type WorkerStatus struct {
-	ID       worker.ID           `json:"id"`
-	Rack     state.ShardID       `json:"rack"`
-	Zone     string              `json:"zone"`
-	Status   string              `json:"status"`
-	Running  int                 `json:"running"`
-	Free     leverdyke.Resources `json:"free"`
-	Capacity leverdyke.Resources `json:"capacity"`
-}
-
-// Status lists the rack's workers.
-func (r *Rack) Status(now time.Time) []WorkerStatus {
-	list := make([]WorkerStatus, 0, len(r.order))
-	for _, id := range r.order {
-		v := r.vms[id]
-		s := WorkerStatus{ID: id, Rack: r.ID, Zone: v.zone, Status: r.statusOf(now, v), Free: r.free(v), Capacity: v.capacity}
-		for _, h := range v.held {
-			if h.phase != phaseEnded {
-				s.Running++
-			}
-		}
-		list = append(list, s)
-	}
-	return list
-}
-
-func (r *Rack) statusOf(now time.Time, v *vm) string {
-	switch {
-	case v.isGone:
-		return "gone"
-	case v.isDrained:
-		return "drained"
-	case v.isLeaving || v.isListedLeaving:
-		return "leaving"
-	case !v.isKnown:
-		return "unknown"
-	case r.health.IsSetAside(now, v.id):
-		return "set-aside"
-	case !r.isUsable(now, v):
-		return "unreachable"
-	}
-	return "live"
-}
-
 // TakeChanged reports whether the summary may have changed since the last call.
 func (r *Rack) TakeChanged() bool {
 	isChanged := r.isChanged
--- a/internal/rack/sizes.go
+++ b/internal/rack/sizes.go
@@ -11,38 +11,20 @@
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
 
-// maxLearned bounds the jobs whose use is remembered.
-const maxLearned = 512
-
-// learn remembers the largest use that a task of the job has reported here, if
-// it is above what was declared: the next one will most likely use as much.
+// learn takes the use that an attempt has reported.
 func (r *Rack) learn(h *held) {
-	if h.task.Holder != "" || h.task.Usage.FitsIn(h.task.Each) {
-		return
-	}
-	job := h.task.Key.Task.Job
-	if _, ok := r.learned[job]; !ok && len(r.learned) >= maxLearned {
-		clear(r.learned)
+	if h.task.Holder == "" {
+		r.learned.Report(h.task.Key.Task.Job, h.task.Each, h.task.Usage)
 	}
-	r.learned[job] = r.learned[job].Max(h.task.Usage)
 }
 
-// expected is what a task will most likely take: what it declares, or what
-// others of its job have used here. It is never more than the largest VM has,
-// so that a task that can run is not kept from running.
+// expected is what a task will most likely take here.
 func (r *Rack) expected(t *worker.Task) leverdyke.Resources {
-	used, ok := r.learned[t.Key.Task.Job]
-	if !ok {
-		return t.Each
-	}
 	largest := leverdyke.Resources{}
 	for _, v := range r.vms {
 		largest = largest.Max(v.capacity)
 	}
-	need := t.Each
-	need.MilliCPU = max(need.MilliCPU, min(used.MilliCPU, largest.MilliCPU))
-	need.MemoryMiB = max(need.MemoryMiB, min(used.MemoryMiB, largest.MemoryMiB))
-	return need
+	return r.learned.Expected(t.Key.Task.Job, t.Each, largest)
 }
 
 // relieve pushes tasks off the VMs whose tasks use more than there is, because
