internal/rack: report a VM that is overused and cannot be relieved

Tasks that are urgent or may not be repeated are never pushed off; if they use more than they declare, the VM stays overused and nobody is told.

LD0436, once a minute for each such VM, with by how much.

--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -186,6 +186,7 @@
 	rack.EventWorkerBack:     events.WorkerBack,
 	rack.EventWorkerSilent:   events.WorkerSilent,
 	rack.EventWorkerLeaving:  events.WorkerLeaving,
+	rack.EventWorkerOverused: events.WorkerOverused,
 	rack.EventPreempted:      events.TaskPreempted,
 	rack.EventLateTask:       events.TaskLate,
 	rack.EventComplete:       events.RackComplete,
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -84,6 +84,7 @@
 	WorkerBack       = add(433, "worker is in use again", LevelInfo)
 	WorkerSilent     = add(434, "worker does not answer", LevelWarning)
 	WorkerLeaving    = add(435, "worker is leaving", LevelInfo)
+	WorkerOverused   = add(436, "worker is used beyond what it has, and nothing can be pushed off", LevelWarning)
 	OnceKeyElsewhere = add(440, "request was run by another node", LevelInfo)
 	AnswersGiven     = add(441, "answers for retries given to a peer", LevelInfo)
 )
--- a/internal/rack/rack.go
+++ b/internal/rack/rack.go
@@ -102,6 +102,8 @@
 	// isLeaving is the worker's own word; isListedLeaving the list's; isDrained
 	// the operator's.
 	isLeaving, isListedLeaving, isDrained, isGone bool
+	// overusedAt is when it was last reported to be used beyond what it has.
+	overusedAt time.Time
 	// isSilent means that it did not answer the last time; it gets nothing new.
 	isSilent bool
 	held     map[worker.Key]*held
@@ -204,6 +206,7 @@
 const (
 	EventWorkerSilent   EventKind = "worker-silent"
 	EventWorkerLeaving  EventKind = "worker-leaving"
+	EventWorkerOverused EventKind = "worker-overused"
 	EventWorkerLost     EventKind = "worker-lost"
 	EventWorkerSetAside EventKind = "worker-set-aside"
 	EventWorkerProbed   EventKind = "worker-probed"
--- a/internal/rack/sizes.go
+++ b/internal/rack/sizes.go
@@ -11,6 +11,9 @@
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
 
+// overusedPeriod is how often a VM that stays overused is reported.
+const overusedPeriod = time.Minute
+
 // learn takes the use that an attempt has reported.
 func (r *Rack) learn(h *held) {
 	if h.task.Holder == "" {
@@ -42,10 +45,24 @@
 		if pushes == nil {
 			pushes = placement.Preempt(zero, free, leverdyke.ClassUrgent, victims)
 		}
+		if pushes == nil {
+			r.noteOverused(now, v)
+			continue
+		}
 		r.push(now, v, pushes, "its VM is used beyond what it has")
 	}
 }
 
+// noteOverused tells the operator now and then of a VM that nothing can be
+// pushed off.
+func (r *Rack) noteOverused(now time.Time, v *vm) {
+	if now.Sub(v.overusedAt) < overusedPeriod {
+		return
+	}
+	v.overusedAt = now
+	r.event(EventWorkerOverused, v.id, worker.Key{}, "beyond it: "+zero.Sub(r.free(v)).Max(zero).String())
+}
+
 // hasDeeds reports whether orders are under way that may make room.
 func hasDeeds(v *vm) bool {
 	for _, h := range v.held {
--- a/internal/rack/sizes_test.go
+++ b/internal/rack/sizes_test.go
@@ -178,12 +178,18 @@
 				}
 			}
 			b.run(20)
-			pushes := 0
+			pushes, reports := 0, 0
 			for _, e := range b.events {
-				if e.Kind == rack.EventPreempted {
+				switch e.Kind {
+				case rack.EventPreempted:
 					pushes++
+				case rack.EventWorkerOverused:
+					reports++
 				}
 			}
+			if want := c.change != nil; (reports == 1) != want {
+				t.Errorf("got: %d reports to the operator, want one: %v", reports, want)
+			}
 			if pushes > 4 {
 				t.Errorf("got: %d tasks pushed, want: at most one push a task", pushes)
 			}
