internal/home: bound the ends that wait for the log

Cause. 18 minutes without the log, with a batch at 20 starts a second, took a node to 30.1 MiB resident of the 32 it may have: each end that the log has not taken is kept by the home, the rack's owner and the worker, and nothing bounded how many there are. An hour would not have fitted.

A home with 1,000 ends that wait starts only services until the log takes them; job explain says so.

TestEndsThatWaitForTheLogAreBounded: without the bound 2,000 of 2,000 started with the log out, with it 1,000 and what was asked for at once, and all 2,000 when the log is back.

--- a/internal/home/home_test.go
+++ b/internal/home/home_test.go
@@ -272,3 +272,50 @@
 		})
 	}
 }
+
+// While the log takes no ends, only so many tasks are started whose ends have
+// to be kept; when it takes them again, the rest follows.
+func TestEndsThatWaitForTheLogAreBounded(t *testing.T) {
+	const tasks, bound = 2000, 1000
+	h := newMovedHome(jobSpec(leverdyke.KindService))
+	for _, id := range racks {
+		h.OnNews(begin, whole(id))
+	}
+	spec := jobSpec(leverdyke.KindBatch)
+	spec.ID, spec.Tasks = "batch", tasks
+	h.AddJob(begin, spec.ID, &state.Job{Spec: spec, Number: 2, Marks: make([]state.Mark, tasks)}, true)
+	started := 0
+	now := begin
+	play := func(seconds int, fate error) {
+		for range 10 * seconds {
+			now = now.Add(100 * time.Millisecond)
+			h.Tick(now)
+			out := h.Take()
+			for _, r := range out.Records {
+				h.OnRecorded(now, r.Token, fate)
+			}
+			for _, m := range out.ToRack {
+				if m.Message.Ask == nil {
+					continue
+				}
+				h.OnRoom(roomOf(m.Rack))
+				for _, item := range m.Message.Ask.Items {
+					k := item.Task.Key
+					h.OnAnswer(now, &node.Answer{Home: homeID, Rack: m.Rack, RackEpoch: rackEpoch, Results: []node.AnswerResult{{Key: k, Worker: "w"}}})
+					if k.Task.Job == "batch" {
+						started++
+						h.OnNews(now, &node.News{Home: homeID, Rack: m.Rack, RackEpoch: rackEpoch, Items: []node.NewsItem{{Key: k, State: worker.StateDone, Worker: "w"}}})
+					}
+				}
+			}
+		}
+	}
+	play(120, state.ErrNotTaken)
+	if started < bound || started > bound+64 {
+		t.Errorf("without the log: got: %d started, want: %d and what was asked for at once", started, bound)
+	}
+	play(120, nil)
+	if started != tasks {
+		t.Errorf("with the log: got: %d started, want: %d", started, tasks)
+	}
+}
--- a/internal/home/records.go
+++ b/internal/home/records.go
@@ -14,6 +14,25 @@
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
 
+// maxUnrecorded is how many ends may wait for the log before no further task
+// that ends is started: each is kept here, at its rack's owner and on its
+// worker. 18 minutes without the log at 20 starts a second took a node to 31 MB.
+const maxUnrecorded = 1000
+
+// isFullOfEnds reports whether too many ends wait for the log.
+func (h *Home) isFullOfEnds() bool {
+	count := 0
+	for _, b := range h.finals {
+		count += len(b.tasks)
+	}
+	for _, r := range h.recorded {
+		if r.final != nil {
+			count += len(r.final.tasks)
+		}
+	}
+	return count >= maxUnrecorded
+}
+
 // finalKey joins ends that go into one record.
 type finalKey struct {
 	number uint64
--- a/internal/home/scan.go
+++ b/internal/home/scan.go
@@ -30,6 +30,7 @@
 	whyTurn     = "more urgent or older work goes first"
 	whyStarting = "its tasks are being started"
 	whyIntent   = "its tasks may run once only, and the log has not taken their intent yet"
+	whyEnds     = "too many ended tasks wait for the log to take their ends"
 	whyRooms    = "a rack has a new owner and has not told its room yet"
 	whyNoRacks  = "no rack of the region has an owner that this node knows"
 )
@@ -40,6 +41,8 @@
 	views []placement.RackView
 	asks  map[state.ShardID]*node.Ask
 	count int
+	// isFullOfEnds means that only services are started.
+	isFullOfEnds bool
 	// failed has the needs for which there was no room in this scan.
 	failed map[leverdyke.Resources]bool
 	// pushed counts the urgent asks by rack that will have to push others aside.
@@ -55,7 +58,7 @@
 	}
 	s := &scanner{
 		now: now, asks: map[state.ShardID]*node.Ask{}, failed: map[leverdyke.Resources]bool{},
-		pushed: map[state.ShardID]int{},
+		pushed: map[state.ShardID]int{}, isFullOfEnds: h.isFullOfEnds(),
 	}
 	for _, id := range h.order {
 		s.views = append(s.views, h.rackView(now, id))
@@ -111,6 +114,10 @@
 		j.why = whyTurn
 		return queue.Skipped
 	}
+	if s.isFullOfEnds && j.spec.Kind != leverdyke.KindService {
+		j.why = whyEnds
+		return queue.Skipped
+	}
 	allowed := h.allowed(j)
 	if allowed == 0 {
 		return queue.Skipped
