internal/core: seek a stopping node's answers before its leave is read

One of two full runs of make test failed in TestPlannedStopKeepsTheAnswersForRetries: one of five retries got may-have-run. A node that has not yet read the leave of the first node (up to 250 ms) asked that node alone, which had gone. Reading on showed worse: a node that refused a retry of the same key for want of a slot answered "not run" to whoever asked it, and since all are asked when the first has ended, that could have been told to a caller whose request ran.

All nodes of the region are asked, and the first, as soon as the first says that it stops or is not heard. That nothing ran is taken from the first alone.

--- a/internal/core/answers.go
+++ b/internal/core/answers.go
@@ -4,6 +4,9 @@
 package core
 
 import (
+	"slices"
+
+	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/node"
 	"github.com/leverdyke/leverdyke/internal/once"
@@ -16,22 +19,30 @@
 // onceWait waits for the answer to a key from one peer or several.
 type onceWait struct {
 	reply chan node.OnceReply
+	// first is whose key it is by the log. Its word alone says that nothing ran:
+	// another node may have refused a retry under the key.
+	first state.NodeID
 	// left counts the peers that have not replied.
 	left int
 }
 
 // AskOnce asks for the answer to a key that another process was first to have;
-// reply must have room for one. If that process has ended, all nodes of the
-// region are asked: it may have given its answers to one of them. The returned
-// number is for GiveUpOnce.
+// reply must have room for one. If that process stops, is silent or has ended,
+// all nodes of the region are asked: it may have given its answers to one of
+// them. The returned number is for GiveUpOnce.
 func (c *Core) AskOnce(first state.NodeID, key once.Key, reply chan node.OnceReply) uint64 {
 	c.onceID++
 	id := c.onceID
 	peers := []state.NodeID{first}
-	if owner, ok := c.state.Keys[key]; ok && !c.state.IsLive(owner) {
-		peers = c.members.Alive(c.now(), c.options.Region, false)
+	alive := c.members.Alive(c.now(), c.options.Region, false)
+	owner, ok := c.state.Keys[key]
+	switch {
+	case ok && !c.state.IsLive(owner):
+		peers = alive
+	case !slices.Contains(alive, first):
+		peers = append(alive, first)
 	}
-	w := &onceWait{reply: reply}
+	w := &onceWait{reply: reply, first: first}
 	c.onceWaiting[id] = w
 	for _, peer := range peers {
 		if c.out.Send(peer, &node.Message{OnceAsk: &node.OnceAsk{ID: id, Key: key}}) {
@@ -47,14 +58,18 @@
 // GiveUpOnce ends the wait for an answer that does not come.
 func (c *Core) GiveUpOnce(id uint64) { c.settleOnce(&node.OnceReply{ID: id}) }
 
-func (c *Core) onOnceReply(m *node.OnceReply) {
+func (c *Core) onOnceReply(from state.NodeID, m *node.OnceReply) {
 	w := c.onceWaiting[m.ID]
 	if w == nil {
 		return
 	}
 	w.left--
-	if m.IsKnown || w.left <= 0 {
+	isKnown := m.IsKnown && (m.Answer.Verdict != leverdyke.VerdictNotRun || from == w.first)
+	switch {
+	case isKnown:
 		c.settleOnce(m)
+	case w.left <= 0:
+		c.GiveUpOnce(m.ID)
 	}
 }
 
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -49,7 +49,7 @@
 	case m.OnceAsk != nil:
 		c.out.AnswerOnce(e.From.Node, m.OnceAsk)
 	case m.OnceReply != nil:
-		c.onOnceReply(m.OnceReply)
+		c.onOnceReply(e.From.Node, m.OnceReply)
 	case m.OnceKept != nil:
 		c.onOnceKept(e.From.Node, m.OnceKept)
 	case m.OnceTaken != nil:
