--- a/cmd/leverdyked/main.go
+++ b/cmd/leverdyked/main.go
@@ -74,7 +74,7 @@
 	logFlags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(logFlags)
 	run.Flags().AddGoFlagSet(logFlags)
-	root.AddCommand(run, check, version)
+	root.AddCommand(run, check, version, newPlatform())
 	return root
 }
 
--- /dev/null
+++ b/cmd/leverdyked/platform.go
@@ -0,0 +1,45 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/platform"
+)
+
+// newPlatform returns the command that runs a node on the users' platform.
+func newPlatform() *cobra.Command {
+	file := ""
+	c := &cobra.Command{
+		Use: "platform", Short: "Run a node on the users' platform until SIGTERM or SIGINT", Args: cobra.NoArgs,
+		Example: "  leverdyked platform --settings node.yaml",
+		RunE: func(*cobra.Command, []string) error {
+			sink, err := events.NewSink(os.Stdout)
+			if err != nil {
+				return err
+			}
+			defer sink.Close()
+			return platform.Run(file)
+		},
+	}
+	c.Flags().StringVarP(&file, "settings", "s", platform.SettingsPath(), "the platform's settings file")
+	check := &cobra.Command{
+		Use: "check", Short: "Check the platform's settings file and start nothing", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if _, err := platform.LoadSettings(file); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), file+": ok")
+			return err
+		},
+	}
+	check.Flags().StringVarP(&file, "settings", "s", platform.SettingsPath(), "the platform's settings file")
+	c.AddCommand(check)
+	return c
+}
--- /dev/null
+++ b/internal/cell/messages.go
@@ -0,0 +1,133 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package cell joins equal nodes: it finds out which of them owns the shard,
+// becomes the owner when there is none, and passes callers' requests on.
+package cell
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/detour"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/link"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// The kinds of messages between nodes.
+const (
+	// kindHello is the first call on a link: hello, welcome.
+	kindHello link.Kind = "hello"
+	// kindBeat is the owner's notification that it lives: beat.
+	kindBeat link.Kind = "beat"
+	// kindAlive is a follower's: alive.
+	kindAlive link.Kind = "alive"
+	// kindConfig is a configuration: configMessage.
+	kindConfig link.Kind = "config"
+	// kindClaim asks a follower to become the owner: empty, empty.
+	kindClaim link.Kind = "claim"
+	// kindSubmit hands in a job: work.Spec, answer.
+	kindSubmit link.Kind = "submit"
+	// kindState, kindCancel and kindPending ask the owner: question, answer.
+	kindState   link.Kind = "state"
+	kindCancel  link.Kind = "cancel"
+	kindPending link.Kind = "pending"
+	// kindAdvise asks which workers may run a step: adviseCall, adviseReply.
+	kindAdvise link.Kind = "advise"
+	// kindStore sends a request to the store: detour.Request, storeReply.
+	kindStore link.Kind = "store"
+)
+
+type empty struct{}
+
+// hello says who a node is.
+type hello struct {
+	Name string
+	Zone string
+	Addr netip.AddrPort
+	// Life tells the processes of one node apart.
+	Life string
+	// Age is how long the process has run.
+	Age time.Duration
+}
+
+// welcome is the answer to hello.
+type welcome struct {
+	Life    string
+	IsOwner bool
+	Epoch   uint64
+}
+
+// beat is sent by the owner.
+type beat struct {
+	Epoch uint64
+	// ConfigVersion is that of the configuration in force at the owner.
+	ConfigVersion uint64
+}
+
+// alive is sent by followers.
+type alive struct {
+	ConfigVersion uint64
+	// IsLeaving means that the process is about to end.
+	IsLeaving bool
+}
+
+type configMessage struct {
+	Version uint64
+	Data    []byte
+}
+
+type question struct {
+	Job   work.JobID
+	Queue string
+}
+
+// answer is the owner's answer to a caller's request.
+type answer struct {
+	State   work.JobState
+	IsKnown bool
+	Count   int
+	// Verdict is set when the request failed.
+	Verdict    leverdyke.Verdict
+	Reason     string
+	RetryAfter int
+}
+
+// failure returns the error that the answer tells, or nil.
+func (a *answer) failure() error {
+	if a.Verdict == "" {
+		return nil
+	}
+	return &leverdyke.Error{Verdict: a.Verdict, Reason: a.Reason, RetryAfterSeconds: a.RetryAfter}
+}
+
+// answerOf returns an answer that tells the error, which may be nil.
+func answerOf(err error) *answer {
+	if err == nil {
+		return &answer{}
+	}
+	if e := (&leverdyke.Error{}); errors.As(err, &e) {
+		return &answer{Verdict: e.Verdict, Reason: e.Reason, RetryAfter: e.RetryAfterSeconds}
+	}
+	return &answer{Verdict: leverdyke.VerdictMayHaveRun, Reason: err.Error()}
+}
+
+type adviseCall struct {
+	Step    work.StepID
+	Workers []dispatch.WorkerID
+}
+
+type adviseReply struct {
+	Good  []dispatch.Ticket
+	Valid time.Duration
+}
+
+// storeReply is a service's answer, or why there is none.
+type storeReply struct {
+	Response *detour.Response
+	IsUnsent bool
+	Failure  string
+}
--- /dev/null
+++ b/internal/cell/node.go
@@ -0,0 +1,188 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/detour"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/link"
+	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// Adviser asks the service that permits workers, from this node.
+type Adviser interface {
+	Ask(ctx context.Context, step work.StepID, workers []dispatch.WorkerID) ([]dispatch.Ticket, time.Duration, error)
+}
+
+// Config follows the operators' configuration.
+type Config interface {
+	// Parse returns the version of a configuration and its queues.
+	Parse(data []byte) (uint64, []dispatch.Queue, error)
+	// Wait returns the newest configuration once it is newer than that version, or
+	// nil when the time is over.
+	Wait(ctx context.Context, version uint64) ([]byte, error)
+	// Apply puts a configuration in force for callers of this node.
+	Apply(data []byte) error
+}
+
+// Options configures a Node. All fields are required.
+type Options struct {
+	Name string
+	Zone string
+	// LinkAddr is where other nodes reach this one.
+	LinkAddr netip.AddrPort
+	// Life tells this process from earlier ones of the node.
+	Life    string
+	Clock   clock.Service
+	Direct  detour.Doer
+	Adviser Adviser
+	Config  Config
+	// NewStore returns the store as it is reached through d.
+	NewStore func(d detour.Doer) store.Log
+	// NewOwner returns what an owner needs, reaching the store through d.
+	NewOwner func(d detour.Doer) (owner.Workers, owner.List)
+	Log      func(e events.Event, keysAndValues ...any)
+	// StopTime is the longest that a worker takes to stop a task.
+	StopTime time.Duration
+	// EarlyTime is how much before its time a round may start.
+	EarlyTime time.Duration
+	// HolderPause is how long a former owner does not claim again.
+	HolderPause time.Duration
+}
+
+// Node is one of the equal nodes. It is safe for concurrent use.
+type Node struct {
+	options   Options
+	log       store.Log
+	detour    *detour.Detour
+	peers     *peers
+	listener  net.Listener
+	ctx       context.Context
+	cancel    context.CancelFunc
+	startedAt time.Time
+	// takeOver asks the seeker to claim at once.
+	takeOver chan struct{}
+
+	mu sync.Mutex
+	// owner is set while this node is the owner.
+	owner *owner.Owner
+	// ownerLink is the link to the owner while that is another node.
+	ownerLink *link.Conn
+	// heardBeat is when the owner's last beat came.
+	heardBeat time.Time
+	// config is the newest configuration that is known; its version never falls.
+	config        []byte
+	configVersion uint64
+	queues        []dispatch.Queue
+	isLeaving     bool
+	noClaimUntil  time.Time
+	// claimed has the epochs that this process has acted on.
+	claimed uint64
+	wg      sync.WaitGroup
+
+	// last is the record of the owner that was read last; it belongs to the seeker.
+	last *owner.Record
+}
+
+// NewNode listens for other nodes and begins to look for the owner.
+func NewNode(options Options) (*Node, error) {
+	l, err := net.Listen("tcp", options.LinkAddr.String())
+	if err != nil {
+		return nil, fmt.Errorf("cell: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &Node{
+		options: options, listener: l, ctx: ctx, cancel: cancel, startedAt: options.Clock.Now(),
+		log: options.NewStore(options.Direct), peers: newPeers(options.Clock), takeOver: make(chan struct{}, 1),
+	}
+	n.detour = detour.New(options.Direct, n.peers, options.Clock)
+	n.wg.Add(4)
+	go n.runListener()
+	go n.runSeeker()
+	go n.runConfig()
+	go n.runBeats()
+	return n, nil
+}
+
+// Close ends the node at once.
+func (n *Node) Close() {
+	n.cancel()
+	_ = n.listener.Close()
+	n.peers.closeAll()
+	n.mu.Lock()
+	if n.owner != nil {
+		n.owner.Stop()
+	}
+	if n.ownerLink != nil {
+		n.ownerLink.Close()
+	}
+	n.mu.Unlock()
+	n.wg.Wait()
+}
+
+// handOverTime bounds the hand-over of an owner that is told to stop.
+const handOverTime = 900 * time.Millisecond
+
+// Leave hands over what the node owns, to the peer that has run for the shortest
+// time: nodes that are restarted in turn come to it last. The node goes on to
+// pass requests on until Close.
+func (n *Node) Leave(ctx context.Context) {
+	n.mu.Lock()
+	n.isLeaving = true
+	o := n.owner
+	n.mu.Unlock()
+	if o == nil {
+		n.sendAlive()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	o.HandOver(ctx)
+	o.Stop()
+	for _, p := range n.peers.byAge() {
+		callCtx, cancelCall := context.WithTimeout(ctx, handOverTime/3)
+		err := p.conn.Call(callCtx, kindClaim, empty{}, &empty{})
+		cancelCall()
+		n.options.Log(events.HandedOver, "epoch", o.Epoch(), "to", p.hello.Name, "err", err)
+		if err == nil {
+			break
+		}
+	}
+	n.peers.closeAll()
+}
+
+func (n *Node) sleep(d time.Duration) {
+	select {
+	case <-n.ctx.Done():
+	case <-n.options.Clock.After(d):
+	}
+}
+
+// ownerSilence is how long the owner's beats may be missing until requests are
+// refused and the store is asked whether it lives: three beats.
+const ownerSilence = 700 * time.Millisecond
+
+// IsReady reports whether callers' requests can be served through this node.
+func (n *Node) IsReady() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.isLeaving || n.config == nil {
+		return false
+	}
+	if n.owner != nil {
+		return n.owner.IsLoaded()
+	}
+	return n.ownerLink != nil && n.options.Clock.Now().Sub(n.heardBeat) < 2*ownerSilence
+}
--- /dev/null
+++ b/internal/cell/peers.go
@@ -0,0 +1,174 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/detour"
+	"github.com/leverdyke/leverdyke/internal/link"
+)
+
+const (
+	// peerSilence is how long a follower may be silent before it is not used.
+	peerSilence = 1500 * time.Millisecond
+	// peerMemory is how long a peer that is no longer linked counts for a majority.
+	peerMemory = 8 * time.Second
+)
+
+// peer is a follower that is linked to this node.
+type peer struct {
+	hello hello
+	conn  *link.Conn
+	// bornAt is when its process began.
+	bornAt        time.Time
+	heardAt       time.Time
+	configVersion uint64
+	isLeaving     bool
+}
+
+// peers are the followers of this node. It is safe for concurrent use.
+type peers struct {
+	clock clock.Service
+
+	mu     sync.Mutex
+	byName map[string]*peer
+	// seen is when a peer was linked last, by name.
+	seen map[string]time.Time
+	next int
+}
+
+func newPeers(c clock.Service) *peers {
+	return &peers{clock: c, byName: map[string]*peer{}, seen: map[string]time.Time{}}
+}
+
+func (p *peers) add(h hello, c *link.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if old := p.byName[h.Name]; old != nil {
+		old.conn.Close()
+	}
+	p.byName[h.Name] = &peer{hello: h, conn: c, bornAt: now.Add(-h.Age), heardAt: now}
+	p.seen[h.Name] = now
+}
+
+func (p *peers) remove(c *link.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, peer := range p.byName {
+		if peer.conn == c {
+			delete(p.byName, name)
+			p.seen[name] = p.clock.Now()
+		}
+	}
+}
+
+func (p *peers) heard(c *link.Conn, a alive) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.byName {
+		if peer.conn == c {
+			peer.heardAt, peer.configVersion, peer.isLeaving = p.clock.Now(), a.ConfigVersion, a.IsLeaving
+		}
+	}
+}
+
+func (p *peers) closeAll() {
+	for _, peer := range p.all() {
+		peer.conn.Close()
+	}
+}
+
+func (p *peers) all() []peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]peer, 0, len(p.byName))
+	for _, peer := range p.byName {
+		out = append(out, *peer)
+	}
+	slices.SortFunc(out, func(a, b peer) int { return cmp.Compare(a.hello.Name, b.hello.Name) })
+	return out
+}
+
+// usable returns the peers that have been heard lately.
+func (p *peers) usable() []peer {
+	now := p.clock.Now()
+	return slices.DeleteFunc(p.all(), func(q peer) bool { return now.Sub(q.heardAt) > peerSilence || q.isLeaving })
+}
+
+// byAge returns the usable peers, that which has run for the shortest time first.
+func (p *peers) byAge() []peer {
+	out := p.usable()
+	slices.SortFunc(out, func(a, b peer) int { return b.bornAt.Compare(a.bornAt) })
+	return out
+}
+
+// Sample returns up to n usable peers, others each time.
+func (p *peers) Sample(n int) []string {
+	usable := p.usable()
+	p.mu.Lock()
+	p.next += n
+	first := p.next
+	p.mu.Unlock()
+	out := []string{}
+	for i := range min(n, len(usable)) {
+		out = append(out, usable[(first+i)%len(usable)].hello.Name)
+	}
+	return out
+}
+
+// IsMajority reports whether this node and its usable peers are most of those
+// that were linked lately.
+func (p *peers) IsMajority() bool {
+	linked := len(p.usable()) + 1
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := len(p.byName) + 1
+	now := p.clock.Now()
+	for name, at := range p.seen {
+		if p.byName[name] == nil && now.Sub(at) < peerMemory {
+			known++
+		}
+	}
+	return 2*linked > known
+}
+
+func (p *peers) find(name string) *link.Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if peer := p.byName[name]; peer != nil {
+		return peer.conn
+	}
+	return nil
+}
+
+// errNoPeer means that a peer is not linked.
+var errNoPeer = errors.New("cell: the peer is not linked")
+
+// Via sends a request to the store through a peer.
+func (p *peers) Via(ctx context.Context, name string, r *detour.Request) (*detour.Response, error) {
+	conn := p.find(name)
+	if conn == nil {
+		return nil, &detour.UnsentError{Err: errNoPeer}
+	}
+	reply := &storeReply{}
+	if err := conn.Call(ctx, kindStore, r, reply); err != nil {
+		return nil, err
+	}
+	if reply.Failure != "" {
+		err := errors.New(reply.Failure)
+		if reply.IsUnsent {
+			return nil, &detour.UnsentError{Err: err}
+		}
+		return nil, err
+	}
+	return reply.Response, nil
+}
--- /dev/null
+++ b/internal/cell/seek.go
@@ -0,0 +1,289 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/link"
+	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store"
+)
+
+const (
+	// dialTimeout bounds connecting to a node: one region is milliseconds wide.
+	dialTimeout = 500 * time.Millisecond
+	// seekPause is the time between two looks for the owner.
+	seekPause = 80 * time.Millisecond
+	// beatWait is how long the store must not have heard of the owner before it
+	// counts as dead: two of its beats, with a slow store.
+	beatWait = 1100 * time.Millisecond
+	// leavingWait is how long a node that is about to end leaves claims to others.
+	leavingWait = 2 * time.Second
+)
+
+// runSeeker finds the owner, follows it, and claims the shard when there is none.
+func (n *Node) runSeeker() {
+	defer n.wg.Done()
+	isOut := false
+	for n.ctx.Err() == nil {
+		r, at, err := owner.ReadRecord(n.ctx, n.log)
+		if err != nil {
+			if !isOut && n.ctx.Err() == nil {
+				n.options.Log(events.StoreFailed, "what", "read of the owner", "err", err)
+			}
+			isOut = true
+			n.followLast()
+			continue
+		}
+		isOut = false
+		n.last = r
+		n.act(r, at)
+	}
+}
+
+// followLast follows the owner that was known last, when the store does not say
+// who it is now.
+func (n *Node) followLast() {
+	if n.last != nil && n.last.Node != n.options.Name {
+		if conn, _ := n.reach(n.last); conn != nil {
+			n.stay(conn, n.last)
+			return
+		}
+	}
+	n.sleep(seekPause)
+}
+
+// act does what the record of the owner asks for.
+func (n *Node) act(r *owner.Record, at uint64) {
+	switch {
+	case r == nil:
+		n.claim(nil, at)
+	case r.Node == n.options.Name && r.Life == n.options.Life && r.Epoch > n.claimed:
+		// The answer to this node's claim was lost.
+		n.become(owner.Claim{Record: *r, Offset: at, Earlier: r})
+	case r.Node == n.options.Name:
+		n.claim(r, at+1)
+	default:
+		n.follow(r, at)
+	}
+}
+
+// claim tries to become the owner if the topic still ends there.
+func (n *Node) claim(earlier *owner.Record, end uint64) {
+	if n.mayNotClaim() {
+		n.sleep(seekPause)
+		return
+	}
+	r := owner.Record{Node: n.options.Name, Addr: n.options.LinkAddr, Life: n.options.Life, Epoch: end + 1}
+	if earlier != nil {
+		r.Roster = earlier.Roster
+	}
+	at, err := owner.AppendRecord(n.ctx, n.log, &r, end)
+	if err != nil {
+		n.options.Log(events.ClaimRefused, "epoch", r.Epoch, "err", err)
+		if store.FailureOf(err) != store.Moved {
+			n.sleep(seekPause)
+		}
+		return
+	}
+	n.become(owner.Claim{Record: r, Offset: at, Earlier: earlier})
+}
+
+func (n *Node) mayNotClaim() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isLeaving || n.options.Clock.Now().Before(n.noClaimUntil)
+}
+
+// become runs the owner until it ends.
+func (n *Node) become(c owner.Claim) {
+	workers, list := n.options.NewOwner(n.detour)
+	o := owner.New(owner.Options{
+		Claim: c, Store: n.options.NewStore(n.detour), Workers: workers, List: list, Lanes: &lanes{n},
+		Clock: n.options.Clock, Log: n.options.Log, HasOutage: n.detour.HasOutage, NodeZone: n.options.Zone,
+		StopTime: n.options.StopTime, EarlyTime: n.options.EarlyTime,
+	})
+	n.mu.Lock()
+	n.claimed = c.Record.Epoch
+	n.owner = o
+	version, queues := n.configVersion, n.queues
+	n.mu.Unlock()
+	n.options.Log(events.ShardOwned, "epoch", c.Record.Epoch, "from", earlierNode(&c))
+	o.SetQueues(version, queues)
+	err := o.Run(n.ctx)
+	n.mu.Lock()
+	n.owner = nil
+	n.noClaimUntil = n.options.Clock.Now().Add(n.options.HolderPause)
+	n.mu.Unlock()
+	n.options.Log(events.ShardDropped, "epoch", c.Record.Epoch, "err", err)
+	n.mu.Lock()
+	isLeaving := n.isLeaving
+	n.mu.Unlock()
+	if !isLeaving {
+		n.peers.closeAll()
+	}
+}
+
+func earlierNode(c *owner.Claim) string {
+	if c.Earlier == nil {
+		return ""
+	}
+	return c.Earlier.Node
+}
+
+// follow passes requests to the owner until it is gone.
+func (n *Node) follow(r *owner.Record, at uint64) {
+	conn, isDead := n.reach(r)
+	switch {
+	case isDead:
+		n.options.Log(events.PeerEnded, "peer", r.Node, "epoch", r.Epoch)
+		n.claim(r, at+1)
+	case conn == nil:
+		n.waitForBeat(r, at)
+	default:
+		n.stay(conn, r)
+	}
+}
+
+// reach links to the owner. isDead means that its process is certainly over.
+func (n *Node) reach(r *owner.Record) (conn *link.Conn, isDead bool) {
+	ctx, cancel := context.WithTimeout(n.ctx, dialTimeout)
+	defer cancel()
+	conn, err := link.Dial(ctx, r.Addr, n)
+	if err != nil {
+		return nil, errors.Is(err, syscall.ECONNREFUSED)
+	}
+	w := &welcome{}
+	if err := conn.Call(ctx, kindHello, n.hello(), w); err != nil {
+		conn.Close()
+		return nil, false
+	}
+	if w.IsOwner && w.Epoch == r.Epoch {
+		return conn, false
+	}
+	conn.Close()
+	return nil, w.Life != r.Life
+}
+
+func (n *Node) hello() hello {
+	return hello{
+		Name: n.options.Name, Zone: n.options.Zone, Addr: n.options.LinkAddr, Life: n.options.Life,
+		Age: n.options.Clock.Now().Sub(n.startedAt),
+	}
+}
+
+// stay passes requests on over the link while the owner's beats come.
+func (n *Node) stay(conn *link.Conn, r *owner.Record) {
+	n.setOwnerLink(conn)
+	n.options.Log(events.OwnerFollowed, "owner", r.Node, "epoch", r.Epoch)
+	n.sendAlive()
+	defer conn.Close()
+	defer n.setOwnerLink(nil)
+	ticks, stop := n.options.Clock.Subscribe(seekPause)
+	defer stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-conn.Done():
+			return
+		case <-n.takeOver:
+			n.claimAfter(r)
+			return
+		case <-ticks:
+		}
+		if n.silence() > ownerSilence && !n.isAlive(r) {
+			return
+		}
+	}
+}
+
+func (n *Node) setOwnerLink(c *link.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ownerLink = c
+	n.heardBeat = n.options.Clock.Now()
+}
+
+func (n *Node) silence() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.options.Clock.Now().Sub(n.heardBeat)
+}
+
+// claimAfter claims the shard from an owner that has handed over.
+func (n *Node) claimAfter(r *owner.Record) {
+	newest, at, err := owner.ReadRecord(n.ctx, n.log)
+	if err != nil || newest == nil || newest.Epoch != r.Epoch {
+		return
+	}
+	n.claim(newest, at+1)
+}
+
+// isAlive finds out by the store whether a silent owner lives. It returns true
+// only when its beats come over the link again.
+func (n *Node) isAlive(r *owner.Record) bool {
+	n.options.Log(events.PeerSuspected, "peer", r.Node, "epoch", r.Epoch, "silent", n.silence())
+	newest, at, err := owner.ReadRecord(n.ctx, n.log)
+	if err != nil || newest == nil || newest.Epoch != r.Epoch {
+		return err != nil && n.silence() < ownerSilence
+	}
+	n.waitForBeat(newest, at)
+	return n.silence() < ownerSilence
+}
+
+// waitForBeat claims the shard unless the store hears of its owner in time.
+func (n *Node) waitForBeat(r *owner.Record, at uint64) {
+	records, err := n.log.Wait(n.ctx, owner.TopicOwner, at+1, beatWait)
+	switch {
+	case err != nil:
+		n.sleep(seekPause)
+	case len(records) > 0:
+		// The owner lives, and this node does not reach it.
+		n.sleep(seekPause)
+	case n.silence() < ownerSilence && n.hasOwnerLink():
+	default:
+		n.options.Log(events.PeerSuspected, "peer", r.Node, "epoch", r.Epoch, "beat", r.Beat)
+		n.claim(r, at+1)
+	}
+}
+
+func (n *Node) hasOwnerLink() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ownerLink != nil
+}
+
+// runListener takes links from other nodes.
+func (n *Node) runListener() {
+	defer n.wg.Done()
+	for {
+		c, err := n.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.sleep(seekPause)
+			continue
+		}
+		conn := link.NewConn(c, n)
+		go n.runIncoming(conn)
+	}
+}
+
+// runIncoming forgets a peer when its link ends.
+func (n *Node) runIncoming(conn *link.Conn) {
+	select {
+	case <-conn.Done():
+	case <-n.ctx.Done():
+		conn.Close()
+	}
+	n.peers.remove(conn)
+}
--- /dev/null
+++ b/internal/cell/serve.go
@@ -0,0 +1,291 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package cell
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/codec"
+	"github.com/leverdyke/leverdyke/internal/detour"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/link"
+	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// retryAfter is when a refused caller should come back, in seconds.
+const retryAfter = 1
+
+// target is who answers a caller's request.
+type target struct {
+	owner *owner.Owner
+	link  *link.Conn
+}
+
+// target returns the owner, or an error that nothing ran.
+func (n *Node) target() (target, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case n.owner != nil && n.owner.IsLoaded():
+		return target{owner: n.owner}, nil
+	case n.ownerLink != nil && n.options.Clock.Now().Sub(n.heardBeat) < ownerSilence:
+		return target{link: n.ownerLink}, nil
+	}
+	return target{}, leverdyke.NotRun("the owner of the jobs is not known", retryAfter)
+}
+
+// forward sends a caller's request over the link to the owner.
+func (t target) forward(ctx context.Context, kind link.Kind, v any) (*answer, error) {
+	a := &answer{}
+	if err := t.link.Call(ctx, kind, v, a); err != nil {
+		return nil, leverdyke.MayHaveRun("the owner of the jobs did not answer", err)
+	}
+	return a, a.failure()
+}
+
+// Submit hands in a job. It returns nil once the job is kept.
+func (n *Node) Submit(ctx context.Context, spec *work.Spec) error {
+	t, err := n.target()
+	if err != nil {
+		return err
+	}
+	if t.owner != nil {
+		return t.owner.Submit(ctx, spec)
+	}
+	_, err = t.forward(ctx, kindSubmit, spec)
+	return err
+}
+
+// Cancel cancels a job. It returns false when there is no such job.
+func (n *Node) Cancel(ctx context.Context, id work.JobID) (bool, error) {
+	t, err := n.target()
+	if err != nil {
+		return false, err
+	}
+	if t.owner != nil {
+		return t.owner.Cancel(ctx, id)
+	}
+	a, err := t.forward(ctx, kindCancel, question{Job: id})
+	return err == nil && a.IsKnown, err
+}
+
+// State returns what a caller is told of a job; false when there is none.
+func (n *Node) State(ctx context.Context, id work.JobID) (work.JobState, bool, error) {
+	t, err := n.target()
+	if err != nil {
+		return "", false, err
+	}
+	if t.owner != nil {
+		return t.owner.State(ctx, id)
+	}
+	a, err := t.forward(ctx, kindState, question{Job: id})
+	if err != nil {
+		return "", false, err
+	}
+	return a.State, a.IsKnown, nil
+}
+
+// Pending returns how many jobs of a queue have not begun.
+func (n *Node) Pending(ctx context.Context, queue string) (int, error) {
+	t, err := n.target()
+	if err != nil {
+		return 0, err
+	}
+	if t.owner != nil {
+		return t.owner.Pending(ctx, queue)
+	}
+	a, err := t.forward(ctx, kindPending, question{Queue: queue})
+	if err != nil {
+		return 0, err
+	}
+	return a.Count, nil
+}
+
+// HandleCall answers another node.
+func (n *Node) HandleCall(ctx context.Context, from *link.Conn, kind link.Kind, body []byte) (any, error) {
+	switch kind {
+	case kindHello:
+		return n.takeHello(from, body)
+	case kindClaim:
+		return n.takeClaim(ctx)
+	case kindAdvise:
+		return n.takeAdvise(ctx, body)
+	case kindStore:
+		return n.takeStore(ctx, body)
+	}
+	n.mu.Lock()
+	o := n.owner
+	n.mu.Unlock()
+	if o == nil || !o.IsLoaded() {
+		return answerOf(leverdyke.NotRun("this node is not the owner of the jobs", retryAfter)), nil
+	}
+	return takeRequest(ctx, o, kind, body)
+}
+
+// takeRequest answers a caller's request that another node passed on.
+func takeRequest(ctx context.Context, o *owner.Owner, kind link.Kind, body []byte) (any, error) {
+	if kind == kindSubmit {
+		spec := &work.Spec{}
+		if err := codec.Unmarshal(body, spec); err != nil {
+			return nil, err
+		}
+		return answerOf(o.Submit(ctx, spec)), nil
+	}
+	q := question{}
+	if err := codec.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	switch kind {
+	case kindState:
+		state, ok, err := o.State(ctx, q.Job)
+		a := answerOf(err)
+		a.State, a.IsKnown = state, ok
+		return a, nil
+	case kindCancel:
+		ok, err := o.Cancel(ctx, q.Job)
+		a := answerOf(err)
+		a.IsKnown = ok
+		return a, nil
+	case kindPending:
+		count, err := o.Pending(ctx, q.Queue)
+		a := answerOf(err)
+		a.Count = count
+		return a, nil
+	}
+	return nil, fmt.Errorf("cell: unknown kind of message %q", kind)
+}
+
+func (n *Node) takeHello(from *link.Conn, body []byte) (any, error) {
+	h := hello{}
+	if err := codec.Unmarshal(body, &h); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	o := n.owner
+	n.mu.Unlock()
+	w := &welcome{Life: n.options.Life}
+	if o != nil {
+		w.IsOwner, w.Epoch = true, o.Epoch()
+		n.peers.add(h, from)
+	}
+	return w, nil
+}
+
+// takeClaim makes the seeker claim the shard, and answers once this node owns it.
+func (n *Node) takeClaim(ctx context.Context) (any, error) {
+	select {
+	case n.takeOver <- struct{}{}:
+	default:
+	}
+	ticks, stop := n.options.Clock.Subscribe(5 * time.Millisecond)
+	defer stop()
+	tooLate := n.options.Clock.After(handOverTime)
+	for {
+		n.mu.Lock()
+		isOwner := n.owner != nil
+		n.mu.Unlock()
+		if isOwner {
+			return empty{}, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-tooLate:
+			return nil, errors.New("cell: the shard was not won in time")
+		case <-ticks:
+		}
+	}
+}
+
+func (n *Node) takeAdvise(ctx context.Context, body []byte) (any, error) {
+	c := adviseCall{}
+	if err := codec.Unmarshal(body, &c); err != nil {
+		return nil, err
+	}
+	good, valid, err := n.options.Adviser.Ask(ctx, c.Step, c.Workers)
+	return adviseReply{good, valid}, err
+}
+
+func (n *Node) takeStore(ctx context.Context, body []byte) (any, error) {
+	r := &detour.Request{}
+	if err := codec.Unmarshal(body, r); err != nil {
+		return nil, err
+	}
+	response, err := n.options.Direct.Do(ctx, r)
+	if err != nil {
+		unsent := &detour.UnsentError{}
+		return storeReply{IsUnsent: errors.As(err, &unsent), Failure: err.Error()}, nil
+	}
+	return storeReply{Response: response}, nil
+}
+
+// HandleNotice takes a notification of another node.
+func (n *Node) HandleNotice(from *link.Conn, kind link.Kind, body []byte) {
+	switch kind {
+	case kindBeat:
+		b := beat{}
+		if codec.Unmarshal(body, &b) == nil {
+			n.takeBeat(from, b)
+		}
+	case kindAlive:
+		a := alive{}
+		if codec.Unmarshal(body, &a) == nil {
+			n.peers.heard(from, a)
+		}
+	case kindConfig:
+		c := configMessage{}
+		if codec.Unmarshal(body, &c) == nil {
+			n.takeConfig(c.Data, "peer")
+		}
+	default:
+		n.options.Log(events.BadFrame, "kind", kind)
+	}
+}
+
+func (n *Node) takeBeat(from *link.Conn, b beat) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if from != n.ownerLink {
+		return
+	}
+	n.heardBeat = n.options.Clock.Now()
+	if b.ConfigVersion < n.configVersion {
+		from.Notify(kindConfig, configMessage{n.configVersion, n.config})
+	}
+}
+
+// lanes are the ways to the service that permits workers: this node and its
+// followers.
+type lanes struct{ n *Node }
+
+// Names returns the lanes that can be used now.
+func (l *lanes) Names() []string {
+	out := []string{l.n.options.Name}
+	for _, p := range l.n.peers.usable() {
+		out = append(out, p.hello.Name)
+	}
+	return out
+}
+
+// Ask asks through a lane.
+func (l *lanes) Ask(ctx context.Context, lane string, step work.StepID, workers []dispatch.WorkerID) ([]dispatch.Ticket, time.Duration, error) {
+	if lane == l.n.options.Name {
+		return l.n.options.Adviser.Ask(ctx, step, workers)
+	}
+	conn := l.n.peers.find(lane)
+	if conn == nil {
+		return nil, 0, errNoPeer
+	}
+	reply := &adviseReply{}
+	if err := conn.Call(ctx, kindAdvise, adviseCall{step, workers}, reply); err != nil {
+		return nil, 0, err
+	}
+	return reply.Good, reply.Valid, nil
+}
--- /dev/null
+++ b/internal/dispatch/advice.go
@@ -0,0 +1,232 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// How the service that permits workers is asked.
+const (
+	// ticketMargin is taken off a ticket's time: the order must arrive in it.
+	ticketMargin = 250 * time.Millisecond
+	// goodShare is the part of the workers that is expected to be permitted, where
+	// nothing is known yet.
+	goodShare = 0.35
+	// cheapCall is the time of a call up to which all workers are asked at once.
+	cheapCall = 40 * time.Millisecond
+	// maxAsked is the most workers that one call may name.
+	maxAsked = 100
+	// minAsked is the least that a call names, if there are so many.
+	minAsked = 6
+	// laneTimeout is when a lane that does not answer counts as lost.
+	laneTimeout = 4 * time.Second
+	// cheapLanes are the lanes that calls that take long leave to the others.
+	cheapLanes = 2
+)
+
+// lane is a way to the service: a node, which asks one thing at a time.
+type lane struct {
+	name string
+	// busySince is when the call on it was sent; zero when it is free.
+	busySince time.Time
+	step      work.StepID
+}
+
+// advice is what is known of the workers that may run a step.
+type advice struct {
+	// verdicts has the workers that were asked about, and whether they may.
+	verdicts map[WorkerID]bool
+	tickets  map[WorkerID]ticket
+	isAsking bool
+	askedAt  time.Time
+	retryAt  time.Time
+}
+
+type ticket struct {
+	text    string
+	expires time.Time
+}
+
+func (a *advice) forget(id WorkerID) { delete(a.tickets, id) }
+
+// holds returns the ticket of a worker, if it still holds.
+func (a *advice) holds(id WorkerID, now time.Time) (string, bool) {
+	t, ok := a.tickets[id]
+	return t.text, ok && now.Before(t.expires)
+}
+
+// SetLanes names the nodes through which can be asked.
+func (e *Engine) SetLanes(names []string) {
+	lanes := make([]lane, 0, len(names))
+	for _, name := range names {
+		i := slices.IndexFunc(e.lanes, func(l lane) bool { return l.name == name })
+		if i >= 0 {
+			lanes = append(lanes, e.lanes[i])
+		} else {
+			lanes = append(lanes, lane{name: name})
+		}
+	}
+	for _, l := range e.lanes {
+		if !slices.Contains(names, l.name) && !l.busySince.IsZero() {
+			e.adviceLost(l.step)
+		}
+	}
+	e.lanes = lanes
+	e.isDirty = true
+}
+
+func (e *Engine) adviceLost(id work.StepID) {
+	if s := e.findStep(id); s != nil {
+		s.advice.isAsking = false
+		e.isDirty = true
+	}
+}
+
+func (e *Engine) findStep(id work.StepID) *step {
+	s, _ := e.find(work.TaskID{Job: id.Job, Round: id.Round, Step: id.Step})
+	return s
+}
+
+// Advised takes the answer to a call. isKnown is false when there was none.
+func (e *Engine) Advised(laneName string, id work.StepID, asked []WorkerID, good []Ticket, valid time.Duration, isKnown bool) {
+	for i := range e.lanes {
+		if e.lanes[i].name == laneName && e.lanes[i].step == id {
+			e.lanes[i].busySince = time.Time{}
+		}
+	}
+	e.isDirty = true
+	s := e.findStep(id)
+	if s == nil {
+		return
+	}
+	s.advice.isAsking = false
+	if !isKnown {
+		s.advice.retryAt = e.now.Add(100 * time.Millisecond)
+		e.options.Log(events.AdviceFailed, "step", id, "lane", laneName, "asked", len(asked))
+		return
+	}
+	if s.advice.verdicts == nil {
+		s.advice.verdicts, s.advice.tickets = map[WorkerID]bool{}, map[WorkerID]ticket{}
+	}
+	for _, w := range asked {
+		s.advice.verdicts[w] = false
+	}
+	for _, g := range good {
+		s.advice.verdicts[g.Worker] = true
+		s.advice.tickets[g.Worker] = ticket{g.Text, e.now.Add(valid - ticketMargin)}
+	}
+}
+
+// askAdvice asks for the step, if it helps and a lane is free.
+func (e *Engine) askAdvice(s *step, policy *AdvicePolicy, missing int) {
+	if s.advice.isAsking || e.now.Before(s.advice.retryAt) {
+		return
+	}
+	lane := e.freeLane(policy)
+	if lane == nil {
+		return
+	}
+	asked := e.whomToAsk(s, policy, missing)
+	if len(asked) == 0 {
+		return
+	}
+	lane.busySince, lane.step = e.now, s.id
+	s.advice.isAsking, s.advice.askedAt = true, e.now
+	e.counts.Asks++
+	e.do(Advise{Lane: lane.name, Step: s.id, Workers: asked})
+}
+
+func (e *Engine) freeLane(policy *AdvicePolicy) *lane {
+	free := 0
+	var found *lane
+	for i := range e.lanes {
+		l := &e.lanes[i]
+		if !l.busySince.IsZero() && e.now.Sub(l.busySince) > laneTimeout {
+			l.busySince = time.Time{}
+			e.adviceLost(l.step)
+		}
+		if l.busySince.IsZero() {
+			free++
+			found = l
+		}
+	}
+	if policy.Base > cheapCall && free <= min(cheapLanes, len(e.lanes)-1) {
+		return nil
+	}
+	return found
+}
+
+// candidate is a worker that could be asked about, with the tasks that fit now.
+type candidate struct {
+	id     WorkerID
+	fits   int
+	isGood bool
+}
+
+// whomToAsk picks the workers that are likely to take the missing tasks. Those
+// known to be permitted come first; the more room the better.
+func (e *Engine) whomToAsk(s *step, policy *AdvicePolicy, missing int) []WorkerID {
+	found := e.candidates(s)
+	slices.SortFunc(found, func(a, b candidate) int {
+		if a.isGood != b.isGood {
+			if a.isGood {
+				return -1
+			}
+			return 1
+		}
+		if a.fits != b.fits {
+			return b.fits - a.fits
+		}
+		return compareIDs(a.id, b.id)
+	})
+	out := []WorkerID{}
+	expected := 0.0
+	isCheap := policy.Base <= cheapCall
+	for _, c := range found {
+		isEnough := expected >= 1.2*float64(missing) && (len(out) >= minAsked || c.isGood)
+		if len(out) >= maxAsked || isEnough && !isCheap {
+			break
+		}
+		out = append(out, c.id)
+		if c.isGood {
+			expected += float64(c.fits)
+		} else {
+			expected += goodShare * float64(c.fits)
+		}
+	}
+	return out
+}
+
+func (e *Engine) candidates(s *step) []candidate {
+	found := []candidate{}
+	pool := e.queues[s.job.spec.Queue].Service
+	for id, w := range e.workers {
+		isGood, isAsked := s.advice.verdicts[id]
+		if isAsked && !isGood || !e.isUsable(w) || !e.mayRun(w, s, pool) {
+			continue
+		}
+		if _, ok := s.advice.holds(id, e.now); ok {
+			continue
+		}
+		if n := e.fits(w, s); n > 0 {
+			found = append(found, candidate{id, n, isGood})
+		}
+	}
+	return found
+}
+
+func compareIDs(a, b WorkerID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/dispatch/batch.go
@@ -0,0 +1,162 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// Batch is what must be kept together.
+type Batch struct {
+	// Specs are new jobs.
+	Specs []*work.Spec
+	// Progress has, by job, what is known of it.
+	Progress map[work.JobID]*work.Progress
+	// Forgotten are jobs that are over and no longer asked for.
+	Forgotten []work.JobID
+
+	jobs     []*job
+	seen     map[*worker]uint64
+	isUrgent bool
+}
+
+// IsEmpty reports whether the batch has nothing to keep.
+func (b *Batch) IsEmpty() bool {
+	return len(b.Specs) == 0 && len(b.Progress) == 0 && len(b.Forgotten) == 0
+}
+
+func (e *Engine) batchNow() *Batch {
+	if e.batch == nil {
+		e.batch = &Batch{seen: map[*worker]uint64{}}
+	}
+	return e.batch
+}
+
+// TakeBatch returns what is to be kept now, or nil. The caller must answer with
+// Committed or Refused before it takes the next.
+func (e *Engine) TakeBatch() *Batch {
+	b := e.batch
+	if b == nil || !b.isUrgent && e.now.Sub(e.lastFlush) < flushPause {
+		return nil
+	}
+	e.batch = nil
+	e.lastFlush = e.now
+	b.Progress = map[work.JobID]*work.Progress{}
+	for _, j := range b.jobs {
+		j.isDirty = false
+		b.Progress[j.spec.ID] = j.progress()
+	}
+	return b
+}
+
+// Committed says that the batch is in the store.
+func (e *Engine) Committed(b *Batch) {
+	for _, spec := range b.Specs {
+		j := e.jobs[spec.ID]
+		if j == nil || j.isKept {
+			continue
+		}
+		j.isKept = true
+		if !j.state.IsFinal() {
+			e.live = append(e.live, j)
+			e.openRounds(j)
+		}
+	}
+	for id, p := range b.Progress {
+		if j := e.jobs[id]; j != nil && p.State.IsFinal() {
+			j.isShown = true
+		}
+	}
+	for w, n := range b.seen {
+		e.confirm(w, n)
+	}
+}
+
+// Refused says that the batch is certainly not in the store. Its new jobs are
+// dropped as never accepted; its progress goes into the next batch.
+func (e *Engine) Refused(b *Batch) {
+	for _, spec := range b.Specs {
+		if j := e.jobs[spec.ID]; j != nil && !j.isKept {
+			delete(e.jobs, spec.ID)
+		}
+	}
+	next := e.batchNow()
+	next.Forgotten = append(next.Forgotten, b.Forgotten...)
+	next.isUrgent = next.isUrgent || len(b.jobs) > 0
+	for _, j := range b.jobs {
+		if e.jobs[j.spec.ID] == j {
+			e.touch(j)
+		}
+	}
+	for w, n := range b.seen {
+		next.seen[w] = max(next.seen[w], n)
+	}
+}
+
+// progress returns what must last of a job.
+func (j *job) progress() *work.Progress {
+	p := &work.Progress{State: j.state}
+	if j.state.IsFinal() {
+		return p
+	}
+	p.RoundsDone.Done = append([]byte{}, j.roundsDone.Done...)
+	p.Rounds = map[int][]work.StepProgress{}
+	for k, r := range j.rounds {
+		if j.roundsDone.IsDone(k) {
+			continue
+		}
+		steps := make([]work.StepProgress, len(r.steps))
+		for i, s := range r.steps {
+			steps[i] = s.progress()
+		}
+		p.Rounds[k] = steps
+	}
+	return p
+}
+
+func (s *step) progress() work.StepProgress {
+	p := work.StepProgress{}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		p.Run = max(p.Run, t.run)
+		if t.state == taskDone {
+			p.SetDone(i)
+			continue
+		}
+		if !s.spec.IsLasting {
+			p.Failures = append(p.Failures, t.failures...)
+		}
+		if t.saved != "" {
+			if p.Saved == nil {
+				p.Saved = map[int]string{}
+			}
+			p.Saved[i] = t.saved
+		}
+	}
+	return p
+}
+
+// HasBatch reports whether something waits to be kept.
+func (e *Engine) HasBatch() bool { return e.batch != nil }
+
+// RefuseNew drops the new jobs of the batch that is not taken yet and returns
+// them: they were never accepted.
+func (e *Engine) RefuseNew() []work.JobID {
+	if e.batch == nil {
+		return nil
+	}
+	refused := make([]work.JobID, 0, len(e.batch.Specs))
+	for _, spec := range e.batch.Specs {
+		refused = append(refused, spec.ID)
+		delete(e.jobs, spec.ID)
+	}
+	e.batch.Specs = nil
+	return refused
+}
+
+// IsKept reports whether a job is in the store.
+func (e *Engine) IsKept(id work.JobID) bool {
+	j := e.jobs[id]
+	return j != nil && j.isKept
+}
--- /dev/null
+++ b/internal/dispatch/engine.go
@@ -0,0 +1,202 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// Durations and limits of the engine.
+const (
+	// leaseLength is how long a worker goes on without a renewal: longer than a
+	// takeover takes with a slow store (about 3 s), short enough that the tasks of
+	// a worker that is cut off come back soon.
+	leaseLength = 6 * time.Second
+	// clockSkew is how much slower than ours a worker's clock may run, doubled.
+	clockSkew = 0.04
+	// lapseSlack covers the granularity of the worker's clock and its own end.
+	lapseSlack = 300 * time.Millisecond
+	// overdueAfter is how long a worker may be silent before it gets nothing new;
+	// a listing comes at least every 2 s.
+	overdueAfter = 2600 * time.Millisecond
+	// orderPatience is how long an order to start may stay without an answer. A
+	// worker answers within milliseconds.
+	orderPatience = 700 * time.Millisecond
+	// stopRetry is the pause before a stop without an answer is sent again.
+	stopRetry = 600 * time.Millisecond
+	// flushPause is the longest that progress waits for its batch; a job's end
+	// does not wait.
+	flushPause = 60 * time.Millisecond
+	// keepFinal is how long the state of a job that is over is kept: the time for
+	// which callers may ask, and a margin.
+	keepFinal = 140 * time.Second
+)
+
+// Options configures an Engine. The zero value works.
+type Options struct {
+	// Log takes a line of the log; nil drops it.
+	Log func(e events.Event, keysAndValues ...any)
+	// NodeZone is the zone of this node: a tie goes to a worker near by.
+	NodeZone string
+	// StopTime is the longest that a worker takes to stop a task.
+	StopTime time.Duration
+	// EarlyTime is how much before its time a round may start.
+	EarlyTime time.Duration
+}
+
+// Engine decides for one shard: its jobs and its workers.
+type Engine struct {
+	options Options
+	now     time.Time
+	jobs    map[work.JobID]*job
+	// live are the jobs that are not over, in the order in which they came.
+	live    []*job
+	workers map[WorkerID]*worker
+	queues  map[string]Queue
+	lanes   []lane
+	// unsettled are workers on which an earlier owner may have started tasks that
+	// are not known yet, with the time at which their leases are over.
+	unsettled map[WorkerID]time.Time
+	actions   []Action
+	// isDirty means that something may be placed that could not be before.
+	isDirty  bool
+	isPaused bool
+	// isTrusted means that this node is known to own the shard still. Without it
+	// nothing is started and no lease is renewed.
+	isTrusted bool
+	batch     *Batch
+	lastFlush time.Time
+	// pending counts, by queue, jobs none of whose tasks has begun.
+	nextWalk time.Time
+	counts   Counts
+}
+
+// Counts are totals since the engine was made.
+type Counts struct {
+	Starts, Done, Failed, Stopped, Lapsed, Doubtful, Asks int
+}
+
+// NewEngine returns an engine without jobs or workers.
+func NewEngine(options Options) *Engine {
+	if options.Log == nil {
+		options.Log = func(events.Event, ...any) {}
+	}
+	return &Engine{
+		options: options, jobs: map[work.JobID]*job{}, workers: map[WorkerID]*worker{},
+		queues: map[string]Queue{}, unsettled: map[WorkerID]time.Time{},
+	}
+}
+
+// Advance sets the time. It is called before any other call.
+func (e *Engine) Advance(now time.Time) { e.now = now }
+
+// SetPaused ends or resumes new starts: an owner that hands over starts nothing.
+func (e *Engine) SetPaused(isPaused bool) {
+	e.isPaused = isPaused
+	e.isDirty = true
+}
+
+// SetTrusted says whether this node is known to own the shard still.
+func (e *Engine) SetTrusted(isTrusted bool) {
+	if e.isTrusted == isTrusted {
+		return
+	}
+	e.isTrusted = isTrusted
+	e.isDirty = true
+}
+
+// Counts returns the totals.
+func (e *Engine) Counts() Counts { return e.counts }
+
+// SetQueues puts a configuration in force. A queue that is no longer in it keeps
+// its last policy for the jobs that it has.
+func (e *Engine) SetQueues(queues []Queue) {
+	for _, q := range queues {
+		e.queues[q.Name] = q
+	}
+	e.isDirty = true
+}
+
+// Inherit says that an earlier owner may have started tasks of the jobs known so
+// far on these workers. Until all are settled, none of those tasks is started.
+// until is when all leases that the earlier owner gave are over.
+func (e *Engine) Inherit(workers []WorkerID, until time.Time) {
+	for _, id := range workers {
+		e.unsettled[id] = until
+	}
+	for _, j := range e.live {
+		j.isInherited = true
+	}
+}
+
+// IsSettled reports whether all that an earlier owner started is known.
+func (e *Engine) IsSettled() bool { return len(e.unsettled) == 0 }
+
+func (e *Engine) settle(id WorkerID, why string) {
+	if _, ok := e.unsettled[id]; !ok {
+		return
+	}
+	delete(e.unsettled, id)
+	e.isDirty = true
+	if len(e.unsettled) == 0 {
+		e.options.Log(events.Inherited, "last", id, "why", why)
+	}
+}
+
+// Tick does what is due by time alone. It is called every 50 ms or so.
+func (e *Engine) Tick() {
+	for id, until := range e.unsettled {
+		if _, ok := e.workers[id]; !ok && e.now.After(until) {
+			e.settle(id, "leases lapsed")
+		}
+	}
+	for _, w := range e.workers {
+		e.tickWorker(w)
+	}
+	if !e.now.Before(e.nextWalk) {
+		e.nextWalk = e.now.Add(walkPause)
+		e.walkJobs()
+	}
+}
+
+// walkPause is the time between two looks at all jobs for rounds that are due
+// and for jobs to forget.
+const walkPause = 50 * time.Millisecond
+
+func (e *Engine) walkJobs() {
+	for _, j := range e.live {
+		if j.spec.Rounds > 0 && !j.state.IsFinal() {
+			e.openRounds(j)
+		}
+	}
+	e.live = slices.DeleteFunc(e.live, func(j *job) bool { return j.state.IsFinal() && j.attempts == 0 })
+	for id, j := range e.jobs {
+		if j.state.IsFinal() && j.isShown && e.now.Sub(j.endedAt) > keepFinal && j.attempts == 0 {
+			delete(e.jobs, id)
+			e.batchNow().Forgotten = append(e.batchNow().Forgotten, id)
+		}
+	}
+}
+
+// Decide places what can be placed. It is called after events, once for many.
+func (e *Engine) Decide() {
+	if !e.isDirty {
+		return
+	}
+	e.isDirty = false
+	e.place()
+}
+
+// Actions returns what is to be done since the last call.
+func (e *Engine) Actions() []Action {
+	a := e.actions
+	e.actions = nil
+	return a
+}
+
+func (e *Engine) do(a Action) { e.actions = append(e.actions, a) }
--- /dev/null
+++ b/internal/dispatch/job.go
@@ -0,0 +1,388 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// taskState is where a task is.
+type taskState string
+
+const (
+	taskWaiting taskState = "waiting"
+	// taskPlaced means that an attempt of it exists that is not known to be over.
+	taskPlaced taskState = "placed"
+	taskDone   taskState = "done"
+)
+
+// job is a job with all that is known of it.
+type job struct {
+	spec  *work.Spec
+	state work.JobState
+	// isKept means that the job is in the store; until then nothing starts.
+	isKept bool
+	// isShown means that the final state is in the store; until then callers are
+	// told that the job runs.
+	isShown bool
+	// isInherited means that an earlier owner may have started tasks of it.
+	isInherited bool
+	isDirty     bool
+	hasBegun    bool
+	acceptedAt  time.Time
+	endedAt     time.Time
+	rounds      map[int]*round
+	roundsDone  work.StepProgress
+	nextRound   int
+	roundsLeft  int
+	// attempts counts those of which it is not known that they are over.
+	attempts int
+	// cancelled has those who wait for the cancelling to be kept.
+}
+
+type round struct {
+	number int
+	dueAt  time.Time
+	steps  []*step
+	left   int
+}
+
+// step is a step of one round.
+type step struct {
+	job    *job
+	round  *round
+	id     work.StepID
+	spec   *work.Step
+	tasks  []task
+	left   int
+	isOpen bool
+	// waiting counts the tasks in the state waiting.
+	waiting int
+	openAt  time.Time
+	advice  advice
+	// gangFailures counts the attempts of a gang in which a member failed.
+	gangFailures map[uint64]bool
+}
+
+type task struct {
+	state   taskState
+	attempt *attempt
+	// run is the highest run of the task that is known.
+	run      uint64
+	failures []work.Failure
+	saved    string
+	// avoid is where the task failed or hung last.
+	avoid WorkerID
+	// retryAt is when the next attempt may start.
+	retryAt time.Time
+}
+
+// AddJob takes a job that is to be kept. It reports whether the job is new; a
+// job that is known is left as it is. The job starts when its batch is committed.
+func (e *Engine) AddJob(spec *work.Spec) bool {
+	if _, ok := e.jobs[spec.ID]; ok {
+		return false
+	}
+	j := e.newJob(spec)
+	e.jobs[spec.ID] = j
+	b := e.batchNow()
+	b.Specs = append(b.Specs, spec)
+	b.isUrgent = true
+	return true
+}
+
+// RestoreJob takes a job that the store has, with its progress, which may be nil.
+func (e *Engine) RestoreJob(spec *work.Spec, p *work.Progress) {
+	if _, ok := e.jobs[spec.ID]; ok {
+		return
+	}
+	j := e.newJob(spec)
+	j.isKept = true
+	e.jobs[spec.ID] = j
+	if p != nil {
+		e.restore(j, p)
+	}
+	if j.state.IsFinal() {
+		return
+	}
+	e.live = append(e.live, j)
+	e.openRounds(j)
+}
+
+func (e *Engine) newJob(spec *work.Spec) *job {
+	return &job{
+		spec: spec, state: work.JobQueued, rounds: map[int]*round{}, acceptedAt: e.now, roundsLeft: max(spec.Rounds, 1),
+	}
+}
+
+func (e *Engine) restore(j *job, p *work.Progress) {
+	j.state = p.State
+	j.acceptedAt = e.now
+	if p.State.IsFinal() {
+		j.isShown, j.endedAt = true, e.now
+		return
+	}
+	j.roundsDone = p.RoundsDone
+	for k := range max(j.spec.Rounds, 1) {
+		if p.RoundsDone.IsDone(k) {
+			j.roundsLeft--
+		}
+	}
+	for k, steps := range p.Rounds {
+		r := e.openRound(j, k)
+		for i := range min(len(steps), len(r.steps)) {
+			r.steps[i].restore(&steps[i])
+		}
+		e.openSteps(r)
+	}
+}
+
+func (s *step) restore(p *work.StepProgress) {
+	for i := range s.tasks {
+		s.tasks[i].run = p.Run
+		if p.IsDone(i) && s.tasks[i].state == taskWaiting {
+			s.tasks[i].state = taskDone
+			s.left--
+			s.waiting--
+			s.job.hasBegun = true
+		}
+	}
+	for _, f := range p.Failures {
+		if f.Index >= 0 && f.Index < len(s.tasks) {
+			s.addFailure(f)
+		}
+	}
+	for i, text := range p.Saved {
+		if i >= 0 && i < len(s.tasks) {
+			s.tasks[i].saved = text
+		}
+	}
+	if s.left == 0 {
+		s.round.left--
+	}
+}
+
+// openRounds opens the rounds that are due.
+func (e *Engine) openRounds(j *job) {
+	if j.spec.Rounds == 0 {
+		if j.rounds[0] == nil && j.roundsLeft > 0 {
+			e.openRound(j, 0)
+		}
+		e.openSteps(j.rounds[0])
+		return
+	}
+	for j.nextRound < j.spec.Rounds {
+		due := j.dueAt(j.nextRound)
+		if e.now.Before(due) {
+			return
+		}
+		k := j.nextRound
+		j.nextRound++
+		if j.roundsDone.IsDone(k) || j.rounds[k] != nil {
+			continue
+		}
+		e.openSteps(e.openRound(j, k))
+	}
+}
+
+func (j *job) dueAt(k int) time.Time {
+	if j.spec.Rounds == 0 {
+		return j.acceptedAt
+	}
+	return j.spec.StartAt.Add(time.Duration(k) * j.spec.Interval)
+}
+
+func (e *Engine) openRound(j *job, k int) *round {
+	r := &round{number: k, dueAt: j.dueAt(k), left: len(j.spec.Steps)}
+	for i := range j.spec.Steps {
+		spec := &j.spec.Steps[i]
+		s := &step{
+			job: j, round: r, id: work.StepID{Job: j.spec.ID, Round: k, Step: i}, spec: spec,
+			tasks: make([]task, spec.Count), left: spec.Count, waiting: spec.Count,
+		}
+		for t := range s.tasks {
+			s.tasks[t].state = taskWaiting
+		}
+		r.steps = append(r.steps, s)
+	}
+	j.rounds[k] = r
+	return r
+}
+
+// openSteps opens the steps whose earlier steps are all done.
+func (e *Engine) openSteps(r *round) {
+	if r == nil {
+		return
+	}
+	for _, s := range r.steps {
+		if s.isOpen || !r.areDone(s.spec.After) {
+			continue
+		}
+		s.isOpen = true
+		s.openAt = e.now
+		e.isDirty = true
+	}
+}
+
+func (r *round) areDone(steps []int) bool {
+	for _, i := range steps {
+		if r.steps[i].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// find returns the step and the task, or nil when there is none.
+func (e *Engine) find(id work.TaskID) (*step, *task) {
+	j := e.jobs[id.Job]
+	if j == nil {
+		return nil, nil
+	}
+	r := j.rounds[id.Round]
+	if r == nil || id.Step < 0 || id.Step >= len(r.steps) {
+		return nil, nil
+	}
+	s := r.steps[id.Step]
+	if id.Index < 0 || id.Index >= len(s.tasks) {
+		return nil, nil
+	}
+	return s, &s.tasks[id.Index]
+}
+
+// addFailure notes a failed attempt and reports whether it was not known before.
+func (s *step) addFailure(f work.Failure) bool {
+	t := &s.tasks[f.Index]
+	for _, old := range t.failures {
+		if old.Worker == f.Worker && old.Run == f.Run {
+			return false
+		}
+	}
+	t.failures = append(t.failures, f)
+	if s.spec.IsGang {
+		if s.gangFailures == nil {
+			s.gangFailures = map[uint64]bool{}
+		}
+		s.gangFailures[f.Run] = true
+	}
+	return true
+}
+
+// failureCount returns how many of the allowed attempts the task has used.
+func (s *step) failureCount(i int) int {
+	if s.spec.IsGang {
+		return len(s.gangFailures)
+	}
+	return len(s.tasks[i].failures)
+}
+
+// taskEnded notes that a task has ended well, once.
+func (e *Engine) taskEnded(s *step, i int) {
+	t := &s.tasks[i]
+	if t.state == taskDone {
+		return
+	}
+	if t.state == taskWaiting {
+		s.waiting--
+	}
+	t.state = taskDone
+	s.left--
+	e.touch(s.job)
+	if s.left > 0 {
+		return
+	}
+	e.isDirty = true
+	s.round.left--
+	if s.round.left > 0 {
+		e.openSteps(s.round)
+		return
+	}
+	e.roundEnded(s.job, s.round)
+}
+
+func (e *Engine) roundEnded(j *job, r *round) {
+	j.roundsDone.SetDone(r.number)
+	j.roundsLeft--
+	e.batchNow().isUrgent = true
+	if j.roundsLeft > 0 {
+		return
+	}
+	e.endJob(j, work.JobSucceeded, "all tasks have ended well")
+}
+
+// endJob sets the final state and stops all that still runs.
+func (e *Engine) endJob(j *job, state work.JobState, why string) {
+	if j.state.IsFinal() {
+		return
+	}
+	j.state, j.endedAt = state, e.now
+	e.touch(j)
+	e.batchNow().isUrgent = true
+	e.isDirty = true
+	e.options.Log(events.JobEnded, "job", j.spec.ID, "state", state, "why", why, "took", e.now.Sub(j.acceptedAt), "attempts", j.attempts)
+	if j.attempts == 0 {
+		return
+	}
+	for _, w := range e.workers {
+		for _, a := range w.attempts {
+			if a.step != nil && a.step.job == j {
+				e.stop(a, "job "+string(state))
+			}
+		}
+	}
+}
+
+func (e *Engine) touch(j *job) {
+	if j.isDirty {
+		return
+	}
+	j.isDirty = true
+	b := e.batchNow()
+	b.jobs = append(b.jobs, j)
+}
+
+// Cancel cancels a job. It reports whether there is such a job; the cancelling
+// is kept once the batch that the engine is filling is committed.
+func (e *Engine) Cancel(id work.JobID) bool {
+	j := e.jobs[id]
+	if j == nil {
+		return false
+	}
+	e.endJob(j, work.JobCancelled, "cancelled by its caller")
+	return true
+}
+
+// IsSettledCancel reports whether the final state of a job is kept.
+func (e *Engine) IsSettledCancel(id work.JobID) bool {
+	j := e.jobs[id]
+	return j != nil && j.state.IsFinal() && j.isShown
+}
+
+// State returns what a caller is told of a job; false when there is none.
+func (e *Engine) State(id work.JobID) (work.JobState, bool) {
+	j := e.jobs[id]
+	switch {
+	case j == nil:
+		return "", false
+	case j.state.IsFinal() && j.isShown:
+		return j.state, true
+	case j.hasBegun || j.state.IsFinal():
+		return work.JobRunning, true
+	}
+	return work.JobQueued, true
+}
+
+// Pending returns how many accepted jobs of a queue have not begun.
+func (e *Engine) Pending(queue string) int {
+	n := 0
+	for _, j := range e.live {
+		if j.spec.Queue == queue && j.isKept && !j.hasBegun && !j.state.IsFinal() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/dispatch/listing.go
@@ -0,0 +1,297 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// StartAnswered takes the answer to an order to start. at is the worker's clock
+// in the answer, 0 when it told none.
+func (e *Engine) StartAnswered(id WorkerID, task work.TaskID, run uint64, outcome StartOutcome, at WorkerTime) {
+	if outcome == StartLifeOver {
+		e.LifeOver(id)
+		return
+	}
+	w := e.workers[id]
+	if w == nil {
+		return
+	}
+	e.readClock(w, at)
+	a := w.attempts[task]
+	if a == nil || a.run != run {
+		return
+	}
+	switch outcome {
+	case StartDone:
+		a.startedAt = at
+		if a.phase != phaseRunning {
+			a.phase = phaseRunning
+			a.percentAt = e.now
+		}
+	case StartUnknown:
+		if a.phase == phaseOrdered {
+			a.phase = phaseDoubtful
+			e.counts.Doubtful++
+			e.options.Log(events.OrderDoubtful, "task", task, "run", run, "worker", id, "age", e.now.Sub(a.orderedAt))
+		}
+	case StartRefused, StartNoRoom, StartNoTicket, StartUnhealthy, StartFenced, StartLifeOver:
+		e.startRefused(w, a, outcome)
+	}
+}
+
+func (e *Engine) startRefused(w *worker, a *attempt, outcome StartOutcome) {
+	if a.phase == phaseRunning {
+		return
+	}
+	e.options.Log(events.StartRefused, "task", a.id, "run", a.run, "worker", w.ID, "why", outcome)
+	switch outcome {
+	case StartNoTicket:
+		a.step.advice.forget(w.ID)
+	case StartUnhealthy:
+		w.health.refused(e.now)
+	case StartNoRoom, StartRefused:
+		w.health.refused(e.now)
+	case StartDone, StartFenced, StartUnknown, StartLifeOver:
+	}
+	e.release(a)
+	e.attemptOver(a)
+	if a.step.spec.IsGang {
+		e.stopGang(a.step, a.run, "a member was refused")
+	}
+}
+
+// StopAnswered takes the answer to an order to stop. isKnown is false when there
+// was none.
+func (e *Engine) StopAnswered(id WorkerID, task work.TaskID, run uint64, isKnown bool, at WorkerTime) {
+	w := e.workers[id]
+	if w == nil || !isKnown {
+		return
+	}
+	e.readClock(w, at)
+	a := w.attempts[task]
+	if a == nil || a.run != run {
+		return
+	}
+	a.stopAckedAt = at
+	e.look(w)
+}
+
+func (e *Engine) readClock(w *worker, at WorkerTime) {
+	if at > w.readTime {
+		w.readTime, w.readAt = at, e.now
+	}
+}
+
+// Listed takes a worker's word on all that it runs.
+func (e *Engine) Listed(id WorkerID, l *Listing, isLook bool) {
+	w := e.workers[id]
+	if w == nil {
+		return
+	}
+	e.readClock(w, l.At)
+	w.holdFailures = 0
+	e.takeListing(w, l)
+	e.answeredHold(w, isLook)
+	e.dropIfEmpty(w)
+}
+
+func (e *Engine) takeListing(w *worker, l *Listing) {
+	for i := range l.Finished {
+		e.ended(w, &l.Finished[i])
+	}
+	if l.At < w.listedAt {
+		return
+	}
+	w.listedAt = l.At
+	clear(w.foreign)
+	running := make(map[work.TaskID]bool, len(l.Running))
+	for i := range l.Running {
+		running[l.Running[i].Task] = true
+		e.runs(w, &l.Running[i])
+	}
+	e.settleMissing(w, l, running)
+	if !w.isListed {
+		w.isListed = true
+		e.isDirty = true
+	}
+	e.settle(w.ID, "told what it runs")
+	e.setPaces(w)
+}
+
+// runs takes an attempt that the worker says it runs.
+func (e *Engine) runs(w *worker, r *Running) {
+	a := w.attempts[r.Task]
+	if a == nil || a.run != r.Run {
+		a = e.adopt(w, r)
+		if a == nil {
+			return
+		}
+	}
+	if a.phase != phaseRunning {
+		a.phase = phaseRunning
+		a.percentAt = e.now
+	}
+	if r.Percent != a.percent {
+		a.percent, a.percentAt = r.Percent, e.now
+	}
+	a.figure = r.Figure
+	if a.step != nil {
+		a.step.job.hasBegun = true
+		if r.Saved != "" {
+			a.step.tasks[a.id.Index].saved = r.Saved
+		}
+	}
+}
+
+// adopt takes an attempt that an earlier owner started, or stops it when it is
+// of no use.
+func (e *Engine) adopt(w *worker, r *Running) *attempt {
+	s, t := e.find(r.Task)
+	if s == nil {
+		w.foreign[r.Task] = r.Run
+		e.do(Stop{Worker: w.ID, Addr: w.Addr, Task: r.Task, Run: r.Run})
+		return nil
+	}
+	if old := w.attempts[r.Task]; old != nil {
+		// The worker has one run of a task at most: the other one is not there.
+		e.release(old)
+		e.attemptOver(old)
+	}
+	a := &attempt{
+		id: r.Task, step: s, run: r.Run, worker: w, charge: s.spec.Charge(), phase: phaseRunning,
+		orderedAt: e.now, startedAt: w.readTime, percentAt: e.now, pace: fullPace,
+	}
+	e.charge(a)
+	t.run = max(t.run, r.Run)
+	isWanted := t.state == taskWaiting && !s.job.state.IsFinal()
+	if !isWanted {
+		if t.state == taskPlaced {
+			e.options.Log(events.TaskTwice, "task", r.Task, "run", r.Run, "worker", w.ID)
+		}
+		e.stop(a, "not wanted")
+		return a
+	}
+	t.state, t.attempt = taskPlaced, a
+	s.waiting--
+	return a
+}
+
+func (e *Engine) charge(a *attempt) {
+	a.worker.attempts[a.id] = a
+	a.worker.used = a.worker.used.Add(a.charge)
+	a.step.job.attempts++
+}
+
+// ended takes an end, once.
+func (e *Engine) ended(w *worker, end *End) {
+	if end.Number <= w.handled {
+		return
+	}
+	w.handled = end.Number
+	e.batchNow().seen[w] = end.Number
+	a := w.attempts[end.Task]
+	if a != nil && a.run == end.Run {
+		e.release(a)
+	} else {
+		a = nil
+	}
+	s, t := e.find(end.Task)
+	if s == nil {
+		return
+	}
+	t.run = max(t.run, end.Run)
+	if end.Saved != "" && (a != nil || t.saved == "") {
+		t.saved = end.Saved
+	}
+	switch end.Kind {
+	case EndDone:
+		e.endedDone(w, s, end)
+	case EndFailed:
+		e.endedFailed(w, s, end)
+	case EndStopped, EndLapsed, EndBroken, EndAlone:
+		if a == nil || a.stopWhy == "" {
+			e.options.Log(events.AttemptEnded, "task", end.Task, "run", end.Run, "worker", w.ID, "how", end.Kind)
+		}
+	}
+	if a != nil {
+		e.attemptOver(a)
+	}
+}
+
+func (e *Engine) endedDone(w *worker, s *step, end *End) {
+	e.counts.Done++
+	w.health.succeeded()
+	if s.spec.IsLasting {
+		return
+	}
+	if !s.spec.IsGang {
+		e.doneOnce(s, end.Task.Index, end.Run)
+		return
+	}
+	for i := range s.tasks {
+		e.doneOnce(s, i, end.Run)
+	}
+}
+
+// doneOnce notes that a task is done and stops copies of it.
+func (e *Engine) doneOnce(s *step, i int, run uint64) {
+	if a := s.tasks[i].attempt; a != nil && a.run != run {
+		e.stop(a, "another attempt is done")
+	}
+	e.taskEnded(s, i)
+}
+
+func (e *Engine) endedFailed(w *worker, s *step, end *End) {
+	e.counts.Failed++
+	i := end.Task.Index
+	isNew := s.addFailure(work.Failure{Index: i, Worker: string(w.ID), Run: end.Run})
+	if !isNew {
+		return
+	}
+	w.health.failed(e.now, s.job)
+	s.tasks[i].avoid = w.ID
+	e.touch(s.job)
+	e.options.Log(events.AttemptEnded, "task", end.Task, "run", end.Run, "worker", w.ID, "how", end.Kind, "failures", s.failureCount(i))
+	if s.spec.IsLasting {
+		s.tasks[i].failures = nil
+		return
+	}
+	limit := e.queues[s.job.spec.Queue].MaxAttempts
+	if limit > 0 && s.failureCount(i) >= limit && s.tasks[i].state != taskDone {
+		e.endJob(s.job, work.JobFailed, "a task failed as often as it may")
+	}
+	if s.spec.IsGang {
+		e.stopGang(s, end.Run, "a member failed")
+	}
+}
+
+// stopGang stops what is left of a run of a gang.
+func (e *Engine) stopGang(s *step, run uint64, why string) {
+	for i := range s.tasks {
+		if a := s.tasks[i].attempt; a != nil && a.run == run {
+			e.stop(a, why)
+		}
+	}
+}
+
+// settleMissing settles the attempts that a listing should have and has not.
+func (e *Engine) settleMissing(w *worker, l *Listing, running map[work.TaskID]bool) {
+	for id, a := range w.attempts {
+		if running[id] {
+			continue
+		}
+		isStopped := a.stopAckedAt > 0 && a.stopAckedAt <= l.At
+		isStarted := a.phase == phaseRunning && a.startedAt > 0 && a.startedAt < l.At
+		if !isStopped && !isStarted {
+			continue
+		}
+		if !isStopped {
+			e.options.Log(events.AttemptMissing, "task", id, "run", a.run, "worker", w.ID)
+		}
+		e.release(a)
+		e.attemptOver(a)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/place.go
@@ -0,0 +1,326 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// place starts what can be started, the most urgent first.
+func (e *Engine) place() {
+	if e.isPaused || !e.isTrusted {
+		return
+	}
+	for _, s := range e.stepsByTurn() {
+		e.placeStep(s)
+	}
+}
+
+// stepsByTurn returns the steps with waiting tasks in the order of their turn.
+func (e *Engine) stepsByTurn() []*step {
+	open := []*step{}
+	for _, j := range e.live {
+		if j.state.IsFinal() || j.isInherited && !e.IsSettled() {
+			continue
+		}
+		for _, r := range j.rounds {
+			for _, s := range r.steps {
+				if s.isOpen && s.waiting > 0 {
+					open = append(open, s)
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(open, func(a, b *step) int {
+		pa, pb := e.queues[a.job.spec.Queue].Priority, e.queues[b.job.spec.Queue].Priority
+		if pa != pb {
+			return cmp.Compare(pa, pb)
+		}
+		return a.openedFor().Compare(b.openedFor())
+	})
+	return open
+}
+
+// openedFor is the time by which steps of one priority take turns.
+func (s *step) openedFor() time.Time {
+	if s.job.spec.Rounds > 0 {
+		return s.round.dueAt
+	}
+	return s.job.acceptedAt
+}
+
+func (e *Engine) placeStep(s *step) {
+	q, ok := e.queues[s.job.spec.Queue]
+	if !ok {
+		return
+	}
+	if s.spec.IsGang {
+		e.placeGang(s, &q)
+		return
+	}
+	placed := 0
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.state != taskWaiting || e.now.Before(t.retryAt) {
+			continue
+		}
+		w := e.choose(s, i, &q, nil)
+		if w == nil {
+			break
+		}
+		e.start(w, s, i, t.run+1)
+		placed++
+	}
+	if placed > 0 {
+		e.options.Log(events.StepPlaced, "step", s.id, "queue", q.Name, "placed", placed, "waiting", s.waiting, "waited", e.now.Sub(s.openAt))
+	}
+	if s.waiting > 0 && q.Advice != nil {
+		e.askAdvice(s, q.Advice, s.waiting)
+	}
+}
+
+// placeGang starts all tasks of a gang or none.
+func (e *Engine) placeGang(s *step, q *Queue) {
+	if s.waiting < len(s.tasks) {
+		return
+	}
+	places := e.gangPlaces(s, q)
+	if places == nil {
+		if q.Advice != nil {
+			e.askAdvice(s, q.Advice, len(s.tasks))
+		}
+		return
+	}
+	run := s.highestRun() + 1
+	for i, w := range places {
+		e.start(w, s, i, run)
+	}
+	e.options.Log(events.StepPlaced, "step", s.id, "queue", q.Name, "placed", len(places), "run", run, "waited", e.now.Sub(s.openAt))
+}
+
+// gangPlaces returns a worker for each task of a gang, in one rack where that is
+// asked for and possible, or nil.
+func (e *Engine) gangPlaces(s *step, q *Queue) []*worker {
+	if s.spec.IsSameRack {
+		for _, rack := range e.racks() {
+			if places := e.tryGang(s, q, rack); places != nil {
+				return places
+			}
+		}
+	}
+	return e.tryGang(s, q, "")
+}
+
+func (e *Engine) racks() []string {
+	out := []string{}
+	for _, w := range e.workers {
+		if w.Rack != "" && !slices.Contains(out, w.Rack) {
+			out = append(out, w.Rack)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (e *Engine) tryGang(s *step, q *Queue, rack string) []*worker {
+	taken := map[*worker]int{}
+	places := make([]*worker, 0, len(s.tasks))
+	for i := range s.tasks {
+		w := e.choose(s, i, q, &gangSoFar{taken, rack})
+		if w == nil {
+			return nil
+		}
+		taken[w]++
+		places = append(places, w)
+	}
+	return places
+}
+
+// gangSoFar is what the members of a gang that have a place would take.
+type gangSoFar struct {
+	taken map[*worker]int
+	rack  string
+}
+
+// mayRun reports whether the worker is one on which the step may run at all.
+func (e *Engine) mayRun(w *worker, s *step, pool string) bool {
+	if w.Service != pool {
+		return false
+	}
+	return s.spec.Label == "" || slices.Contains(w.Labels, s.spec.Label)
+}
+
+// fits returns how many tasks of the step the worker could take now.
+func (e *Engine) fits(w *worker, s *step) int {
+	n := len(s.tasks)
+	charge := s.spec.Charge()
+	if charge.MilliCPU > 0 || charge.MemoryMiB > 0 || charge.Accelerators > 0 {
+		free := w.Capacity.Sub(w.used)
+		free.Slots = 0
+		charge.Slots = 0
+		n = int(min(int64(n), charge.Count(free)))
+	}
+	if s.spec.MaxPerWorker > 0 {
+		n = min(n, s.spec.MaxPerWorker-w.countOf(s))
+	}
+	if w.health.onTrial {
+		n = min(n, 1-len(w.attempts))
+	}
+	return max(n, 0)
+}
+
+func (w *worker) countOf(s *step) int {
+	n := 0
+	for _, a := range w.attempts {
+		if a.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// choose picks the worker for a task, or returns nil.
+func (e *Engine) choose(s *step, i int, q *Queue, gang *gangSoFar) *worker {
+	id := s.taskID(i)
+	t := &s.tasks[i]
+	var best *worker
+	bestScore := 0.0
+	for _, w := range e.workers {
+		if !e.isUsable(w) || !e.mayRun(w, s, q.Service) || w.attempts[id] != nil {
+			continue
+		}
+		if q.Advice != nil {
+			if _, ok := s.advice.holds(w.ID, e.now); !ok {
+				continue
+			}
+		}
+		room := e.fits(w, s)
+		if gang != nil {
+			if gang.rack != "" && w.Rack != gang.rack {
+				continue
+			}
+			room -= gang.taken[w]
+		}
+		if room <= 0 {
+			continue
+		}
+		score := e.score(w, s, t)
+		if best == nil || score > bestScore || score == bestScore && w.ID < best.ID {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// Weights of a placement's score, in parts of a worker's room. What makes a task
+// slower or likely to fail outweighs packing.
+const (
+	weightAvoid  = 4.0
+	weightFar    = 1.0
+	weightShared = 1.5
+	weightZone   = 0.01
+	weightSteady = 0.3
+)
+
+// score is higher the better the worker suits: packed tightly, near the data,
+// away from where the task failed and from what it would disturb.
+func (e *Engine) score(w *worker, s *step, t *task) float64 {
+	score := w.fullness()
+	if s.spec.IsLasting || s.spec.IsFiller {
+		score = -score
+	}
+	if t.avoid == w.ID {
+		score -= weightAvoid
+	}
+	if s.spec.DataRack != "" && w.Rack != s.spec.DataRack {
+		score -= weightFar
+	}
+	if w.Zone == e.options.NodeZone {
+		score += weightZone
+	}
+	if w.health.inRow > 0 {
+		score -= weightSteady * float64(w.health.inRow)
+	}
+	if s.spec.IsFiller || s.spec.TailTarget > 0 {
+		score -= weightShared * w.conflicts(s)
+	}
+	return score
+}
+
+// fullness is the part of the worker's room that is taken, by the dimension that
+// is taken most.
+func (w *worker) fullness() float64 {
+	full := 0.0
+	if w.Capacity.MilliCPU > 0 {
+		full = float64(w.used.MilliCPU) / float64(w.Capacity.MilliCPU)
+	}
+	if w.Capacity.MemoryMiB > 0 {
+		full = max(full, float64(w.used.MemoryMiB)/float64(w.Capacity.MemoryMiB))
+	}
+	return full
+}
+
+// conflicts is 1 when the worker has tasks that the step would disturb or be
+// disturbed by.
+func (w *worker) conflicts(s *step) float64 {
+	for _, a := range w.attempts {
+		if a.step == nil {
+			continue
+		}
+		if s.spec.IsFiller && a.step.spec.TailTarget > 0 || s.spec.TailTarget > 0 && a.step.spec.IsFiller {
+			return 1
+		}
+	}
+	return 0
+}
+
+func (s *step) taskID(i int) work.TaskID {
+	return work.TaskID{Job: s.id.Job, Round: s.id.Round, Step: s.id.Step, Index: i}
+}
+
+func (s *step) highestRun() uint64 {
+	run := uint64(0)
+	for i := range s.tasks {
+		run = max(run, s.tasks[i].run)
+	}
+	return run
+}
+
+// start charges the worker and orders the start.
+func (e *Engine) start(w *worker, s *step, i int, run uint64) {
+	t := &s.tasks[i]
+	id := s.taskID(i)
+	a := &attempt{
+		id: id, step: s, run: run, worker: w, charge: s.spec.Charge(), phase: phaseOrdered, orderedAt: e.now, pace: fullPace,
+	}
+	e.charge(a)
+	t.state, t.attempt = taskPlaced, a
+	s.waiting--
+	t.run = max(t.run, run)
+	e.counts.Starts++
+	ticketText, _ := s.advice.holds(w.ID, e.now)
+	e.do(Start{
+		Worker: w.ID, Addr: w.Addr, Task: id, Run: run, Payload: s.job.spec.Payload,
+		Saved: s.savedFor(i), Ticket: ticketText, Deadline: e.renew(w),
+	})
+}
+
+// savedFor returns where a task goes on from. The members of a gang must all go
+// on from the same text.
+func (s *step) savedFor(i int) string {
+	if !s.spec.IsGang {
+		return s.tasks[i].saved
+	}
+	for t := range s.tasks {
+		if text := s.tasks[t].saved; text != "" {
+			return text
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/dispatch/types.go
@@ -0,0 +1,200 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package dispatch decides which task runs on which worker and when. It is pure:
+// what happened comes in by calls with the time, what is to be done goes out as
+// actions. One goroutine calls it.
+//
+// Its promises: a worker's room is charged from the order until the end is
+// known; a task has at most one attempt of which it is not known that it is over
+// (but where copies are allowed); what must last is handed out as a batch, and
+// an end is only confirmed to a worker when the batch with it is committed.
+package dispatch
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// WorkerID names one life of a worker; after a crash it has another.
+type WorkerID string
+
+// Worker is what the platform's list says of a worker.
+type Worker struct {
+	ID      WorkerID
+	Addr    netip.AddrPort
+	Machine string
+	Zone    string
+	Rack    string
+	Labels  []string
+	// Service names the pool that it serves.
+	Service  string
+	Capacity leverdyke.Resources
+	// IsDraining means that it is leaving: it finishes what it has.
+	IsDraining bool
+}
+
+// Queue is the policy of a queue, from the configuration.
+type Queue struct {
+	Name string
+	// Service names the pool whose workers run its tasks.
+	Service string
+	// Priority 0 goes first.
+	Priority    int
+	MaxAttempts int
+	// Advice is set when only some workers may run a step; nil means all may.
+	Advice *AdvicePolicy
+	// Stretch and Latency make the time that a job should take: its longest
+	// chain times Stretch, and Latency.
+	Stretch float64
+	Latency time.Duration
+}
+
+// AdvicePolicy says what it costs to ask which workers may run a step.
+type AdvicePolicy struct {
+	// Base and Each are the time of a call: Base and Each for every worker named.
+	Base time.Duration
+	Each time.Duration
+	// Valid is how long a permission holds.
+	Valid time.Duration
+}
+
+// WorkerTime is a time on a worker's own steady clock.
+type WorkerTime time.Duration
+
+// EndKind is how an attempt ended.
+type EndKind string
+
+// The kinds of end.
+const (
+	EndDone    EndKind = "done"
+	EndFailed  EndKind = "failed"
+	EndStopped EndKind = "stopped"
+	EndLapsed  EndKind = "lapsed"
+	// EndBroken means that another member of the gang ended.
+	EndBroken EndKind = "broken"
+	// EndAlone means that the other members of the gang did not come.
+	EndAlone EndKind = "alone"
+)
+
+// Running is an attempt that a worker says it runs.
+type Running struct {
+	Task  work.TaskID
+	Run   uint64
+	Saved string
+	// Percent is how far it is; for a lasting task 100 means at work.
+	Percent int
+	// Figure is the tail latency in ms of a task that serves users, else its use
+	// of processors in thousandths.
+	Figure int
+}
+
+// End is an attempt that a worker says has ended.
+type End struct {
+	// Number rises by one with each end of a worker's life.
+	Number uint64
+	Task   work.TaskID
+	Run    uint64
+	Kind   EndKind
+	Saved  string
+}
+
+// Listing is a worker's word on all that it runs.
+type Listing struct {
+	// At is the worker's clock when it answered.
+	At       WorkerTime
+	Running  []Running
+	Finished []End
+}
+
+// StartOutcome is what became of an order to start.
+type StartOutcome string
+
+// The outcomes.
+const (
+	// StartDone means that the attempt runs.
+	StartDone StartOutcome = "started"
+	// StartRefused means that it does not run and never will by this order.
+	StartRefused StartOutcome = "refused"
+	// StartNoRoom and StartNoTicket are refusals with these reasons.
+	StartNoRoom   StartOutcome = "no-room"
+	StartNoTicket StartOutcome = "no-ticket"
+	// StartUnhealthy means that the worker takes nothing now.
+	StartUnhealthy StartOutcome = "unhealthy"
+	// StartFenced means that the worker obeys a later owner.
+	StartFenced StartOutcome = "fenced"
+	// StartUnknown means that the order may be carried out, also later.
+	StartUnknown StartOutcome = "unknown"
+	// StartLifeOver means that this life of the worker is over.
+	StartLifeOver StartOutcome = "life-over"
+)
+
+// Ticket permits a worker to run the tasks of one step.
+type Ticket struct {
+	Worker WorkerID
+	Text   string
+}
+
+// Action is something that the caller of the engine has to do.
+type Action interface{ isAction() }
+
+// Start orders a worker to start an attempt.
+type Start struct {
+	Worker  WorkerID
+	Addr    netip.AddrPort
+	Task    work.TaskID
+	Run     uint64
+	Payload string
+	Saved   string
+	Ticket  string
+	// Deadline is when everything on the worker ends unless it is renewed.
+	Deadline WorkerTime
+}
+
+// Stop orders a worker to stop an attempt.
+type Stop struct {
+	Worker WorkerID
+	Addr   netip.AddrPort
+	Task   work.TaskID
+	Run    uint64
+}
+
+// Pace sets the share at which an attempt works.
+type Pace struct {
+	Worker  WorkerID
+	Addr    netip.AddrPort
+	Task    work.TaskID
+	Run     uint64
+	Percent int
+}
+
+// Advise asks which of the workers may run a step, by one lane.
+type Advise struct {
+	Lane    string
+	Step    work.StepID
+	Workers []WorkerID
+}
+
+// Hold asks a worker for a listing and renews its lease. Each is answered by a
+// call of Listed or HoldFailed.
+type Hold struct {
+	Worker WorkerID
+	Addr   netip.AddrPort
+	// Deadline is the new end of the lease; 0 renews nothing.
+	Deadline WorkerTime
+	// Confirmed is the number up to which the worker may forget ends.
+	Confirmed uint64
+	// Wait is how long the worker may wait for an end before it answers.
+	Wait time.Duration
+	// IsLook marks a listing at once, beside the one that waits.
+	IsLook bool
+}
+
+func (Start) isAction()  {}
+func (Stop) isAction()   {}
+func (Pace) isAction()   {}
+func (Advise) isAction() {}
+func (Hold) isAction()   {}
--- /dev/null
+++ b/internal/dispatch/worker.go
@@ -0,0 +1,296 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// worker is one life of a worker with the attempts that are charged to it.
+type worker struct {
+	Worker
+	attempts map[work.TaskID]*attempt
+	// used is the sum of what the attempts are charged.
+	used leverdyke.Resources
+	// foreign are attempts of which nothing is known, so that their size is not
+	// known either: while there are any, the worker gets nothing new.
+	foreign map[work.TaskID]uint64
+	// isListed means that it has told all that it runs since this engine watches.
+	isListed bool
+	// isAdmitted means that the store names it as in use by this owner.
+	isAdmitted bool
+	// isGone means that the platform's list no longer has it.
+	isGone bool
+	// readAt is when its clock was last read, readTime what it showed.
+	readAt   time.Time
+	readTime WorkerTime
+	listedAt WorkerTime
+	// deadline is the latest that was ever sent to it; it is never shortened.
+	deadline WorkerTime
+	// handled is the number of the last end that was taken in, confirmed that of
+	// the last one that is kept.
+	handled, confirmed uint64
+	health             health
+	// isHeld means that a listing that waits is on its way, isLooked one at once.
+	isHeld, isLooked bool
+	// holdFailures counts listings in a row that did not come; the next is asked
+	// for at holdAt.
+	holdFailures int
+	holdAt       time.Time
+}
+
+// phase is where an attempt is.
+type phase string
+
+const (
+	// phaseOrdered means that the order is on its way.
+	phaseOrdered phase = "ordered"
+	// phaseDoubtful means that the order got no answer and may be carried out.
+	phaseDoubtful phase = "doubtful"
+	phaseRunning  phase = "running"
+)
+
+// attempt is a start of a task that is not known to be over.
+type attempt struct {
+	id     work.TaskID
+	step   *step
+	run    uint64
+	worker *worker
+	charge leverdyke.Resources
+	phase  phase
+	// orderedAt is when the order was sent.
+	orderedAt time.Time
+	// startedAt is the worker's clock when it confirmed the start.
+	startedAt WorkerTime
+	// isStopping means that it was told to stop; stopSentAt is when, last.
+	isStopping bool
+	stopSentAt time.Time
+	stopWhy    string
+	// stopAckedAt is the worker's clock when it confirmed the stop; 0 before.
+	stopAckedAt WorkerTime
+	percent     int
+	percentAt   time.Time
+	figure      int
+	pace        int
+	pacedAt     time.Time
+	// highSince is when its tail was first seen over the target; zero when it is not.
+	highSince time.Time
+}
+
+// SetWorkers takes the platform's list, whole. isCertain is false while the list
+// may lack workers that live: then none is taken as gone.
+func (e *Engine) SetWorkers(list []Worker, isCertain bool) {
+	seen := make(map[WorkerID]bool, len(list))
+	for _, entry := range list {
+		seen[entry.ID] = true
+		e.setWorker(entry)
+	}
+	if !isCertain {
+		return
+	}
+	for id, w := range e.workers {
+		if !seen[id] && !w.isGone {
+			w.isGone = true
+			e.options.Log(events.WorkerUnlisted, "worker", id, "attempts", len(w.attempts), "silent", e.now.Sub(w.readAt))
+			e.dropIfEmpty(w)
+		}
+	}
+}
+
+func (e *Engine) setWorker(entry Worker) {
+	w := e.workers[entry.ID]
+	if w == nil {
+		e.endEarlierLives(entry)
+		w = &worker{Worker: entry, attempts: map[work.TaskID]*attempt{}, foreign: map[work.TaskID]uint64{}}
+		e.workers[entry.ID] = w
+		e.hold(w)
+		return
+	}
+	if entry.IsDraining && !w.IsDraining {
+		e.options.Log(events.WorkerLeaving, "worker", entry.ID, "attempts", len(w.attempts))
+	}
+	if w.isGone || w.IsDraining != entry.IsDraining {
+		e.isDirty = true
+	}
+	w.Worker = entry
+	w.isGone = false
+}
+
+// endEarlierLives ends the lives of the same machine: it has one at a time.
+func (e *Engine) endEarlierLives(entry Worker) {
+	if entry.Machine == "" {
+		return
+	}
+	for id, w := range e.workers {
+		if w.Machine == entry.Machine {
+			e.LifeOver(id)
+		}
+	}
+}
+
+// LifeOver says that a worker's life is over: nothing of it runs any more.
+func (e *Engine) LifeOver(id WorkerID) {
+	e.settle(id, "life over")
+	w := e.workers[id]
+	if w == nil {
+		return
+	}
+	e.options.Log(events.WorkerLifeOver, "worker", id, "attempts", len(w.attempts))
+	e.lapseAll(w)
+	w.isGone = true
+	e.dropIfEmpty(w)
+}
+
+func (e *Engine) dropIfEmpty(w *worker) {
+	if !w.isGone || len(w.attempts) > 0 || len(w.foreign) > 0 {
+		return
+	}
+	if _, ok := e.unsettled[w.ID]; ok {
+		return
+	}
+	delete(e.workers, w.ID)
+}
+
+// Roster returns the workers that the store should name as in use: those whose
+// leases may still run.
+func (e *Engine) Roster() []WorkerID {
+	out := make([]WorkerID, 0, len(e.workers))
+	for id, w := range e.workers {
+		if w.isListed || len(w.attempts) > 0 {
+			out = append(out, id)
+		}
+	}
+	for id := range e.unsettled {
+		if e.workers[id] == nil {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Admit says that the store names these workers as in use by this owner.
+func (e *Engine) Admit(roster []WorkerID) {
+	for _, id := range roster {
+		if w := e.workers[id]; w != nil && !w.isAdmitted {
+			w.isAdmitted = true
+			e.isDirty = true
+		}
+	}
+}
+
+// renew returns the deadline to send now.
+func (e *Engine) renew(w *worker) WorkerTime {
+	estimate := w.readTime + WorkerTime(e.now.Sub(w.readAt))
+	w.deadline = max(w.deadline, estimate+WorkerTime(leaseLength))
+	return w.deadline
+}
+
+// lapsesAt returns when all leases that this engine gave to the worker are over.
+func (w *worker) lapsesAt() time.Time {
+	left := time.Duration(w.deadline - w.readTime)
+	if left <= 0 {
+		return w.readAt
+	}
+	return w.readAt.Add(left + time.Duration(float64(left)*clockSkew) + lapseSlack)
+}
+
+func (e *Engine) tickWorker(w *worker) {
+	if !w.isHeld && !e.now.Before(w.holdAt) {
+		e.hold(w)
+	}
+	if until, ok := e.unsettled[w.ID]; ok && e.now.After(until) && e.now.After(w.lapsesAt()) {
+		e.settle(w.ID, "leases lapsed")
+	}
+	e.dropIfEmpty(w)
+	if len(w.attempts) == 0 {
+		return
+	}
+	if !w.readAt.IsZero() && e.now.After(w.lapsesAt()) {
+		e.options.Log(events.WorkerLost, "worker", w.ID, "attempts", len(w.attempts), "silent", e.now.Sub(w.readAt))
+		e.lapseAll(w)
+		return
+	}
+	for _, a := range w.attempts {
+		e.tickAttempt(a)
+	}
+}
+
+func (e *Engine) tickAttempt(a *attempt) {
+	if a.phase == phaseOrdered && e.now.Sub(a.orderedAt) > orderPatience {
+		a.phase = phaseDoubtful
+		e.counts.Doubtful++
+	}
+	if a.phase == phaseDoubtful && !a.isStopping {
+		e.stop(a, "order was not answered")
+		return
+	}
+	if a.isStopping && a.stopAckedAt == 0 && e.now.Sub(a.stopSentAt) > stopRetry {
+		e.sendStop(a)
+	}
+	e.checkProgress(a)
+}
+
+// lapseAll takes all attempts of a worker as over.
+func (e *Engine) lapseAll(w *worker) {
+	for _, a := range w.attempts {
+		e.counts.Lapsed++
+		e.release(a)
+		e.attemptOver(a)
+	}
+	clear(w.foreign)
+	w.isListed = false
+	e.isDirty = true
+}
+
+// stop orders an attempt to stop, once.
+func (e *Engine) stop(a *attempt, why string) {
+	if a.isStopping {
+		return
+	}
+	a.isStopping = true
+	a.stopWhy = why
+	e.counts.Stopped++
+	e.sendStop(a)
+}
+
+func (e *Engine) sendStop(a *attempt) {
+	a.stopSentAt = e.now
+	e.do(Stop{Worker: a.worker.ID, Addr: a.worker.Addr, Task: a.id, Run: a.run})
+}
+
+// release gives back the room of an attempt.
+func (e *Engine) release(a *attempt) {
+	w := a.worker
+	if w.attempts[a.id] != a {
+		return
+	}
+	delete(w.attempts, a.id)
+	w.used = w.used.Sub(a.charge)
+	if a.step != nil {
+		a.step.job.attempts--
+	}
+	e.isDirty = true
+}
+
+// attemptOver makes the task of a released attempt wait again, if that attempt
+// was its only one.
+func (e *Engine) attemptOver(a *attempt) {
+	if a.step == nil {
+		return
+	}
+	t := &a.step.tasks[a.id.Index]
+	if t.attempt != a {
+		return
+	}
+	t.attempt = nil
+	if t.state != taskPlaced {
+		return
+	}
+	t.state = taskWaiting
+	a.step.waiting++
+}
--- /dev/null
+++ b/internal/link/conn.go
@@ -0,0 +1,264 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package link has calls between nodes over one TCP connection, in both
+// directions, with typed bodies.
+package link
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/codec"
+	"github.com/leverdyke/leverdyke/internal/frame"
+	"github.com/leverdyke/leverdyke/internal/ring"
+)
+
+// Kind names a message; its body has one type.
+type Kind string
+
+// message is what a frame carries.
+type message struct {
+	// ID joins a reply to its call; 0 marks a notification.
+	ID      uint64
+	Kind    Kind
+	IsReply bool
+	Body    []byte
+	// Failure is set in a reply to a call that failed.
+	Failure string
+}
+
+// Bounds of a connection.
+const (
+	// outboundFrames is how many frames may wait; a peer that does not read is cut.
+	outboundFrames = 4096
+	// writeTimeout is how long a write may take: a peer in the same region reads
+	// within milliseconds.
+	writeTimeout = 2 * time.Second
+	// maxCalls is how many calls of a peer may be in progress.
+	maxCalls = 2048
+	// keepAlive finds a machine that lost its power, besides the beats.
+	keepAlive = time.Second
+)
+
+// ErrClosed means that the connection is closed. A call that had been sent may
+// have been carried out.
+var ErrClosed = errors.New("link: closed")
+
+// CallError is the failure that a peer told.
+type CallError struct{ Reason string }
+
+// Error returns the text of the error.
+func (e *CallError) Error() string { return "link: the peer says: " + e.Reason }
+
+// Handler takes what a peer sends. Calls come on goroutines of their own,
+// notifications one after the other.
+type Handler interface {
+	// HandleCall returns the body of the reply.
+	HandleCall(ctx context.Context, from *Conn, kind Kind, body []byte) (any, error)
+	HandleNotice(from *Conn, kind Kind, body []byte)
+}
+
+// Conn is a connection to a peer. It is safe for concurrent use.
+type Conn struct {
+	conn    net.Conn
+	handler Handler
+	out     *ring.Ring[*message]
+	ctx     context.Context
+	cancel  context.CancelFunc
+	slots   chan struct{}
+	// heard is when the last frame came, in nanoseconds of the time of day.
+	heard atomic.Int64
+
+	mu      sync.Mutex
+	nextID  uint64
+	waiting map[uint64]chan *message
+}
+
+// NewConn takes over an open connection.
+func NewConn(c net.Conn, h Handler) *Conn {
+	ctx, cancel := context.WithCancel(context.Background())
+	conn := &Conn{
+		conn: c, handler: h, out: ring.NewRing[*message](outboundFrames), ctx: ctx, cancel: cancel,
+		slots: make(chan struct{}, maxCalls), waiting: map[uint64]chan *message{},
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 3})
+	}
+	conn.heard.Store(time.Now().UnixNano())
+	go conn.runReads()
+	go conn.runWrites()
+	return conn
+}
+
+// Dial connects to a peer.
+func Dial(ctx context.Context, addr netip.AddrPort, h Handler) (*Conn, error) {
+	d := net.Dialer{}
+	c, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("link: %w", err)
+	}
+	return NewConn(c, h), nil
+}
+
+// Close closes the connection. Calls in progress end with ErrClosed.
+func (c *Conn) Close() {
+	c.cancel()
+	_ = c.conn.Close()
+}
+
+// Done is closed when the connection is.
+func (c *Conn) Done() <-chan struct{} { return c.ctx.Done() }
+
+// Heard returns when the last frame came.
+func (c *Conn) Heard() time.Time { return time.Unix(0, c.heard.Load()) }
+
+// Notify sends a notification. It reports false when it was dropped.
+func (c *Conn) Notify(kind Kind, v any) bool {
+	body, err := codec.MarshalCompact(v)
+	return err == nil && c.send(&message{Kind: kind, Body: body})
+}
+
+// Call sends a call and waits for its reply, which it reads into reply. Any
+// error but *CallError leaves open whether the peer carried it out.
+func (c *Conn) Call(ctx context.Context, kind Kind, v, reply any) error {
+	body, err := codec.MarshalCompact(v)
+	if err != nil {
+		return err
+	}
+	id, ch := c.expect()
+	defer c.forget(id)
+	if !c.send(&message{ID: id, Kind: kind, Body: body}) {
+		return ErrClosed
+	}
+	select {
+	case m := <-ch:
+		if m.Failure != "" {
+			return &CallError{m.Failure}
+		}
+		return codec.Unmarshal(m.Body, reply)
+	case <-c.ctx.Done():
+		return ErrClosed
+	case <-ctx.Done():
+		return fmt.Errorf("link: %s: %w", kind, ctx.Err())
+	}
+}
+
+func (c *Conn) expect() (uint64, chan *message) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextID++
+	ch := make(chan *message, 1)
+	c.waiting[c.nextID] = ch
+	return c.nextID, ch
+}
+
+func (c *Conn) forget(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, id)
+}
+
+func (c *Conn) send(m *message) bool {
+	if c.ctx.Err() != nil {
+		return false
+	}
+	if c.out.TryPut(m) {
+		return true
+	}
+	c.Close()
+	return false
+}
+
+// runWrites sends what is queued until the connection is closed.
+func (c *Conn) runWrites() {
+	defer c.Close()
+	buf := []byte{}
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case m := <-c.out.Out():
+			var err error
+			if buf, err = c.gather(buf[:0], m); err != nil {
+				return
+			}
+			_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err = c.conn.Write(buf); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// gatherBytes is about how much one write carries.
+const gatherBytes = 64 << 10
+
+// gather appends a frame and what else waits.
+func (c *Conn) gather(buf []byte, m *message) ([]byte, error) {
+	buf, err := frame.Append(buf, m)
+	for err == nil && len(buf) < gatherBytes {
+		select {
+		case next := <-c.out.Out():
+			buf, err = frame.Append(buf, next)
+		default:
+			return buf, nil
+		}
+	}
+	return buf, err
+}
+
+// runReads takes what comes until the connection is closed.
+func (c *Conn) runReads() {
+	defer c.Close()
+	r := bufio.NewReaderSize(c.conn, 8<<10)
+	for {
+		m := &message{}
+		if _, err := frame.Read(r, m); err != nil {
+			return
+		}
+		c.heard.Store(time.Now().UnixNano())
+		c.take(m)
+	}
+}
+
+func (c *Conn) take(m *message) {
+	switch {
+	case m.IsReply:
+		c.mu.Lock()
+		ch := c.waiting[m.ID]
+		c.mu.Unlock()
+		if ch != nil {
+			ch <- m
+		}
+	case m.ID == 0:
+		c.handler.HandleNotice(c, m.Kind, m.Body)
+	default:
+		select {
+		case c.slots <- struct{}{}:
+			go c.runCall(m)
+		default:
+			c.send(&message{ID: m.ID, Kind: m.Kind, IsReply: true, Failure: "too many calls are in progress"})
+		}
+	}
+}
+
+func (c *Conn) runCall(m *message) {
+	defer func() { <-c.slots }()
+	reply := &message{ID: m.ID, Kind: m.Kind, IsReply: true}
+	v, err := c.handler.HandleCall(c.ctx, c, m.Kind, m.Body)
+	if err == nil {
+		reply.Body, err = codec.MarshalCompact(v)
+	}
+	if err != nil {
+		reply.Failure = err.Error()
+	}
+	c.send(reply)
+}
--- /dev/null
+++ b/internal/owner/events.go
@@ -0,0 +1,169 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package owner
+
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+type submitEvent struct {
+	spec  *work.Spec
+	reply chan error
+}
+
+func (ev submitEvent) apply(o *Owner) {
+	id := ev.spec.ID
+	if o.engine.IsKept(id) {
+		ev.reply <- nil
+		return
+	}
+	_, isWaiting := o.submits[id]
+	if !isWaiting && !o.isTrusted() {
+		ev.reply <- leverdyke.NotRun("this node may not be the owner of the jobs", retryAfter)
+		return
+	}
+	if !isWaiting && o.isStalled() {
+		ev.reply <- leverdyke.NotRun("the store does not take new jobs", retryAfter)
+		o.options.Log(events.JobRefused, "job", id, "why", "store", "stalled", o.writing != nil, "age", o.now.Sub(o.writingAt))
+		return
+	}
+	o.submits[id] = append(o.submits[id], ev.reply)
+	o.engine.AddJob(ev.spec)
+}
+
+func (o *Owner) isStalled() bool {
+	return o.isStoreOut || o.writing != nil && o.now.Sub(o.writingAt) > stallAfter || o.handOver != nil
+}
+
+type cancelEvent struct {
+	id    work.JobID
+	reply chan error
+}
+
+func (ev cancelEvent) apply(o *Owner) {
+	if !o.engine.Cancel(ev.id) {
+		ev.reply <- errNoJob
+		return
+	}
+	if o.engine.IsSettledCancel(ev.id) {
+		ev.reply <- nil
+		return
+	}
+	o.cancels[ev.id] = append(o.cancels[ev.id], ev.reply)
+}
+
+type stateAnswer struct {
+	state   work.JobState
+	isKnown bool
+	err     error
+}
+
+type stateEvent struct {
+	id    work.JobID
+	reply chan stateAnswer
+}
+
+func (ev stateEvent) apply(o *Owner) {
+	if !o.isTrusted() {
+		ev.reply <- stateAnswer{err: leverdyke.NotRun("this node may not be the owner of the jobs", retryAfter)}
+		return
+	}
+	state, ok := o.engine.State(ev.id)
+	ev.reply <- stateAnswer{state: state, isKnown: ok}
+}
+
+type pendingAnswer struct {
+	count int
+	err   error
+}
+
+type pendingEvent struct {
+	queue string
+	reply chan pendingAnswer
+}
+
+func (ev pendingEvent) apply(o *Owner) {
+	if !o.isTrusted() {
+		ev.reply <- pendingAnswer{err: leverdyke.NotRun("this node may not be the owner of the jobs", retryAfter)}
+		return
+	}
+	ev.reply <- pendingAnswer{count: o.engine.Pending(ev.queue)}
+}
+
+type workersEvent struct {
+	list      []dispatch.Worker
+	isCertain bool
+}
+
+func (ev workersEvent) apply(o *Owner) { o.engine.SetWorkers(ev.list, ev.isCertain) }
+
+type startEvent struct {
+	start   dispatch.Start
+	outcome dispatch.StartOutcome
+	at      dispatch.WorkerTime
+}
+
+func (ev startEvent) apply(o *Owner) {
+	o.orders--
+	o.engine.StartAnswered(ev.start.Worker, ev.start.Task, ev.start.Run, ev.outcome, ev.at)
+}
+
+type stopEvent struct {
+	stop    dispatch.Stop
+	at      dispatch.WorkerTime
+	isKnown bool
+}
+
+func (ev stopEvent) apply(o *Owner) {
+	o.engine.StopAnswered(ev.stop.Worker, ev.stop.Task, ev.stop.Run, ev.isKnown, ev.at)
+}
+
+type holdEvent struct {
+	hold    dispatch.Hold
+	listing *dispatch.Listing
+	outcome HoldOutcome
+}
+
+func (ev holdEvent) apply(o *Owner) {
+	switch ev.outcome {
+	case HoldListed:
+		o.engine.Listed(ev.hold.Worker, ev.listing, ev.hold.IsLook)
+	case HoldSilent:
+		o.engine.HoldFailed(ev.hold.Worker, ev.hold.IsLook)
+	case HoldLifeOver:
+		o.engine.LifeOver(ev.hold.Worker)
+	}
+}
+
+type adviceEvent struct {
+	advise dispatch.Advise
+	good   []dispatch.Ticket
+	valid  time.Duration
+	err    error
+}
+
+func (ev adviceEvent) apply(o *Owner) {
+	o.engine.Advised(ev.advise.Lane, ev.advise.Step, ev.advise.Workers, ev.good, ev.valid, ev.err == nil)
+}
+
+type handOverEvent struct{ done chan struct{} }
+
+func (ev handOverEvent) apply(o *Owner) {
+	o.engine.SetPaused(true)
+	o.handOver = ev.done
+}
+
+// finishHandOver ends the owner once nothing is on its way.
+func (o *Owner) finishHandOver() {
+	if o.handOver == nil || o.orders > 0 || o.writing != nil || o.engine.HasBatch() && !o.isStoreOut {
+		return
+	}
+	close(o.handOver)
+	o.cancel()
+}
--- /dev/null
+++ b/internal/owner/keep.go
@@ -0,0 +1,302 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package owner
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// write is a batch on its way to the store.
+type write struct {
+	batch *dispatch.Batch
+	parts [][]store.Record
+}
+
+// load rejects the earlier owner at the store, then reads the jobs. It returns
+// the sequence number of the next append.
+func (o *Owner) load() (uint64, error) {
+	began := o.now
+	if err := o.retry("fence", func(ctx context.Context) error {
+		_, err := o.options.Store.Append(ctx, &store.Append{Topic: TopicJobs, Writer: o.writer(0)})
+		return err
+	}); err != nil {
+		return 0, err
+	}
+	newest := &store.Newest{}
+	if err := o.retry("read", func(ctx context.Context) (err error) {
+		newest, err = o.options.Store.ReadNewest(ctx, TopicJobs)
+		return err
+	}); err != nil {
+		return 0, err
+	}
+	o.tick()
+	jobs := parseJobs(newest.Records, func(key string, err error) { o.options.Log(events.BadRecord, "key", key, "err", err) })
+	slices.SortFunc(jobs, func(a, b *kept) int { return cmp.Compare(a.offset, b.offset) })
+	for _, k := range jobs {
+		o.engine.RestoreJob(k.spec, k.progress)
+	}
+	earlier := o.options.Claim.Earlier
+	if earlier != nil {
+		o.engine.Inherit(earlier.Roster, o.now.Add(leaseBound))
+	}
+	o.options.Log(events.JobsLoaded, "epoch", o.Epoch(), "jobs", len(jobs), "records", len(newest.Records), "end", newest.End, "took", o.now.Sub(began))
+	return 1, nil
+}
+
+func (o *Owner) writer(sequence uint64) *store.Writer {
+	return &store.Writer{Name: writerName, Epoch: o.Epoch(), Sequence: sequence}
+}
+
+// retry repeats do until it succeeds, this node is not the owner any more, or
+// the owner is stopped.
+func (o *Owner) retry(what string, do func(ctx context.Context) error) error {
+	for {
+		ctx, cancel := o.bound(writeTimeout)
+		err := do(ctx)
+		cancel()
+		switch {
+		case err == nil:
+			return nil
+		case o.ctx.Err() != nil:
+			return fmt.Errorf("owner: %s: %w", what, o.ctx.Err())
+		case store.FailureOf(err) == store.Fenced:
+			return fmt.Errorf("owner: %s: %w", what, err)
+		}
+		o.options.Log(events.StoreFailed, "what", what, "err", err)
+		select {
+		case <-o.ctx.Done():
+		case <-o.options.Clock.After(writeRetry):
+		}
+	}
+}
+
+// write hands the next batch to the writer, if it is free.
+func (o *Owner) write() {
+	if o.writing != nil {
+		if o.now.Sub(o.writingAt) > stallAfter {
+			o.refuseNew("the store does not answer")
+		}
+		return
+	}
+	batch := o.engine.TakeBatch()
+	if batch == nil {
+		return
+	}
+	if batch.IsEmpty() {
+		o.engine.Committed(batch)
+		return
+	}
+	parts, err := encodeBatch(batch)
+	if err != nil {
+		// The types are the program's own: one that cannot be encoded is a bug.
+		panic(fmt.Sprintf("owner: batch: %v", err))
+	}
+	o.writing, o.writingAt = &write{batch, parts}, o.now
+	o.writes <- o.writing
+}
+
+// refuseNew refuses the jobs that are not yet on their way to the store.
+func (o *Owner) refuseNew(why string) {
+	for _, id := range o.engine.RefuseNew() {
+		o.answer(o.submits, id, leverdyke.NotRun(why, retryAfter))
+		o.answer(o.cancels, id, errNoJob)
+	}
+}
+
+func (o *Owner) answer(waiting map[work.JobID][]chan error, id work.JobID, err error) {
+	for _, ch := range waiting[id] {
+		ch <- err
+	}
+	delete(waiting, id)
+}
+
+// runWrites appends batch after batch, each until its fate is known.
+func (o *Owner) runWrites(sequence uint64) {
+	defer o.wg.Done()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case w := <-o.writes:
+			isKept := true
+			for _, part := range w.parts {
+				next, ok := o.append(part, sequence, isKept && len(w.parts) == 1)
+				if o.ctx.Err() != nil {
+					return
+				}
+				sequence = next
+				isKept = isKept && ok
+			}
+			o.put(writtenEvent{w, isKept})
+		}
+	}
+}
+
+// append appends records until it is known that they are kept, and returns the
+// next sequence number. Where mayRefuse is set it reports false when the store
+// says that nothing was done.
+func (o *Owner) append(records []store.Record, sequence uint64, mayRefuse bool) (uint64, bool) {
+	isSent := false
+	for tries := 0; ; tries++ {
+		ctx, cancel := o.bound(writeTimeout)
+		_, err := o.options.Store.Append(ctx, &store.Append{Topic: TopicJobs, Records: records, Writer: o.writer(sequence)})
+		cancel()
+		if err == nil {
+			return sequence + 1, true
+		}
+		if o.ctx.Err() != nil {
+			return sequence, false
+		}
+		o.options.Log(events.StoreFailed, "what", "append", "records", len(records), "sequence", sequence, "try", tries, "err", err)
+		switch store.FailureOf(err) {
+		case store.Fenced:
+			o.options.Log(events.ShardDropped, "epoch", o.Epoch(), "why", "the store has a later owner's records")
+			o.cancel()
+			return sequence, false
+		case store.Sequence:
+			if e := (&store.Error{}); errors.As(err, &e) && e.Want != sequence && (!isSent || e.Want > sequence) {
+				sequence = e.Want
+				continue
+			}
+		case store.NotDone:
+			if mayRefuse && !isSent {
+				return sequence, false
+			}
+		case store.Unknown, store.Moved, store.Gone:
+			isSent = true
+			o.put(storeOutEvent{})
+		}
+		select {
+		case <-o.ctx.Done():
+			return sequence, false
+		case <-o.options.Clock.After(writeRetry):
+		}
+	}
+}
+
+type storeOutEvent struct{}
+
+func (storeOutEvent) apply(o *Owner) {
+	o.isStoreOut = true
+	o.refuseNew("the store does not answer")
+}
+
+type writtenEvent struct {
+	write  *write
+	isKept bool
+}
+
+func (ev writtenEvent) apply(o *Owner) {
+	o.writing = nil
+	b := ev.write.batch
+	if !ev.isKept {
+		o.isStoreOut = true
+		o.engine.Refused(b)
+		for _, spec := range b.Specs {
+			o.answer(o.submits, spec.ID, leverdyke.NotRun("the store does not take new jobs", retryAfter))
+			o.answer(o.cancels, spec.ID, errNoJob)
+		}
+		o.refuseNew("the store does not take new jobs")
+		return
+	}
+	o.isStoreOut = false
+	o.engine.Committed(b)
+	for _, spec := range b.Specs {
+		o.answer(o.submits, spec.ID, nil)
+		o.options.Log(events.JobAccepted, "job", spec.ID, "queue", spec.Queue, "steps", len(spec.Steps), "batch", len(b.Specs), "took", o.now.Sub(o.writingAt))
+	}
+	for id := range b.Progress {
+		if o.engine.IsSettledCancel(id) {
+			o.answer(o.cancels, id, nil)
+		}
+	}
+}
+
+// runBeats writes down every so often that this node is the owner.
+func (o *Owner) runBeats() {
+	defer o.wg.Done()
+	for o.ctx.Err() == nil {
+		roster := make(chan []dispatch.WorkerID, 1)
+		if !o.put(rosterEvent{roster}) {
+			return
+		}
+		select {
+		case <-o.ctx.Done():
+			return
+		case ids := <-roster:
+			o.sendBeat(ids)
+		}
+		select {
+		case <-o.ctx.Done():
+		case <-o.options.Clock.After(beatPeriod):
+		}
+	}
+}
+
+type rosterEvent struct{ reply chan []dispatch.WorkerID }
+
+func (ev rosterEvent) apply(o *Owner) { ev.reply <- o.engine.Roster() }
+
+// sendBeat appends one record. Only this goroutine uses offset and beat.
+func (o *Owner) sendBeat(roster []dispatch.WorkerID) {
+	sentAt := o.options.Clock.Now()
+	r := o.options.Claim.Record
+	r.Beat = o.beat + 1
+	r.Roster = roster
+	at := o.offset + 1
+	offset, err := AppendRecord(o.ctx, o.options.Store, &r, at)
+	if err == nil {
+		o.offset, o.beat = offset, r.Beat
+		o.put(beatEvent{sentAt, roster})
+		return
+	}
+	if o.ctx.Err() != nil {
+		return
+	}
+	o.options.Log(events.StoreFailed, "what", "beat", "err", err)
+	if store.FailureOf(err) == store.Moved {
+		o.checkRecord(sentAt)
+	}
+}
+
+// checkRecord finds out whose record made the topic move on: an own one whose
+// answer was lost, or that of another owner.
+func (o *Owner) checkRecord(sentAt time.Time) {
+	r, offset, err := ReadRecord(o.ctx, o.options.Store)
+	switch {
+	case err != nil:
+		o.options.Log(events.StoreFailed, "what", "read of the owner", "err", err)
+	case r != nil && r.Epoch == o.Epoch():
+		o.offset, o.beat = offset, r.Beat
+		o.put(beatEvent{sentAt, r.Roster})
+	default:
+		o.options.Log(events.ShardDropped, "epoch", o.Epoch(), "why", "the store names another owner")
+		o.cancel()
+	}
+}
+
+// beatEvent says that at sentAt this node was the owner, by the store's word.
+type beatEvent struct {
+	sentAt time.Time
+	roster []dispatch.WorkerID
+}
+
+func (ev beatEvent) apply(o *Owner) {
+	o.confirmedAt = ev.sentAt
+	if o.writing == nil {
+		o.isStoreOut = false
+	}
+	o.engine.Admit(ev.roster)
+}
--- /dev/null
+++ b/internal/owner/options.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package owner runs the engine that decides for a shard: it carries out its
+// actions, keeps what must last in the platform's store, and stops as soon as
+// this node may no longer be the owner.
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// HoldOutcome is what became of asking a worker for a listing.
+type HoldOutcome string
+
+// The outcomes.
+const (
+	HoldListed HoldOutcome = "listed"
+	// HoldSilent means that no usable answer came.
+	HoldSilent HoldOutcome = "silent"
+	// HoldLifeOver means that this life of the worker is over.
+	HoldLifeOver HoldOutcome = "life-over"
+)
+
+// Workers gives orders to workers. fence is the epoch of the owner: a worker
+// does nothing for a lower one than it has seen. Implementations are safe for
+// concurrent use.
+type Workers interface {
+	Start(ctx context.Context, fence uint64, s *dispatch.Start) (dispatch.StartOutcome, dispatch.WorkerTime)
+	// Stop returns the worker's clock, and false when no answer came.
+	Stop(ctx context.Context, fence uint64, s *dispatch.Stop) (dispatch.WorkerTime, bool)
+	Hold(ctx context.Context, fence uint64, h *dispatch.Hold) (*dispatch.Listing, HoldOutcome)
+	Pace(ctx context.Context, fence uint64, p *dispatch.Pace) error
+}
+
+// List is the platform's list of workers. It is called by one goroutine.
+type List interface {
+	// Workers returns the whole list.
+	Workers(ctx context.Context) ([]dispatch.Worker, error)
+}
+
+// Lanes are the ways to the service that permits workers.
+type Lanes interface {
+	// Names returns the lanes that can be used now.
+	Names() []string
+	Ask(ctx context.Context, lane string, step work.StepID, workers []dispatch.WorkerID) ([]dispatch.Ticket, time.Duration, error)
+}
+
+// Claim is what this node has won.
+type Claim struct {
+	// Record is what stands in the store.
+	Record Record
+	// Offset is where it stands; its epoch is one above.
+	Offset uint64
+	// Earlier is the record that it replaced; nil when there was none.
+	Earlier *Record
+}
+
+// Options configures an Owner. All but Log are required.
+type Options struct {
+	Claim   Claim
+	Store   store.Log
+	Workers Workers
+	List    List
+	Lanes   Lanes
+	Clock   clock.Service
+	Log     func(e events.Event, keysAndValues ...any)
+	// HasOutage reports whether most nodes are linked to this one and none reaches
+	// the store. Then no other node can become owner, and this one goes on.
+	HasOutage func() bool
+	NodeZone  string
+	// StopTime is the longest that a worker takes to stop a task.
+	StopTime time.Duration
+	// EarlyTime is how much before its time a round may start.
+	EarlyTime time.Duration
+}
+
+// Durations.
+const (
+	// beatPeriod is the time between two records in the store that this node is
+	// the owner. Others wait for one before they claim.
+	beatPeriod = 500 * time.Millisecond
+	// TrustPeriod is how long after the last such record this node acts as owner.
+	// It covers two beats at a slow store (0.4 s an answer) that are lost.
+	TrustPeriod = 3 * time.Second
+	// leaseBound is the longest that a lease given by an earlier owner may still
+	// run: its trust, 6 s, 4% and the worker's own slack.
+	leaseBound = TrustPeriod + 6240*time.Millisecond + 500*time.Millisecond
+	// listPeriod is the time between two looks at the list of workers, well under
+	// the time within which a leaving worker must get nothing new (2 s).
+	listPeriod = 400 * time.Millisecond
+	// listGrace is how long after the list could not be read it may lack workers
+	// that live: they are back within about two seconds.
+	listGrace = 2300 * time.Millisecond
+	// tickPeriod is the granularity of what is due by time alone.
+	tickPeriod = 20 * time.Millisecond
+	// startTimeout bounds an order; the engine takes it as doubtful earlier.
+	startTimeout = 1500 * time.Millisecond
+	// stopTimeout bounds an order to stop, which is sent again.
+	stopTimeout = 600 * time.Millisecond
+	// holdMargin is how much longer than asked a listing may take.
+	holdMargin = 900 * time.Millisecond
+	// askTimeout bounds a question about workers: 100 of them on the slowest
+	// policy seen take 1.1 s.
+	askTimeout = 3 * time.Second
+	// writeTimeout bounds one try to append: a slow store takes 0.4 s.
+	writeTimeout = 1500 * time.Millisecond
+	// writeRetry is the pause before an append is tried again.
+	writeRetry = 100 * time.Millisecond
+	// stallAfter is how long an append may take until new jobs are refused.
+	stallAfter = 700 * time.Millisecond
+	// retryAfter is when a refused caller should come back, in seconds.
+	retryAfter = 1
+	// eventsBound is how many events may wait for the loop.
+	eventsBound = 8192
+	// batchBytes is about how much one append carries; the store takes 2 MB.
+	batchBytes = 1 << 20
+)
+
+// The topics in the store.
+const (
+	// TopicOwner has one record: who owns the shard.
+	TopicOwner = "owner"
+	// TopicJobs has the jobs and their progress.
+	TopicJobs = "jobs"
+	// KeyOwner is the key of the record in TopicOwner.
+	KeyOwner = "0"
+	// writerName is the identity under which the owner appends.
+	writerName = "shard-0"
+)
--- /dev/null
+++ b/internal/owner/orders.go
@@ -0,0 +1,103 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/events"
+)
+
+// carryOut starts what the engine wants done; the outcome comes as an event.
+func (o *Owner) carryOut(a dispatch.Action) {
+	switch a := a.(type) {
+	case dispatch.Start:
+		o.orders++
+		go o.runStart(a)
+	case dispatch.Stop:
+		go o.runStop(a)
+	case dispatch.Hold:
+		go o.runHold(a)
+	case dispatch.Pace:
+		go o.runPace(a)
+	case dispatch.Advise:
+		go o.runAsk(a)
+	}
+}
+
+func (o *Owner) bound(d time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(o.ctx, d)
+}
+
+func (o *Owner) runStart(s dispatch.Start) {
+	ctx, cancel := o.bound(startTimeout)
+	defer cancel()
+	outcome, at := o.options.Workers.Start(ctx, o.Epoch(), &s)
+	if outcome == dispatch.StartFenced {
+		o.options.Log(events.RackFenced, "worker", s.Worker, "epoch", o.Epoch())
+	}
+	o.put(startEvent{s, outcome, at})
+}
+
+func (o *Owner) runStop(s dispatch.Stop) {
+	ctx, cancel := o.bound(stopTimeout)
+	defer cancel()
+	at, ok := o.options.Workers.Stop(ctx, o.Epoch(), &s)
+	o.put(stopEvent{s, at, ok})
+}
+
+func (o *Owner) runHold(h dispatch.Hold) {
+	ctx, cancel := o.bound(h.Wait + holdMargin)
+	defer cancel()
+	listing, outcome := o.options.Workers.Hold(ctx, o.Epoch(), &h)
+	o.put(holdEvent{h, listing, outcome})
+}
+
+func (o *Owner) runPace(p dispatch.Pace) {
+	ctx, cancel := o.bound(stopTimeout)
+	defer cancel()
+	if err := o.options.Workers.Pace(ctx, o.Epoch(), &p); err != nil {
+		o.options.Log(events.PaceFailed, "task", p.Task, "run", p.Run, "worker", p.Worker, "percent", p.Percent, "err", err)
+	}
+}
+
+func (o *Owner) runAsk(a dispatch.Advise) {
+	ctx, cancel := o.bound(askTimeout)
+	defer cancel()
+	good, valid, err := o.options.Lanes.Ask(ctx, a.Lane, a.Step, a.Workers)
+	o.put(adviceEvent{a, good, valid, err})
+}
+
+// runList follows the platform's list of workers.
+func (o *Owner) runList() {
+	defer o.wg.Done()
+	isOut := false
+	certainAt := time.Time{}
+	for o.ctx.Err() == nil {
+		ctx, cancel := o.bound(writeTimeout)
+		list, err := o.options.List.Workers(ctx)
+		cancel()
+		now := o.options.Clock.Now()
+		if err != nil {
+			certainAt = now.Add(listGrace)
+		}
+		switch {
+		case err != nil && !isOut:
+			isOut = true
+			o.options.Log(events.VMListFailed, "err", err)
+		case err == nil:
+			if isOut {
+				isOut = false
+				o.options.Log(events.VMListBack, "workers", len(list))
+			}
+			o.put(workersEvent{list, !now.Before(certainAt)})
+		}
+		select {
+		case <-o.ctx.Done():
+		case <-o.options.Clock.After(listPeriod):
+		}
+	}
+}
--- /dev/null
+++ b/internal/owner/owner.go
@@ -0,0 +1,289 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package owner
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/ring"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// Owner decides for the shard until it is stopped or no longer the owner. Its
+// methods but Run are safe for concurrent use.
+type Owner struct {
+	options Options
+	engine  *dispatch.Engine
+	inbox   *ring.Ring[event]
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	// writes takes what is to be kept; at most one is on its way.
+	writes chan *write
+	// loaded is closed when the jobs are read from the store.
+	loaded chan struct{}
+
+	mu sync.Mutex
+	// queues is a configuration that the engine does not have yet.
+	queues        []dispatch.Queue
+	queuesVersion uint64
+
+	// What follows belongs to the loop.
+	now         time.Time
+	writing     *write
+	writingAt   time.Time
+	isStoreOut  bool
+	confirmedAt time.Time
+	offset      uint64
+	beat        uint64
+	submits     map[work.JobID][]chan error
+	cancels     map[work.JobID][]chan error
+	orders      int
+	handOver    chan struct{}
+}
+
+// event is something that happened, for the loop.
+type event interface{ apply(o *Owner) }
+
+// New returns an owner that does not run yet.
+func New(options Options) *Owner {
+	ctx, cancel := context.WithCancel(context.Background())
+	if options.Log == nil {
+		options.Log = func(events.Event, ...any) {}
+	}
+	return &Owner{
+		options: options,
+		engine: dispatch.NewEngine(dispatch.Options{
+			Log: options.Log, NodeZone: options.NodeZone, StopTime: options.StopTime, EarlyTime: options.EarlyTime,
+		}),
+		inbox: ring.NewRing[event](eventsBound), ctx: ctx, cancel: cancel,
+		writes: make(chan *write, 1), loaded: make(chan struct{}),
+		submits: map[work.JobID][]chan error{}, cancels: map[work.JobID][]chan error{},
+		offset: options.Claim.Offset, beat: options.Claim.Record.Beat,
+	}
+}
+
+// Epoch returns the number of this ownership.
+func (o *Owner) Epoch() uint64 { return o.options.Claim.Record.Epoch }
+
+// Done is closed when the owner no longer decides.
+func (o *Owner) Done() <-chan struct{} { return o.ctx.Done() }
+
+// IsLoaded reports whether the jobs are known.
+func (o *Owner) IsLoaded() bool {
+	select {
+	case <-o.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
+// Stop ends the owner at once.
+func (o *Owner) Stop() { o.cancel() }
+
+// Run decides until ctx or Stop ends it, or another node is the owner.
+func (o *Owner) Run(ctx context.Context) error {
+	defer o.wg.Wait()
+	defer o.cancel()
+	defer context.AfterFunc(ctx, o.cancel)()
+	o.tick()
+	o.confirmedAt = o.now
+	sequence, err := o.load()
+	if err != nil {
+		return err
+	}
+	close(o.loaded)
+	o.wg.Add(3)
+	go o.runWrites(sequence)
+	go o.runBeats()
+	go o.runList()
+	o.loop()
+	return nil
+}
+
+func (o *Owner) tick() {
+	o.now = o.options.Clock.Now()
+	o.engine.Advance(o.now)
+}
+
+// loop takes events, decides and hands out what is to be done.
+func (o *Owner) loop() {
+	ticks, stop := o.options.Clock.Subscribe(tickPeriod)
+	defer stop()
+	defer o.refuseWaiting()
+	for {
+		select {
+		case <-o.ctx.Done():
+			return
+		case ev := <-o.inbox.Out():
+			o.tick()
+			ev.apply(o)
+			o.drainInbox()
+		case <-ticks:
+			o.tick()
+			o.engine.Tick()
+		}
+		o.step()
+	}
+}
+
+// inboxShare is how many events are taken before the next decision.
+const inboxShare = 256
+
+func (o *Owner) drainInbox() {
+	for range inboxShare {
+		select {
+		case ev := <-o.inbox.Out():
+			ev.apply(o)
+		default:
+			return
+		}
+	}
+}
+
+// step decides on what has happened.
+func (o *Owner) step() {
+	o.takeQueues()
+	o.engine.SetTrusted(o.isTrusted())
+	o.engine.SetLanes(o.options.Lanes.Names())
+	o.engine.Decide()
+	for _, a := range o.engine.Actions() {
+		o.carryOut(a)
+	}
+	o.write()
+	o.finishHandOver()
+}
+
+// isTrusted reports whether no other node can be the owner yet, or whether it
+// would have to reach a store that no node reaches.
+func (o *Owner) isTrusted() bool {
+	return o.now.Sub(o.confirmedAt) < TrustPeriod || o.options.HasOutage()
+}
+
+func (o *Owner) put(ev event) bool { return o.inbox.Put(ev, o.ctx.Done()) }
+
+// errGone means that this node is not the owner any more; what was asked may
+// have been done.
+func errGone() error { return leverdyke.MayHaveRun("the owner of the jobs changes", nil) }
+
+// refuseWaiting answers those who wait when the loop ends. Their jobs may have
+// been kept.
+func (o *Owner) refuseWaiting() {
+	for _, waiting := range []map[work.JobID][]chan error{o.submits, o.cancels} {
+		for id, list := range waiting {
+			for _, ch := range list {
+				ch <- errGone()
+			}
+			delete(waiting, id)
+		}
+	}
+}
+
+// ask puts an event and waits for its answer.
+func ask[T any](ctx context.Context, o *Owner, ev event, ch chan T) (T, error) {
+	var none T
+	if !o.inbox.TryPut(ev) {
+		return none, leverdyke.NotRun("the owner of the jobs is overloaded", retryAfter)
+	}
+	select {
+	case v := <-ch:
+		return v, nil
+	case <-o.ctx.Done():
+		select {
+		case v := <-ch:
+			return v, nil
+		default:
+			return none, errGone()
+		}
+	case <-ctx.Done():
+		return none, leverdyke.MayHaveRun("the owner of the jobs did not answer in time", ctx.Err())
+	}
+}
+
+// Submit hands in a job. It returns nil once the job is kept.
+func (o *Owner) Submit(ctx context.Context, spec *work.Spec) error {
+	ch := make(chan error, 1)
+	err, failed := ask(ctx, o, submitEvent{spec, ch}, ch)
+	if failed != nil {
+		return failed
+	}
+	return err
+}
+
+// Cancel cancels a job. It returns false when there is no such job.
+func (o *Owner) Cancel(ctx context.Context, id work.JobID) (bool, error) {
+	ch := make(chan error, 1)
+	err, failed := ask(ctx, o, cancelEvent{id, ch}, ch)
+	switch {
+	case failed != nil:
+		return false, failed
+	case err == errNoJob:
+		return false, nil
+	}
+	return err == nil, err
+}
+
+var errNoJob = fmt.Errorf("owner: no such job")
+
+// State returns what a caller is told of a job; false when there is none.
+func (o *Owner) State(ctx context.Context, id work.JobID) (work.JobState, bool, error) {
+	ch := make(chan stateAnswer, 1)
+	a, err := ask(ctx, o, stateEvent{id, ch}, ch)
+	if err == nil {
+		err = a.err
+	}
+	return a.state, a.isKnown, err
+}
+
+// Pending returns how many jobs of a queue have not begun.
+func (o *Owner) Pending(ctx context.Context, queue string) (int, error) {
+	ch := make(chan pendingAnswer, 1)
+	a, err := ask(ctx, o, pendingEvent{queue, ch}, ch)
+	if err == nil {
+		err = a.err
+	}
+	return a.count, err
+}
+
+// SetQueues puts a configuration in force, unless a later one is.
+func (o *Owner) SetQueues(version uint64, queues []dispatch.Queue) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if version >= o.queuesVersion {
+		o.queuesVersion, o.queues = version, slices.Clone(queues)
+	}
+}
+
+// takeQueues passes a new configuration to the engine.
+func (o *Owner) takeQueues() {
+	o.mu.Lock()
+	queues := o.queues
+	o.queues = nil
+	o.mu.Unlock()
+	if queues != nil {
+		o.engine.SetQueues(queues)
+	}
+}
+
+// HandOver stops starting work, waits until what is on its way is known and
+// kept, and then ends the owner, so that another can begin without a gap.
+func (o *Owner) HandOver(ctx context.Context) {
+	done := make(chan struct{})
+	if !o.put(handOverEvent{done}) {
+		return
+	}
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-o.ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/work/progress.go
@@ -0,0 +1,64 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package work
+
+// JobState is what a caller is told of a job.
+type JobState string
+
+// The states.
+const (
+	JobQueued    JobState = "queued"
+	JobRunning   JobState = "running"
+	JobSucceeded JobState = "succeeded"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+)
+
+// IsFinal reports whether the state never changes again.
+func (s JobState) IsFinal() bool {
+	return s == JobSucceeded || s == JobFailed || s == JobCancelled
+}
+
+// Failure is one attempt of a task that failed. Worker and run together name the
+// attempt, so that an end that is told twice counts once.
+type Failure struct {
+	Index  int
+	Worker string
+	Run    uint64
+}
+
+// StepProgress is what is known of a step.
+type StepProgress struct {
+	// Done has a bit for each task that has ended well.
+	Done []byte
+	// Failures are the attempts that failed.
+	Failures []Failure
+	// Saved is where tasks can go on from, by their index.
+	Saved map[int]string
+	// Run is the highest run of any task that is known.
+	Run uint64
+}
+
+// IsDone reports whether task i has ended well.
+func (p *StepProgress) IsDone(i int) bool {
+	return i/8 < len(p.Done) && p.Done[i/8]&(1<<(i%8)) != 0
+}
+
+// SetDone notes that task i has ended well.
+func (p *StepProgress) SetDone(i int) {
+	for i/8 >= len(p.Done) {
+		p.Done = append(p.Done, 0)
+	}
+	p.Done[i/8] |= 1 << (i % 8)
+}
+
+// Progress is what must last of a job beside its Spec.
+type Progress struct {
+	State JobState
+	// Rounds has the steps of each round that has begun, by its number.
+	Rounds map[int][]StepProgress
+	// RoundsDone has a bit for each round whose steps have all ended well; such
+	// a round is no longer in Rounds.
+	RoundsDone StepProgress
+}
