internal/dispatch: name in the store what may run on workers that get nothing new

Change: the roster tells open workers from those that get nothing new, with the tasks and the rest of the lease of the latter; only their tasks wait. A worker that does not answer gets no further lease. Leases of an earlier owner count.

--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -21,6 +21,8 @@
 	dialTimeout = 500 * time.Millisecond
 	// seekPause is the time between two looks for the owner.
 	seekPause = 80 * time.Millisecond
+	// longestPause is that while the store does not answer: each call has a price.
+	longestPause = 500 * time.Millisecond
 	// beatWait is how long the store must not have heard of the owner before it
 	// counts as dead: two of its beats, with a slow store.
 	beatWait = 1100 * time.Millisecond
@@ -32,6 +34,7 @@
 func (n *Node) runSeeker() {
 	defer n.wg.Done()
 	isOut := false
+	pause := seekPause
 	for n.ctx.Err() == nil {
 		r, at, err := owner.ReadRecord(n.ctx, n.log)
 		if err != nil {
@@ -40,9 +43,11 @@
 			}
 			isOut = true
 			n.followLast()
+			pause = min(2*pause, longestPause)
+			n.sleep(pause)
 			continue
 		}
-		isOut = false
+		isOut, pause = false, seekPause
 		n.last = r
 		n.act(r, at)
 	}
@@ -54,10 +59,8 @@
 	if n.last != nil && n.last.Node != n.options.Name {
 		if conn, _ := n.reach(n.last); conn != nil {
 			n.stay(conn, n.last)
-			return
 		}
 	}
-	n.sleep(seekPause)
 }
 
 // act does what the record of the owner asks for.
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -60,9 +60,13 @@
 	queues  map[string]Queue
 	lanes   []lane
 	// unsettled are workers on which an earlier owner may have started tasks that
-	// are not known yet, with the time at which their leases are over.
-	unsettled map[WorkerID]time.Time
-	actions   []Action
+	// are not known yet.
+	unsettled map[WorkerID]inherited
+	// openUnsettled counts those of them on which any task may run.
+	openUnsettled int
+	// inheritedUntil is when all leases that the earlier owner gave are over.
+	inheritedUntil time.Time
+	actions        []Action
 	// isDirty means that something may be placed that could not be before.
 	isDirty  bool
 	isPaused bool
@@ -88,7 +92,7 @@
 	}
 	return &Engine{
 		options: options, jobs: map[work.JobID]*job{}, workers: map[WorkerID]*worker{},
-		queues: map[string]Queue{}, unsettled: map[WorkerID]time.Time{},
+		queues: map[string]Queue{}, unsettled: map[WorkerID]inherited{},
 	}
 }
 
@@ -122,39 +126,9 @@
 	e.isDirty = true
 }
 
-// Inherit says that an earlier owner may have started tasks of the jobs known so
-// far on these workers. Until all are settled, none of those tasks is started.
-// until is when all leases that the earlier owner gave are over.
-func (e *Engine) Inherit(workers []WorkerID, until time.Time) {
-	for _, id := range workers {
-		e.unsettled[id] = until
-	}
-	for _, j := range e.live {
-		j.isInherited = true
-	}
-}
-
-// IsSettled reports whether all that an earlier owner started is known.
-func (e *Engine) IsSettled() bool { return len(e.unsettled) == 0 }
-
-func (e *Engine) settle(id WorkerID, why string) {
-	if _, ok := e.unsettled[id]; !ok {
-		return
-	}
-	delete(e.unsettled, id)
-	e.isDirty = true
-	if len(e.unsettled) == 0 {
-		e.options.Log(events.Inherited, "last", id, "why", why)
-	}
-}
-
 // Tick does what is due by time alone. It is called every 50 ms or so.
 func (e *Engine) Tick() {
-	for id, until := range e.unsettled {
-		if _, ok := e.workers[id]; !ok && e.now.After(until) {
-			e.settle(id, "leases lapsed")
-		}
-	}
+	e.tickInherited()
 	for _, w := range e.workers {
 		e.tickWorker(w)
 	}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -78,9 +78,7 @@
 // isUsable reports whether the worker may get something new.
 func (e *Engine) isUsable(w *worker) bool {
 	switch {
-	case !w.isListed, !w.isAdmitted, w.isGone, w.IsDraining, len(w.foreign) > 0:
-		return false
-	case e.now.Sub(w.readAt) > overdueAfter, w.holdFailures > 0:
+	case !w.isAdmitted, !e.isReachable(w), len(w.foreign) > 0:
 		return false
 	case e.now.Before(w.health.pausedUntil):
 		return false
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -30,7 +30,9 @@
 	}
 	w.isHeld = true
 	h := Hold{Worker: w.ID, Addr: w.Addr, Confirmed: w.confirmed, Wait: w.holdWait()}
-	if !w.readAt.IsZero() && e.isTrusted {
+	// The lease of a worker that does not answer is left to end: where its tasks
+	// may run is known the sooner.
+	if !w.readAt.IsZero() && e.isTrusted && w.holdFailures == 0 {
 		h.Deadline = e.renew(w)
 	}
 	e.do(h)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -77,6 +77,8 @@
 	saved    string
 	// avoid is where the task failed or hung last.
 	avoid WorkerID
+	// heldBy is a worker on which an earlier owner may have started it.
+	heldBy WorkerID
 	// retryAt is when the next attempt may start.
 	retryAt time.Time
 }
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -164,6 +164,7 @@
 		id: r.Task, step: s, run: r.Run, worker: w, charge: s.spec.Charge(), phase: phaseRunning,
 		orderedAt: e.now, startedAt: w.readTime, percentAt: e.now, pace: fullPace,
 	}
+	w.earlierUntil = e.inheritedUntil
 	e.charge(a)
 	t.run = max(t.run, r.Run)
 	isWanted := t.state == taskWaiting && !s.job.state.IsFinal()
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -26,7 +26,7 @@
 func (e *Engine) stepsByTurn() []*step {
 	open := []*step{}
 	for _, j := range e.live {
-		if j.state.IsFinal() || j.isInherited && !e.IsSettled() {
+		if j.state.IsFinal() || e.isHeld(j) {
 			continue
 		}
 		for _, r := range j.rounds {
@@ -67,7 +67,7 @@
 	placed := 0
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskWaiting || e.now.Before(t.retryAt) {
+		if t.state != taskWaiting || t.heldBy != "" || e.now.Before(t.retryAt) {
 			continue
 		}
 		w := e.choose(s, i, &q, nil)
@@ -87,7 +87,7 @@
 
 // placeGang starts all tasks of a gang or none.
 func (e *Engine) placeGang(s *step, q *Queue) {
-	if s.waiting < len(s.tasks) {
+	if s.waiting < len(s.tasks) || s.hasHeld() {
 		return
 	}
 	places := e.gangPlaces(s, q)
@@ -104,6 +104,11 @@
 	e.options.Log(events.StepPlaced, "step", s.id, "queue", q.Name, "placed", len(places), "run", run, "waited", e.now.Sub(s.openAt))
 }
 
+// hasHeld reports whether a task may run where nobody can tell.
+func (s *step) hasHeld() bool {
+	return slices.ContainsFunc(s.tasks, func(t task) bool { return t.heldBy != "" })
+}
+
 // gangPlaces returns a worker for each task of a gang, in one rack where that is
 // asked for and possible, or nil.
 func (e *Engine) gangPlaces(s *step, q *Queue) []*worker {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -32,6 +32,8 @@
 	listedAt WorkerTime
 	// deadline is the latest that was ever sent to it; it is never shortened.
 	deadline WorkerTime
+	// earlierUntil is when the leases that an earlier owner gave are over.
+	earlierUntil time.Time
 	// handled is the number of the last end that was taken in, confirmed that of
 	// the last one that is kept.
 	handled, confirmed uint64
@@ -156,33 +158,6 @@
 	delete(e.workers, w.ID)
 }
 
-// Roster returns the workers that the store should name as in use: those whose
-// leases may still run.
-func (e *Engine) Roster() []WorkerID {
-	out := make([]WorkerID, 0, len(e.workers))
-	for id, w := range e.workers {
-		if w.isListed || len(w.attempts) > 0 {
-			out = append(out, id)
-		}
-	}
-	for id := range e.unsettled {
-		if e.workers[id] == nil {
-			out = append(out, id)
-		}
-	}
-	return out
-}
-
-// Admit says that the store names these workers as in use by this owner.
-func (e *Engine) Admit(roster []WorkerID) {
-	for _, id := range roster {
-		if w := e.workers[id]; w != nil && !w.isAdmitted {
-			w.isAdmitted = true
-			e.isDirty = true
-		}
-	}
-}
-
 // renew returns the deadline to send now.
 func (e *Engine) renew(w *worker) WorkerTime {
 	estimate := w.readTime + WorkerTime(e.now.Sub(w.readAt))
@@ -190,22 +165,20 @@
 	return w.deadline
 }
 
-// lapsesAt returns when all leases that this engine gave to the worker are over.
+// lapsesAt returns when all leases of the worker are over.
 func (w *worker) lapsesAt() time.Time {
-	left := time.Duration(w.deadline - w.readTime)
-	if left <= 0 {
-		return w.readAt
+	left := max(time.Duration(w.deadline-w.readTime), 0)
+	end := w.readAt.Add(left + time.Duration(float64(left)*clockSkew) + lapseSlack)
+	if end.Before(w.earlierUntil) {
+		return w.earlierUntil
 	}
-	return w.readAt.Add(left + time.Duration(float64(left)*clockSkew) + lapseSlack)
+	return end
 }
 
 func (e *Engine) tickWorker(w *worker) {
 	if !w.isHeld && !e.now.Before(w.holdAt) {
 		e.hold(w)
 	}
-	if until, ok := e.unsettled[w.ID]; ok && e.now.After(until) && e.now.After(w.lapsesAt()) {
-		e.settle(w.ID, "leases lapsed")
-	}
 	e.dropIfEmpty(w)
 	if len(w.attempts) == 0 {
 		return
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -228,7 +228,7 @@
 func (o *Owner) runBeats() {
 	defer o.wg.Done()
 	for o.ctx.Err() == nil {
-		roster := make(chan []dispatch.WorkerID, 1)
+		roster := make(chan []dispatch.RosterEntry, 1)
 		if !o.put(rosterEvent{roster}) {
 			return
 		}
@@ -245,12 +245,12 @@
 	}
 }
 
-type rosterEvent struct{ reply chan []dispatch.WorkerID }
+type rosterEvent struct{ reply chan []dispatch.RosterEntry }
 
 func (ev rosterEvent) apply(o *Owner) { ev.reply <- o.engine.Roster() }
 
 // sendBeat appends one record. Only this goroutine uses offset and beat.
-func (o *Owner) sendBeat(roster []dispatch.WorkerID) {
+func (o *Owner) sendBeat(roster []dispatch.RosterEntry) {
 	sentAt := o.options.Clock.Now()
 	r := o.options.Claim.Record
 	r.Beat = o.beat + 1
@@ -290,7 +290,7 @@
 // beatEvent says that at sentAt this node was the owner, by the store's word.
 type beatEvent struct {
 	sentAt time.Time
-	roster []dispatch.WorkerID
+	roster []dispatch.RosterEntry
 }
 
 func (ev beatEvent) apply(o *Owner) {
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -25,7 +25,7 @@
 	// Beat counts the records of one ownership.
 	Beat uint64 `msgpack:"b"`
 	// Roster has the workers on which the owner may have started tasks.
-	Roster []dispatch.WorkerID `msgpack:"r"`
+	Roster []dispatch.RosterEntry `msgpack:"r"`
 }
 
 // ParseRecord reads a Record.
