internal/dispatch, internal/cell: look only at permitted workers, let the strongest node own

Cause: at 350 workers each event made the owner compare its lanes with all peers and try every waiting step on every worker; the owner could be a node of 0.19 cores. Change: the workers of a step with tickets are found by the tickets; lanes are compared when time passes and only changed when they differ; weak nodes leave claims to stronger ones for up to 0.3 s.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -88,8 +88,13 @@
 	if o == nil {
 		return
 	}
-	for _, p := range n.peers.all() {
-		p.conn.Notify(kindBeat, beat{o.Epoch(), version})
+	all := n.peers.all()
+	strongest := n.options.Strength
+	for i := range all {
+		strongest = max(strongest, all[i].hello.Strength)
+	}
+	for _, p := range all {
+		p.conn.Notify(kindBeat, beat{o.Epoch(), version, strongest})
 		if p.configVersion < version && data != nil {
 			p.conn.Notify(kindConfig, configMessage{version, data})
 		}
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -52,6 +52,8 @@
 	Life string
 	// Age is how long the process has run.
 	Age time.Duration
+	// Strength is how many processors the node has.
+	Strength float64
 }
 
 // welcome is the answer to hello.
@@ -66,6 +68,8 @@
 	Epoch uint64
 	// ConfigVersion is that of the configuration in force at the owner.
 	ConfigVersion uint64
+	// Strongest is the strength of the strongest node that the owner knows.
+	Strongest float64
 }
 
 // alive is sent by followers.
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -60,6 +60,8 @@
 	EarlyTime time.Duration
 	// HolderPause is how long a former owner does not claim again.
 	HolderPause time.Duration
+	// Strength is how many processors the node has: the strongest should own.
+	Strength float64
 }
 
 // Node is one of the equal nodes. It is safe for concurrent use.
@@ -87,7 +89,9 @@
 	configVersion uint64
 	queues        []dispatch.Queue
 	isLeaving     bool
-	noClaimUntil  time.Time
+	// strongest is the strength of the strongest node known; 0 before a beat.
+	strongest    float64
+	noClaimUntil time.Time
 	// claimed has the epochs that this process has acted on.
 	claimed uint64
 	wg      sync.WaitGroup
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -26,8 +26,13 @@
 	// beatWait is how long the store must not have heard of the owner before it
 	// counts as dead: two of its beats, with a slow store.
 	beatWait = 1100 * time.Millisecond
-	// leavingWait is how long a node that is about to end leaves claims to others.
-	leavingWait = 2 * time.Second
+	// weakDelay is how long the weakest node leaves claims to stronger ones: the
+	// time that those need to find out that there is no owner.
+	weakDelay = 300 * time.Millisecond
+	// equalStrength is the lack of strength that does not count.
+	equalStrength = 0.1
+	// usualStrength is the strength of a strong node, in processors.
+	usualStrength = 0.8
 )
 
 // runSeeker finds the owner, follows it, and claims the shard when there is none.
@@ -84,6 +89,9 @@
 		n.sleep(seekPause)
 		return
 	}
+	if d := n.claimDelay(); d > 0 {
+		n.sleep(d)
+	}
 	r := owner.Record{Node: n.options.Name, Addr: n.options.LinkAddr, Life: n.options.Life, Epoch: end + 1}
 	if earlier != nil {
 		r.Roster = earlier.Roster
@@ -99,6 +107,22 @@
 	n.become(owner.Claim{Record: r, Offset: at, Earlier: earlier})
 }
 
+// claimDelay is how long a weak node leaves the shard to stronger ones. A node
+// that knows no others takes most nodes to be stronger than a small one.
+func (n *Node) claimDelay() time.Duration {
+	n.mu.Lock()
+	strongest := n.strongest
+	n.mu.Unlock()
+	if strongest == 0 {
+		strongest = usualStrength
+	}
+	lack := 1 - n.options.Strength/strongest
+	if lack < equalStrength {
+		return 0
+	}
+	return time.Duration(lack * float64(weakDelay))
+}
+
 func (n *Node) mayNotClaim() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -178,7 +202,7 @@
 func (n *Node) hello() hello {
 	return hello{
 		Name: n.options.Name, Zone: n.options.Zone, Addr: n.options.LinkAddr, Life: n.options.Life,
-		Age: n.options.Clock.Now().Sub(n.startedAt),
+		Age: n.options.Clock.Now().Sub(n.startedAt), Strength: n.options.Strength,
 	}
 }
 
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -256,6 +256,7 @@
 		return
 	}
 	n.heardBeat = n.options.Clock.Now()
+	n.strongest = b.Strongest
 	if b.ConfigVersion < n.configVersion {
 		from.Notify(kindConfig, configMessage{n.configVersion, n.config})
 	}
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -63,6 +63,9 @@
 
 // SetLanes names the nodes through which can be asked.
 func (e *Engine) SetLanes(names []string) {
+	if slices.EqualFunc(e.lanes, names, func(l lane, name string) bool { return l.name == name }) {
+		return
+	}
 	lanes := make([]lane, 0, len(names))
 	for _, name := range names {
 		i := slices.IndexFunc(e.lanes, func(l lane) bool { return l.name == name })
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -67,6 +67,8 @@
 	// inheritedUntil is when all leases that the earlier owner gave are over.
 	inheritedUntil time.Time
 	actions        []Action
+	// found is the buffer of permitted.
+	found []*worker
 	// isDirty means that something may be placed that could not be before.
 	isDirty  bool
 	isPaused bool
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -196,15 +196,10 @@
 	t := &s.tasks[i]
 	var best *worker
 	bestScore := 0.0
-	for _, w := range e.workers {
-		if !e.isUsable(w) || !e.mayRun(w, s, q.Service) || w.attempts[id] != nil {
+	for _, w := range e.permitted(s, q) {
+		if w.attempts[id] != nil {
 			continue
 		}
-		if q.Advice != nil {
-			if _, ok := s.advice.holds(w.ID, e.now); !ok {
-				continue
-			}
-		}
 		room := e.fits(w, s)
 		if gang != nil {
 			if gang.rack != "" && w.Rack != gang.rack {
@@ -223,6 +218,30 @@
 	return best
 }
 
+// permitted returns the workers that may be given tasks of the step now. The
+// slice is reused by the next call.
+func (e *Engine) permitted(s *step, q *Queue) []*worker {
+	found := e.found[:0]
+	if q.Advice == nil {
+		for _, w := range e.workers {
+			if e.isUsable(w) && e.mayRun(w, s, q.Service) {
+				found = append(found, w)
+			}
+		}
+	}
+	for id, t := range s.advice.tickets {
+		if !e.now.Before(t.expires) {
+			delete(s.advice.tickets, id)
+			continue
+		}
+		if w := e.workers[id]; w != nil && q.Advice != nil && e.isUsable(w) && e.mayRun(w, s, q.Service) {
+			found = append(found, w)
+		}
+	}
+	e.found = found
+	return found
+}
+
 // Weights of a placement's score, in parts of a worker's room. What makes a task
 // slower or likely to fail outweighs packing.
 const (
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -131,6 +131,7 @@
 		case <-ticks:
 			o.tick()
 			o.engine.Tick()
+			o.engine.SetLanes(o.options.Lanes.Names())
 		}
 		o.step()
 	}
@@ -154,7 +155,6 @@
 func (o *Owner) step() {
 	o.takeQueues()
 	o.engine.SetTrusted(o.isTrusted())
-	o.engine.SetLanes(o.options.Lanes.Names())
 	o.engine.Decide()
 	for _, a := range o.engine.Actions() {
 		o.carryOut(a)
