--- /dev/null
+++ b/internal/dispatch/engine_test.go
@@ -0,0 +1,350 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+var room = leverdyke.Resources{MilliCPU: 4000, MemoryMiB: 8000}
+
+func step(count int, d time.Duration) work.Step {
+	return work.Step{Count: count, Need: leverdyke.Resources{MilliCPU: 1000, MemoryMiB: 500}, Estimate: d, MayMiss: -1}
+}
+
+func state(w *world, id work.JobID) work.JobState {
+	s, _ := w.engine.State(id)
+	return s
+}
+
+func expectState(t *testing.T, w *world, id work.JobID, want work.JobState) {
+	t.Helper()
+	if got := state(w, id); got != want {
+		t.Errorf("job %s: got: %v, want: %v", id, got, want)
+	}
+}
+
+func expectWhole(t *testing.T, w *world) {
+	t.Helper()
+	for _, b := range w.broken {
+		t.Error(b)
+	}
+}
+
+func TestAJobRunsStepByStep(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(3, room)
+	w.run(time.Second)
+	w.submit("a", step(5, 300*time.Millisecond), step(2, 300*time.Millisecond))
+	w.run(200 * time.Millisecond)
+	expectState(t, w, "a", work.JobRunning)
+	if w.starts != 5 {
+		t.Errorf("starts before the first step is done: got: %d, want: 5", w.starts)
+	}
+	w.run(2 * time.Second)
+	expectState(t, w, "a", work.JobSucceeded)
+	expectWhole(t, w)
+}
+
+func TestAJobIsNotStartedBeforeItIsKept(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(3, room)
+	w.run(time.Second)
+	w.isOut = true
+	w.submit("a", step(1, time.Second))
+	w.run(time.Second)
+	if w.starts != 0 {
+		t.Errorf("starts: got: %d, want: 0", w.starts)
+	}
+	if refused := w.engine.RefuseNew(); len(refused) != 1 {
+		t.Errorf("refused: got: %v, want: one job", refused)
+	}
+	w.isOut = false
+	w.run(2 * time.Second)
+	if w.starts != 0 {
+		t.Errorf("starts of a refused job: got: %d, want: 0", w.starts)
+	}
+}
+
+func TestEndsAreConfirmedAfterTheyAreKept(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(1, room)
+	w.run(time.Second)
+	w.submit("a", step(1, 100*time.Millisecond))
+	w.run(100 * time.Millisecond)
+	w.isOut = true
+	w.run(time.Second)
+	if got := len(w.workers["w00"].finished); got != 1 {
+		t.Errorf("ends that the worker keeps while the store is out: got: %d, want: 1", got)
+	}
+	expectState(t, w, "a", work.JobRunning)
+	w.isOut = false
+	w.run(time.Second)
+	if got := len(w.workers["w00"].finished); got != 0 {
+		t.Errorf("ends that the worker keeps afterwards: got: %d, want: 0", got)
+	}
+	expectState(t, w, "a", work.JobSucceeded)
+}
+
+// A listing with ends that are not confirmed comes back at once: asking again
+// without a pause made 21 listings a second of each worker.
+func TestUnconfirmedEndsAreNotAskedForAgainAndAgain(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(1, room)
+	w.run(time.Second)
+	w.isOut = true
+	w.submit("a", step(1, 100*time.Millisecond))
+	w.isOut = false
+	w.run(150 * time.Millisecond)
+	w.isOut = true
+	before := w.holds("w00")
+	w.run(2 * time.Second)
+	if got := w.holds("w00") - before; got > 8 {
+		t.Errorf("listings in 2 s with an end that is not kept: got: %d, want: at most 8", got)
+	}
+}
+
+func TestAnOrderWithoutAnswerKeepsItsRoomUntilItsFateIsKnown(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(2, leverdyke.Resources{MilliCPU: 1000, MemoryMiB: 1000})
+	w.run(time.Second)
+	w.lostShare, w.lateShare = 1, 1
+	w.submit("a", step(1, time.Second))
+	w.run(200 * time.Millisecond)
+	w.lostShare = 0
+	w.run(20 * time.Second)
+	expectState(t, w, "a", work.JobSucceeded)
+	expectWhole(t, w)
+}
+
+func TestATaskFailsItsJobAfterAsManyAttemptsAsItMay(t *testing.T) {
+	w := newWorld(1)
+	w.failShare = 1
+	w.addWorkers(6, room)
+	w.run(time.Second)
+	w.submit("a", step(1, 100*time.Millisecond))
+	w.run(5 * time.Second)
+	expectState(t, w, "a", work.JobFailed)
+	if w.starts != testQueue.MaxAttempts {
+		t.Errorf("starts: got: %d, want: %d", w.starts, testQueue.MaxAttempts)
+	}
+}
+
+func TestAFailureThatIsListedAgainAfterATakeoverCountsOnce(t *testing.T) {
+	w := newWorld(1)
+	w.failShare = 1
+	w.addWorkers(6, room)
+	w.run(time.Second)
+	w.submit("a", step(1, 400*time.Millisecond))
+	w.run(200 * time.Millisecond)
+	w.failShare = 0
+	for w.starts < 2 {
+		w.run(tick)
+	}
+	// The failure is kept, the worker has not been told: it lists the end again.
+	for id, m := range w.workers {
+		if len(m.barred) > 0 && len(m.running) == 0 {
+			m.finished = []dispatch.End{{Number: 1, Task: work.TaskID{Job: "a"}, Run: 1, Kind: dispatch.EndFailed}}
+			_ = id
+		}
+	}
+	w.run(tick * 20)
+	w.takeOver()
+	w.run(5 * time.Second)
+	expectState(t, w, "a", work.JobSucceeded)
+	expectWhole(t, w)
+}
+
+func TestCancelStopsWhatRuns(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(2, room)
+	w.run(time.Second)
+	w.submit("a", step(6, time.Minute))
+	w.run(500 * time.Millisecond)
+	if !w.engine.Cancel("a") {
+		t.Fatal("cancel: got: no such job, want: true")
+	}
+	w.run(time.Second)
+	expectState(t, w, "a", work.JobCancelled)
+	for id, m := range w.workers {
+		if len(m.running) > 0 {
+			t.Errorf("%s: got: %d running, want: 0", id, len(m.running))
+		}
+	}
+	if w.engine.Cancel("b") {
+		t.Error("cancel of a job that was never handed in: got: true, want: false")
+	}
+}
+
+func TestATakeoverGoesOnWithWhatRuns(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(2, room)
+	w.run(time.Second)
+	w.submit("a", step(6, 3*time.Second))
+	w.run(time.Second)
+	w.takeOver()
+	w.run(5 * time.Second)
+	expectState(t, w, "a", work.JobSucceeded)
+	if w.starts != 6 {
+		t.Errorf("starts: got: %d, want: 6", w.starts)
+	}
+	expectWhole(t, w)
+}
+
+// A new owner has given no lease yet: it took the leases of the earlier one as
+// lapsed, and would have started their tasks a second time.
+func TestATakeoverCountsTheEarlierOwnersLeases(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(2, room)
+	w.run(time.Second)
+	w.submit("a", step(6, 20*time.Second))
+	w.run(time.Second)
+	w.takeOver()
+	w.run(30 * time.Millisecond)
+	for _, m := range w.workers {
+		m.isCut = true
+	}
+	w.run(4 * time.Second)
+	if got := w.engine.Counts().Lapsed; got != 0 {
+		t.Errorf("leases taken as lapsed 4 s after the takeover: got: %d, want: 0", got)
+	}
+}
+
+// One worker of the roster that was draining when the owner died held up all
+// tasks of all jobs for 9.7 s.
+func TestAWorkerThatGotNothingNewHoldsUpOnlyItsOwnTasks(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(3, room)
+	w.run(time.Second)
+	w.submit("a", step(1, 30*time.Second))
+	w.run(300 * time.Millisecond)
+	drained := w.workerOf(work.TaskID{Job: "a"})
+	drained.entry.IsDraining = true
+	w.submit("b", step(2, 300*time.Millisecond), step(2, 300*time.Millisecond))
+	w.run(800 * time.Millisecond)
+	drained.isCut = true
+	w.takeOver()
+	w.run(3 * time.Second)
+	expectState(t, w, "b", work.JobSucceeded)
+	if got := w.starts; got != 5 {
+		t.Errorf("starts while the drained worker's lease runs: got: %d, want: 5", got)
+	}
+	w.run(10 * time.Second)
+	if got := w.starts; got != 6 {
+		t.Errorf("starts after its lease: got: %d, want: 6", got)
+	}
+	expectWhole(t, w)
+}
+
+func TestAWorkerThatDrainsGetsNothingNew(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(1, room)
+	w.run(time.Second)
+	w.workers["w00"].entry.IsDraining = true
+	w.run(100 * time.Millisecond)
+	w.submit("a", step(1, time.Second))
+	w.run(2 * time.Second)
+	if w.starts != 0 {
+		t.Errorf("starts: got: %d, want: 0", w.starts)
+	}
+}
+
+func TestNothingStartsWithoutTrust(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(1, room)
+	w.run(time.Second)
+	w.engine.SetTrusted(false)
+	deadline := w.workers["w00"].deadline
+	w.submit("a", step(1, time.Second))
+	w.run(3 * time.Second)
+	if w.starts != 0 {
+		t.Errorf("starts: got: %d, want: 0", w.starts)
+	}
+	if got := w.workers["w00"].deadline - deadline; got > dispatch.WorkerTime(300*time.Millisecond) {
+		t.Errorf("lease renewed by: got: %v, want: nothing", time.Duration(got))
+	}
+}
+
+// TestPromisesHoldInAnyWorld plays random jobs with lost and late orders, cut and
+// crashed workers, an unreachable store and takeovers, and checks from outside.
+func TestPromisesHoldInAnyWorld(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(20261202)
+	parameters.MinSuccessfulTests = 60
+	properties := gopter.NewProperties(parameters)
+	properties.Property("no promise is broken and all jobs end", prop.ForAll(
+		func(seed uint64) (bool, error) {
+			w := playRandomDay(seed)
+			if len(w.broken) > 0 {
+				return false, fmt.Errorf("seed %d: %s (and %d more)", seed, w.broken[0], len(w.broken)-1)
+			}
+			for _, id := range w.order {
+				if s := state(w, id); !s.IsFinal() {
+					return false, fmt.Errorf("seed %d: job %s is %s at the end", seed, id, s)
+				}
+			}
+			return true, nil
+		}, gen.UInt64()))
+	properties.TestingRun(t)
+}
+
+// playRandomDay plays 40 s of troubles and then lets all end.
+func playRandomDay(seed uint64) *world {
+	w := newWorld(seed)
+	w.addWorkers(6, room)
+	w.run(time.Second)
+	for i := range 40 {
+		w.submit(fmt.Sprintf("j%02d", i), step(1+w.rng.IntN(6), time.Duration(100+w.rng.IntN(2500))*time.Millisecond), step(1+w.rng.IntN(3), 300*time.Millisecond))
+		w.trouble(i)
+		w.run(time.Second)
+	}
+	w.lostShare, w.failShare, w.isOut = 0, 0, false
+	for _, m := range w.workers {
+		m.isCut = false
+	}
+	w.run(40 * time.Second)
+	return w
+}
+
+// trouble does something to the world, or ends it.
+func (w *world) trouble(i int) {
+	ids := []dispatch.WorkerID{}
+	for id, m := range w.workers {
+		if !m.isDead {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	m := w.workers[ids[w.rng.IntN(len(ids))]]
+	switch w.rng.IntN(9) {
+	case 0:
+		w.lostShare, w.lateShare = 0.1*w.rng.Float64(), w.rng.Float64()
+	case 1:
+		w.lostShare = 0
+	case 2:
+		m.isCut = true
+	case 3, 4:
+		for _, o := range w.workers {
+			o.isCut = false
+		}
+	case 5:
+		w.crash(m.entry.ID, fmt.Sprintf("x%02d", i))
+	case 6:
+		w.takeOver()
+	case 7:
+		w.isOut = !w.isOut
+	case 8:
+		w.failShare = 0.1 * w.rng.Float64()
+	}
+}
--- /dev/null
+++ b/internal/dispatch/worker_model_test.go
@@ -0,0 +1,149 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// modelRun is a run of a task on a modelled worker.
+type modelRun struct {
+	run     uint64
+	need    leverdyke.Resources
+	beganAt time.Time
+	endsAt  time.Time
+	fails   bool
+	stops   time.Time
+}
+
+// modelWorker is a worker as the platform's page describes it: it does what the
+// highest fence says, guards no room, and kills all when its lease is over.
+type modelWorker struct {
+	entry dispatch.Worker
+	// clock is how its clock stands to the world's, drift how much slower it runs.
+	clock time.Duration
+	drift float64
+
+	fence    uint64
+	deadline dispatch.WorkerTime
+	running  map[work.TaskID]*modelRun
+	// barred has, by task, the highest run that ended or was stopped here.
+	barred   map[work.TaskID]uint64
+	finished []dispatch.End
+	next     uint64
+	isCut    bool
+	now      time.Time
+	isDead   bool
+}
+
+func (r *modelRun) percent(now time.Time) int {
+	return int(100 * now.Sub(r.beganAt) / max(r.endsAt.Sub(r.beganAt), 1))
+}
+
+func newModelWorker(id string, r leverdyke.Resources, clock time.Duration, drift float64) *modelWorker {
+	return &modelWorker{
+		entry: dispatch.Worker{
+			ID: dispatch.WorkerID(id), Machine: "m-" + id, Zone: "z1", Rack: "r1", Service: "pool", Capacity: r,
+		},
+		clock: clock, drift: drift, running: map[work.TaskID]*modelRun{}, barred: map[work.TaskID]uint64{}, next: 1,
+	}
+}
+
+// at returns the worker's clock.
+func (m *modelWorker) at(since time.Duration) dispatch.WorkerTime {
+	return dispatch.WorkerTime(m.clock + time.Duration(float64(since)*(1-m.drift)))
+}
+
+func (m *modelWorker) end(id work.TaskID, r *modelRun, kind dispatch.EndKind) {
+	delete(m.running, id)
+	m.barred[id] = max(m.barred[id], r.run)
+	m.finished = append(m.finished, dispatch.End{Number: m.next, Task: id, Run: r.run, Kind: kind})
+	m.next++
+}
+
+// step lets time pass on the worker.
+func (m *modelWorker) step(now time.Time, since time.Duration) {
+	m.now = now
+	for id, r := range m.running {
+		switch {
+		case m.at(since) >= m.deadline:
+			m.end(id, r, dispatch.EndLapsed)
+		case !r.stops.IsZero() && !now.Before(r.stops):
+			m.end(id, r, dispatch.EndStopped)
+		case !now.Before(r.endsAt) && r.fails:
+			m.end(id, r, dispatch.EndFailed)
+		case !now.Before(r.endsAt):
+			m.end(id, r, dispatch.EndDone)
+		}
+	}
+}
+
+func (m *modelWorker) obeys(fence uint64) bool {
+	if fence < m.fence {
+		return false
+	}
+	m.fence = fence
+	return true
+}
+
+// start carries out an order and reports whether a run began.
+func (m *modelWorker) start(fence uint64, s *dispatch.Start, r *modelRun, since time.Duration) (dispatch.StartOutcome, bool) {
+	if !m.obeys(fence) {
+		return dispatch.StartFenced, false
+	}
+	m.deadline = max(m.deadline, s.Deadline)
+	if old := m.running[s.Task]; old != nil && old.run == s.Run {
+		return dispatch.StartDone, false
+	}
+	if m.running[s.Task] != nil || s.Run <= m.barred[s.Task] || s.Deadline <= m.at(since) {
+		return dispatch.StartRefused, false
+	}
+	r.run = s.Run
+	m.running[s.Task] = r
+	return dispatch.StartDone, true
+}
+
+func (m *modelWorker) stop(fence uint64, s *dispatch.Stop, now time.Time, takes time.Duration) bool {
+	if !m.obeys(fence) {
+		return false
+	}
+	if r := m.running[s.Task]; r != nil && r.run == s.Run {
+		r.stops = now.Add(takes)
+		return true
+	}
+	m.barred[s.Task] = max(m.barred[s.Task], s.Run)
+	return true
+}
+
+func (m *modelWorker) hold(fence uint64, h *dispatch.Hold, since time.Duration) *dispatch.Listing {
+	if !m.obeys(fence) {
+		return nil
+	}
+	m.deadline = max(m.deadline, h.Deadline)
+	kept := []dispatch.End{}
+	for _, e := range m.finished {
+		if e.Number > h.Confirmed {
+			kept = append(kept, e)
+		}
+	}
+	m.finished = kept
+	l := &dispatch.Listing{At: m.at(since), Finished: append([]dispatch.End{}, kept...)}
+	for id, r := range m.running {
+		l.Running = append(l.Running, dispatch.Running{Task: id, Run: r.run, Percent: r.percent(m.now)})
+	}
+	return l
+}
+
+// used returns what the runs on the worker take.
+func (m *modelWorker) used() leverdyke.Resources {
+	sum := leverdyke.Resources{}
+	for _, r := range m.running {
+		sum = sum.Add(r.need)
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/dispatch/world_test.go
@@ -0,0 +1,351 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// world is an engine with modelled workers and a store, under a fake clock. It
+// watches from outside that the promises hold.
+type world struct {
+	clock   *clock.Fake
+	begin   time.Time
+	rng     *rand.Rand
+	engine  *dispatch.Engine
+	fence   uint64
+	workers map[dispatch.WorkerID]*modelWorker
+	// mail is what is on its way: answers and orders that come late.
+	mail []letter
+	// specs, progress and roster are what the store has.
+	specs    map[work.JobID]*work.Spec
+	order    []work.JobID
+	progress map[work.JobID]*work.Progress
+	roster   []dispatch.RosterEntry
+	beatAt   time.Time
+	isOut    bool
+
+	// lostShare of the answers do not come; lateShare of those orders are carried
+	// out up to 12 s later.
+	lostShare, lateShare float64
+	failShare            float64
+	done                 map[work.TaskID]bool
+	failures             map[work.TaskID]int
+	starts               int
+	held                 map[dispatch.WorkerID]int
+	broken               []string
+}
+
+type letter struct {
+	at      time.Time
+	deliver func()
+}
+
+func newWorld(seed uint64) *world {
+	c := clock.NewFake()
+	w := &world{
+		clock: c, begin: c.Now(), rng: rand.New(rand.NewPCG(seed, 1)), workers: map[dispatch.WorkerID]*modelWorker{},
+		specs: map[work.JobID]*work.Spec{}, progress: map[work.JobID]*work.Progress{},
+		done: map[work.TaskID]bool{}, failures: map[work.TaskID]int{},
+		held: map[dispatch.WorkerID]int{},
+	}
+	w.takeOver()
+	return w
+}
+
+var testQueue = dispatch.Queue{Name: "q", Service: "pool", MaxAttempts: 3}
+
+// takeOver replaces the engine by one of a new owner that knows what the store has.
+func (w *world) takeOver() {
+	w.fence++
+	w.engine = dispatch.NewEngine(dispatch.Options{})
+	w.engine.Advance(w.clock.Now())
+	w.engine.SetQueues([]dispatch.Queue{testQueue})
+	for _, id := range w.order {
+		w.engine.RestoreJob(w.specs[id], w.progress[id])
+	}
+	w.engine.Inherit(w.roster, w.clock.Now().Add(10*time.Second))
+	w.engine.SetTrusted(true)
+	w.beatAt = time.Time{}
+}
+
+func (w *world) since() time.Duration { return w.clock.Now().Sub(w.begin) }
+
+func (w *world) addWorkers(n int, r leverdyke.Resources) {
+	for i := range n {
+		m := newModelWorker(fmt.Sprintf("w%02d", i), r, time.Duration(i)*time.Hour, 0.02*w.rng.Float64())
+		w.workers[m.entry.ID] = m
+	}
+}
+
+func (w *world) list() []dispatch.Worker {
+	out := []dispatch.Worker{}
+	for _, m := range w.workers {
+		if !m.isDead {
+			out = append(out, m.entry)
+		}
+	}
+	return out
+}
+
+// later delivers something after a delay, unless the engine is replaced.
+func (w *world) later(d time.Duration, deliver func()) {
+	e := w.engine
+	w.mail = append(w.mail, letter{w.clock.Now().Add(d), func() {
+		if e == w.engine {
+			deliver()
+		}
+	}})
+}
+
+// order carries out an order after a delay, whoever is the owner then.
+func (w *world) orderLater(d time.Duration, deliver func()) {
+	w.mail = append(w.mail, letter{w.clock.Now().Add(d), deliver})
+}
+
+const tick = 10 * time.Millisecond
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	for end := w.clock.Now().Add(d); w.clock.Now().Before(end); {
+		w.clock.Advance(tick)
+		w.step()
+	}
+}
+
+func (w *world) step() {
+	now := w.clock.Now()
+	w.engine.Advance(now)
+	for _, m := range w.workers {
+		m.step(now, w.since())
+	}
+	due, rest := []letter{}, []letter{}
+	for _, l := range w.mail {
+		if l.at.After(now) {
+			rest = append(rest, l)
+		} else {
+			due = append(due, l)
+		}
+	}
+	w.mail = rest
+	for _, l := range due {
+		l.deliver()
+	}
+	w.engine.SetWorkers(w.list(), true)
+	w.engine.Tick()
+	w.engine.Decide()
+	for _, a := range w.engine.Actions() {
+		w.carryOut(a)
+	}
+	w.keep(now)
+	w.check()
+}
+
+// keep writes what must last.
+func (w *world) keep(now time.Time) {
+	if w.isOut {
+		return
+	}
+	if now.Sub(w.beatAt) >= 500*time.Millisecond {
+		w.beatAt = now
+		w.roster = w.engine.Roster()
+		w.engine.Admit(w.roster)
+	}
+	b := w.engine.TakeBatch()
+	if b == nil {
+		return
+	}
+	for _, s := range b.Specs {
+		w.specs[s.ID] = s
+		w.order = append(w.order, s.ID)
+	}
+	for id, p := range b.Progress {
+		w.progress[id] = p
+	}
+	w.engine.Committed(b)
+}
+
+// delay is the way to a worker or back.
+func (w *world) delay() time.Duration { return time.Duration(1+w.rng.IntN(20)) * time.Millisecond }
+
+func (w *world) carryOut(a dispatch.Action) {
+	switch a := a.(type) {
+	case dispatch.Start:
+		w.orderStart(a)
+	case dispatch.Stop:
+		w.orderStop(a)
+	case dispatch.Hold:
+		w.orderHold(a)
+	case dispatch.Pace, dispatch.Advise:
+	}
+}
+
+// isLost decides whether an answer is lost, and when the order is carried out.
+func (w *world) isLost() (bool, time.Duration) {
+	if w.rng.Float64() >= w.lostShare {
+		return false, w.delay()
+	}
+	if w.rng.Float64() < w.lateShare {
+		return true, 2*time.Second + time.Duration(w.rng.IntN(10_000))*time.Millisecond
+	}
+	return true, w.delay()
+}
+
+func (w *world) orderStart(s dispatch.Start) {
+	m, fence := w.workers[s.Worker], w.fence
+	lost, delay := w.isLost()
+	if m == nil || m.isDead {
+		w.later(w.delay(), func() { w.engine.StartAnswered(s.Worker, s.Task, s.Run, dispatch.StartUnhealthy, 0) })
+		return
+	}
+	spec := w.specs[s.Task.Job].Steps[s.Task.Step]
+	r := &modelRun{need: spec.Need, fails: w.rng.Float64() < w.failShare}
+	engine := w.engine
+	w.orderLater(delay, func() {
+		if m.isCut || m.isDead {
+			return
+		}
+		r.beganAt, r.endsAt = w.clock.Now(), w.clock.Now().Add(spec.Estimate)
+		outcome, began := m.start(fence, &s, r, w.since())
+		if began {
+			w.began(m, s.Task, r)
+		}
+		if lost || engine != w.engine {
+			return
+		}
+		at := m.at(w.since())
+		w.later(w.delay(), func() { w.engine.StartAnswered(s.Worker, s.Task, s.Run, outcome, at) })
+	})
+	if lost || m.isCut {
+		w.later(1500*time.Millisecond, func() { w.engine.StartAnswered(s.Worker, s.Task, s.Run, dispatch.StartUnknown, 0) })
+	}
+}
+
+func (w *world) orderStop(s dispatch.Stop) {
+	m, fence := w.workers[s.Worker], w.fence
+	lost, delay := w.isLost()
+	if m == nil {
+		return
+	}
+	w.orderLater(delay, func() {
+		if m.isCut || m.isDead || !m.stop(fence, &s, w.clock.Now(), 150*time.Millisecond) || lost {
+			return
+		}
+		at := m.at(w.since())
+		w.later(w.delay(), func() { w.engine.StopAnswered(s.Worker, s.Task, s.Run, true, at) })
+	})
+}
+
+func (w *world) orderHold(h dispatch.Hold) {
+	m, fence := w.workers[h.Worker], w.fence
+	lost, delay := w.isLost()
+	if m == nil || m.isDead || m.isCut || lost {
+		w.later(900*time.Millisecond, func() { w.engine.HoldFailed(h.Worker, h.IsLook) })
+		return
+	}
+	w.held[h.Worker]++
+	engine := w.engine
+	wait := min(h.Wait, 200*time.Millisecond)
+	if len(m.finished) > 0 {
+		wait = 0
+	}
+	w.orderLater(delay+wait, func() {
+		var l *dispatch.Listing
+		if !m.isCut && !m.isDead {
+			l = m.hold(fence, &h, w.since())
+		}
+		if engine != w.engine {
+			return
+		}
+		w.later(w.delay(), func() {
+			if l == nil {
+				w.engine.HoldFailed(h.Worker, h.IsLook)
+				return
+			}
+			w.engine.Listed(h.Worker, l, h.IsLook)
+		})
+	})
+}
+
+// began checks a start against the promises.
+func (w *world) began(m *modelWorker, id work.TaskID, _ *modelRun) {
+	w.starts++
+	for other, o := range w.workers {
+		if o != m && !o.isDead && o.running[id] != nil {
+			w.breaks("%s runs on %s and on %s", id, other, m.entry.ID)
+		}
+	}
+	if w.done[id] {
+		w.breaks("%s starts on %s after its end was kept", id, m.entry.ID)
+	}
+}
+
+// check looks at what runs now.
+func (w *world) check() {
+	for id, m := range w.workers {
+		if !m.used().FitsIn(m.entry.Capacity) {
+			w.breaks("%s is over its room: %v of %v", id, m.used(), m.entry.Capacity)
+		}
+	}
+	for _, id := range w.order {
+		p := w.progress[id]
+		if p == nil || p.State.IsFinal() {
+			continue
+		}
+		for k, steps := range p.Rounds {
+			for s := range steps {
+				for i := range w.specs[id].Steps[s].Count {
+					if steps[s].IsDone(i) {
+						w.done[work.TaskID{Job: id, Round: k, Step: s, Index: i}] = true
+					}
+				}
+			}
+		}
+	}
+}
+
+func (w *world) breaks(format string, args ...any) {
+	w.broken = append(w.broken, fmt.Sprintf("%8v ", w.since())+fmt.Sprintf(format, args...))
+}
+
+// submit hands in a job of steps that follow each other.
+func (w *world) submit(id string, steps ...work.Step) {
+	for i := range steps {
+		if i > 0 {
+			steps[i].After = []int{i - 1}
+		}
+	}
+	w.engine.AddJob(&work.Spec{ID: work.JobID(id), Queue: "q", Steps: steps})
+}
+
+// crash ends a worker's life and begins another on the same machine.
+func (w *world) crash(id dispatch.WorkerID, next string) {
+	m := w.workers[id]
+	m.isDead = true
+	m.running = map[work.TaskID]*modelRun{}
+	born := newModelWorker(next, m.entry.Capacity, 0, m.drift)
+	born.clock = -w.since()
+	born.entry.Machine = m.entry.Machine
+	w.workers[born.entry.ID] = born
+}
+
+// holds returns how many listings a worker was asked for.
+func (w *world) holds(id dispatch.WorkerID) int { return w.held[id] }
+
+// workerOf returns the worker on which a task runs.
+func (w *world) workerOf(id work.TaskID) *modelWorker {
+	for _, m := range w.workers {
+		if m.running[id] != nil {
+			return m
+		}
+	}
+	return nil
+}
