internal/dispatch: end a worker's life when the machine's next one has answered

Change: a life ends when another of its machine has answered, or by the worker's word; a life that is over is not taken from the list again. TestTheEntryOfAnEarlierLifeEndsNothing fails without the change.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -57,8 +57,10 @@
 	// live are the jobs that are not over, in the order in which they came.
 	live    []*job
 	workers map[WorkerID]*worker
-	queues  map[string]Queue
-	lanes   []lane
+	// over has lives that are over while the platform's list still has them.
+	over   map[WorkerID]bool
+	queues map[string]Queue
+	lanes  []lane
 	// unsettled are workers on which an earlier owner may have started tasks that
 	// are not known yet.
 	unsettled map[WorkerID]inherited
@@ -94,7 +96,7 @@
 	}
 	return &Engine{
 		options: options, jobs: map[work.JobID]*job{}, workers: map[WorkerID]*worker{},
-		queues: map[string]Queue{}, unsettled: map[WorkerID]inherited{},
+		queues: map[string]Queue{}, over: map[WorkerID]bool{}, unsettled: map[WorkerID]inherited{},
 	}
 }
 
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -348,3 +348,27 @@
 		w.failShare = 0.1 * w.rng.Float64()
 	}
 }
+
+// The entry of a crashed worker stays in the list for some seconds beside that of
+// the machine's next life. Each took the other for the later one in turn, so that
+// tasks of the live one were started again.
+func TestTheEntryOfAnEarlierLifeEndsNothing(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(2, room)
+	w.run(time.Second)
+	w.submit("a", step(8, 20*time.Second))
+	w.run(time.Second)
+	old := w.workers["w00"]
+	w.crash("w00", "x00")
+	w.lingering = []dispatch.Worker{old.entry}
+	w.run(3 * time.Second)
+	for _, m := range w.workers {
+		if !m.isDead && len(m.running) != 4 {
+			t.Errorf("%s: got: %d running, want: 4", m.entry.ID, len(m.running))
+		}
+	}
+	if w.starts != 12 {
+		t.Errorf("starts: got: %d, want: 8 and 4 again", w.starts)
+	}
+	expectWhole(t, w)
+}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -114,6 +114,7 @@
 	}
 	e.settleMissing(w, l, running)
 	if !w.isListed {
+		e.endEarlierLives(w)
 		w.isListed = true
 		e.isDirty = true
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -90,11 +90,18 @@
 	seen := make(map[WorkerID]bool, len(list))
 	for _, entry := range list {
 		seen[entry.ID] = true
-		e.setWorker(entry)
+		if !e.over[entry.ID] {
+			e.setWorker(entry)
+		}
 	}
 	if !isCertain {
 		return
 	}
+	for id := range e.over {
+		if !seen[id] {
+			delete(e.over, id)
+		}
+	}
 	for id, w := range e.workers {
 		if !seen[id] && !w.isGone {
 			w.isGone = true
@@ -107,7 +114,6 @@
 func (e *Engine) setWorker(entry Worker) {
 	w := e.workers[entry.ID]
 	if w == nil {
-		e.endEarlierLives(entry)
 		w = &worker{Worker: entry, attempts: map[work.TaskID]*attempt{}, foreign: map[work.TaskID]uint64{}}
 		e.workers[entry.ID] = w
 		e.hold(w)
@@ -123,13 +129,14 @@
 	w.isGone = false
 }
 
-// endEarlierLives ends the lives of the same machine: it has one at a time.
-func (e *Engine) endEarlierLives(entry Worker) {
-	if entry.Machine == "" {
+// endEarlierLives ends the other lives of a machine whose worker has answered:
+// it has one at a time.
+func (e *Engine) endEarlierLives(w *worker) {
+	if w.Machine == "" {
 		return
 	}
-	for id, w := range e.workers {
-		if w.Machine == entry.Machine {
+	for id, other := range e.workers {
+		if other != w && other.Machine == w.Machine {
 			e.LifeOver(id)
 		}
 	}
@@ -138,6 +145,7 @@
 // LifeOver says that a worker's life is over: nothing of it runs any more.
 func (e *Engine) LifeOver(id WorkerID) {
 	e.settle(id, "life over")
+	e.over[id] = true
 	w := e.workers[id]
 	if w == nil {
 		return
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -42,6 +42,8 @@
 	starts               int
 	held                 map[dispatch.WorkerID]int
 	broken               []string
+	// lingering are entries of lives that are over.
+	lingering []dispatch.Worker
 }
 
 type letter struct {
@@ -93,7 +95,10 @@
 			out = append(out, m.entry)
 		}
 	}
-	return out
+	if w.rng.IntN(2) == 0 {
+		return append(out, w.lingering...)
+	}
+	return append(append([]dispatch.Worker{}, w.lingering...), out...)
 }
 
 // later delivers something after a delay, unless the engine is replaced.
