internal/dispatch: judge attempts by their progress, copy or replace what is slow, lost or stuck

Cause: jobs were late because of single tasks on slow, hanging or silent workers, and an order without an answer was doubted only after 0.7 s.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -25,10 +25,14 @@
 	// a listing comes at least every 2 s.
 	overdueAfter = 2600 * time.Millisecond
 	// orderPatience is how long an order to start may stay without an answer. A
-	// worker answers within milliseconds.
-	orderPatience = 700 * time.Millisecond
+	// worker answers within milliseconds; an owner that is slowed five times takes
+	// some tens.
+	orderPatience = 200 * time.Millisecond
+	// doubtPatience is how long a listing may take that tells whether a doubtful
+	// order was carried out.
+	doubtPatience = 150 * time.Millisecond
 	// stopRetry is the pause before a stop without an answer is sent again.
-	stopRetry = 600 * time.Millisecond
+	stopRetry = 250 * time.Millisecond
 	// flushPause is the longest that progress waits for its batch; a job's end
 	// does not wait.
 	flushPause = 60 * time.Millisecond
@@ -82,6 +86,8 @@
 	// pending counts, by queue, jobs none of whose tasks has begun.
 	nextWalk time.Time
 	counts   Counts
+	// bias is, by queue, how much longer tasks take than estimated.
+	bias map[string]float64
 }
 
 // Counts are totals since the engine was made.
@@ -96,7 +102,7 @@
 	}
 	return &Engine{
 		options: options, jobs: map[work.JobID]*job{}, workers: map[WorkerID]*worker{},
-		queues: map[string]Queue{}, over: map[WorkerID]bool{}, unsettled: map[WorkerID]inherited{},
+		queues: map[string]Queue{}, over: map[WorkerID]bool{}, bias: map[string]float64{}, unsettled: map[WorkerID]inherited{},
 	}
 }
 
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -6,7 +6,6 @@
 import (
 	"time"
 
-	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -22,14 +21,6 @@
 	longestPause = 12 * time.Second
 	// refusedPause is for a worker that says that it takes nothing.
 	refusedPause = 500 * time.Millisecond
-	// stuckAfter is how long a task may show no progress. The shortest tasks take
-	// 0.8 s and slow workers are up to eight times slower, so that one percent
-	// takes 70 ms at most; the longest of 12 s, 1 s.
-	stuckAfter = 1500 * time.Millisecond
-	// stuckFiller is for tasks that only get what others leave.
-	stuckFiller = 8 * time.Second
-	// stuckLasting is for a lasting task that does not get to work.
-	stuckLasting = 4 * time.Second
 )
 
 // health is how a worker does by the outcomes of its attempts.
@@ -87,34 +78,3 @@
 	}
 	return true
 }
-
-// checkProgress stops an attempt that stands still.
-func (e *Engine) checkProgress(a *attempt) {
-	if a.phase != phaseRunning || a.isStopping || a.step == nil {
-		return
-	}
-	s := a.step.spec
-	limit := stuckAfter + s.Estimate/20
-	switch {
-	case s.IsLasting && a.percent >= 100:
-		return
-	case s.IsLasting:
-		limit = stuckLasting
-	case s.IsFiller:
-		limit = stuckFiller
-	}
-	// Progress is only known from listings: a silent worker is no stuck task.
-	seen := a.worker.readAt.Sub(a.percentAt)
-	if seen < limit || a.pace < fullPace {
-		return
-	}
-	e.options.Log(events.AttemptStuck, "task", a.id, "run", a.run, "worker", a.worker.ID, "percent", a.percent, "for", seen)
-	a.step.tasks[a.id.Index].avoid = a.worker.ID
-	if !s.IsFiller {
-		a.worker.health.setAside(e.now)
-	}
-	e.stop(a, "stands still")
-	if s.IsGang {
-		e.stopGang(a.step, a.run, "a member stands still")
-	}
-}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -10,7 +10,7 @@
 	// busyWait is how long a worker with tasks waits for an end, idleWait one
 	// without. Progress and tails are only told by listings; the worker accepts
 	// 2 s at most.
-	busyWait = time.Second
+	busyWait = 500 * time.Millisecond
 	idleWait = 2 * time.Second
 	// pacedWait is for a worker on which tasks disturb each other.
 	pacedWait = 500 * time.Millisecond
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -63,7 +63,12 @@
 	// waiting counts the tasks in the state waiting.
 	waiting int
 	openAt  time.Time
-	advice  advice
+	// copiesWanted counts the tasks that want a copy.
+	copiesWanted int
+	// doneRuns and doneTime are of the tasks that are done.
+	doneRuns int
+	doneTime time.Duration
+	advice   advice
 	// gangFailures counts the attempts of a gang in which a member failed.
 	gangFailures map[uint64]bool
 }
@@ -79,6 +84,11 @@
 	avoid WorkerID
 	// heldBy is a worker on which an earlier owner may have started it.
 	heldBy WorkerID
+	// copy is a second attempt beside the first; wantsCopy asks for one.
+	copy      *attempt
+	wantsCopy bool
+	// rescues counts attempts that were stopped as too slow.
+	rescues int
 	// retryAt is when the next attempt may start.
 	retryAt time.Time
 }
@@ -291,6 +301,7 @@
 	if t.state == taskWaiting {
 		s.waiting--
 	}
+	s.dropCopyWish(t)
 	t.state = taskDone
 	s.left--
 	e.touch(s.job)
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -33,9 +33,7 @@
 		}
 	case StartUnknown:
 		if a.phase == phaseOrdered {
-			a.phase = phaseDoubtful
-			e.counts.Doubtful++
-			e.options.Log(events.OrderDoubtful, "task", task, "run", run, "worker", id, "age", e.now.Sub(a.orderedAt))
+			e.doubt(a)
 		}
 	case StartRefused, StartNoRoom, StartNoTicket, StartUnhealthy, StartFenced, StartLifeOver:
 		e.startRefused(w, a, outcome)
@@ -119,6 +117,7 @@
 		e.isDirty = true
 	}
 	e.settle(w.ID, "told what it runs")
+	e.judgeSpeed(w)
 	e.setPaces(w)
 }
 
@@ -163,11 +162,16 @@
 	}
 	a := &attempt{
 		id: r.Task, step: s, run: r.Run, worker: w, charge: s.spec.Charge(), phase: phaseRunning,
-		orderedAt: e.now, startedAt: w.readTime, percentAt: e.now, pace: fullPace,
+		orderedAt: e.now, startedAt: w.readTime, percentAt: e.now, pace: fullPace, isAdopted: true,
 	}
 	w.earlierUntil = e.inheritedUntil
 	e.charge(a)
 	t.run = max(t.run, r.Run)
+	if s.spec.MayDuplicate && t.state == taskPlaced && t.copy == nil && !s.job.state.IsFinal() {
+		s.dropCopyWish(t)
+		t.copy = a
+		return a
+	}
 	isWanted := t.state == taskWaiting && !s.job.state.IsFinal()
 	if !isWanted {
 		if t.state == taskPlaced {
@@ -210,6 +214,9 @@
 	}
 	switch end.Kind {
 	case EndDone:
+		if a != nil {
+			e.learn(a)
+		}
 		e.endedDone(w, s, end)
 	case EndFailed:
 		e.endedFailed(w, s, end)
@@ -240,8 +247,10 @@
 
 // doneOnce notes that a task is done and stops copies of it.
 func (e *Engine) doneOnce(s *step, i int, run uint64) {
-	if a := s.tasks[i].attempt; a != nil && a.run != run {
-		e.stop(a, "another attempt is done")
+	for _, a := range []*attempt{s.tasks[i].attempt, s.tasks[i].copy} {
+		if a != nil && a.run != run {
+			e.stop(a, "another attempt is done")
+		}
 	}
 	e.taskEnded(s, i)
 }
@@ -285,6 +294,9 @@
 		if running[id] {
 			continue
 		}
+		if a.phase == phaseDoubtful && !a.isStopping {
+			e.stop(a, "order was not carried out in time")
+		}
 		isStopped := a.stopAckedAt > 0 && a.stopAckedAt <= l.At
 		isStarted := a.phase == phaseRunning && a.startedAt > 0 && a.startedAt < l.At
 		if !isStopped && !isStarted {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -31,7 +31,7 @@
 		}
 		for _, r := range j.rounds {
 			for _, s := range r.steps {
-				if s.isOpen && s.waiting > 0 {
+				if s.isOpen && (s.waiting > 0 || s.copiesWanted > 0) {
 					open = append(open, s)
 				}
 			}
@@ -80,8 +80,11 @@
 	if placed > 0 {
 		e.options.Log(events.StepPlaced, "step", s.id, "queue", q.Name, "placed", placed, "waiting", s.waiting, "waited", e.now.Sub(s.openAt))
 	}
-	if s.waiting > 0 && q.Advice != nil {
-		e.askAdvice(s, q.Advice, s.waiting)
+	if s.copiesWanted > 0 {
+		e.placeCopies(s, &q)
+	}
+	if missing := s.waiting + s.copiesWanted; missing > 0 && q.Advice != nil {
+		e.askAdvice(s, q.Advice, missing)
 	}
 }
 
@@ -246,6 +249,7 @@
 // slower or likely to fail outweighs packing.
 const (
 	weightAvoid  = 4.0
+	weightSlow   = 3.0
 	weightFar    = 1.0
 	weightShared = 1.5
 	weightZone   = 0.01
@@ -259,6 +263,9 @@
 	if s.spec.IsLasting || s.spec.IsFiller {
 		score = -score
 	}
+	if w.isSlow(e.now) {
+		score -= weightSlow
+	}
 	if t.avoid == w.ID {
 		score -= weightAvoid
 	}
@@ -316,16 +323,23 @@
 	return run
 }
 
-// start charges the worker and orders the start.
+// start orders a waiting task to start.
 func (e *Engine) start(w *worker, s *step, i int, run uint64) {
+	t := &s.tasks[i]
+	t.state = taskPlaced
+	t.attempt = e.order(w, s, i, run)
+	s.waiting--
+}
+
+// order charges the worker and orders an attempt to start.
+func (e *Engine) order(w *worker, s *step, i int, run uint64) *attempt {
 	t := &s.tasks[i]
 	id := s.taskID(i)
 	a := &attempt{
 		id: id, step: s, run: run, worker: w, charge: s.spec.Charge(), phase: phaseOrdered, orderedAt: e.now, pace: fullPace,
 	}
 	e.charge(a)
-	t.state, t.attempt = taskPlaced, a
-	s.waiting--
+	a.hasSaved = s.savedFor(i) != ""
 	t.run = max(t.run, run)
 	e.counts.Starts++
 	ticketText, _ := s.advice.holds(w.ID, e.now)
@@ -333,6 +347,7 @@
 		Worker: w.ID, Addr: w.Addr, Task: id, Run: run, Payload: s.job.spec.Payload,
 		Saved: s.savedFor(i), Ticket: ticketText, Deadline: e.renew(w),
 	})
+	return a
 }
 
 // savedFor returns where a task goes on from. The members of a gang must all go
--- /dev/null
+++ b/internal/dispatch/progress.go
@@ -0,0 +1,179 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/events"
+)
+
+// Limits by which attempts are judged from the progress that workers tell.
+const (
+	// stuckLeast and stuckShare are how long a task may show no progress: the
+	// least, and a share of the time that it should take. The shortest tasks take
+	// 0.8 s, so that one percent takes 64 ms on a worker that is eight times slower.
+	stuckLeast = 600 * time.Millisecond
+	stuckShare = 0.15
+	// stuckFiller is for tasks that only get what others leave.
+	stuckFiller = 8 * time.Second
+	// stuckLasting is for a lasting task that does not get to work.
+	stuckLasting = 4 * time.Second
+	// judgeAfter is the least time after which a rate is believed: percents are
+	// whole numbers.
+	judgeAfter = 300 * time.Millisecond
+	// slowRatio is how much longer than expected a task may seem to take. Slow
+	// workers take four times as long and more; sizes of like tasks differ by less.
+	slowRatio = 2.5
+	// slowPause is how long a slow worker is left for the last choice.
+	slowPause = 4 * time.Second
+	// worthRatio is how much sooner another attempt must be done to be worth it.
+	worthRatio = 1.3
+	// maxRescues bounds the attempts of a task that are stopped as too slow.
+	maxRescues = 2
+	// biasWeight is the weight of a new task in what estimates are corrected by.
+	biasWeight = 0.05
+)
+
+// expected returns how long a task of the step should take on a sound worker, by
+// those of it that are done, or by the caller's estimate, corrected by what the
+// tasks of the queue took; 0 when nothing is known.
+func (e *Engine) expected(s *step) time.Duration {
+	if s.doneRuns > 0 {
+		return s.doneTime / time.Duration(s.doneRuns)
+	}
+	bias, ok := e.bias[s.job.spec.Queue]
+	if !ok {
+		bias = 1
+	}
+	return time.Duration(bias * float64(s.spec.Estimate))
+}
+
+// learn takes the time that a task took from its order to its end.
+func (e *Engine) learn(a *attempt) {
+	s := a.step
+	if s == nil || s.spec.IsLasting || s.spec.IsFiller || a.hasSaved || a.isAdopted {
+		return
+	}
+	took := e.now.Sub(a.orderedAt)
+	s.doneRuns++
+	s.doneTime += took
+	if s.spec.Estimate <= 0 || a.worker.isSlow(e.now) {
+		return
+	}
+	queue := s.job.spec.Queue
+	ratio := float64(took) / float64(s.spec.Estimate)
+	if old, ok := e.bias[queue]; ok {
+		ratio = old + biasWeight*(ratio-old)
+	}
+	e.bias[queue] = ratio
+}
+
+// projected returns how long the attempt will take in all at the rate so far; 0
+// when that cannot be told yet.
+func (a *attempt) projected(now time.Time) time.Duration {
+	elapsed := now.Sub(a.orderedAt)
+	if a.isAdopted || elapsed < judgeAfter || a.percent <= 0 && elapsed < stuckLeast {
+		return 0
+	}
+	return time.Duration(float64(elapsed) * 100 / max(float64(a.percent), 1))
+}
+
+// judgeSpeed finds out from a listing whether a worker is slow: whether most of
+// its tasks, of two steps at least, seem to take far too long.
+func (e *Engine) judgeSpeed(w *worker) {
+	judged, slow := 0, 0
+	var first *step
+	isSeveral := false
+	for _, a := range w.attempts {
+		if a.step == nil || a.phase != phaseRunning || a.isStopping || a.step.spec.IsLasting || a.step.spec.IsFiller {
+			continue
+		}
+		expected, projected := e.expected(a.step), a.projected(e.now)
+		if expected <= 0 || projected == 0 {
+			continue
+		}
+		judged++
+		if float64(projected) > slowRatio*float64(expected) {
+			slow++
+			isSeveral = isSeveral || first != nil && first != a.step
+			first = a.step
+		}
+	}
+	if !isSeveral || 2*slow <= judged {
+		return
+	}
+	if !w.isSlow(e.now) {
+		e.options.Log(events.WorkerSlow, "worker", w.ID, "slow", slow, "judged", judged)
+	}
+	w.slowUntil = e.now.Add(slowPause)
+	e.isDirty = true
+}
+
+func (w *worker) isSlow(now time.Time) bool { return now.Before(w.slowUntil) }
+
+// checkProgress gives a task another chance elsewhere when its attempt stands
+// still, or goes on so slowly that another one would be done sooner.
+func (e *Engine) checkProgress(a *attempt) {
+	if a.phase != phaseRunning || a.isStopping || a.step == nil || a.step.spec.IsLasting && a.percent >= 100 {
+		return
+	}
+	// Progress is only known from listings: a silent worker is no stuck task.
+	still := a.worker.readAt.Sub(a.percentAt)
+	if still >= e.stuckLimit(a.step) && a.pace == fullPace {
+		e.options.Log(events.AttemptStuck, "task", a.id, "run", a.run, "worker", a.worker.ID, "percent", a.percent, "for", still)
+		if !a.step.spec.IsFiller {
+			a.worker.health.setAside(e.now)
+		}
+		e.replace(a, "stands still")
+		return
+	}
+	if a.worker.isSlow(e.now) && e.isWorthReplacing(a) {
+		e.replace(a, "too slow")
+	}
+}
+
+func (e *Engine) stuckLimit(s *step) time.Duration {
+	switch {
+	case s.spec.IsLasting:
+		return stuckLasting
+	case s.spec.IsFiller:
+		return stuckFiller
+	}
+	expected := e.expected(s)
+	return stuckLeast + time.Duration(stuckShare*float64(expected))
+}
+
+// isWorthReplacing reports whether another attempt would be done much sooner.
+func (e *Engine) isWorthReplacing(a *attempt) bool {
+	s := a.step
+	if s.spec.IsLasting || s.spec.IsFiller || s.spec.IsGang || a.hasCopy() {
+		return false
+	}
+	expected, projected := e.expected(s), a.projected(e.now)
+	if expected <= 0 || projected == 0 || s.tasks[a.id.Index].rescues >= maxRescues {
+		return false
+	}
+	left := projected - e.now.Sub(a.orderedAt)
+	again := expected + e.options.StopTime
+	if s.spec.KeepsProgress {
+		again = e.options.StopTime + time.Duration(float64(expected)*float64(100-a.percent)/100)
+	}
+	return float64(left) > worthRatio*float64(again)
+}
+
+// replace starts a copy of the task, or stops the attempt so that the task can
+// start elsewhere.
+func (e *Engine) replace(a *attempt, why string) {
+	t := &a.step.tasks[a.id.Index]
+	t.avoid = a.worker.ID
+	if e.wantCopy(a) {
+		return
+	}
+	t.rescues++
+	e.stop(a, why)
+	if a.step.spec.IsGang {
+		e.stopGang(a.step, a.run, "a member "+why)
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -43,7 +43,9 @@
 	// holdFailures counts listings in a row that did not come; the next is asked
 	// for at holdAt.
 	holdFailures int
-	holdAt       time.Time
+	// slowUntil is until when it is left for the last choice.
+	slowUntil time.Time
+	holdAt    time.Time
 }
 
 // phase is where an attempt is.
@@ -67,6 +69,8 @@
 	phase  phase
 	// orderedAt is when the order was sent.
 	orderedAt time.Time
+	// doubtAt is when the order became doubtful.
+	doubtAt time.Time
 	// startedAt is the worker's clock when it confirmed the start.
 	startedAt WorkerTime
 	// isStopping means that it was told to stop; stopSentAt is when, last.
@@ -82,6 +86,9 @@
 	pacedAt     time.Time
 	// highSince is when its tail was first seen over the target; zero when it is not.
 	highSince time.Time
+	// hasSaved means that it went on from where an earlier attempt was saved;
+	// isAdopted that an earlier owner started it.
+	hasSaved, isAdopted bool
 }
 
 // SetWorkers takes the platform's list, whole. isCertain is false while the list
@@ -203,19 +210,31 @@
 
 func (e *Engine) tickAttempt(a *attempt) {
 	if a.phase == phaseOrdered && e.now.Sub(a.orderedAt) > orderPatience {
-		a.phase = phaseDoubtful
-		e.counts.Doubtful++
+		e.doubt(a)
 	}
-	if a.phase == phaseDoubtful && !a.isStopping {
+	if a.phase == phaseDoubtful && !a.isStopping && e.now.Sub(a.doubtAt) > doubtPatience {
 		e.stop(a, "order was not answered")
 		return
 	}
+	e.copyIfSilent(a)
 	if a.isStopping && a.stopAckedAt == 0 && e.now.Sub(a.stopSentAt) > stopRetry {
 		e.sendStop(a)
 	}
 	e.checkProgress(a)
 }
 
+// doubt takes an order as one that may have been carried out or may be later.
+// Where the worker says that it runs, it is left alone; otherwise it is stopped,
+// which also keeps it from being carried out.
+func (e *Engine) doubt(a *attempt) {
+	a.phase = phaseDoubtful
+	a.doubtAt = e.now
+	e.counts.Doubtful++
+	e.options.Log(events.OrderDoubtful, "task", a.id, "run", a.run, "worker", a.worker.ID, "age", e.now.Sub(a.orderedAt))
+	e.wantCopy(a)
+	e.look(a.worker)
+}
+
 // lapseAll takes all attempts of a worker as over.
 func (e *Engine) lapseAll(w *worker) {
 	for _, a := range w.attempts {
@@ -265,13 +284,19 @@
 		return
 	}
 	t := &a.step.tasks[a.id.Index]
-	if t.attempt != a {
+	switch a {
+	case t.copy:
+		t.copy = nil
+		return
+	case t.attempt:
+		t.attempt, t.copy = t.copy, nil
+	default:
 		return
 	}
-	t.attempt = nil
-	if t.state != taskPlaced {
+	if t.state != taskPlaced || t.attempt != nil {
 		return
 	}
+	a.step.dropCopyWish(t)
 	t.state = taskWaiting
 	a.step.waiting++
 }
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -90,6 +90,8 @@
 	WorkerSilent     = add(434, "worker does not answer", LevelWarning)
 	WorkerLeaving    = add(435, "worker is leaving", LevelInfo)
 	WorkerOverused   = add(436, "worker is used beyond what it has, and nothing can be pushed off", LevelWarning)
+	WorkerSlow       = add(437, "worker is slow", LevelWarning)
+	CopyStarted      = add(464, "copy of a task started", LevelInfo)
 	OnceKeyElsewhere = add(440, "request was run by another node", LevelInfo)
 	AnswersGiven     = add(441, "answers for retries given to a peer", LevelInfo)
 
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -101,10 +101,11 @@
 	listGrace = 2300 * time.Millisecond
 	// tickPeriod is the granularity of what is due by time alone.
 	tickPeriod = 20 * time.Millisecond
-	// startTimeout bounds an order; the engine takes it as doubtful earlier.
-	startTimeout = 1500 * time.Millisecond
+	// startTimeout bounds an order, from before it waits for a connection. It must
+	// not leave this node long after the engine doubts it (0.2 s).
+	startTimeout = 400 * time.Millisecond
 	// stopTimeout bounds an order to stop, which is sent again.
-	stopTimeout = 600 * time.Millisecond
+	stopTimeout = 500 * time.Millisecond
 	// holdMargin is how much longer than asked a listing may take.
 	holdMargin = 900 * time.Millisecond
 	// askTimeout bounds a question about workers: 100 of them on the slowest
