--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -372,3 +372,34 @@
 	}
 	expectWhole(t, w)
 }
+
+// The answers to orders told the worker's clock but no progress: tasks on a worker
+// that got many orders and no listing counted as stuck.
+func TestATaskIsNotStuckBecauseNoListingCame(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(1, leverdyke.Resources{MilliCPU: 20_000, MemoryMiB: 20_000})
+	w.run(time.Second)
+	w.submit("a", step(1, 10*time.Second))
+	w.run(300 * time.Millisecond)
+	w.holdsFail = true
+	for i := range 20 {
+		w.submit(fmt.Sprintf("b%02d", i), step(1, 10*time.Second))
+		w.run(100 * time.Millisecond)
+	}
+	if got := w.engine.Counts().Stopped; got != 0 {
+		t.Errorf("attempts stopped: got: %d, want: 0", got)
+	}
+}
+
+func TestATaskThatStandsStillStartsElsewhere(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(2, leverdyke.Resources{MilliCPU: 1000, MemoryMiB: 1000})
+	w.run(time.Second)
+	w.submit("a", step(1, 400*time.Millisecond))
+	w.run(100 * time.Millisecond)
+	stuck := w.workerOf(work.TaskID{Job: "a"})
+	stuck.running[work.TaskID{Job: "a"}].isStuck = true
+	w.run(3 * time.Second)
+	expectState(t, w, "a", work.JobSucceeded)
+	expectWhole(t, w)
+}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -104,6 +104,7 @@
 		return
 	}
 	w.listedAt = l.At
+	w.toldAt = e.now
 	clear(w.foreign)
 	running := make(map[work.TaskID]bool, len(l.Running))
 	for i := range l.Running {
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -72,8 +72,8 @@
 
 // projected returns how long the attempt will take in all at the rate so far; 0
 // when that cannot be told yet.
-func (a *attempt) projected(now time.Time) time.Duration {
-	elapsed := now.Sub(a.orderedAt)
+func (a *attempt) projected() time.Duration {
+	elapsed := a.worker.toldAt.Sub(a.orderedAt)
 	if a.isAdopted || elapsed < judgeAfter || a.percent <= 0 && elapsed < stuckLeast {
 		return 0
 	}
@@ -90,7 +90,7 @@
 		if a.step == nil || a.phase != phaseRunning || a.isStopping || a.step.spec.IsLasting || a.step.spec.IsFiller {
 			continue
 		}
-		expected, projected := e.expected(a.step), a.projected(e.now)
+		expected, projected := e.expected(a.step), a.projected()
 		if expected <= 0 || projected == 0 {
 			continue
 		}
@@ -116,13 +116,13 @@
 // checkProgress gives a task another chance elsewhere when its attempt stands
 // still, or goes on so slowly that another one would be done sooner.
 func (e *Engine) checkProgress(a *attempt) {
-	if a.phase != phaseRunning || a.isStopping || a.step == nil || a.step.spec.IsLasting && a.percent >= 100 {
+	if a.phase != phaseRunning || a.isStopping || a.isReplaced || a.step == nil || a.step.spec.IsLasting && a.percent >= 100 {
 		return
 	}
 	// Progress is only known from listings: a silent worker is no stuck task.
-	still := a.worker.readAt.Sub(a.percentAt)
+	still := a.worker.toldAt.Sub(a.percentAt)
 	if still >= e.stuckLimit(a.step) && a.pace == fullPace {
-		e.options.Log(events.AttemptStuck, "task", a.id, "run", a.run, "worker", a.worker.ID, "percent", a.percent, "for", still)
+		e.options.Log(events.AttemptStuck, "task", a.id, "run", a.run, "worker", a.worker.ID, "percent", a.percent, "for", still, "expected", e.expected(a.step))
 		if !a.step.spec.IsFiller {
 			a.worker.health.setAside(e.now)
 		}
@@ -151,7 +151,7 @@
 	if s.spec.IsLasting || s.spec.IsFiller || s.spec.IsGang || a.hasCopy() {
 		return false
 	}
-	expected, projected := e.expected(s), a.projected(e.now)
+	expected, projected := e.expected(s), a.projected()
 	if expected <= 0 || projected == 0 || s.tasks[a.id.Index].rescues >= maxRescues {
 		return false
 	}
@@ -166,6 +166,7 @@
 // replace starts a copy of the task, or stops the attempt so that the task can
 // start elsewhere.
 func (e *Engine) replace(a *attempt, why string) {
+	a.isReplaced = true
 	t := &a.step.tasks[a.id.Index]
 	t.avoid = a.worker.ID
 	if e.wantCopy(a) {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -30,6 +30,8 @@
 	readAt   time.Time
 	readTime WorkerTime
 	listedAt WorkerTime
+	// toldAt is when the last listing came.
+	toldAt time.Time
 	// deadline is the latest that was ever sent to it; it is never shortened.
 	deadline WorkerTime
 	// earlierUntil is when the leases that an earlier owner gave are over.
@@ -89,6 +91,8 @@
 	// hasSaved means that it went on from where an earlier attempt was saved;
 	// isAdopted that an earlier owner started it.
 	hasSaved, isAdopted bool
+	// isReplaced means that it was judged as stuck or too slow.
+	isReplaced bool
 }
 
 // SetWorkers takes the platform's list, whole. isCertain is false while the list
--- a/internal/dispatch/worker_model_test.go
+++ b/internal/dispatch/worker_model_test.go
@@ -19,6 +19,7 @@
 	endsAt  time.Time
 	fails   bool
 	stops   time.Time
+	isStuck bool
 }
 
 // modelWorker is a worker as the platform's page describes it: it does what the
@@ -42,6 +43,9 @@
 }
 
 func (r *modelRun) percent(now time.Time) int {
+	if r.isStuck {
+		return 20
+	}
 	return int(100 * now.Sub(r.beganAt) / max(r.endsAt.Sub(r.beganAt), 1))
 }
 
@@ -75,6 +79,7 @@
 			m.end(id, r, dispatch.EndLapsed)
 		case !r.stops.IsZero() && !now.Before(r.stops):
 			m.end(id, r, dispatch.EndStopped)
+		case r.isStuck:
 		case !now.Before(r.endsAt) && r.fails:
 			m.end(id, r, dispatch.EndFailed)
 		case !now.Before(r.endsAt):
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -44,6 +44,8 @@
 	broken               []string
 	// lingering are entries of lives that are over.
 	lingering []dispatch.Worker
+	// holdsFail makes all listings fail while orders are answered.
+	holdsFail bool
 }
 
 type letter struct {
@@ -252,7 +254,7 @@
 func (w *world) orderHold(h dispatch.Hold) {
 	m, fence := w.workers[h.Worker], w.fence
 	lost, delay := w.isLost()
-	if m == nil || m.isDead || m.isCut || lost {
+	if m == nil || m.isDead || m.isCut || lost || w.holdsFail {
 		w.later(900*time.Millisecond, func() { w.engine.HoldFailed(h.Worker, h.IsLook) })
 		return
 	}
