internal/metrics, platform: serve counters and latency histograms; rename the stand-in

Cause: on-call engineers have logs and metrics only, and internal/platform was easily taken for platform/. Change: histograms of callers' requests, orders and appends on the metrics port of the deploy file; internal/platform is internal/standin/native now.

--- a/cmd/leverdyke-platform/main.go
+++ b/cmd/leverdyke-platform/main.go
@@ -17,13 +17,13 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/command"
-	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 )
 
 func main() { command.Exit(newRoot().Execute()) }
 
 func newRoot() *cobra.Command {
-	o := platform.NewServerOptions{}
+	o := native.NewServerOptions{}
 	listen := ""
 	root := &cobra.Command{
 		Use: "leverdyke-platform", Short: "A stand-in for the platform, for tests and the quickstart", Version: leverdyke.Version,
@@ -53,8 +53,8 @@
 	return root
 }
 
-func run(cmd *cobra.Command, o platform.NewServerOptions) error {
-	s, err := platform.NewServer(o)
+func run(cmd *cobra.Command, o native.NewServerOptions) error {
+	s, err := native.NewServer(o)
 	if err != nil {
 		return err
 	}
--- a/cmd/leverdyked/platform.go
+++ b/cmd/leverdyked/platform.go
@@ -16,6 +16,7 @@
 // newPlatform returns the command that runs a node on the users' platform.
 func newPlatform() *cobra.Command {
 	file := ""
+	metricsPort := uint16(0)
 	c := &cobra.Command{
 		Use: "platform", Short: "Run a node on the users' platform until SIGTERM or SIGINT", Args: cobra.NoArgs,
 		Example: "  leverdyked platform --settings node.yaml",
@@ -25,10 +26,11 @@
 				return err
 			}
 			defer sink.Close()
-			return platform.Run(file)
+			return platform.Run(file, metricsPort)
 		},
 	}
 	c.Flags().StringVarP(&file, "settings", "s", platform.SettingsPath(), "the platform's settings file")
+	c.Flags().Uint16Var(&metricsPort, "metrics-port", 0, "the port that serves figures; 0 serves none")
 	check := &cobra.Command{
 		Use: "check", Short: "Check the platform's settings file and start nothing", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -54,6 +54,7 @@
 	// NewOwner returns what an owner needs, reaching the store through d.
 	NewOwner func(d detour.Doer) (owner.Workers, owner.List)
 	Log      func(e events.Event, keysAndValues ...any)
+	Metrics  owner.Metrics
 	// StopTime is the longest that a worker takes to stop a task.
 	StopTime time.Duration
 	// EarlyTime is how much before its time a round may start.
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -134,7 +134,7 @@
 	workers, list := n.options.NewOwner(n.detour)
 	o := owner.New(owner.Options{
 		Claim: c, Store: n.options.NewStore(n.detour), Workers: workers, List: list, Lanes: &lanes{n},
-		Clock: n.options.Clock, Log: n.options.Log, HasOutage: n.detour.HasOutage, NodeZone: n.options.Zone,
+		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasOutage: n.detour.HasOutage, NodeZone: n.options.Zone,
 		StopTime: n.options.StopTime, EarlyTime: n.options.EarlyTime,
 	})
 	n.mu.Lock()
--- a/internal/core/fakelink_test.go
+++ b/internal/core/fakelink_test.go
@@ -9,8 +9,8 @@
 	"io"
 	"time"
 
-	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/rack"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 	"github.com/leverdyke/leverdyke/internal/state"
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
@@ -58,7 +58,7 @@
 	w := l.node.world
 	target := w.workers[l.id]
 	now := w.clock.Now()
-	isReached := target.Mode() == platform.ModeUp && !w.isCut(l.node.name(), string(l.id))
+	isReached := target.Mode() == native.ModeUp && !w.isCut(l.node.name(), string(l.id))
 	isAnswered := isReached && !w.isCut(string(l.id), l.node.name())
 	l.order(target, isReached, isAnswered)
 	_, rev := target.Changed()
@@ -89,7 +89,7 @@
 	l.node.core.OnReport(l.rack, l.epoch, l.id, rep)
 }
 
-func (l *fakeLink) order(target *platform.Worker, isReached, isAnswered bool) {
+func (l *fakeLink) order(target *native.Worker, isReached, isAnswered bool) {
 	starts, acts := l.starts, l.acts
 	l.starts, l.acts = nil, nil
 	for _, o := range starts {
--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/ownership"
-	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 	"github.com/leverdyke/leverdyke/internal/state"
 	"github.com/leverdyke/leverdyke/internal/vmlist"
 	"github.com/leverdyke/leverdyke/internal/worker"
@@ -108,16 +108,16 @@
 func TestDeadWorkersTasksStartElsewhere(t *testing.T) {
 	w := newBusyWorld(t, 5)
 	dead := w.names[0]
-	w.workers[dead].SetFaults(platform.WorkerFaults{Mode: platform.ModeDead})
+	w.workers[dead].SetFaults(native.WorkerFaults{Mode: native.ModeDead})
 	w.run(worldLease + 5*time.Second)
 	w.expect(t, 6, 0)
 }
 
 func TestCutWorkersTasksStartElsewhereOnlyAfterTheirLease(t *testing.T) {
 	w := newBusyWorld(t, 6)
-	w.workers[w.names[0]].SetFaults(platform.WorkerFaults{Mode: platform.ModeCut})
+	w.workers[w.names[0]].SetFaults(native.WorkerFaults{Mode: native.ModeCut})
 	w.run(3 * worldLease)
-	w.workers[w.names[0]].SetFaults(platform.WorkerFaults{Mode: platform.ModeUp})
+	w.workers[w.names[0]].SetFaults(native.WorkerFaults{Mode: native.ModeUp})
 	w.run(5 * time.Second)
 	w.expect(t, 6, 6)
 }
@@ -253,7 +253,7 @@
 	dead := 0
 	for _, name := range w.names[:2] {
 		dead += w.workers[name].Running("once")
-		w.workers[name].SetFaults(platform.WorkerFaults{Mode: platform.ModeDead})
+		w.workers[name].SetFaults(native.WorkerFaults{Mode: native.ModeDead})
 	}
 	w.run(90 * time.Second)
 	if got := w.job("once").Final; dead == 0 || got[leverdyke.TaskUnknown] != dead || got[leverdyke.TaskDone] != 4-dead {
@@ -411,7 +411,7 @@
 	w.mustSubmit(t, once)
 	w.run(3 * time.Second)
 	for _, name := range w.names[:2] {
-		w.workers[name].SetFaults(platform.WorkerFaults{Mode: platform.ModeDead})
+		w.workers[name].SetFaults(native.WorkerFaults{Mode: native.ModeDead})
 	}
 	for _, n := range w.nodes {
 		n.kill()
@@ -481,7 +481,7 @@
 	w := newBusyWorld(t, 24)
 	n := w.ownerOf("rack/r1/k0")
 	n.kill()
-	w.workers["k0-w0"].SetFaults(platform.WorkerFaults{Mode: platform.ModeDead})
+	w.workers["k0-w0"].SetFaults(native.WorkerFaults{Mode: native.ModeDead})
 	w.run(4 * worldLease)
 	if got := w.runningNow(); got == 6 {
 		t.Fatalf("got: all 6 running, want: some to wait for the dead owner's end to be known")
--- a/internal/core/lost_test.go
+++ b/internal/core/lost_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/front"
-	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 	"github.com/leverdyke/leverdyke/internal/state"
 )
 
@@ -23,11 +23,11 @@
 	w := newBusyWorld(t, 30)
 	w.isLosingForgets = true
 	for _, name := range w.names[:2] {
-		w.workers[name].SetFaults(platform.WorkerFaults{Mode: platform.ModeCut})
+		w.workers[name].SetFaults(native.WorkerFaults{Mode: native.ModeCut})
 	}
 	w.run(3 * worldLease)
 	for _, name := range w.names[:2] {
-		w.workers[name].SetFaults(platform.WorkerFaults{})
+		w.workers[name].SetFaults(native.WorkerFaults{})
 	}
 	w.run(5 * time.Second)
 	w.killInTurn(w.nodes)
--- a/internal/core/policy_test.go
+++ b/internal/core/policy_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/ownership"
-	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 	"github.com/leverdyke/leverdyke/internal/state"
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
@@ -118,7 +118,7 @@
 	w.run(3 * time.Second)
 	for _, name := range w.names {
 		if w.workers[name].Running("gang") > 0 {
-			w.workers[name].SetFaults(platform.WorkerFaults{Mode: platform.ModeDead})
+			w.workers[name].SetFaults(native.WorkerFaults{Mode: native.ModeDead})
 			break
 		}
 	}
@@ -201,11 +201,11 @@
 	w.mustSubmit(t, serviceSpec("service", 12))
 	w.run(5 * time.Second)
 	for _, name := range w.names[:2] {
-		w.workers[name].SetFaults(platform.WorkerFaults{Mode: platform.ModeDead})
+		w.workers[name].SetFaults(native.WorkerFaults{Mode: native.ModeDead})
 	}
 	w.run(4 * worldLease)
 	for _, name := range w.names[:2] {
-		w.workers[name].SetFaults(platform.WorkerFaults{Mode: platform.ModeUp})
+		w.workers[name].SetFaults(native.WorkerFaults{Mode: native.ModeUp})
 	}
 	w.mustSubmit(t, batchSpec("batch", 60, 2*time.Second))
 	w.run(60 * time.Second)
--- a/internal/core/stateful_test.go
+++ b/internal/core/stateful_test.go
@@ -20,7 +20,7 @@
 	"github.com/leanovate/gopter/gen"
 
 	"github.com/leverdyke/leverdyke"
-	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 	"github.com/leverdyke/leverdyke/internal/state"
 )
 
@@ -217,18 +217,18 @@
 	case 23:
 		return &command{name("lose replies"), func(s *system) { s.loseReplies = 3 }}
 	case 24:
-		return &command{name("worker dies"), func(s *system) { s.fault(i, platform.ModeDead) }}
+		return &command{name("worker dies"), func(s *system) { s.fault(i, native.ModeDead) }}
 	case 25:
-		return &command{name("worker cut"), func(s *system) { s.fault(i, platform.ModeCut) }}
+		return &command{name("worker cut"), func(s *system) { s.fault(i, native.ModeCut) }}
 	case 26:
-		return &command{name("worker back"), func(s *system) { s.fault(i, platform.ModeUp) }}
+		return &command{name("worker back"), func(s *system) { s.fault(i, native.ModeUp) }}
 	case 27:
 		return &command{name("heal cuts"), func(s *system) { s.cuts = map[[2]string]bool{} }}
 	case 28:
 		return &command{name("settle"), (*system).settle}
 	case 30:
 		return &command{name("worker's tasks use thrice"), func(s *system) {
-			s.workers[s.names[i%len(s.names)]].SetFaults(platform.WorkerFaults{Mode: platform.ModeUp, UsageFactor: 3})
+			s.workers[s.names[i%len(s.names)]].SetFaults(native.WorkerFaults{Mode: native.ModeUp, UsageFactor: 3})
 		}}
 	case 29:
 		return &command{name("lose words to forget"), func(s *system) { s.isLosingForgets = true }}
@@ -245,8 +245,8 @@
 	n.start()
 }
 
-func (s *system) fault(i int, m platform.Mode) {
-	s.workers[s.names[i%len(s.names)]].SetFaults(platform.WorkerFaults{Mode: m})
+func (s *system) fault(i int, m native.Mode) {
+	s.workers[s.names[i%len(s.names)]].SetFaults(native.WorkerFaults{Mode: m})
 }
 
 // replay runs commands by their names, as a failed run prints them.
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -15,7 +15,7 @@
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/core"
 	"github.com/leverdyke/leverdyke/internal/once"
-	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 	"github.com/leverdyke/leverdyke/internal/state"
 	"github.com/leverdyke/leverdyke/internal/vmlist"
 	"github.com/leverdyke/leverdyke/internal/worker"
@@ -31,9 +31,9 @@
 // world is a cell of real cores under a fake clock, with a fake network.
 type world struct {
 	clock   *clock.Fake
-	log     *platform.Log
-	oracle  *platform.Oracle
-	workers map[worker.ID]*platform.Worker
+	log     *native.Log
+	oracle  *native.Oracle
+	workers map[worker.ID]*native.Worker
 	names   []worker.ID
 	vms     []vmlist.VM
 	nodes   []*fakeNode
@@ -59,7 +59,7 @@
 
 func newWorld(o worldOptions) *world {
 	w := &world{
-		clock: clock.NewFake(), oracle: platform.NewOracle(), workers: map[worker.ID]*platform.Worker{},
+		clock: clock.NewFake(), oracle: native.NewOracle(), workers: map[worker.ID]*native.Worker{},
 		rng: rand.New(rand.NewPCG(o.seed, 1)), cuts: map[[2]string]bool{},
 	}
 	if o.capacity == (leverdyke.Resources{}) {
@@ -68,11 +68,11 @@
 	if o.snapshotEvery == 0 {
 		o.snapshotEvery = 1 << 30
 	}
-	w.log = platform.NewLog(w.clock, 0)
+	w.log = native.NewLog(w.clock, 0)
 	for r := range o.racks {
 		for n := range o.workers {
 			name := fmt.Sprintf("k%d-w%d", r, n)
-			w.workers[worker.ID(name)] = platform.NewWorker(name, o.capacity, w.clock, w.oracle)
+			w.workers[worker.ID(name)] = native.NewWorker(name, o.capacity, w.clock, w.oracle)
 			w.names = append(w.names, worker.ID(name))
 			w.vms = append(w.vms, vmlist.VM{
 				Name: name, Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(r), byte(n)}), 80), Region: region,
@@ -128,7 +128,7 @@
 	w.isLosingForgets = false
 	w.loseReplies = 0
 	for _, name := range w.names {
-		w.workers[name].SetFaults(platform.WorkerFaults{Mode: platform.ModeUp})
+		w.workers[name].SetFaults(native.WorkerFaults{Mode: native.ModeUp})
 	}
 	for _, n := range w.nodes {
 		n.isPaused = false
--- a/internal/integration/faults_test.go
+++ b/internal/integration/faults_test.go
@@ -17,8 +17,8 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/operator"
-	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/standin"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 	"github.com/leverdyke/leverdyke/internal/vmlist"
 )
 
@@ -53,13 +53,13 @@
 var (
 	logOut = fault{
 		"the log is out",
-		func(c *cell) { c.Platform.Log.SetFaults(platform.LogFaults{IsOut: true}) },
-		func(c *cell) { c.Platform.Log.SetFaults(platform.LogFaults{}) }, false,
+		func(c *cell) { c.Platform.Log.SetFaults(native.LogFaults{IsOut: true}) },
+		func(c *cell) { c.Platform.Log.SetFaults(native.LogFaults{}) }, false,
 	}
 	lostReplies = fault{
 		"the log loses replies",
-		func(c *cell) { c.Platform.Log.SetFaults(platform.LogFaults{LoseReplies: 20}) },
-		func(c *cell) { c.Platform.Log.SetFaults(platform.LogFaults{}) }, false,
+		func(c *cell) { c.Platform.Log.SetFaults(native.LogFaults{LoseReplies: 20}) },
+		func(c *cell) { c.Platform.Log.SetFaults(native.LogFaults{}) }, false,
 	}
 	slowLog = fault{
 		"the log is slow",
@@ -84,16 +84,16 @@
 	cutWorker = fault{
 		"a worker is cut off for longer than a lease",
 		func(c *cell) {
-			c.Platform.Worker("r1-z1-k1-w1").SetFaults(platform.WorkerFaults{Mode: platform.ModeCut})
+			c.Platform.Worker("r1-z1-k1-w1").SetFaults(native.WorkerFaults{Mode: native.ModeCut})
 		},
-		func(c *cell) { c.Platform.Worker("r1-z1-k1-w1").SetFaults(platform.WorkerFaults{}) }, true,
+		func(c *cell) { c.Platform.Worker("r1-z1-k1-w1").SetFaults(native.WorkerFaults{}) }, true,
 	}
 	deadWorker = fault{
 		"a worker dies",
 		func(c *cell) {
-			c.Platform.Worker("r1-z1-k3-w1").SetFaults(platform.WorkerFaults{Mode: platform.ModeDead})
+			c.Platform.Worker("r1-z1-k3-w1").SetFaults(native.WorkerFaults{Mode: native.ModeDead})
 		},
-		func(c *cell) { c.Platform.Worker("r1-z1-k3-w1").SetFaults(platform.WorkerFaults{}) }, true,
+		func(c *cell) { c.Platform.Worker("r1-z1-k3-w1").SetFaults(native.WorkerFaults{}) }, true,
 	}
 )
 
@@ -251,7 +251,7 @@
 	if err != nil {
 		return err
 	}
-	req.Header.Set(platform.DelayHeader, "2500")
+	req.Header.Set(native.DelayHeader, "2500")
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
@@ -394,7 +394,7 @@
 	t.Parallel()
 	inner, err := standin.NewCell(standin.NewCellOptions{
 		Binary: binary, Dir: t.TempDir(), Nodes: 4, Settings: "lease: 7s\nappends_per_second: 20\n",
-		Platform: platform.NewServerOptions{Regions: 2, Zones: 2, Racks: 1, Workers: 2},
+		Platform: native.NewServerOptions{Regions: 2, Zones: 2, Racks: 1, Workers: 2},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -25,8 +25,8 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/operator"
-	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/standin"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 )
 
 const (
@@ -95,7 +95,7 @@
 		LogVia:   c.logVia,
 		LinkVia:  c.linkVia,
 		Settings: fmt.Sprintf("lease: %s\nsync: 500ms\ndrain_wait: 300ms\nappends_per_second: 25\n%s", lease, extra),
-		Platform: platform.NewServerOptions{
+		Platform: native.NewServerOptions{
 			Zones: 1, Racks: 3, Workers: 2, Lag: 500 * time.Millisecond,
 			Via: func(name string, addr netip.AddrPort) (netip.AddrPort, error) {
 				p, via, err := newProxy(name, addr)
@@ -280,7 +280,7 @@
 		return ""
 	}
 	req.Header.Set("Leverdyke-Timeout", "5s")
-	req.Header.Set(platform.DelayHeader, "3")
+	req.Header.Set(native.DelayHeader, "3")
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
@@ -307,7 +307,7 @@
 	return verdict
 }
 
-func (l *load) verify(t *testing.T, o *platform.Oracle) {
+func (l *load) verify(t *testing.T, o *native.Oracle) {
 	t.Helper()
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/integration/links_test.go
+++ b/internal/integration/links_test.go
@@ -15,8 +15,8 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/operator"
-	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/standin"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 )
 
 // links lists the ways between nodes that a fault is about.
@@ -119,7 +119,7 @@
 	var err error
 	c.Cell, err = standin.NewCell(standin.NewCellOptions{
 		Binary: binary, Dir: t.TempDir(), Nodes: 4, Settings: "lease: 7s\nsync: 500ms\nappends_per_second: 20\n",
-		Platform: platform.NewServerOptions{Regions: 2, Zones: 1, Racks: 1, Workers: 2},
+		Platform: native.NewServerOptions{Regions: 2, Zones: 1, Racks: 1, Workers: 2},
 		LinkVia:  c.linkVia,
 		LogVia: func(node int, platform netip.AddrPort) (netip.AddrPort, error) {
 			region := regionOf(node)
--- /dev/null
+++ b/internal/metrics/jobs.go
@@ -0,0 +1,106 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package metrics
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+)
+
+// Jobs has the instruments of a node that serves jobs. It is safe for concurrent
+// use; a nil *Jobs takes everything and does nothing.
+type Jobs struct {
+	handler  http.Handler
+	meter    metric.Meter
+	requests metric.Float64Histogram
+	orders   metric.Float64Histogram
+	appends  metric.Float64Histogram
+	starts   metric.Float64Histogram
+}
+
+// latencies are the bounds of the latency histograms, in seconds: from a fast
+// answer in one zone to what no caller waits for.
+var latencies = metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .4, .7, 1, 2, 3, 5, 10, 30)
+
+// NewJobs returns the instruments, with an exporter of their own.
+func NewJobs() (*Jobs, error) {
+	registry := prometheus.NewRegistry()
+	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo())
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	meter := sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("leverdyke")
+	j := &Jobs{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: meter}
+	for _, h := range []struct {
+		name, text string
+		to         *metric.Float64Histogram
+	}{
+		{"leverdyke.job.request", "callers' requests, by what they ask and how they are answered", &j.requests},
+		{"leverdyke.job.order", "orders to workers, by kind and outcome", &j.orders},
+		{"leverdyke.job.append", "appends to the platform's store, by outcome", &j.appends},
+		{"leverdyke.job.step_wait", "time from when a step could begin to its tasks' placing", &j.starts},
+	} {
+		*h.to, err = meter.Float64Histogram(h.name, metric.WithUnit("s"), metric.WithDescription(h.text), latencies)
+		if err != nil {
+			return nil, fmt.Errorf("metrics: %w", err)
+		}
+	}
+	return j, nil
+}
+
+// Handler returns the handler to scrape.
+func (j *Jobs) Handler() http.Handler { return j.handler }
+
+// RequestAnswered notes a caller's request.
+func (j *Jobs) RequestAnswered(what string, status int, took time.Duration) {
+	if j == nil {
+		return
+	}
+	j.requests.Record(context.Background(), took.Seconds(),
+		metric.WithAttributes(attribute.String("what", what), attribute.Int("status", status)))
+}
+
+// OrderAnswered notes an order to a worker.
+func (j *Jobs) OrderAnswered(kind, outcome string, took time.Duration) {
+	if j == nil {
+		return
+	}
+	j.orders.Record(context.Background(), took.Seconds(),
+		metric.WithAttributes(attribute.String("kind", kind), attribute.String("outcome", outcome)))
+}
+
+// Appended notes an append to the store.
+func (j *Jobs) Appended(outcome string, took time.Duration) {
+	if j == nil {
+		return
+	}
+	j.appends.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
+}
+
+// Gauge registers values that are read when they are scraped, by a label.
+func (j *Jobs) Gauge(name, label string, values func() map[string]float64) error {
+	return registerGauge(j.meter, name, label, values)
+}
+
+func registerGauge(meter metric.Meter, name, label string, values func() map[string]float64) error {
+	_, err := meter.Float64ObservableGauge(name, metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+		for k, v := range values() {
+			o.Observe(v, metric.WithAttributes(attribute.String(label, k)))
+		}
+		return nil
+	}))
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	return nil
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -104,14 +104,5 @@
 
 // Gauge registers a value that is read when it is scraped.
 func (s *Set) Gauge(name, label string, values func() map[string]float64) error {
-	_, err := s.meter.Float64ObservableGauge(name, metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
-		for k, v := range values() {
-			o.Observe(v, metric.WithAttributes(attribute.String(label, k)))
-		}
-		return nil
-	}))
-	if err != nil {
-		return fmt.Errorf("metrics: %w", err)
-	}
-	return nil
+	return registerGauge(s.meter, name, label, values)
 }
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -151,8 +151,10 @@
 	isSent := false
 	for tries := 0; ; tries++ {
 		ctx, cancel := o.bound(writeTimeout)
+		began := o.options.Clock.Now()
 		_, err := o.options.Store.Append(ctx, &store.Append{Topic: TopicJobs, Records: records, Writer: o.writer(sequence)})
 		cancel()
+		o.options.Metrics.Appended(appendOutcome(err), o.options.Clock.Now().Sub(began))
 		if err == nil {
 			return sequence + 1, true
 		}
@@ -186,6 +188,13 @@
 	}
 }
 
+func appendOutcome(err error) string {
+	if err == nil {
+		return "kept"
+	}
+	return string(store.FailureOf(err))
+}
+
 type storeOutEvent struct{}
 
 func (storeOutEvent) apply(o *Owner) {
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -53,6 +53,13 @@
 	Ask(ctx context.Context, lane string, step work.StepID, workers []dispatch.WorkerID) ([]dispatch.Ticket, time.Duration, error)
 }
 
+// Metrics takes the figures of an owner. Implementations are safe for concurrent
+// use.
+type Metrics interface {
+	OrderAnswered(kind, outcome string, took time.Duration)
+	Appended(outcome string, took time.Duration)
+}
+
 // Claim is what this node has won.
 type Claim struct {
 	// Record is what stands in the store.
@@ -72,6 +79,8 @@
 	Lanes   Lanes
 	Clock   clock.Service
 	Log     func(e events.Event, keysAndValues ...any)
+	// Metrics takes figures.
+	Metrics Metrics
 	// HasOutage reports whether most nodes are linked to this one and none reaches
 	// the store. Then no other node can become owner, and this one goes on.
 	HasOutage func() bool
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -35,7 +35,9 @@
 func (o *Owner) runStart(s dispatch.Start) {
 	ctx, cancel := o.bound(startTimeout)
 	defer cancel()
+	began := o.options.Clock.Now()
 	outcome, at := o.options.Workers.Start(ctx, o.Epoch(), &s)
+	o.options.Metrics.OrderAnswered("start", string(outcome), o.options.Clock.Now().Sub(began))
 	if outcome == dispatch.StartFenced {
 		o.options.Log(events.RackFenced, "worker", s.Worker, "epoch", o.Epoch())
 	}
@@ -45,10 +47,19 @@
 func (o *Owner) runStop(s dispatch.Stop) {
 	ctx, cancel := o.bound(stopTimeout)
 	defer cancel()
+	began := o.options.Clock.Now()
 	at, ok := o.options.Workers.Stop(ctx, o.Epoch(), &s)
+	o.options.Metrics.OrderAnswered("stop", stopOutcome(ok), o.options.Clock.Now().Sub(began))
 	o.put(stopEvent{s, at, ok})
 }
 
+func stopOutcome(isKnown bool) string {
+	if isKnown {
+		return "answered"
+	}
+	return "unknown"
+}
+
 func (o *Owner) runHold(h dispatch.Hold) {
 	ctx, cancel := o.bound(h.Wait + holdMargin)
 	defer cancel()
--- a/internal/rack/rack_test.go
+++ b/internal/rack/rack_test.go
@@ -16,8 +16,8 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/node"
-	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/rack"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 	"github.com/leverdyke/leverdyke/internal/state"
 	"github.com/leverdyke/leverdyke/internal/vmlist"
 	"github.com/leverdyke/leverdyke/internal/worker"
@@ -32,9 +32,9 @@
 type bench struct {
 	t       *testing.T
 	clock   *clock.Fake
-	oracle  *platform.Oracle
+	oracle  *native.Oracle
 	rack    *rack.Rack
-	workers map[worker.ID]*platform.Worker
+	workers map[worker.ID]*native.Worker
 	names   []worker.ID
 	reports map[worker.ID]*worker.Report
 	// answers and news are what the home has heard.
@@ -54,7 +54,7 @@
 func newBench(t *testing.T, workers int, capacity leverdyke.Resources) *bench {
 	t.Helper()
 	b := &bench{
-		t: t, clock: clock.NewFake(), oracle: platform.NewOracle(), workers: map[worker.ID]*platform.Worker{},
+		t: t, clock: clock.NewFake(), oracle: native.NewOracle(), workers: map[worker.ID]*native.Worker{},
 		reports: map[worker.ID]*worker.Report{}, answers: map[worker.Key]node.AnswerResult{}, news: map[worker.Key]node.NewsItem{},
 		forgets: map[worker.ID][]worker.Key{},
 	}
@@ -63,7 +63,7 @@
 	for i := range workers {
 		name := fmt.Sprintf("w%d", i)
 		b.names = append(b.names, worker.ID(name))
-		b.workers[worker.ID(name)] = platform.NewWorker(name, capacity, b.clock, b.oracle)
+		b.workers[worker.ID(name)] = native.NewWorker(name, capacity, b.clock, b.oracle)
 		list = append(list, vmlist.VM{Name: name, Zone: "z", Status: vmlist.StatusLive})
 	}
 	b.rack.SetWorkers(b.clock.Now(), list)
@@ -75,7 +75,7 @@
 func (b *bench) sync() {
 	b.t.Helper()
 	for _, id := range b.names {
-		if b.workers[id].Mode() != platform.ModeUp {
+		if b.workers[id].Mode() != native.ModeUp {
 			b.rack.OnSilent(id)
 			continue
 		}
@@ -228,7 +228,7 @@
 
 func TestReportedUseRaisesTheCharge(t *testing.T) {
 	b := newBench(t, 1, vm)
-	b.workers["w0"].SetFaults(platform.WorkerFaults{UsageFactor: 3})
+	b.workers["w0"].SetFaults(native.WorkerFaults{UsageFactor: 3})
 	b.ask(node.AskItem{Task: b.task("j", small, leverdyke.ClassNormal)})
 	b.run(4)
 	// The report of its use comes with the next change.
@@ -290,7 +290,7 @@
 
 func TestWorkerThatFailsEverythingIsSetAsideAndProbed(t *testing.T) {
 	b := newBench(t, 3, vm)
-	b.workers["w0"].SetFaults(platform.WorkerFaults{IsFailingAll: true})
+	b.workers["w0"].SetFaults(native.WorkerFaults{IsFailingAll: true})
 	place := func(seconds int) int {
 		for i := range seconds {
 			task := b.task(fmt.Sprintf("job-%d-%d", b.attempt, i), small, leverdyke.ClassNormal)
@@ -304,7 +304,7 @@
 	if early > 4 {
 		t.Errorf("got: %d tasks on the failing worker, want: at most 4", early)
 	}
-	b.workers["w0"].SetFaults(platform.WorkerFaults{})
+	b.workers["w0"].SetFaults(native.WorkerFaults{})
 	if got := place(60); got < early+3 {
 		t.Errorf("got: %d tasks after it was mended, want: more than %d", got, early+2)
 	}
@@ -318,7 +318,7 @@
 	task := b.task("j", small, leverdyke.ClassNormal)
 	b.ask(node.AskItem{Task: task})
 	b.run(1)
-	b.workers["w0"].SetFaults(platform.WorkerFaults{Mode: platform.ModeCut})
+	b.workers["w0"].SetFaults(native.WorkerFaults{Mode: native.ModeCut})
 	b.run(30)
 	if got := b.news[task.Key]; !got.IsLost {
 		t.Fatalf("got: %+v, want: lost", got)
@@ -326,7 +326,7 @@
 	b.rack.OnNewsAck(&node.NewsAck{Home: home, Keys: []worker.Key{task.Key}})
 	// The word to forget goes with the link of an owner that is replaced.
 	b.rack.Take()
-	b.workers["w0"].SetFaults(platform.WorkerFaults{})
+	b.workers["w0"].SetFaults(native.WorkerFaults{})
 	b.run(3)
 	rep, err := b.workers["w0"].Sync(&worker.Sync{Epoch: epoch})
 	if err != nil {
--- a/internal/rack/sizes_test.go
+++ b/internal/rack/sizes_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/node"
-	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/rack"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
 
@@ -47,7 +47,7 @@
 	b := newBench(t, sizeVMs, sizeVM)
 	if isReported {
 		for _, w := range b.workers {
-			w.SetFaults(platform.WorkerFaults{UsageFactor: factor})
+			w.SetFaults(native.WorkerFaults{UsageFactor: factor})
 		}
 	}
 	waiting, running := []worker.Task{}, map[worker.Key]worker.Task{}
@@ -162,7 +162,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, 1, vm)
-			b.workers["w0"].SetFaults(platform.WorkerFaults{UsageFactor: 2})
+			b.workers["w0"].SetFaults(native.WorkerFaults{UsageFactor: 2})
 			b.place("j", 4, c.each, c.change)
 			if got := b.workers["w0"].Running("j"); got != c.running {
 				t.Errorf("got: %d running, want: %d", got, c.running)
@@ -210,7 +210,7 @@
 func TestTaskIsPlacedByWhatOthersOfItsJobUse(t *testing.T) {
 	b := newBench(t, 2, vm)
 	for _, w := range b.workers {
-		w.SetFaults(platform.WorkerFaults{UsageFactor: 3})
+		w.SetFaults(native.WorkerFaults{UsageFactor: 3})
 	}
 	b.place("j", 1, small, nil)
 	b.place("j", 2, small, nil)
@@ -223,7 +223,7 @@
 		t.Errorf("got: %v, want: no task that had to be moved", b.news)
 	}
 	huge := newBench(t, 1, vm)
-	huge.workers["w0"].SetFaults(platform.WorkerFaults{UsageFactor: 9})
+	huge.workers["w0"].SetFaults(native.WorkerFaults{UsageFactor: 9})
 	huge.place("j", 1, small, func(task *worker.Task) { task.RunTime = 4 * time.Second })
 	huge.place("j", 1, small, nil)
 	if got := huge.workers["w0"].Starts(); got != 2 {
--- a/internal/standin/cell.go
+++ b/internal/standin/cell.go
@@ -21,14 +21,14 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/operator"
-	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 )
 
 const pollPause = 20 * time.Millisecond
 
 // Cell is a platform in this process and nodes as processes of their own.
 type Cell struct {
-	Platform *platform.Server
+	Platform *native.Server
 	Nodes    []*Node
 	dir      string
 	binary   string
@@ -53,7 +53,7 @@
 	Binary string
 	// Dir is where settings and logs go; it must be set.
 	Dir      string
-	Platform platform.NewServerOptions
+	Platform native.NewServerOptions
 	// Nodes is how many nodes there are; they take turns in the zones.
 	Nodes int
 	// Settings is added to each node's settings file.
@@ -68,7 +68,7 @@
 
 // NewCell starts a platform and nodes.
 func NewCell(o NewCellOptions) (*Cell, error) {
-	p, err := platform.NewServer(o.Platform)
+	p, err := native.NewServer(o.Platform)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/log.go
+++ b/internal/standin/native/log.go
@@ -1,10 +1,10 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-// Package platform has small stand-ins for what the platform gives: a log, a
+// Package native has small stand-ins for what the platform gives: a log, a
 // list of VMs and workers, with faults that can be set, and an oracle that
 // watches what must always hold. It is for tests and the quickstart only.
-package platform
+package native
 
 import (
 	"sync"
--- a/internal/platform/server.go
+++ b/internal/standin/native/server.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package platform
+package native
 
 import (
 	"context"
@@ -195,7 +195,7 @@
 	}
 	l, err := net.Listen("tcp", at.String())
 	if err != nil {
-		return netip.AddrPort{}, fmt.Errorf("platform: %w", err)
+		return netip.AddrPort{}, fmt.Errorf("native: %w", err)
 	}
 	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
 	s.servers = append(s.servers, server)
--- a/internal/platform/worker_test.go
+++ b/internal/standin/native/worker_test.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package platform_test
+package native_test
 
 import (
 	"errors"
@@ -10,15 +10,15 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/clock"
-	"github.com/leverdyke/leverdyke/internal/platform"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 	"github.com/leverdyke/leverdyke/internal/worker"
 )
 
 const ttl = 10 * time.Second
 
-func newWorker() (*platform.Worker, *clock.Fake, *platform.Oracle) {
-	c, o := clock.NewFake(), platform.NewOracle()
-	return platform.NewWorker("w", leverdyke.Resources{MilliCPU: 1000, MemoryMiB: 1000, Slots: 2}, c, o), c, o
+func newWorker() (*native.Worker, *clock.Fake, *native.Oracle) {
+	c, o := clock.NewFake(), native.NewOracle()
+	return native.NewWorker("w", leverdyke.Resources{MilliCPU: 1000, MemoryMiB: 1000, Slots: 2}, c, o), c, o
 }
 
 func newTask(index int, attempt uint64) worker.Task {
@@ -28,7 +28,7 @@
 	}
 }
 
-func start(t *testing.T, w *platform.Worker, rep *worker.Report, epoch worker.Epoch, task worker.Task) string {
+func start(t *testing.T, w *native.Worker, rep *worker.Report, epoch worker.Epoch, task worker.Task) string {
 	t.Helper()
 	results, err := w.Start(&worker.Start{Epoch: epoch, Boot: rep.Boot, AsOf: rep.Now, TTL: ttl, Tasks: []worker.Task{task}})
 	if err != nil {
@@ -37,7 +37,7 @@
 	return results[0].Refused
 }
 
-func sync(t *testing.T, w *platform.Worker, s *worker.Sync) *worker.Report {
+func sync(t *testing.T, w *native.Worker, s *worker.Sync) *worker.Report {
 	t.Helper()
 	rep, err := w.Sync(s)
 	if err != nil {
--- a/tools/measure/logout.go
+++ b/tools/measure/logout.go
@@ -9,8 +9,8 @@
 	"syscall"
 	"time"
 
-	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/standin"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 )
 
 const (
@@ -50,7 +50,7 @@
 }
 
 func logOutRows(c *standin.Cell, tasks int) error {
-	c.Platform.Log.SetFaults(platform.LogFaults{IsOut: true})
+	c.Platform.Log.SetFaults(native.LogFaults{IsOut: true})
 	before := c.Platform.Oracle.Report()
 	counts, killed, most := map[string]int{}, before.Starts, 0.0
 	isKilled := false
@@ -71,7 +71,7 @@
 		}
 	}
 	r := c.Platform.Oracle.Report()
-	c.Platform.Log.SetFaults(platform.LogFaults{})
+	c.Platform.Log.SetFaults(native.LogFaults{})
 	if err := c.Nodes[2].Start(); err != nil {
 		return err
 	}
--- a/tools/measure/main.go
+++ b/tools/measure/main.go
@@ -18,8 +18,8 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/operator"
-	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/standin"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 )
 
 const patience = 60 * time.Second
@@ -74,7 +74,7 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	c, err := standin.NewCell(standin.NewCellOptions{
 		Binary: binary, Dir: dir, Nodes: o.nodes, Settings: o.settings,
-		Platform: platform.NewServerOptions{Zones: 1, Racks: o.racks, Workers: o.workers, Capacity: o.capacity},
+		Platform: native.NewServerOptions{Zones: 1, Racks: o.racks, Workers: o.workers, Capacity: o.capacity},
 	})
 	if err != nil {
 		return err
--- a/tools/quickstart/calls.go
+++ b/tools/quickstart/calls.go
@@ -16,8 +16,8 @@
 	"github.com/google/uuid"
 
 	"github.com/leverdyke/leverdyke"
-	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/standin"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 )
 
 const (
@@ -84,7 +84,7 @@
 	if err != nil {
 		return ""
 	}
-	req.Header.Set(platform.DelayHeader, serviceDelay)
+	req.Header.Set(native.DelayHeader, serviceDelay)
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
@@ -134,7 +134,7 @@
 }
 
 // verify compares what callers were told with what ran.
-func (c *calls) verify(o *platform.Oracle) error {
+func (c *calls) verify(o *native.Oracle) error {
 	if len(c.wrong) > 0 {
 		return fmt.Errorf("%d wrong answers, the first: %s", len(c.wrong), c.wrong[0])
 	}
--- a/tools/quickstart/main.go
+++ b/tools/quickstart/main.go
@@ -18,8 +18,8 @@
 	"syscall"
 	"time"
 
-	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/standin"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 )
 
 const (
@@ -54,7 +54,7 @@
 	}
 	cell, err := standin.NewCell(standin.NewCellOptions{
 		Binary: filepath.Join(bin, "leverdyked"), Dir: dir, Nodes: nodes,
-		Platform: platform.NewServerOptions{Zones: 2, Racks: 2, Workers: 3, Lag: time.Second},
+		Platform: native.NewServerOptions{Zones: 2, Racks: 2, Workers: 3, Lag: time.Second},
 	})
 	if err != nil {
 		return err
--- a/tools/slopes/axis.go
+++ b/tools/slopes/axis.go
@@ -12,8 +12,8 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/operator"
-	"github.com/leverdyke/leverdyke/internal/platform"
 	"github.com/leverdyke/leverdyke/internal/standin"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 )
 
 const (
@@ -63,7 +63,7 @@
 func baseCell(racks, workers int) standin.NewCellOptions {
 	return standin.NewCellOptions{
 		Nodes: nodes,
-		Platform: platform.NewServerOptions{
+		Platform: native.NewServerOptions{
 			Zones: 1, Racks: racks, Workers: workers,
 			Capacity: leverdyke.Resources{MilliCPU: 64000, MemoryMiB: 1 << 20, Slots: 1000},
 		},
