internal/standin/site: play the users' platform for tests with real processes

The tests found that a worker could only be used after the next beat, up to 0.5 s after a start or takeover. The owner writes the next beat soon when workers wait for it.

--- a/internal/dispatch/roster.go
+++ b/internal/dispatch/roster.go
@@ -122,6 +122,16 @@
 	return out
 }
 
+// WantsRoster reports whether a worker could be used once a new roster is kept.
+func (e *Engine) WantsRoster() bool {
+	for _, w := range e.workers {
+		if !w.isAdmitted && e.isReachable(w) {
+			return true
+		}
+	}
+	return false
+}
+
 // Admit says that the store has this roster.
 func (e *Engine) Admit(roster []RosterEntry) {
 	for i := range roster {
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -247,10 +247,21 @@
 		case ids := <-roster:
 			o.sendBeat(ids)
 		}
-		select {
-		case <-o.ctx.Done():
-		case <-o.options.Clock.After(beatPeriod):
-		}
+		o.awaitBeat()
+	}
+}
+
+// awaitBeat waits for the time of the next beat.
+func (o *Owner) awaitBeat() {
+	select {
+	case <-o.ctx.Done():
+		return
+	case <-o.options.Clock.After(beatPause):
+	}
+	select {
+	case <-o.ctx.Done():
+	case <-o.beatSoon:
+	case <-o.options.Clock.After(beatPeriod - beatPause):
 	}
 }
 
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -96,6 +96,8 @@
 	// beatPeriod is the time between two records in the store that this node is
 	// the owner. Others wait for one before they claim.
 	beatPeriod = 500 * time.Millisecond
+	// beatPause is the least time between two: each call has a price.
+	beatPause = 60 * time.Millisecond
 	// TrustPeriod is how long after the last such record this node acts as owner.
 	// It covers two beats at a slow store (0.4 s an answer) that are lost.
 	TrustPeriod = 3 * time.Second
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -48,6 +48,8 @@
 	cancels     map[work.JobID][]chan error
 	orders      int
 	handOver    chan struct{}
+	// beatSoon asks for the next beat before its time.
+	beatSoon chan struct{}
 }
 
 // event is something that happened, for the loop.
@@ -67,7 +69,7 @@
 		inbox: ring.NewRing[event](eventsBound), ctx: ctx, cancel: cancel,
 		writes: make(chan *write, 1), loaded: make(chan struct{}),
 		submits: map[work.JobID][]chan error{}, cancels: map[work.JobID][]chan error{},
-		offset: options.Claim.Offset, beat: options.Claim.Record.Beat,
+		beatSoon: make(chan struct{}, 1), offset: options.Claim.Offset, beat: options.Claim.Record.Beat,
 	}
 }
 
@@ -132,6 +134,7 @@
 			o.tick()
 			o.engine.Tick()
 			o.engine.SetLanes(o.options.Lanes.Names())
+			o.wishBeat()
 		}
 		o.step()
 	}
@@ -151,6 +154,17 @@
 	}
 }
 
+// wishBeat asks for a beat when workers wait to be named in one.
+func (o *Owner) wishBeat() {
+	if !o.engine.WantsRoster() {
+		return
+	}
+	select {
+	case o.beatSoon <- struct{}{}:
+	default:
+	}
+}
+
 // step decides on what has happened.
 func (o *Owner) step() {
 	o.takeQueues()
--- /dev/null
+++ b/internal/standin/site/node.go
@@ -0,0 +1,155 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package site
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// Node is a node of the product as a process of its own.
+type Node struct {
+	// Name is its name, Callers where callers' requests go.
+	Name    string
+	Callers string
+	ready   string
+	binary  string
+	file    string
+	log     string
+	process *exec.Cmd
+	done    chan struct{}
+	client  *http.Client
+}
+
+// settingsText is a settings file as the platform writes it.
+const settingsText = `nodeName: %q
+ip: %q
+zone: "zone-1"
+unknownField: [1, 2]
+listen:
+  front: %q
+  ready: %q
+portRange: [%d, %d]
+limits: {cpuShare: 0.5, cores: 1, memoryMb: 200, maxFds: 1000, linkMbps: 1000.0}
+bounds: {graceS: 6, stop_ms: 200, early_ms: 250, leaseMs: 3000}
+commands: "rpc"
+advice: %q
+platform: {address: %q, form: "log"}
+`
+
+// The ports of a node. Each node has an address of its own on loopback, so that
+// no other process takes them between two starts.
+const (
+	callersPort = 7701
+	readyPort   = 7702
+	linkPort    = 7710
+)
+
+// nodes counts the nodes of this process.
+var nodes atomic.Uint32
+
+// nextAddr returns an address of loopback that no other node of this process has,
+// and hardly one of another process.
+func nextAddr() string {
+	n := nodes.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%250, n/200, 2+n%200)
+}
+
+// NewNode writes a settings file in dir and starts binary with it.
+func (s *Site) NewNode(binary, dir string, i int) (*Node, error) {
+	ip := nextAddr()
+	n := &Node{
+		Name: "node-" + strconv.Itoa(i), Callers: fmt.Sprintf("%s:%d", ip, callersPort), ready: fmt.Sprintf("%s:%d", ip, readyPort),
+		binary: binary, file: filepath.Join(dir, fmt.Sprintf("node-%d.yaml", i)), log: filepath.Join(dir, fmt.Sprintf("node-%d.log", i)),
+		client: &http.Client{Timeout: 5 * time.Second},
+	}
+	text := fmt.Sprintf(settingsText, n.Name, ip, n.Callers, n.ready, linkPort, linkPort, s.AdviceAddr, s.StoreAddr)
+	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
+		return nil, fmt.Errorf("site: %w", err)
+	}
+	return n, n.Start()
+}
+
+// Start starts the process; what it logs is added to its file.
+func (n *Node) Start() error {
+	out, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("site: %w", err)
+	}
+	defer func() { _ = out.Close() }()
+	n.process = exec.Command(n.binary, "platform", "--settings", n.file)
+	n.process.Stdout, n.process.Stderr = out, out
+	if err := n.process.Start(); err != nil {
+		return fmt.Errorf("site: %w", err)
+	}
+	n.done = make(chan struct{})
+	go n.run(n.process, n.done)
+	return nil
+}
+
+// run reaps the process.
+func (*Node) run(p *exec.Cmd, done chan struct{}) {
+	defer close(done)
+	_ = p.Wait()
+}
+
+// Signal sends a signal to the process.
+func (n *Node) Signal(sig syscall.Signal) error { return n.process.Process.Signal(sig) }
+
+// Done is closed when the process has ended.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// Kill ends the process at once and waits for its end.
+func (n *Node) Kill() {
+	_ = n.Signal(syscall.SIGKILL)
+	<-n.done
+}
+
+// IsReady asks the node whether it takes requests.
+func (n *Node) IsReady(ctx context.Context) bool {
+	status, _, err := n.do(ctx, http.MethodGet, "http://"+n.ready+"/-/readyz", nil)
+	return err == nil && status == http.StatusOK
+}
+
+// Do sends a caller's request and returns the status and the body.
+func (n *Node) Do(ctx context.Context, method, path string, body []byte) (int, []byte, error) {
+	return n.do(ctx, method, "http://"+n.Callers+path, body)
+}
+
+func (n *Node) do(ctx context.Context, method, url string, body []byte) (int, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, fmt.Errorf("site: %w", err)
+	}
+	req.Host = QueueHost
+	resp, err := n.client.Do(req)
+	if err != nil {
+		return 0, nil, fmt.Errorf("site: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, fmt.Errorf("site: %w", err)
+	}
+	return resp.StatusCode, data, nil
+}
+
+// Log returns what the process has logged so far.
+func (n *Node) Log() string {
+	data, err := os.ReadFile(n.log)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
--- /dev/null
+++ b/internal/standin/site/site.go
@@ -0,0 +1,252 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package site is a small stand-in for the users' platform, for tests and the
+// quickstart: its store, its workers and the service that permits workers, with
+// faults that can be set and an oracle that watches the promises from outside. It
+// knows the platform's names, as platform/ does, and shares no code with it.
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Names that the stand-in gives.
+const (
+	serviceName = "pool"
+	// QueueHost and QueuePrefix address its only queue.
+	QueueHost   = "jobs.example"
+	QueuePrefix = "/q/"
+)
+
+// beatPeriod is the time between two entries of a worker.
+const beatPeriod = 500 * time.Millisecond
+
+// Options says what the stand-in has. Zero values mean the defaults.
+type Options struct {
+	// Workers is how many there are; 4 by default.
+	Workers int
+	// MilliCPU and MemoryMiB are the room of each; 4,000 by default.
+	MilliCPU, MemoryMiB int64
+	// HasAdvice means that starts want tickets.
+	HasAdvice bool
+}
+
+// Site is the whole stand-in.
+type Site struct {
+	Store   *Store
+	options Options
+	oracle  *Oracle
+	servers []*http.Server
+	// StoreAddr and AdviceAddr are where the services listen.
+	StoreAddr, AdviceAddr string
+
+	mu      sync.Mutex
+	workers []*Worker
+	// needs has the steps of the jobs by their job's ID.
+	needs map[string][]stepNeed
+	stop  chan struct{}
+	wg    sync.WaitGroup
+}
+
+// stepNeed is what a task of a step takes, as its job says.
+type stepNeed struct {
+	cpu, mem int64
+	takes    time.Duration
+	lasts    bool
+	// fails makes the task fail, when the job's text is "fail".
+	fails bool
+}
+
+// New starts a stand-in on loopback.
+func New(o Options) (*Site, error) {
+	if o.Workers == 0 {
+		o.Workers = 4
+	}
+	if o.MilliCPU == 0 {
+		o.MilliCPU = 4000
+	}
+	if o.MemoryMiB == 0 {
+		o.MemoryMiB = 4000
+	}
+	s := &Site{Store: newStore(), options: o, needs: map[string][]stepNeed{}, stop: make(chan struct{})}
+	s.oracle = newOracle()
+	var err error
+	if s.StoreAddr, err = s.serve(s.Store); err != nil {
+		return nil, err
+	}
+	if s.AdviceAddr, err = s.serve(http.HandlerFunc(s.serveAdvice)); err != nil {
+		s.Close()
+		return nil, err
+	}
+	for i := range o.Workers {
+		if _, err := s.AddWorker(i); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	s.wg.Add(1)
+	go s.run()
+	return s, nil
+}
+
+// serve starts a server on a free port.
+func (s *Site) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("site: %w", err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+// AddWorker starts a worker.
+func (s *Site) AddWorker(i int) (*Worker, error) {
+	w := &Worker{
+		site: s, id: "i-" + strconv.Itoa(i), rack: "r" + strconv.Itoa(i/2), started: time.Now(),
+		running: map[string]*taskRun{}, barred: map[string]uint64{}, next: 1, changed: make(chan struct{}),
+	}
+	addr, err := s.serve(w)
+	if err != nil {
+		return nil, err
+	}
+	w.addr = addr
+	s.mu.Lock()
+	s.workers = append(s.workers, w)
+	s.mu.Unlock()
+	w.beat()
+	return w, nil
+}
+
+// Workers returns the workers.
+func (s *Site) Workers() []*Worker {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.workers)
+}
+
+// run writes the workers' entries.
+func (s *Site) run() {
+	defer s.wg.Done()
+	t := time.NewTicker(beatPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-t.C:
+			for _, w := range s.Workers() {
+				w.beat()
+			}
+		}
+	}
+}
+
+// Close ends the stand-in.
+func (s *Site) Close() {
+	close(s.stop)
+	close(s.Store.closed)
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	s.wg.Wait()
+}
+
+// Configure publishes a configuration with the one queue.
+func (s *Site) Configure(version int) {
+	route := map[string]any{
+		"name": "q", "host": QueueHost, "pathPrefix": QueuePrefix, "service": serviceName, "priority": 0,
+		"maxAttempts": 3, "stretch": 1.5, "targetLatencyMs": 250,
+	}
+	if s.options.HasAdvice {
+		route["advice"] = map[string]any{"decide_ms": 5, "each_ms": 0.1, "valid_ms": 2000}
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": version, "routes": []any{route}, "services": []any{map[string]any{"name": serviceName}},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144},
+	})
+	if err != nil {
+		panic(err)
+	}
+	s.Store.Put("keyed.op", "config", data)
+}
+
+// Know tells the stand-in of a job's steps, as its caller hands them in, so that
+// workers know how long its tasks take.
+func (s *Site) Know(id string, body []byte) error {
+	job := struct {
+		Spec  string `json:"spec"`
+		Steps []struct {
+			CPU         int64   `json:"cpu"`
+			MemMb       int64   `json:"memMb"`
+			EstimatedMs float64 `json:"estimatedMs"`
+			Perpetual   bool    `json:"perpetual"`
+		} `json:"steps"`
+	}{}
+	if err := json.Unmarshal(body, &job); err != nil {
+		return fmt.Errorf("site: %w", err)
+	}
+	needs := []stepNeed{}
+	for _, step := range job.Steps {
+		needs = append(needs, stepNeed{
+			step.CPU, step.MemMb, time.Duration(step.EstimatedMs * float64(time.Millisecond)), step.Perpetual, job.Spec == "fail",
+		})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.needs[id] = needs
+	return nil
+}
+
+// needOf returns what a task takes.
+func (s *Site) needOf(task string) (stepNeed, error) {
+	parts := strings.Split(task, ".")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(parts) != 4 {
+		return stepNeed{}, fmt.Errorf("site: task %q: want four parts", task)
+	}
+	step, err := strconv.Atoi(parts[2])
+	if err != nil || step >= len(s.needs[parts[0]]) {
+		return stepNeed{}, fmt.Errorf("site: task %q was never handed in", task)
+	}
+	return s.needs[parts[0]][step], nil
+}
+
+// Broken returns the promises that were seen broken.
+func (s *Site) Broken() []string { return s.oracle.list() }
+
+// Starts returns how many runs began.
+func (s *Site) Starts() int { return s.oracle.starts() }
+
+// serveAdvice permits the first worker and two of three others for a step.
+func (s *Site) serveAdvice(w http.ResponseWriter, r *http.Request) {
+	body := struct {
+		Step    string   `json:"step"`
+		Workers []string `json:"workers"`
+	}{}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	good := [][2]string{}
+	for _, id := range body.Workers {
+		if t := ticketFor(body.Step, id); id == "i-0" || t[0]%3 != 0 {
+			good = append(good, [2]string{id, t})
+		}
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"good": good, "valid_ms": 2000})
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/standin/site/store.go
@@ -0,0 +1,291 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package site
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// StoreMode is how the store behaves.
+type StoreMode string
+
+// The modes.
+const (
+	StoreUp StoreMode = "up"
+	// StoreBusy answers 503 to all.
+	StoreBusy StoreMode = "busy"
+	// StoreSilent answers nothing.
+	StoreSilent StoreMode = "silent"
+)
+
+// storeRecord is a record of a keyed topic.
+type storeRecord struct {
+	key    string
+	value  []byte
+	offset uint64
+}
+
+// writerState is what the store remembers of a writer in one topic.
+type writerState struct {
+	epoch, sequence uint64
+	// answers has the offsets of the last appends by their sequence.
+	answers map[uint64]uint64
+}
+
+type storeTopic struct {
+	end     uint64
+	records []storeRecord
+	newest  map[string]storeRecord
+	writers map[string]*writerState
+}
+
+// Store is a stand-in for the platform's store: keyed topics of one partition
+// each. It is safe for concurrent use.
+type Store struct {
+	mu     sync.Mutex
+	topics map[string]*storeTopic
+	mode   StoreMode
+	// loseNext is how many of the next appends are done and not answered.
+	loseNext int
+	changed  chan struct{}
+	closed   chan struct{}
+}
+
+func newStore() *Store {
+	return &Store{topics: map[string]*storeTopic{}, mode: StoreUp, changed: make(chan struct{}), closed: make(chan struct{})}
+}
+
+// SetMode sets how the store behaves from now on.
+func (s *Store) SetMode(m StoreMode) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mode = m
+}
+
+// LoseAnswers makes the next n appends be done and not answered.
+func (s *Store) LoseAnswers(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseNext = n
+}
+
+// Put writes a record, as operators and workers do.
+func (s *Store) Put(topic, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.topic(topic).append([]storeRecord{{key: key, value: value}})
+	s.wake()
+}
+
+func (s *Store) topic(name string) *storeTopic {
+	t := s.topics[name]
+	if t == nil {
+		t = &storeTopic{newest: map[string]storeRecord{}, writers: map[string]*writerState{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (t *storeTopic) append(records []storeRecord) uint64 {
+	first := t.end
+	for _, r := range records {
+		r.offset = t.end
+		t.end++
+		t.records = append(t.records, r)
+		if len(r.value) == 0 {
+			delete(t.newest, r.key)
+		} else {
+			t.newest[r.key] = r
+		}
+	}
+	return first
+}
+
+// ServeHTTP answers the calls to the store.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	mode := s.mode
+	s.mu.Unlock()
+	switch mode {
+	case StoreBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case StoreSilent:
+		s.waitGone(r)
+		return
+	case StoreUp:
+	}
+	switch r.URL.Path {
+	case "/-/log-append":
+		s.serveAppend(w, r, body)
+	case "/-/log-read":
+		s.serveRead(w, r)
+	case "/-/log-newest":
+		s.serveNewest(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// waitGone waits until the caller has given up.
+func (s *Store) waitGone(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-s.closed:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func number(r *http.Request, name string) uint64 {
+	n, _ := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
+	return n
+}
+
+func (s *Store) serveAppend(w http.ResponseWriter, r *http.Request, body []byte) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	t := s.topic(q.Get("topic"))
+	status, answer := t.tryAppend(r, decodeRecords(body))
+	s.wake()
+	lose := s.loseNext > 0
+	if lose {
+		s.loseNext--
+	}
+	s.mu.Unlock()
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, status, answer)
+}
+
+func (t *storeTopic) tryAppend(r *http.Request, records []storeRecord) (int, map[string]any) {
+	q := r.URL.Query()
+	if q.Has("at") && number(r, "at") != t.end {
+		return http.StatusPreconditionFailed, map[string]any{"end": t.end}
+	}
+	name := q.Get("producer")
+	if name == "" {
+		first := t.append(records)
+		return http.StatusOK, map[string]any{"offset": first, "end": t.end}
+	}
+	epoch, sequence := number(r, "epoch"), number(r, "sequence")
+	ws := t.writers[name]
+	switch {
+	case ws == nil || epoch > ws.epoch:
+		ws = &writerState{epoch: epoch, sequence: sequence, answers: map[uint64]uint64{}}
+		t.writers[name] = ws
+	case epoch < ws.epoch:
+		return http.StatusConflict, map[string]any{"reason": "fenced"}
+	case len(records) == 0:
+		return http.StatusOK, map[string]any{"offset": t.end, "end": t.end}
+	default:
+		if first, ok := ws.answers[sequence]; ok {
+			return http.StatusOK, map[string]any{"offset": first, "end": t.end}
+		}
+		if sequence != ws.sequence+1 {
+			return http.StatusConflict, map[string]any{"reason": "seq", "sequence": ws.sequence + 1}
+		}
+		ws.sequence = sequence
+	}
+	first := t.append(records)
+	if len(records) > 0 {
+		ws.answers[sequence] = first
+	}
+	return http.StatusOK, map[string]any{"offset": first, "end": t.end}
+}
+
+func (s *Store) serveRead(w http.ResponseWriter, r *http.Request) {
+	from := number(r, "startKey")
+	deadline := time.After(time.Duration(number(r, "waitMs")) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		t := s.topic(r.URL.Query().Get("topic"))
+		out := binary.BigEndian.AppendUint64(nil, t.end)
+		out = binary.BigEndian.AppendUint64(out, 0)
+		for _, rec := range t.records[min(from, t.end):] {
+			out = appendRecord(out, rec)
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(out) > 16 {
+			_, _ = w.Write(out)
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-s.closed:
+			return
+		case <-deadline:
+			_, _ = w.Write(out)
+			return
+		}
+	}
+}
+
+// pageRecords is how many records one page of the newest has.
+const pageRecords = 500
+
+func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(r.URL.Query().Get("topic"))
+	after := r.URL.Query().Get("dependsOn")
+	items := []map[string]any{}
+	more := false
+	for _, key := range sortedKeys(t.newest) {
+		if key <= after && after != "" {
+			continue
+		}
+		if len(items) == pageRecords {
+			more = true
+			break
+		}
+		rec := t.newest[key]
+		items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString(rec.value), "offset": rec.offset})
+	}
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": more, "end": t.end})
+}
+
+func appendRecord(out []byte, r storeRecord) []byte {
+	out = binary.BigEndian.AppendUint32(out, uint32(1+len(r.key)+len(r.value)))
+	out = append(out, byte(len(r.key)))
+	out = append(out, r.key...)
+	return append(out, r.value...)
+}
+
+func decodeRecords(data []byte) []storeRecord {
+	out := []storeRecord{}
+	for len(data) >= 5 {
+		n := int(binary.BigEndian.Uint32(data))
+		body := data[4 : 4+n]
+		key := int(body[0])
+		out = append(out, storeRecord{key: string(body[1 : 1+key]), value: body[1+key:]})
+		data = data[4+n:]
+	}
+	return out
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
