internal/dispatch, internal/owner: keep where a task is placed before its start is ordered

Change: each place is in the store before the order is sent, so that only the tasks on workers that nobody reaches wait; rosters and their admission are gone. While the store is out nothing new starts for 10 s; after that tasks start without it, and the next owner waits for all leases.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -94,7 +94,7 @@
 		strongest = max(strongest, all[i].hello.Strength)
 	}
 	for _, p := range all {
-		p.conn.Notify(kindBeat, beat{o.Epoch(), version, strongest})
+		p.conn.Notify(kindBeat, beat{o.Epoch(), version, o.IsUnlogged(), strongest})
 		if p.configVersion < version && data != nil {
 			p.conn.Notify(kindConfig, configMessage{version, data})
 		}
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -68,6 +68,9 @@
 	Epoch uint64
 	// ConfigVersion is that of the configuration in force at the owner.
 	ConfigVersion uint64
+	// IsUnlogged means that the owner has started tasks whose places the store does
+	// not have.
+	IsUnlogged bool
 	// Strongest is the strength of the strongest node that the owner knows.
 	Strongest float64
 }
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -93,6 +93,8 @@
 	// strongest is the strength of the strongest node known; 0 before a beat.
 	strongest    float64
 	noClaimUntil time.Time
+	// unloggedEpoch is that of an owner that started tasks without the store.
+	unloggedEpoch uint64
 	// claimed has the epochs that this process has acted on.
 	claimed uint64
 	wg      sync.WaitGroup
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -75,7 +75,7 @@
 		n.claim(nil, at)
 	case r.Node == n.options.Name && r.Life == n.options.Life && r.Epoch > n.claimed:
 		// The answer to this node's claim was lost.
-		n.become(owner.Claim{Record: *r, Offset: at, Earlier: r})
+		n.become(owner.Claim{Record: *r, Offset: at, Earlier: r, IsExact: !n.hasSeenUnlogged()})
 	case r.Node == n.options.Name:
 		n.claim(r, at+1)
 	default:
@@ -93,9 +93,6 @@
 		n.sleep(d)
 	}
 	r := owner.Record{Node: n.options.Name, Addr: n.options.LinkAddr, Life: n.options.Life, Epoch: end + 1}
-	if earlier != nil {
-		r.Roster = earlier.Roster
-	}
 	at, err := owner.AppendRecord(n.ctx, n.log, &r, end)
 	if err != nil {
 		n.options.Log(events.ClaimRefused, "epoch", r.Epoch, "err", err)
@@ -104,7 +101,21 @@
 		}
 		return
 	}
-	n.become(owner.Claim{Record: r, Offset: at, Earlier: earlier})
+	n.become(owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: n.isExact(earlier)})
+}
+
+// isExact reports whether an earlier owner is not known to have started tasks
+// without the store.
+func (n *Node) isExact(earlier *owner.Record) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return earlier == nil || n.unloggedEpoch == 0 || n.unloggedEpoch != earlier.Epoch
+}
+
+func (n *Node) hasSeenUnlogged() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.unloggedEpoch != 0
 }
 
 // claimDelay is how long a weak node leaves the shard to stronger ones. A node
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -257,6 +257,9 @@
 	}
 	n.heardBeat = n.options.Clock.Now()
 	n.strongest = b.Strongest
+	if b.IsUnlogged {
+		n.unloggedEpoch = b.Epoch
+	}
 	if b.ConfigVersion < n.configVersion {
 		from.Notify(kindConfig, configMessage{n.configVersion, n.config})
 	}
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -16,8 +16,10 @@
 	// Forgotten are jobs that are over and no longer asked for.
 	Forgotten []work.JobID
 
-	jobs     []*job
-	seen     map[*worker]uint64
+	jobs []*job
+	seen map[*worker]uint64
+	// planned are starts whose places are in Progress.
+	planned  []*attempt
 	isUrgent bool
 }
 
@@ -71,6 +73,9 @@
 	for w, n := range b.seen {
 		e.confirm(w, n)
 	}
+	for _, a := range b.planned {
+		e.send(a)
+	}
 }
 
 // Refused says that the batch is certainly not in the store. Its new jobs are
@@ -83,6 +88,7 @@
 	}
 	next := e.batchNow()
 	next.Forgotten = append(next.Forgotten, b.Forgotten...)
+	next.planned = append(next.planned, b.planned...)
 	next.isUrgent = next.isUrgent || len(b.jobs) > 0
 	for _, j := range b.jobs {
 		if e.jobs[j.spec.ID] == j {
@@ -124,6 +130,14 @@
 			p.SetDone(i)
 			continue
 		}
+		for _, a := range []*attempt{t.attempt, t.copy} {
+			if a != nil {
+				p.Places = append(p.Places, work.Place{Index: i, Worker: string(a.worker.ID), Run: a.run})
+			}
+		}
+		for _, id := range t.heldBy {
+			p.Places = append(p.Places, work.Place{Index: i, Worker: string(id), Run: t.run})
+		}
 		if !s.spec.IsLasting {
 			p.Failures = append(p.Failures, t.failures...)
 		}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -66,13 +66,12 @@
 	queues map[string]Queue
 	lanes  []lane
 	// unsettled are workers on which an earlier owner may have started tasks that
-	// are not known yet.
-	unsettled map[WorkerID]inherited
-	// openUnsettled counts those of them on which any task may run.
-	openUnsettled int
-	// inheritedUntil is when all leases that the earlier owner gave are over.
-	inheritedUntil time.Time
-	actions        []Action
+	// are not known yet, with these tasks.
+	unsettled map[WorkerID][]work.TaskID
+	// inheritedUntil is when all leases that the earlier owner gave are over;
+	// blockedUntil is that time when any task may run anywhere until then.
+	inheritedUntil, blockedUntil time.Time
+	actions                      []Action
 	// found is the buffer of permitted.
 	found []*worker
 	// isDirty means that something may be placed that could not be before.
@@ -81,8 +80,10 @@
 	// isTrusted means that this node is known to own the shard still. Without it
 	// nothing is started and no lease is renewed.
 	isTrusted bool
-	batch     *Batch
-	lastFlush time.Time
+	// isUnlogged means that starts are ordered before their places are kept.
+	isUnlogged bool
+	batch      *Batch
+	lastFlush  time.Time
 	// pending counts, by queue, jobs none of whose tasks has begun.
 	nextWalk time.Time
 	counts   Counts
@@ -102,7 +103,7 @@
 	}
 	return &Engine{
 		options: options, jobs: map[work.JobID]*job{}, workers: map[WorkerID]*worker{},
-		queues: map[string]Queue{}, over: map[WorkerID]bool{}, bias: map[string]float64{}, unsettled: map[WorkerID]inherited{},
+		queues: map[string]Queue{}, over: map[WorkerID]bool{}, bias: map[string]float64{}, unsettled: map[WorkerID][]work.TaskID{},
 	}
 }
 
@@ -124,6 +125,24 @@
 	e.isDirty = true
 }
 
+// SetUnlogged says whether starts are ordered before their places are kept, which
+// is for a store that has been out for long. What an owner that does so had
+// started is not known to the next one.
+func (e *Engine) SetUnlogged(isUnlogged bool) {
+	if e.isUnlogged == isUnlogged {
+		return
+	}
+	e.isUnlogged = isUnlogged
+	if !isUnlogged {
+		return
+	}
+	for _, w := range e.workers {
+		for _, a := range w.attempts {
+			e.send(a)
+		}
+	}
+}
+
 // Counts returns the totals.
 func (e *Engine) Counts() Counts { return e.counts }
 
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -403,3 +403,67 @@
 	expectState(t, w, "a", work.JobSucceeded)
 	expectWhole(t, w)
 }
+
+// Two workers died with the owner: all tasks of all jobs waited 9.8 s for their
+// leases, as any of them might have been started there.
+func TestAWorkerThatDiesWithTheOwnerHoldsUpOnlyItsOwnTasks(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(4, room)
+	w.run(time.Second)
+	whole := step(1, 30*time.Second)
+	whole.Need = room
+	w.submit("a", whole)
+	w.run(300 * time.Millisecond)
+	w.submit("b", step(2, 600*time.Millisecond), step(2, 300*time.Millisecond))
+	w.run(300 * time.Millisecond)
+	w.workerOf(work.TaskID{Job: "a"}).isCut = true
+	w.takeOver()
+	w.run(3 * time.Second)
+	expectState(t, w, "b", work.JobSucceeded)
+	w.run(12 * time.Second)
+	if got := w.starts; got != 6 {
+		t.Errorf("starts in all, the task of the dead worker's twice: got: %d, want: 6", got)
+	}
+	expectWhole(t, w)
+}
+
+func TestNothingIsOrderedBeforeItsPlaceIsKept(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(2, room)
+	w.run(time.Second)
+	w.submit("a", step(2, 200*time.Millisecond), step(2, 200*time.Millisecond))
+	for w.starts < 2 {
+		w.run(tick)
+	}
+	w.isOut = true
+	w.run(2 * time.Second)
+	if w.starts != 2 {
+		t.Errorf("starts while places cannot be kept: got: %d, want: 2", w.starts)
+	}
+	w.engine.SetUnlogged(true)
+	w.run(time.Second)
+	if w.starts != 4 {
+		t.Errorf("starts after the store has been out for long: got: %d, want: 4", w.starts)
+	}
+}
+
+func TestAnOwnerThatStartedWithoutTheStoreLeavesAllTasksInDoubt(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(2, room)
+	w.run(time.Second)
+	w.submit("a", step(1, 200*time.Millisecond), step(1, 200*time.Millisecond))
+	w.run(100 * time.Millisecond)
+	w.isOut = true
+	w.engine.SetUnlogged(true)
+	w.run(250 * time.Millisecond)
+	for _, m := range w.workers {
+		m.isCut = true
+	}
+	w.isOut, w.isInexact = false, true
+	w.takeOver()
+	before := w.starts
+	w.run(9 * time.Second)
+	if w.starts != before {
+		t.Errorf("starts while leases may run: got: %d, want: none", w.starts-before)
+	}
+}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -69,7 +69,7 @@
 // isUsable reports whether the worker may get something new.
 func (e *Engine) isUsable(w *worker) bool {
 	switch {
-	case !w.isAdmitted, !e.isReachable(w), len(w.foreign) > 0:
+	case !e.isReachable(w), len(w.foreign) > 0:
 		return false
 	case e.now.Before(w.health.pausedUntil):
 		return false
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -82,8 +82,8 @@
 	saved    string
 	// avoid is where the task failed or hung last.
 	avoid WorkerID
-	// heldBy is a worker on which an earlier owner may have started it.
-	heldBy WorkerID
+	// heldBy are workers on which an earlier owner may have started it.
+	heldBy []WorkerID
 	// copy is a second attempt beside the first; wantsCopy asks for one.
 	copy      *attempt
 	wantsCopy bool
@@ -147,13 +147,13 @@
 	for k, steps := range p.Rounds {
 		r := e.openRound(j, k)
 		for i := range min(len(steps), len(r.steps)) {
-			r.steps[i].restore(&steps[i])
+			e.restoreStep(r.steps[i], &steps[i])
 		}
 		e.openSteps(r)
 	}
 }
 
-func (s *step) restore(p *work.StepProgress) {
+func (e *Engine) restoreStep(s *step, p *work.StepProgress) {
 	for i := range s.tasks {
 		s.tasks[i].run = p.Run
 		if p.IsDone(i) && s.tasks[i].state == taskWaiting {
@@ -173,6 +173,12 @@
 			s.tasks[i].saved = text
 		}
 	}
+	for _, place := range p.Places {
+		if place.Index >= 0 && place.Index < len(s.tasks) {
+			s.tasks[place.Index].run = max(s.tasks[place.Index].run, place.Run)
+			e.holdTask(work.TaskID{Job: s.id.Job, Round: s.id.Round, Step: s.id.Step, Index: place.Index}, WorkerID(place.Worker))
+		}
+	}
 	if s.left == 0 {
 		s.round.left--
 	}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -24,6 +24,9 @@
 	if a == nil || a.run != run {
 		return
 	}
+	if a.phase == phasePlanned {
+		return
+	}
 	switch outcome {
 	case StartDone:
 		a.startedAt = at
@@ -117,7 +120,7 @@
 		w.isListed = true
 		e.isDirty = true
 	}
-	e.settle(w.ID, "told what it runs")
+	e.settle(w.ID, settledByListing)
 	e.judgeSpeed(w)
 	e.setPaces(w)
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -26,7 +26,7 @@
 func (e *Engine) stepsByTurn() []*step {
 	open := []*step{}
 	for _, j := range e.live {
-		if j.state.IsFinal() || e.isHeld(j) {
+		if j.state.IsFinal() || e.isBlocked(j) {
 			continue
 		}
 		for _, r := range j.rounds {
@@ -67,7 +67,7 @@
 	placed := 0
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskWaiting || t.heldBy != "" || e.now.Before(t.retryAt) {
+		if t.state != taskWaiting || len(t.heldBy) > 0 || e.now.Before(t.retryAt) {
 			continue
 		}
 		w := e.choose(s, i, &q, nil)
@@ -109,7 +109,7 @@
 
 // hasHeld reports whether a task may run where nobody can tell.
 func (s *step) hasHeld() bool {
-	return slices.ContainsFunc(s.tasks, func(t task) bool { return t.heldBy != "" })
+	return slices.ContainsFunc(s.tasks, func(t task) bool { return len(t.heldBy) > 0 })
 }
 
 // gangPlaces returns a worker for each task of a gang, in one rack where that is
@@ -331,23 +331,44 @@
 	s.waiting--
 }
 
-// order charges the worker and orders an attempt to start.
+// order charges the worker for an attempt. The start is ordered once the store
+// has its place, so that the next owner knows where the task may run.
 func (e *Engine) order(w *worker, s *step, i int, run uint64) *attempt {
 	t := &s.tasks[i]
-	id := s.taskID(i)
 	a := &attempt{
-		id: id, step: s, run: run, worker: w, charge: s.spec.Charge(), phase: phaseOrdered, orderedAt: e.now, pace: fullPace,
+		id: s.taskID(i), step: s, run: run, worker: w, charge: s.spec.Charge(), phase: phasePlanned, orderedAt: e.now, pace: fullPace,
 	}
 	e.charge(a)
-	a.hasSaved = s.savedFor(i) != ""
 	t.run = max(t.run, run)
+	e.touch(s.job)
+	b := e.batchNow()
+	b.planned = append(b.planned, a)
+	b.isUrgent = true
+	if e.isUnlogged {
+		e.send(a)
+	}
+	return a
+}
+
+// send orders a planned start, if it still makes sense.
+func (e *Engine) send(a *attempt) {
+	if a.phase != phasePlanned || a.worker.attempts[a.id] != a {
+		return
+	}
+	q := e.queues[a.step.job.spec.Queue]
+	text, hasTicket := a.step.advice.holds(a.worker.ID, e.now)
+	if !e.isReachable(a.worker) || !e.isTrusted || e.isPaused || q.Advice != nil && !hasTicket {
+		e.release(a)
+		e.attemptOver(a)
+		return
+	}
+	a.phase, a.orderedAt = phaseOrdered, e.now
+	a.hasSaved = a.step.savedFor(a.id.Index) != ""
 	e.counts.Starts++
-	ticketText, _ := s.advice.holds(w.ID, e.now)
 	e.do(Start{
-		Worker: w.ID, Addr: w.Addr, Task: id, Run: run, Payload: s.job.spec.Payload,
-		Saved: s.savedFor(i), Ticket: ticketText, Deadline: e.renew(w),
+		Worker: a.worker.ID, Addr: a.worker.Addr, Task: a.id, Run: a.run, Payload: a.step.job.spec.Payload,
+		Saved: a.step.savedFor(a.id.Index), Ticket: text, Deadline: e.renew(a.worker),
 	})
-	return a
 }
 
 // savedFor returns where a task goes on from. The members of a gang must all go
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -22,8 +22,6 @@
 	foreign map[work.TaskID]uint64
 	// isListed means that it has told all that it runs since this engine watches.
 	isListed bool
-	// isAdmitted means that the store names it as in use by this owner.
-	isAdmitted bool
 	// isGone means that the platform's list no longer has it.
 	isGone bool
 	// readAt is when its clock was last read, readTime what it showed.
@@ -54,6 +52,8 @@
 type phase string
 
 const (
+	// phasePlanned means that its place is not kept yet: nothing was ordered.
+	phasePlanned phase = "planned"
 	// phaseOrdered means that the order is on its way.
 	phaseOrdered phase = "ordered"
 	// phaseDoubtful means that the order got no answer and may be carried out.
@@ -155,7 +155,7 @@
 
 // LifeOver says that a worker's life is over: nothing of it runs any more.
 func (e *Engine) LifeOver(id WorkerID) {
-	e.settle(id, "life over")
+	e.settle(id, settledByLife)
 	e.over[id] = true
 	w := e.workers[id]
 	if w == nil {
@@ -213,6 +213,12 @@
 }
 
 func (e *Engine) tickAttempt(a *attempt) {
+	if a.phase == phasePlanned {
+		if !e.isReachable(a.worker) {
+			e.stop(a, "worker is not reached")
+		}
+		return
+	}
 	if a.phase == phaseOrdered && e.now.Sub(a.orderedAt) > orderPatience {
 		e.doubt(a)
 	}
@@ -256,6 +262,11 @@
 	if a.isStopping {
 		return
 	}
+	if a.phase == phasePlanned {
+		e.release(a)
+		e.attemptOver(a)
+		return
+	}
 	a.isStopping = true
 	a.stopWhy = why
 	e.counts.Stopped++
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -25,12 +25,10 @@
 	workers map[dispatch.WorkerID]*modelWorker
 	// mail is what is on its way: answers and orders that come late.
 	mail []letter
-	// specs, progress and roster are what the store has.
+	// specs and progress are what the store has.
 	specs    map[work.JobID]*work.Spec
 	order    []work.JobID
 	progress map[work.JobID]*work.Progress
-	roster   []dispatch.RosterEntry
-	beatAt   time.Time
 	isOut    bool
 
 	// lostShare of the answers do not come; lateShare of those orders are carried
@@ -46,6 +44,8 @@
 	lingering []dispatch.Worker
 	// holdsFail makes all listings fail while orders are answered.
 	holdsFail bool
+	// isInexact means that owners may have started tasks without the store.
+	isInexact bool
 }
 
 type letter struct {
@@ -76,9 +76,8 @@
 	for _, id := range w.order {
 		w.engine.RestoreJob(w.specs[id], w.progress[id])
 	}
-	w.engine.Inherit(w.roster, w.clock.Now().Add(10*time.Second))
+	w.engine.Inherit(w.clock.Now().Add(10*time.Second), !w.isInexact)
 	w.engine.SetTrusted(true)
-	w.beatAt = time.Time{}
 }
 
 func (w *world) since() time.Duration { return w.clock.Now().Sub(w.begin) }
@@ -152,20 +151,15 @@
 	for _, a := range w.engine.Actions() {
 		w.carryOut(a)
 	}
-	w.keep(now)
+	w.keep()
 	w.check()
 }
 
 // keep writes what must last.
-func (w *world) keep(now time.Time) {
+func (w *world) keep() {
 	if w.isOut {
 		return
 	}
-	if now.Sub(w.beatAt) >= 500*time.Millisecond {
-		w.beatAt = now
-		w.roster = w.engine.Roster()
-		w.engine.Admit(w.roster)
-	}
 	b := w.engine.TakeBatch()
 	if b == nil {
 		return
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -49,7 +49,7 @@
 	}
 	earlier := o.options.Claim.Earlier
 	if earlier != nil {
-		o.engine.Inherit(earlier.Roster, o.now.Add(leaseBound))
+		o.engine.Inherit(o.now.Add(leaseBound), o.options.Claim.IsExact)
 	}
 	o.options.Log(events.JobsLoaded, "epoch", o.Epoch(), "jobs", len(jobs), "records", len(newest.Records), "end", newest.End, "took", o.now.Sub(began))
 	return 1, nil
@@ -237,49 +237,24 @@
 func (o *Owner) runBeats() {
 	defer o.wg.Done()
 	for o.ctx.Err() == nil {
-		roster := make(chan []dispatch.RosterEntry, 1)
-		if !o.put(rosterEvent{roster}) {
-			return
-		}
+		o.sendBeat()
 		select {
 		case <-o.ctx.Done():
-			return
-		case ids := <-roster:
-			o.sendBeat(ids)
+		case <-o.options.Clock.After(beatPeriod):
 		}
-		o.awaitBeat()
-	}
-}
-
-// awaitBeat waits for the time of the next beat.
-func (o *Owner) awaitBeat() {
-	select {
-	case <-o.ctx.Done():
-		return
-	case <-o.options.Clock.After(beatPause):
-	}
-	select {
-	case <-o.ctx.Done():
-	case <-o.beatSoon:
-	case <-o.options.Clock.After(beatPeriod - beatPause):
 	}
 }
 
-type rosterEvent struct{ reply chan []dispatch.RosterEntry }
-
-func (ev rosterEvent) apply(o *Owner) { ev.reply <- o.engine.Roster() }
-
 // sendBeat appends one record. Only this goroutine uses offset and beat.
-func (o *Owner) sendBeat(roster []dispatch.RosterEntry) {
+func (o *Owner) sendBeat() {
 	sentAt := o.options.Clock.Now()
 	r := o.options.Claim.Record
 	r.Beat = o.beat + 1
-	r.Roster = roster
 	at := o.offset + 1
 	offset, err := AppendRecord(o.ctx, o.options.Store, &r, at)
 	if err == nil {
 		o.offset, o.beat = offset, r.Beat
-		o.put(beatEvent{sentAt, roster})
+		o.put(beatEvent{sentAt})
 		return
 	}
 	if o.ctx.Err() != nil {
@@ -300,7 +275,7 @@
 		o.options.Log(events.StoreFailed, "what", "read of the owner", "err", err)
 	case r != nil && r.Epoch == o.Epoch():
 		o.offset, o.beat = offset, r.Beat
-		o.put(beatEvent{sentAt, r.Roster})
+		o.put(beatEvent{sentAt})
 	default:
 		o.options.Log(events.ShardDropped, "epoch", o.Epoch(), "why", "the store names another owner")
 		o.cancel()
@@ -310,7 +285,6 @@
 // beatEvent says that at sentAt this node was the owner, by the store's word.
 type beatEvent struct {
 	sentAt time.Time
-	roster []dispatch.RosterEntry
 }
 
 func (ev beatEvent) apply(o *Owner) {
@@ -318,5 +292,4 @@
 	if o.writing == nil {
 		o.isStoreOut = false
 	}
-	o.engine.Admit(ev.roster)
 }
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -68,6 +68,9 @@
 	Offset uint64
 	// Earlier is the record that it replaced; nil when there was none.
 	Earlier *Record
+	// IsExact means that the earlier owner is known to have kept the place of each
+	// task before it ordered the start.
+	IsExact bool
 }
 
 // Options configures an Owner. All but Log are required.
@@ -96,8 +99,6 @@
 	// beatPeriod is the time between two records in the store that this node is
 	// the owner. Others wait for one before they claim.
 	beatPeriod = 500 * time.Millisecond
-	// beatPause is the least time between two: each call has a price.
-	beatPause = 60 * time.Millisecond
 	// TrustPeriod is how long after the last such record this node acts as owner.
 	// It covers two beats at a slow store (0.4 s an answer) that are lost.
 	TrustPeriod = 3 * time.Second
@@ -128,6 +129,10 @@
 	writeRetry = 100 * time.Millisecond
 	// stallAfter is how long an append may take until new jobs are refused.
 	stallAfter = 700 * time.Millisecond
+	// unloggedAfter is how long the store must be out until tasks are started
+	// whose places are not kept. Tasks that must wait less are not harmed much: a
+	// job's end cannot be shown meanwhile either.
+	unloggedAfter = 10 * time.Second
 	// retryAfter is when a refused caller should come back, in seconds.
 	retryAfter = 1
 	// eventsBound is how many events may wait for the loop.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
@@ -31,6 +32,8 @@
 	// loaded is closed when the jobs are read from the store.
 	loaded chan struct{}
 
+	unlogged atomic.Bool
+
 	mu sync.Mutex
 	// queues is a configuration that the engine does not have yet.
 	queues        []dispatch.Queue
@@ -48,8 +51,8 @@
 	cancels     map[work.JobID][]chan error
 	orders      int
 	handOver    chan struct{}
-	// beatSoon asks for the next beat before its time.
-	beatSoon chan struct{}
+	// outSince is when the store was found out; zero while it serves.
+	outSince time.Time
 }
 
 // event is something that happened, for the loop.
@@ -69,7 +72,7 @@
 		inbox: ring.NewRing[event](eventsBound), ctx: ctx, cancel: cancel,
 		writes: make(chan *write, 1), loaded: make(chan struct{}),
 		submits: map[work.JobID][]chan error{}, cancels: map[work.JobID][]chan error{},
-		beatSoon: make(chan struct{}, 1), offset: options.Claim.Offset, beat: options.Claim.Record.Beat,
+		offset: options.Claim.Offset, beat: options.Claim.Record.Beat,
 	}
 }
 
@@ -134,7 +137,7 @@
 			o.tick()
 			o.engine.Tick()
 			o.engine.SetLanes(o.options.Lanes.Names())
-			o.wishBeat()
+			o.setUnlogged()
 		}
 		o.step()
 	}
@@ -154,17 +157,27 @@
 	}
 }
 
-// wishBeat asks for a beat when workers wait to be named in one.
-func (o *Owner) wishBeat() {
-	if !o.engine.WantsRoster() {
-		return
+// setUnlogged finds out whether the store has been out for so long that tasks are
+// started without it.
+func (o *Owner) setUnlogged() {
+	isOut := o.isStoreOut || o.now.Sub(o.confirmedAt) > TrustPeriod
+	switch {
+	case !isOut:
+		o.outSince = time.Time{}
+	case o.outSince.IsZero():
+		o.outSince = o.now
 	}
-	select {
-	case o.beatSoon <- struct{}{}:
-	default:
+	isUnlogged := isOut && o.now.Sub(o.outSince) > unloggedAfter
+	if isUnlogged && !o.unlogged.Swap(true) {
+		o.options.Log(events.StartsUnlogged, "epoch", o.Epoch(), "out", o.now.Sub(o.outSince))
 	}
+	o.engine.SetUnlogged(isUnlogged)
 }
 
+// IsUnlogged reports whether this owner has started tasks whose places are not in
+// the store; it stays so, as the next owner has to know it.
+func (o *Owner) IsUnlogged() bool { return o.unlogged.Load() }
+
 // step decides on what has happened.
 func (o *Owner) step() {
 	o.takeQueues()
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -24,8 +24,6 @@
 	Epoch uint64 `msgpack:"e"`
 	// Beat counts the records of one ownership.
 	Beat uint64 `msgpack:"b"`
-	// Roster has the workers on which the owner may have started tasks.
-	Roster []dispatch.RosterEntry `msgpack:"r"`
 }
 
 // ParseRecord reads a Record.
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -28,12 +28,21 @@
 	Run    uint64
 }
 
+// Place is a worker on which an attempt of a task may run.
+type Place struct {
+	Index  int
+	Worker string
+	Run    uint64
+}
+
 // StepProgress is what is known of a step.
 type StepProgress struct {
 	// Done has a bit for each task that has ended well.
 	Done []byte
 	// Failures are the attempts that failed.
 	Failures []Failure
+	// Places is where tasks may run.
+	Places []Place
 	// Saved is where tasks can go on from, by their index.
 	Saved map[int]string
 	// Run is the highest run of any task that is known.
