internal/dispatch: judge single tasks where their time is known

Cause: tasks on slow workers were only replaced when two steps showed it, so that jobs with one step there took 2.4 to 5 s. Change: a task is judged alone when siblings are done, or when the estimates of its queue have proved good; estimates are corrected by what tasks took.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -87,8 +87,8 @@
 	// pending counts, by queue, jobs none of whose tasks has begun.
 	nextWalk time.Time
 	counts   Counts
-	// bias is, by queue, how much longer tasks take than estimated.
-	bias map[string]float64
+	// estimates has, by queue, how good the callers' estimates are.
+	estimates map[string]*estimates
 }
 
 // Counts are totals since the engine was made.
@@ -103,7 +103,7 @@
 	}
 	return &Engine{
 		options: options, jobs: map[work.JobID]*job{}, workers: map[WorkerID]*worker{},
-		queues: map[string]Queue{}, over: map[WorkerID]bool{}, bias: map[string]float64{}, unsettled: map[WorkerID][]work.TaskID{},
+		queues: map[string]Queue{}, over: map[WorkerID]bool{}, estimates: map[string]*estimates{}, unsettled: map[WorkerID][]work.TaskID{},
 	}
 }
 
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
@@ -32,6 +33,12 @@
 	worthRatio = 1.3
 	// maxRescues bounds the attempts of a task that are stopped as too slow.
 	maxRescues = 2
+	// trustedRuns is how many done tasks of a step make its time known, or of a
+	// queue the errors of its estimates.
+	trustedRuns, trustedEstimates = 2, 20
+	// trustedError is the mean error of estimates, as a logarithm, up to which one
+	// tells that a task is slow: at 0.4, one in a hundred is off by slowRatio.
+	trustedError = 0.4
 	// biasWeight is the weight of a new task in what estimates are corrected by.
 	biasWeight = 0.05
 )
@@ -43,11 +50,37 @@
 	if s.doneRuns > 0 {
 		return s.doneTime / time.Duration(s.doneRuns)
 	}
-	bias, ok := e.bias[s.job.spec.Queue]
-	if !ok {
-		bias = 1
+	return time.Duration(e.estimates[s.job.spec.Queue].correction() * float64(s.spec.Estimate))
+}
+
+// isTrustedTime reports whether expected is good enough to judge a single task.
+func (e *Engine) isTrustedTime(s *step) bool {
+	q := e.estimates[s.job.spec.Queue]
+	return s.doneRuns >= trustedRuns || s.spec.Estimate > 0 && q != nil && q.runs >= trustedEstimates && q.error < trustedError
+}
+
+// estimates is how good the estimates of a queue's callers are.
+type estimates struct {
+	runs int
+	// bias is the mean logarithm of how much longer tasks take than estimated,
+	// error the mean distance from it.
+	bias, error float64
+}
+
+// correction is the factor by which estimates are corrected.
+func (q *estimates) correction() float64 {
+	if q == nil {
+		return 1
 	}
-	return time.Duration(bias * float64(s.spec.Estimate))
+	return math.Exp(q.bias)
+}
+
+func (q *estimates) learn(ratio float64) {
+	q.runs++
+	weight := max(biasWeight, 1/float64(q.runs))
+	distance := math.Log(ratio) - q.bias
+	q.bias += weight * distance
+	q.error += weight * (math.Abs(distance) - q.error)
 }
 
 // learn takes the time that a task took from its order to its end.
@@ -63,11 +96,10 @@
 		return
 	}
 	queue := s.job.spec.Queue
-	ratio := float64(took) / float64(s.spec.Estimate)
-	if old, ok := e.bias[queue]; ok {
-		ratio = old + biasWeight*(ratio-old)
+	if e.estimates[queue] == nil {
+		e.estimates[queue] = &estimates{}
 	}
-	e.bias[queue] = ratio
+	e.estimates[queue].learn(float64(max(took, time.Millisecond)) / float64(s.spec.Estimate))
 }
 
 // projected returns how long the attempt will take in all at the rate so far; 0
@@ -81,7 +113,8 @@
 }
 
 // judgeSpeed finds out from a listing whether a worker is slow: whether most of
-// its tasks, of two steps at least, seem to take far too long.
+// its tasks seem to take far too long, of two steps at least or of one whose time
+// is known well.
 func (e *Engine) judgeSpeed(w *worker) {
 	judged, slow := 0, 0
 	var first *step
@@ -97,7 +130,7 @@
 		judged++
 		if float64(projected) > slowRatio*float64(expected) {
 			slow++
-			isSeveral = isSeveral || first != nil && first != a.step
+			isSeveral = isSeveral || e.isTrustedTime(a.step) || first != nil && first != a.step
 			first = a.step
 		}
 	}
@@ -129,7 +162,7 @@
 		e.replace(a, "stands still")
 		return
 	}
-	if a.worker.isSlow(e.now) && e.isWorthReplacing(a) {
+	if (a.worker.isSlow(e.now) || e.isTrustedTime(a.step)) && e.isWorthReplacing(a) {
 		e.replace(a, "too slow")
 	}
 }
@@ -152,7 +185,7 @@
 		return false
 	}
 	expected, projected := e.expected(s), a.projected()
-	if expected <= 0 || projected == 0 || s.tasks[a.id.Index].rescues >= maxRescues {
+	if expected <= 0 || float64(projected) < slowRatio*float64(expected) || s.tasks[a.id.Index].rescues >= maxRescues {
 		return false
 	}
 	left := projected - e.now.Sub(a.orderedAt)
