internal/cell, internal/owner: hand over while the store serves, to a strong peer

Change: a hand-over waits for orders and accepted jobs only, asks three of the strongest peers, and is left out while the store is out; the link to a silent owner is closed at once, so that its requests are answered.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -139,12 +139,19 @@
 	n.wg.Wait()
 }
 
-// handOverTime bounds the hand-over of an owner that is told to stop.
-const handOverTime = 900 * time.Millisecond
+const (
+	// handOverTime bounds the time until an owner that stops has settled its
+	// orders, claimTime that until a peer owns the shard: reading the record and
+	// two appends, with a slow store.
+	handOverTime = 900 * time.Millisecond
+	claimTime    = 1200 * time.Millisecond
+	// heirs is how many peers are asked in turn to become the owner.
+	heirs = 3
+)
 
-// Leave hands over what the node owns, to the peer that has run for the shortest
-// time: nodes that are restarted in turn come to it last. The node goes on to
-// pass requests on until Close.
+// Leave hands over what the node owns to one of its strongest peers, of these to
+// that which has run for the shortest time: nodes that are restarted in turn come
+// to it last. The node goes on to pass requests on until Close.
 func (n *Node) Leave(ctx context.Context) {
 	n.mu.Lock()
 	n.isLeaving = true
@@ -154,22 +161,30 @@
 		n.sendAlive()
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	settle, cancel := context.WithTimeout(ctx, handOverTime)
 	defer cancel()
-	o.HandOver(ctx)
+	if !o.HandOver(settle) {
+		n.options.Log(events.HandedOver, "epoch", o.Epoch(), "to", "", "err", "the store is out: the shard is kept until the process ends")
+		return
+	}
 	o.Stop()
-	for _, p := range n.peers.byAge() {
-		callCtx, cancelCall := context.WithTimeout(ctx, handOverTime/3)
-		err := p.conn.Call(callCtx, kindClaim, empty{}, &empty{})
-		cancelCall()
-		n.options.Log(events.HandedOver, "epoch", o.Epoch(), "to", p.hello.Name, "err", err)
-		if err == nil {
+	for i, p := range n.peers.byFitness() {
+		if i == heirs || n.askToClaim(ctx, o.Epoch(), &p) == nil {
 			break
 		}
 	}
 	n.peers.closeAll()
 }
 
+// askToClaim asks a peer to become the owner, and returns once it is.
+func (n *Node) askToClaim(ctx context.Context, epoch uint64, p *peer) error {
+	ctx, cancel := context.WithTimeout(ctx, claimTime)
+	defer cancel()
+	err := p.conn.Call(ctx, kindClaim, empty{}, &empty{})
+	n.options.Log(events.HandedOver, "epoch", epoch, "to", p.hello.Name, "err", err)
+	return err
+}
+
 func (n *Node) sleep(d time.Duration) {
 	select {
 	case <-n.ctx.Done():
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -104,10 +104,16 @@
 	return slices.DeleteFunc(p.all(), func(q peer) bool { return now.Sub(q.heardAt) > peerSilence || q.isLeaving })
 }
 
-// byAge returns the usable peers, that which has run for the shortest time first.
-func (p *peers) byAge() []peer {
+// byFitness returns the usable peers, the strongest first, and of those that are
+// alike that which has run for the shortest time.
+func (p *peers) byFitness() []peer {
 	out := p.usable()
-	slices.SortFunc(out, func(a, b peer) int { return b.bornAt.Compare(a.bornAt) })
+	slices.SortFunc(out, func(a, b peer) int {
+		if c := cmp.Compare(b.hello.Strength, a.hello.Strength); c != 0 {
+			return c
+		}
+		return b.bornAt.Compare(a.bornAt)
+	})
 	return out
 }
 
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -237,7 +237,13 @@
 			return
 		case <-ticks:
 		}
-		if n.silence() > ownerSilence && !n.isAlive(r) {
+		if silence := n.silence(); silence > ownerSilence {
+			n.options.Log(events.PeerSuspected, "peer", r.Node, "epoch", r.Epoch, "silent", silence)
+			// Requests on their way are answered now: callers need not wait for the
+			// store's word on the owner.
+			conn.Close()
+			n.setOwnerLink(nil)
+			n.askStore(r)
 			return
 		}
 	}
@@ -265,16 +271,13 @@
 	n.claim(newest, at+1)
 }
 
-// isAlive finds out by the store whether a silent owner lives. It returns true
-// only when its beats come over the link again.
-func (n *Node) isAlive(r *owner.Record) bool {
-	n.options.Log(events.PeerSuspected, "peer", r.Node, "epoch", r.Epoch, "silent", n.silence())
+// askStore finds out by the store whether a silent owner lives, and claims the
+// shard when it does not.
+func (n *Node) askStore(r *owner.Record) {
 	newest, at, err := owner.ReadRecord(n.ctx, n.log)
-	if err != nil || newest == nil || newest.Epoch != r.Epoch {
-		return err != nil && n.silence() < ownerSilence
+	if err == nil && newest != nil && newest.Epoch == r.Epoch {
+		n.waitForBeat(newest, at)
 	}
-	n.waitForBeat(newest, at)
-	return n.silence() < ownerSilence
 }
 
 // waitForBeat claims the shard unless the store hears of its owner in time.
@@ -286,19 +289,12 @@
 	case len(records) > 0:
 		// The owner lives, and this node does not reach it.
 		n.sleep(seekPause)
-	case n.silence() < ownerSilence && n.hasOwnerLink():
 	default:
-		n.options.Log(events.PeerSuspected, "peer", r.Node, "epoch", r.Epoch, "beat", r.Beat)
+		n.options.Log(events.PeerEnded, "peer", r.Node, "epoch", r.Epoch, "beat", r.Beat)
 		n.claim(r, at+1)
 	}
 }
 
-func (n *Node) hasOwnerLink() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.ownerLink != nil
-}
-
 // runListener takes links from other nodes.
 func (n *Node) runListener() {
 	defer n.wg.Done()
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -186,7 +186,7 @@
 	}
 	ticks, stop := n.options.Clock.Subscribe(5 * time.Millisecond)
 	defer stop()
-	tooLate := n.options.Clock.After(handOverTime)
+	tooLate := n.options.Clock.After(claimTime)
 	for {
 		n.mu.Lock()
 		isOwner := n.owner != nil
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -151,9 +151,6 @@
 	return p
 }
 
-// HasBatch reports whether something waits to be kept.
-func (e *Engine) HasBatch() bool { return e.batch != nil }
-
 // RefuseNew drops the new jobs of the batch that is not taken yet and returns
 // them: they were never accepted.
 func (e *Engine) RefuseNew() []work.JobID {
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -29,7 +29,7 @@
 		return
 	}
 	if !isWaiting && o.isStalled() {
-		ev.reply <- leverdyke.NotRun("the store does not take new jobs", retryAfter)
+		ev.reply <- leverdyke.NotRun("the store does not take new jobs", outRetry)
 		o.options.Log(events.JobRefused, "job", id, "why", "store", "stalled", o.writing != nil, "age", o.now.Sub(o.writingAt))
 		return
 	}
@@ -152,18 +152,28 @@
 	o.engine.Advised(ev.advise.Lane, ev.advise.Step, ev.advise.Workers, ev.good, ev.valid, ev.err == nil)
 }
 
-type handOverEvent struct{ done chan struct{} }
+type handOverEvent struct{ done chan bool }
 
 func (ev handOverEvent) apply(o *Owner) {
+	if o.isStoreOut {
+		// Nobody could claim the shard now.
+		ev.done <- false
+		return
+	}
 	o.engine.SetPaused(true)
-	o.handOver = ev.done
+	o.handOver, o.handOverAt = ev.done, o.now
 }
 
-// finishHandOver ends the owner once nothing is on its way.
+// finishHandOver ends the owner once no order and no accepted job is on its way.
+// Ends that are not kept yet are told again to the next owner.
 func (o *Owner) finishHandOver() {
-	if o.handOver == nil || o.orders > 0 || o.writing != nil || o.engine.HasBatch() && !o.isStoreOut {
+	if o.handOver == nil {
+		return
+	}
+	isSettled := o.orders == 0 && o.writing == nil && len(o.submits) == 0 && len(o.cancels) == 0
+	if !isSettled && o.now.Sub(o.handOverAt) < handOverBound {
 		return
 	}
-	close(o.handOver)
+	o.handOver <- true
 	o.cancel()
 }
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -110,7 +110,7 @@
 // refuseNew refuses the jobs that are not yet on their way to the store.
 func (o *Owner) refuseNew(why string) {
 	for _, id := range o.engine.RefuseNew() {
-		o.answer(o.submits, id, leverdyke.NotRun(why, retryAfter))
+		o.answer(o.submits, id, leverdyke.NotRun(why, outRetry))
 		o.answer(o.cancels, id, errNoJob)
 	}
 }
@@ -214,7 +214,7 @@
 		o.isStoreOut = true
 		o.engine.Refused(b)
 		for _, spec := range b.Specs {
-			o.answer(o.submits, spec.ID, leverdyke.NotRun("the store does not take new jobs", retryAfter))
+			o.answer(o.submits, spec.ID, leverdyke.NotRun("the store does not take new jobs", outRetry))
 			o.answer(o.cancels, spec.ID, errNoJob)
 		}
 		o.refuseNew("the store does not take new jobs")
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -129,12 +129,18 @@
 	writeRetry = 100 * time.Millisecond
 	// stallAfter is how long an append may take until new jobs are refused.
 	stallAfter = 700 * time.Millisecond
+	// handOverBound is how long a hand-over waits for orders and appends: longer
+	// than any order takes.
+	handOverBound = 500 * time.Millisecond
 	// unloggedAfter is how long the store must be out until tasks are started
 	// whose places are not kept. Tasks that must wait less are not harmed much: a
 	// job's end cannot be shown meanwhile either.
 	unloggedAfter = 10 * time.Second
-	// retryAfter is when a refused caller should come back, in seconds.
+	// retryAfter is when a refused caller should come back, in seconds; outRetry
+	// while the store is out, which lasts for seconds: callers come back a few
+	// times only.
 	retryAfter = 1
+	outRetry   = 3
 	// eventsBound is how many events may wait for the loop.
 	eventsBound = 8192
 	// batchBytes is about how much one append carries; the store takes 2 MB.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -50,7 +50,8 @@
 	submits     map[work.JobID][]chan error
 	cancels     map[work.JobID][]chan error
 	orders      int
-	handOver    chan struct{}
+	handOver    chan bool
+	handOverAt  time.Time
 	// outSince is when the store was found out; zero while it serves.
 	outSince time.Time
 }
@@ -302,15 +303,19 @@
 }
 
 // HandOver stops starting work, waits until what is on its way is known and
-// kept, and then ends the owner, so that another can begin without a gap.
-func (o *Owner) HandOver(ctx context.Context) {
-	done := make(chan struct{})
+// kept, and then ends the owner, so that another can begin without a gap. It
+// reports false, and the owner goes on, when the store is out: then no other node
+// can become the owner.
+func (o *Owner) HandOver(ctx context.Context) bool {
+	done := make(chan bool, 1)
 	if !o.put(handOverEvent{done}) {
-		return
+		return true
 	}
 	select {
-	case <-done:
+	case isOver := <-done:
+		return isOver
 	case <-ctx.Done():
 	case <-o.ctx.Done():
 	}
+	return true
 }
