internal/cell, internal/detour: find a silent owner's death sooner, trust an owner just after an outage

Cause: a silent owner was replaced after 2.0 to 2.3 s, of which 1.1 s waited for its beats though a store that answers in 4 ms tells sooner; after an outage of the store its owner refused requests until its next beat (incidents e48b, 9563). Change: the wait for a beat follows the store's answer time (0.6 s and four answers), silence counts after 0.55 s, beats come every 0.4 s, and an outage counts for 1 s after its end.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -101,6 +101,8 @@
 
 	// last is the record of the owner that was read last; it belongs to the seeker.
 	last *owner.Record
+	// answerTime is how long the store took to tell it; it belongs to the seeker.
+	answerTime time.Duration
 }
 
 // NewNode listens for other nodes and begins to look for the owner.
@@ -193,8 +195,8 @@
 }
 
 // ownerSilence is how long the owner's beats may be missing until requests are
-// refused and the store is asked whether it lives: three beats.
-const ownerSilence = 700 * time.Millisecond
+// refused and the store is asked whether it lives: two beats and a half.
+const ownerSilence = 550 * time.Millisecond
 
 // IsReady reports whether callers' requests can be served through this node.
 func (n *Node) IsReady() bool {
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -24,8 +24,10 @@
 	// longestPause is that while the store does not answer: each call has a price.
 	longestPause = 500 * time.Millisecond
 	// beatWait is how long the store must not have heard of the owner before it
-	// counts as dead: two of its beats, with a slow store.
-	beatWait = 1100 * time.Millisecond
+	// counts as dead: one of its beats and a half, and slowAnswers times what an
+	// answer of the store takes now.
+	beatWait    = 600 * time.Millisecond
+	slowAnswers = 4
 	// weakDelay is how long the weakest node leaves claims to stronger ones: the
 	// time that those need to find out that there is no owner.
 	weakDelay = 300 * time.Millisecond
@@ -41,7 +43,7 @@
 	isOut := false
 	pause := seekPause
 	for n.ctx.Err() == nil {
-		r, at, err := owner.ReadRecord(n.ctx, n.log)
+		r, at, err := n.readRecord()
 		if err != nil {
 			if !isOut && n.ctx.Err() == nil {
 				n.options.Log(events.StoreFailed, "what", "read of the owner", "err", err)
@@ -68,6 +70,14 @@
 	}
 }
 
+// readRecord reads the record of the owner and takes the time of the answer.
+func (n *Node) readRecord() (*owner.Record, uint64, error) {
+	began := n.options.Clock.Now()
+	r, at, err := owner.ReadRecord(n.ctx, n.log)
+	n.answerTime = n.options.Clock.Now().Sub(began)
+	return r, at, err
+}
+
 // act does what the record of the owner asks for.
 func (n *Node) act(r *owner.Record, at uint64) {
 	switch {
@@ -274,7 +284,7 @@
 // askStore finds out by the store whether a silent owner lives, and claims the
 // shard when it does not.
 func (n *Node) askStore(r *owner.Record) {
-	newest, at, err := owner.ReadRecord(n.ctx, n.log)
+	newest, at, err := n.readRecord()
 	if err == nil && newest != nil && newest.Epoch == r.Epoch {
 		n.waitForBeat(newest, at)
 	}
@@ -282,7 +292,7 @@
 
 // waitForBeat claims the shard unless the store hears of its owner in time.
 func (n *Node) waitForBeat(r *owner.Record, at uint64) {
-	records, err := n.log.Wait(n.ctx, owner.TopicOwner, at+1, beatWait)
+	records, err := n.log.Wait(n.ctx, owner.TopicOwner, at+1, beatWait+slowAnswers*n.answerTime)
 	switch {
 	case err != nil:
 		n.sleep(seekPause)
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -69,8 +69,10 @@
 	directPause = 800 * time.Millisecond
 	// sampleSize is how many peers are tried at once.
 	sampleSize = 6
-	// outageWindow is how long a failure of all ways counts.
+	// outageWindow is how long a failure of all ways counts, backWindow how long
+	// the outage counts after its end: the owner's next beat takes half a second.
 	outageWindow = 3 * time.Second
+	backWindow   = time.Second
 )
 
 // Detour is a Doer that goes through peers while the direct way fails. It is
@@ -83,8 +85,9 @@
 	mu sync.Mutex
 	// directAt is when the direct way may be tried again.
 	directAt time.Time
-	// failedAt is when all ways failed last, servedAt when one worked last.
-	failedAt, servedAt time.Time
+	// failedAt is when all ways failed last, servedAt when one worked last, and
+	// backAt when one worked again after all had failed.
+	failedAt, servedAt, backAt time.Time
 }
 
 // New returns a Detour.
@@ -93,12 +96,13 @@
 }
 
 // HasOutage reports whether this node and most others reach each other and none
-// of those that were tried reaches the service.
+// of those that were tried reaches the service, or did so until just now.
 func (d *Detour) HasOutage() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	return d.failedAt.After(d.servedAt) && now.Sub(d.failedAt) < outageWindow && d.peers.IsMajority()
+	isOut := d.failedAt.After(d.servedAt) && now.Sub(d.failedAt) < outageWindow
+	return (isOut || now.Sub(d.backAt) < backWindow) && d.peers.IsMajority()
 }
 
 // attempt is what became of one way.
@@ -199,6 +203,9 @@
 	now := d.clock.Now()
 	switch {
 	case isServed:
+		if d.failedAt.After(d.servedAt) {
+			d.backAt = now
+		}
 		d.servedAt = now
 	case isDirect:
 		d.directAt = now.Add(directPause)
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -98,9 +98,10 @@
 const (
 	// beatPeriod is the time between two records in the store that this node is
 	// the owner. Others wait for one before they claim.
-	beatPeriod = 500 * time.Millisecond
+	beatPeriod = 400 * time.Millisecond
 	// TrustPeriod is how long after the last such record this node acts as owner.
-	// It covers two beats at a slow store (0.4 s an answer) that are lost.
+	// It covers two beats at a slow store (0.4 s an answer) that are lost, and
+	// what the outage of the store counts after its end.
 	TrustPeriod = 3 * time.Second
 	// leaseBound is the longest that a lease given by an earlier owner may still
 	// run: its trust, 6 s, 4% and the worker's own slack.
