internal/integration: soak real nodes under random faults from outside

Change: seeds choose signals (kill, stop, pause, hang-up), proxies that delay, close or silence one direction of the ways to the store and to workers, a store that is busy, silent or loses answers, crashed workers and lost orders; callers hand in jobs all the while. At the end all accepted jobs have succeeded, none that was refused has run, and the oracle saw no promise broken. Two faults found were the stand-in's: a dead worker answered, and a step could be permitted nowhere.

--- /dev/null
+++ b/internal/integration/soak_test.go
@@ -0,0 +1,290 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package integration_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy"
+
+	"github.com/leverdyke/leverdyke/internal/standin/site"
+)
+
+// soakSeeds are the seeds that CI runs. A seed that ever failed stays here, with
+// a line on the cause.
+var soakSeeds = []uint64{1}
+
+// soak is a cell under random faults: signals to nodes, proxies between nodes and
+// the store and on the way to workers, and a store that misbehaves.
+type soak struct {
+	*siteCell
+	rng *rand.Rand
+
+	mu      sync.Mutex
+	proxies map[string]*toxiproxy.Proxy
+	// later are the ends of faults, by when they are due.
+	later []soakEnd
+	// refused are jobs of which each answer said that they were not taken.
+	refused []string
+	actions []string
+	born    int
+	version int
+}
+
+type soakEnd struct {
+	at  time.Time
+	end func()
+}
+
+// TestSoak plays random faults. LEVERDYKE_SOAK_SEED and LEVERDYKE_SOAK_SEEDS choose
+// other seeds and how many; LEVERDYKE_SOAK_SECONDS how long each lasts.
+func TestSoak(t *testing.T) {
+	seeds, length := soakSeeds, 8*time.Second
+	if first, err := strconv.ParseUint(os.Getenv("LEVERDYKE_SOAK_SEED"), 10, 64); err == nil {
+		count, err := strconv.ParseUint(os.Getenv("LEVERDYKE_SOAK_SEEDS"), 10, 64)
+		if err != nil {
+			count = 1
+		}
+		seeds = nil
+		for i := range count {
+			seeds = append(seeds, first+i)
+		}
+	}
+	if s, err := strconv.Atoi(os.Getenv("LEVERDYKE_SOAK_SECONDS")); err == nil {
+		length = time.Duration(s) * time.Second
+	}
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSoak(t, seed, length) })
+	}
+}
+
+func runSoak(t *testing.T, seed uint64, length time.Duration) {
+	s := &soak{rng: rand.New(rand.NewPCG(seed, 2)), proxies: map[string]*toxiproxy.Proxy{}, version: 1, born: 100}
+	s.siteCell = newSiteCell(t, 3, site.Options{Workers: 6, HasAdvice: seed%2 == 0, Via: s.via})
+	lasting := small(2, 0)
+	lasting.Perpetual = true
+	lastingID := s.mustSubmit(lasting)
+	s.accepted = s.accepted[:0]
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("actions:\n%s", strings.Join(s.actions, "\n"))
+		}
+	})
+	s.play(length)
+	s.heal()
+	s.awaitAll()
+	s.await("the lasting tasks run", func() bool { return s.state(lastingID) == "running" && s.running() == 2 })
+	for _, id := range s.refused {
+		if s.HasRun(id) {
+			t.Errorf("job %s ran though each answer said that it was not taken", id)
+		}
+	}
+}
+
+// via puts a proxy before a service or worker.
+func (s *soak) via(name, addr string) (string, error) {
+	upstream, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return "", err
+	}
+	p, via, err := newProxy(name, upstream)
+	if err != nil {
+		return "", err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.proxies[name] = p
+	return via.String(), nil
+}
+
+// play hands in jobs and injects faults until the time is over.
+func (s *soak) play(length time.Duration) {
+	s.t.Helper()
+	ticker := time.NewTicker(60 * time.Millisecond)
+	defer ticker.Stop()
+	end := time.Now().Add(length)
+	nextFault := time.Now()
+	for now := range ticker.C {
+		if now.After(end) {
+			return
+		}
+		s.endFaults(now)
+		s.handIn()
+		if now.After(nextFault) {
+			nextFault = now.Add(time.Duration(200+s.rng.IntN(700)) * time.Millisecond)
+			s.fault()
+		}
+	}
+}
+
+func (s *soak) handIn() {
+	node := s.nodes[s.rng.IntN(len(s.nodes))]
+	second := small(1+s.rng.IntN(2), 100)
+	second.DependsOn = []int{0}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if id, status := s.submit(node, "", small(1+s.rng.IntN(3), float64(100+s.rng.IntN(900))), second); status == http.StatusServiceUnavailable {
+			s.refused = append(s.refused, id)
+		}
+	}()
+	// A paused node answers when it goes on; one end of a fault may be what it
+	// waits for.
+	for {
+		select {
+		case <-done:
+			return
+		case now := <-time.After(50 * time.Millisecond):
+			s.endFaults(now)
+		}
+	}
+}
+
+// until ends a fault after a while.
+func (s *soak) until(d time.Duration, end func()) {
+	s.later = append(s.later, soakEnd{time.Now().Add(d), end})
+}
+
+func (s *soak) endFaults(now time.Time) {
+	rest := []soakEnd{}
+	due := []soakEnd{}
+	for _, e := range s.later {
+		if now.After(e.at) {
+			due = append(due, e)
+		} else {
+			rest = append(rest, e)
+		}
+	}
+	s.later = rest
+	for _, e := range due {
+		e.end()
+	}
+}
+
+// heal ends all faults.
+func (s *soak) heal() {
+	s.endFaults(time.Now().Add(time.Hour))
+	s.Store.SetMode(site.StoreUp)
+	s.awaitReady(s.nodes...)
+}
+
+func (s *soak) note(format string, args ...any) {
+	s.actions = append(s.actions, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
+}
+
+// fault injects one random fault.
+func (s *soak) fault() {
+	node := s.nodes[s.rng.IntN(len(s.nodes))]
+	lasts := time.Duration(300+s.rng.IntN(4000)) * time.Millisecond
+	switch s.rng.IntN(10) {
+	case 0:
+		s.restart(node, syscall.SIGKILL, lasts/2)
+	case 1:
+		s.restart(node, syscall.SIGTERM, lasts/4)
+	case 2:
+		s.note("pause %s for %v", node.Name, lasts)
+		if node.Signal(syscall.SIGSTOP) == nil {
+			s.until(lasts, func() { _ = node.Signal(syscall.SIGCONT) })
+		}
+	case 3:
+		mode := []site.StoreMode{site.StoreBusy, site.StoreSilent}[s.rng.IntN(2)]
+		s.note("store %s for %v", mode, lasts)
+		s.Store.SetMode(mode)
+		s.until(lasts, func() { s.Store.SetMode(site.StoreUp) })
+	case 4:
+		n := 1 + s.rng.IntN(4)
+		s.note("store loses %d answers", n)
+		s.Store.LoseAnswers(n)
+	case 5:
+		s.crashWorker()
+	case 6:
+		w := s.liveWorker()
+		s.note("worker does not answer the next starts")
+		w.MuteStarts(1 + s.rng.IntN(4))
+	case 7:
+		s.version += 1 + s.rng.IntN(3)
+		s.Configure(s.version)
+		_ = node.Signal(syscall.SIGHUP)
+	default:
+		s.toxic(lasts)
+	}
+}
+
+// restart ends a node's process, if it runs, and starts it again.
+func (s *soak) restart(n *site.Node, sig syscall.Signal, after time.Duration) {
+	s.note("%v to %s, back after %v", sig, n.Name, after)
+	_ = n.Signal(syscall.SIGCONT)
+	if n.Signal(sig) != nil {
+		return
+	}
+	s.until(after, func() {
+		if sig == syscall.SIGTERM {
+			<-n.Done()
+		} else {
+			n.Kill()
+		}
+		if err := n.Start(); err != nil {
+			s.t.Error(err)
+		}
+	})
+}
+
+func (s *soak) liveWorker() *site.Worker {
+	for {
+		all := s.Workers()
+		if w := all[s.rng.IntN(len(all))]; !w.IsDead() {
+			return w
+		}
+	}
+}
+
+// crashWorker ends a worker's life; another worker takes its place.
+func (s *soak) crashWorker() {
+	s.note("a worker crashes")
+	s.liveWorker().Crash()
+	s.born++
+	if _, err := s.AddWorker(s.born); err != nil {
+		s.t.Error(err)
+	}
+}
+
+// toxic harms a random proxy: delays it, resets it, or silences one direction.
+func (s *soak) toxic(lasts time.Duration) {
+	s.mu.Lock()
+	names := []string{}
+	for name := range s.proxies {
+		names = append(names, name)
+	}
+	s.mu.Unlock()
+	slices.Sort(names)
+	name := names[s.rng.IntN(len(names))]
+	fault := []string{"latency", "silence", "close"}[s.rng.IntN(3)]
+	stream := []string{"upstream", "downstream"}[s.rng.IntN(2)]
+	kind := map[string]string{"latency": "latency", "silence": "timeout", "close": "timeout"}[fault]
+	attributes := map[string]string{"latency": `{"latency":300,"jitter":200}`, "silence": `{"timeout":0}`, "close": `{"timeout":10}`}[fault]
+	s.note("%s on %s, %s, for %v", fault, name, stream, lasts)
+	p := s.proxies[name]
+	id := fmt.Sprintf("%s-%s-%d", kind, stream, len(s.actions))
+	text := fmt.Sprintf(`{"name":"%s","type":"%s","stream":"%s","attributes":%s}`, id, kind, stream, attributes)
+	if _, err := p.Toxics.AddToxicJson(strings.NewReader(text)); err != nil {
+		s.t.Error(err)
+		return
+	}
+	s.until(lasts, func() {
+		if err := p.Toxics.RemoveToxic(id); err != nil {
+			s.t.Error(err)
+		}
+	})
+}
--- a/internal/standin/site/node.go
+++ b/internal/standin/site/node.go
@@ -74,7 +74,11 @@
 		binary: binary, file: filepath.Join(dir, fmt.Sprintf("node-%d.yaml", i)), log: filepath.Join(dir, fmt.Sprintf("node-%d.log", i)),
 		client: &http.Client{Timeout: 5 * time.Second},
 	}
-	text := fmt.Sprintf(settingsText, n.Name, ip, n.Callers, n.ready, linkPort, linkPort, s.AdviceAddr, s.StoreAddr)
+	storeAddr, err := s.via(n.Name+"-store", s.StoreAddr)
+	if err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf(settingsText, n.Name, ip, n.Callers, n.ready, linkPort, linkPort, s.AdviceAddr, storeAddr)
 	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("site: %w", err)
 	}
--- a/internal/standin/site/oracle.go
+++ b/internal/standin/site/oracle.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 )
 
@@ -18,11 +19,13 @@
 	// finished has the tasks that ended well.
 	finished   map[string]bool
 	startCount int
-	broken     []string
+	// jobs are those of which a task began.
+	jobs   map[string]bool
+	broken []string
 }
 
 func newOracle() *Oracle {
-	return &Oracle{places: map[string][]string{}, finished: map[string]bool{}}
+	return &Oracle{places: map[string][]string{}, finished: map[string]bool{}, jobs: map[string]bool{}}
 }
 
 // began notes a start; the worker's lock is held.
@@ -30,6 +33,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.startCount++
+	job, _, _ := strings.Cut(task, ".")
+	o.jobs[job] = true
 	if on := o.places[task]; len(on) > 0 {
 		o.broken = append(o.broken, fmt.Sprintf("%s starts on %s while it runs on %v", task, w.id, on))
 	}
@@ -71,6 +76,12 @@
 	return slices.Clone(o.broken)
 }
 
+func (o *Oracle) hasRun(job string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.jobs[job]
+}
+
 func (o *Oracle) starts() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -39,6 +39,9 @@
 	MilliCPU, MemoryMiB int64
 	// HasAdvice means that starts want tickets.
 	HasAdvice bool
+	// Via returns the address by which nodes reach a service or a worker, for a
+	// proxy between; nil means its own.
+	Via func(name, addr string) (string, error)
 }
 
 // Site is the whole stand-in.
@@ -121,7 +124,9 @@
 	if err != nil {
 		return nil, err
 	}
-	w.addr = addr
+	if w.addr, err = s.via(w.id, addr); err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	s.workers = append(s.workers, w)
 	s.mu.Unlock()
@@ -129,6 +134,14 @@
 	return w, nil
 }
 
+// via returns the address by which nodes reach what listens at addr.
+func (s *Site) via(name, addr string) (string, error) {
+	if s.options.Via == nil {
+		return addr, nil
+	}
+	return s.options.Via(name, addr)
+}
+
 // Workers returns the workers.
 func (s *Site) Workers() []*Worker {
 	s.mu.Lock()
@@ -227,10 +240,14 @@
 // Broken returns the promises that were seen broken.
 func (s *Site) Broken() []string { return s.oracle.list() }
 
+// HasRun reports whether any task of a job ever began.
+func (s *Site) HasRun(job string) bool { return s.oracle.hasRun(job) }
+
 // Starts returns how many runs began.
 func (s *Site) Starts() int { return s.oracle.starts() }
 
-// serveAdvice permits the first worker and two of three others for a step.
+// serveAdvice permits every other worker for all steps, and two of three of the
+// others for each.
 func (s *Site) serveAdvice(w http.ResponseWriter, r *http.Request) {
 	body := struct {
 		Step    string   `json:"step"`
@@ -242,7 +259,7 @@
 	}
 	good := [][2]string{}
 	for _, id := range body.Workers {
-		if t := ticketFor(body.Step, id); id == "i-0" || t[0]%3 != 0 {
+		if t := ticketFor(body.Step, id); strings.ContainsAny(id[len(id)-1:], "02468") || t[0]%3 != 0 {
 			good = append(good, [2]string{id, t})
 		}
 	}
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -63,6 +63,13 @@
 	w.mute = n
 }
 
+// IsDead reports whether the worker's life is over.
+func (w *Worker) IsDead() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.isDead
+}
+
 // Drain makes the worker say that it leaves.
 func (w *Worker) Drain() {
 	w.mu.Lock()
@@ -110,6 +117,8 @@
 		delete(w.running, task)
 		w.site.oracle.ended(task, w.id)
 	}
+	close(w.changed)
+	w.changed = make(chan struct{})
 	w.mu.Unlock()
 	w.site.Store.Put("keyed.servers", w.id, nil)
 }
@@ -284,6 +293,10 @@
 			}
 		}
 		w.finished = kept
+		if w.isDead {
+			w.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
 		changed := w.changed
 		lists := w.lists()
 		w.mu.Unlock()
