--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -74,7 +74,7 @@
 		e.confirm(w, n)
 	}
 	for _, a := range b.planned {
-		e.send(a)
+		e.sendSoon(a)
 	}
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -72,6 +72,10 @@
 	// blockedUntil is that time when any task may run anywhere until then.
 	inheritedUntil, blockedUntil time.Time
 	actions                      []Action
+	// ready are starts whose places are kept and that wait for their turn, and
+	// unanswered counts those that were ordered and not answered.
+	ready      []*attempt
+	unanswered int
 	// found is the buffer of permitted.
 	found []*worker
 	// isDirty means that something may be placed that could not be before.
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -8,9 +8,11 @@
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
-// StartAnswered takes the answer to an order to start. at is the worker's clock
+// StartAnswered takes the answer to an order to start, once for each. at is the worker's clock
 // in the answer, 0 when it told none.
 func (e *Engine) StartAnswered(id WorkerID, task work.TaskID, run uint64, outcome StartOutcome, at WorkerTime) {
+	e.unanswered--
+	defer e.sendReady()
 	if outcome == StartLifeOver {
 		e.LifeOver(id)
 		return
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -350,6 +350,25 @@
 	return a
 }
 
+// maxOrders is how many orders to start may be without an answer: so many that
+// the workers are never waited for, so few that a node with half a processor
+// answers each within some 20 ms.
+const maxOrders = 96
+
+// sendSoon orders a planned start when there are few enough without an answer.
+func (e *Engine) sendSoon(a *attempt) {
+	e.ready = append(e.ready, a)
+	e.sendReady()
+}
+
+func (e *Engine) sendReady() {
+	for len(e.ready) > 0 && e.unanswered < maxOrders {
+		a := e.ready[0]
+		e.ready = e.ready[1:]
+		e.send(a)
+	}
+}
+
 // send orders a planned start, if it still makes sense.
 func (e *Engine) send(a *attempt) {
 	if a.phase != phasePlanned || a.worker.attempts[a.id] != a {
@@ -365,6 +384,7 @@
 	a.phase, a.orderedAt = phaseOrdered, e.now
 	a.hasSaved = a.step.savedFor(a.id.Index) != ""
 	e.counts.Starts++
+	e.unanswered++
 	e.do(Start{
 		Worker: a.worker.ID, Addr: a.worker.Addr, Task: a.id, Run: a.run, Payload: a.step.job.spec.Payload,
 		Saved: a.step.savedFor(a.id.Index), Ticket: text, Deadline: e.renew(a.worker),
