--- /dev/null
+++ b/internal/owner/owner_test.go
@@ -0,0 +1,200 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// claimed claims the shard and returns an owner that runs.
+func claimed(t *testing.T, log *fakeLog, workers *fakeWorkers) *owner.Owner {
+	t.Helper()
+	earlier, at, err := owner.ReadRecord(t.Context(), log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if earlier != nil {
+		at++
+	}
+	r := owner.Record{Node: "n", Life: "l", Epoch: at + 1}
+	if _, err := owner.AppendRecord(t.Context(), log, &r, at); err != nil {
+		t.Fatal(err)
+	}
+	o := owner.New(owner.Options{
+		Claim: owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: true}, Store: log, Workers: workers, List: oneWorker{},
+		Lanes: noLanes{}, Clock: clock.Real{}, Metrics: noFigures{}, HasOutage: func() bool { return false },
+	})
+	o.SetQueues(1, []dispatch.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
+	done := make(chan error, 1)
+	go func() { done <- o.Run(context.WithoutCancel(t.Context())) }()
+	t.Cleanup(func() {
+		o.Stop()
+		<-done
+	})
+	awaitTrue(t, "the jobs are read", o.IsLoaded)
+	return o
+}
+
+// awaitTrue polls until the condition holds.
+func awaitTrue(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	tooLate := time.After(30 * time.Second)
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-tooLate:
+			t.Fatal("not in time: " + what)
+		}
+	}
+}
+
+func job(id string) *work.Spec {
+	return &work.Spec{ID: work.JobID(id), Queue: "q", Steps: []work.Step{{Count: 2, MayMiss: -1}}}
+}
+
+func awaitState(t *testing.T, o *owner.Owner, id string, want work.JobState) {
+	t.Helper()
+	awaitTrue(t, id+" is "+string(want), func() bool {
+		state, ok, err := o.State(t.Context(), work.JobID(id))
+		return err == nil && ok && state == want
+	})
+}
+
+func verdictOf(err error) leverdyke.Verdict {
+	if e := (&leverdyke.Error{}); errors.As(err, &e) {
+		return e.Verdict
+	}
+	return ""
+}
+
+func TestAJobIsKeptAndRun(t *testing.T) {
+	log, workers := newFakeLog(), newFakeWorkers()
+	o := claimed(t, log, workers)
+	if err := o.Submit(t.Context(), job("a")); err != nil {
+		t.Fatal(err)
+	}
+	awaitState(t, o, "a", work.JobSucceeded)
+	if err := o.Submit(t.Context(), job("a")); err != nil {
+		t.Errorf("the same job again: got: %v, want: accepted", err)
+	}
+	if _, ok, err := o.State(t.Context(), "b"); ok || err != nil {
+		t.Errorf("an unknown job: got: %v, %v, want: not known", ok, err)
+	}
+	if ok, err := o.Cancel(t.Context(), "b"); ok || err != nil {
+		t.Errorf("cancel of an unknown job: got: %v, %v, want: not known", ok, err)
+	}
+}
+
+func TestAJobThatTheStoreRefusesNeverRuns(t *testing.T) {
+	log, workers := newFakeLog(), newFakeWorkers()
+	o := claimed(t, log, workers)
+	log.mu.Lock()
+	log.fail = func(*store.Append) (error, bool) { return &store.Error{Failure: store.NotDone}, false }
+	log.mu.Unlock()
+	if got := verdictOf(o.Submit(t.Context(), job("a"))); got != leverdyke.VerdictNotRun {
+		t.Errorf("got: %v, want: %v", got, leverdyke.VerdictNotRun)
+	}
+	log.mu.Lock()
+	log.fail = nil
+	log.mu.Unlock()
+	if err := o.Submit(t.Context(), job("b")); err != nil {
+		awaitTrue(t, "the store is found to serve", func() bool { return o.Submit(t.Context(), job("b")) == nil })
+	}
+	awaitState(t, o, "b", work.JobSucceeded)
+	if _, ok, _ := o.State(t.Context(), "a"); ok {
+		t.Error("the refused job: got: known, want: not known")
+	}
+}
+
+// A lost answer is settled by the same sequence number: the job is kept once.
+func TestALostAnswerIsSettled(t *testing.T) {
+	log, workers := newFakeLog(), newFakeWorkers()
+	o := claimed(t, log, workers)
+	lost := 0
+	log.mu.Lock()
+	log.fail = func(*store.Append) (error, bool) {
+		if lost++; lost <= 2 {
+			return &store.Error{Failure: store.Unknown}, lost == 1
+		}
+		return nil, false
+	}
+	log.mu.Unlock()
+	if err := o.Submit(t.Context(), job("a")); err != nil {
+		t.Fatal(err)
+	}
+	awaitState(t, o, "a", work.JobSucceeded)
+	specs := 0
+	log.mu.Lock()
+	defer log.mu.Unlock()
+	for _, r := range log.topics[owner.TopicJobs] {
+		if r.Key == "j/a" {
+			specs++
+		}
+	}
+	if specs != 1 {
+		t.Errorf("records of the job: got: %d, want: 1", specs)
+	}
+}
+
+func TestANewOwnerEndsTheEarlierOne(t *testing.T) {
+	log, workers := newFakeLog(), newFakeWorkers()
+	first := claimed(t, log, workers)
+	if err := first.Submit(t.Context(), job("a")); err != nil {
+		t.Fatal(err)
+	}
+	awaitState(t, first, "a", work.JobSucceeded)
+	second := claimed(t, log, newFakeWorkers())
+	<-first.Done()
+	if got := verdictOf(first.Submit(t.Context(), job("b"))); got != leverdyke.VerdictMayHaveRun && got != leverdyke.VerdictNotRun {
+		t.Errorf("a job at the earlier owner: got: %v, want: a refusal", got)
+	}
+	awaitState(t, second, "a", work.JobSucceeded)
+	if second.Epoch() <= first.Epoch() {
+		t.Errorf("epochs: got: %d after %d, want: a higher one", second.Epoch(), first.Epoch())
+	}
+}
+
+func TestHandOverEndsTheOwner(t *testing.T) {
+	log, workers := newFakeLog(), newFakeWorkers()
+	o := claimed(t, log, workers)
+	if err := o.Submit(t.Context(), job("a")); err != nil {
+		t.Fatal(err)
+	}
+	if !o.HandOver(t.Context()) {
+		t.Error("got: kept, want: handed over")
+	}
+	<-o.Done()
+}
+
+// Nobody could claim the shard while the store is out: the owner keeps it.
+func TestHandOverIsLeftOutWhileTheStoreIsOut(t *testing.T) {
+	log, workers := newFakeLog(), newFakeWorkers()
+	o := claimed(t, log, workers)
+	log.mu.Lock()
+	log.isDown = true
+	log.mu.Unlock()
+	if err := o.Submit(t.Context(), job("a")); err == nil {
+		t.Fatal("got: accepted, want: refused")
+	}
+	if o.HandOver(t.Context()) {
+		t.Error("got: handed over, want: kept")
+	}
+	select {
+	case <-o.Done():
+		t.Error("got: ended, want: the owner goes on")
+	default:
+	}
+}
