internal/dispatch, internal/cell: move lasting tasks off workers that leave, wait less after a planned stop

Change: lasting tasks leave a draining worker one of a step at a time; the wait leaves out the earlier owner's trust where it has certainly stopped.

--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -82,19 +82,20 @@
 func (n *Node) act(r *owner.Record, at uint64) {
 	switch {
 	case r == nil:
-		n.claim(nil, at)
+		n.claim(nil, at, false)
 	case r.Node == n.options.Name && r.Life == n.options.Life && r.Epoch > n.claimed:
 		// The answer to this node's claim was lost.
 		n.become(owner.Claim{Record: *r, Offset: at, Earlier: r, IsExact: !n.hasSeenUnlogged()})
 	case r.Node == n.options.Name:
-		n.claim(r, at+1)
+		n.claim(r, at+1, true)
 	default:
 		n.follow(r, at)
 	}
 }
 
-// claim tries to become the owner if the topic still ends there.
-func (n *Node) claim(earlier *owner.Record, end uint64) {
+// claim tries to become the owner if the topic still ends there. isOver means that
+// the earlier owner has certainly stopped.
+func (n *Node) claim(earlier *owner.Record, end uint64, isOver bool) {
 	if n.mayNotClaim() {
 		n.sleep(seekPause)
 		return
@@ -111,7 +112,7 @@
 		}
 		return
 	}
-	n.become(owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: n.isExact(earlier)})
+	n.become(owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: n.isExact(earlier), IsOver: isOver})
 }
 
 // isExact reports whether an earlier owner is not known to have started tasks
@@ -188,11 +189,11 @@
 
 // follow passes requests to the owner until it is gone.
 func (n *Node) follow(r *owner.Record, at uint64) {
-	conn, isDead := n.reach(r)
+	conn, end := n.reach(r)
 	switch {
-	case isDead:
-		n.options.Log(events.PeerEnded, "peer", r.Node, "epoch", r.Epoch)
-		n.claim(r, at+1)
+	case end != notEnded:
+		n.options.Log(events.PeerEnded, "peer", r.Node, "epoch", r.Epoch, "how", end)
+		n.claim(r, at+1, end == endedForSure)
 	case conn == nil:
 		n.waitForBeat(r, at)
 	default:
@@ -200,24 +201,41 @@
 	}
 }
 
-// reach links to the owner. isDead means that its process is certainly over.
-func (n *Node) reach(r *owner.Record) (conn *link.Conn, isDead bool) {
+// ending is what is known of the end of an owner's process.
+type ending string
+
+const (
+	notEnded ending = ""
+	// endedRefused means that nothing listens there, or the network says so.
+	endedRefused ending = "connection refused"
+	// endedForSure means that another process has its name.
+	endedForSure ending = "another process answers"
+)
+
+// reach links to the owner, or finds that its process has ended.
+func (n *Node) reach(r *owner.Record) (*link.Conn, ending) {
 	ctx, cancel := context.WithTimeout(n.ctx, dialTimeout)
 	defer cancel()
 	conn, err := link.Dial(ctx, r.Addr, n)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, endedRefused
+	}
 	if err != nil {
-		return nil, errors.Is(err, syscall.ECONNREFUSED)
+		return nil, notEnded
 	}
 	w := &welcome{}
 	if err := conn.Call(ctx, kindHello, n.hello(), w); err != nil {
 		conn.Close()
-		return nil, false
+		return nil, notEnded
 	}
 	if w.IsOwner && w.Epoch == r.Epoch {
-		return conn, false
+		return conn, notEnded
 	}
 	conn.Close()
-	return nil, w.Life != r.Life
+	if w.Life != r.Life {
+		return nil, endedForSure
+	}
+	return nil, notEnded
 }
 
 func (n *Node) hello() hello {
@@ -278,7 +296,7 @@
 	if err != nil || newest == nil || newest.Epoch != r.Epoch {
 		return
 	}
-	n.claim(newest, at+1)
+	n.claim(newest, at+1, true)
 }
 
 // askStore finds out by the store whether a silent owner lives, and claims the
@@ -300,8 +318,8 @@
 		// The owner lives, and this node does not reach it.
 		n.sleep(seekPause)
 	default:
-		n.options.Log(events.PeerEnded, "peer", r.Node, "epoch", r.Epoch, "beat", r.Beat)
-		n.claim(r, at+1)
+		n.options.Log(events.PeerEnded, "peer", r.Node, "epoch", r.Epoch, "beat", r.Beat, "how", "silent")
+		n.claim(r, at+1, false)
 	}
 }
 
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -261,6 +261,34 @@
 	}
 }
 
+// A worker that leaves ran its lasting tasks until its end; they were away until
+// its lease was over, for 6 s.
+func TestLastingTasksLeaveAWorkerThatDrains(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(3, room)
+	w.run(time.Second)
+	lasting := step(4, time.Hour)
+	lasting.IsLasting = true
+	w.submit("a", lasting)
+	w.run(time.Second)
+	leaving := w.workerOf(work.TaskID{Job: "a"})
+	leaving.entry.IsDraining = true
+	for range 60 {
+		w.run(100 * time.Millisecond)
+		running := 0
+		for _, m := range w.workers {
+			running += len(m.running)
+		}
+		if running < 3 {
+			t.Fatalf("lasting tasks at work meanwhile: got: %d, want: 3 or more of 4", running)
+		}
+	}
+	if got := len(leaving.running); got != 0 {
+		t.Errorf("tasks on the leaving worker: got: %d, want: 0", got)
+	}
+	expectWhole(t, w)
+}
+
 func TestNothingStartsWithoutTrust(t *testing.T) {
 	w := newWorld(1)
 	w.addWorkers(1, room)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -210,6 +210,9 @@
 	for _, a := range w.attempts {
 		e.tickAttempt(a)
 	}
+	if w.IsDraining && !w.isGone {
+		e.evacuate(w)
+	}
 }
 
 func (e *Engine) tickAttempt(a *attempt) {
--- a/internal/dispatch/worker_model_test.go
+++ b/internal/dispatch/worker_model_test.go
@@ -20,6 +20,7 @@
 	fails   bool
 	stops   time.Time
 	isStuck bool
+	lasts   bool
 }
 
 // modelWorker is a worker as the platform's page describes it: it does what the
@@ -46,6 +47,9 @@
 	if r.isStuck {
 		return 20
 	}
+	if r.lasts {
+		return 100
+	}
 	return int(100 * now.Sub(r.beganAt) / max(r.endsAt.Sub(r.beganAt), 1))
 }
 
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -208,7 +208,7 @@
 		return
 	}
 	spec := w.specs[s.Task.Job].Steps[s.Task.Step]
-	r := &modelRun{need: spec.Need, fails: w.rng.Float64() < w.failShare}
+	r := &modelRun{need: spec.Need, lasts: spec.IsLasting, fails: w.rng.Float64() < w.failShare}
 	engine := w.engine
 	w.orderLater(delay, func() {
 		if m.isCut || m.isDead {
--- a/internal/link/conn_test.go
+++ b/internal/link/conn_test.go
@@ -98,7 +98,7 @@
 	}
 }
 
-func TestForeignBytesCloseTheLink(t *testing.T) {
+func TestForeignBytesCloseTheLink(_ *testing.T) {
 	a, b := net.Pipe()
 	c := link.NewConn(a, &handler{})
 	go func() { _, _ = b.Write([]byte{0xff, 0xff, 0xff, 0xff, 1, 2, 3}) }()
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -49,7 +49,11 @@
 	}
 	earlier := o.options.Claim.Earlier
 	if earlier != nil {
-		o.engine.Inherit(o.now.Add(leaseBound), o.options.Claim.IsExact)
+		bound := leaseBound
+		if o.options.Claim.IsOver {
+			bound = leaseRest
+		}
+		o.engine.Inherit(o.now.Add(bound), o.options.Claim.IsExact)
 	}
 	o.options.Log(events.JobsLoaded, "epoch", o.Epoch(), "jobs", len(jobs), "records", len(newest.Records), "end", newest.End, "took", o.now.Sub(began))
 	return 1, nil
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -71,6 +71,9 @@
 	// IsExact means that the earlier owner is known to have kept the place of each
 	// task before it ordered the start.
 	IsExact bool
+	// IsOver means that the earlier owner is known to have stopped: it renews no
+	// lease any more.
+	IsOver bool
 }
 
 // Options configures an Owner. All but Log are required.
@@ -103,9 +106,11 @@
 	// It covers two beats at a slow store (0.4 s an answer) that are lost, and
 	// what the outage of the store counts after its end.
 	TrustPeriod = 3 * time.Second
-	// leaseBound is the longest that a lease given by an earlier owner may still
-	// run: its trust, 6 s, 4% and the worker's own slack.
-	leaseBound = TrustPeriod + 6240*time.Millisecond + 500*time.Millisecond
+	// leaseRest is the longest that a lease runs from its last renewal: 6 s, 4% and
+	// the worker's own slack. leaseBound is the longest that a lease given by an
+	// earlier owner may still run: it may renew leases while it trusts itself.
+	leaseRest  = 6240*time.Millisecond + 300*time.Millisecond
+	leaseBound = TrustPeriod + leaseRest
 	// listPeriod is the time between two looks at the list of workers, well under
 	// the time within which a leaving worker must get nothing new (2 s).
 	listPeriod = 400 * time.Millisecond
