internal/dispatch: list a failure again right at the takeover

Change: the ends are listed again at the takeover itself. Measured: it fails now without the mechanism, and passes with it.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -162,7 +162,6 @@
 			m.finished = []dispatch.End{{Number: 1, Task: id, Run: run, Kind: dispatch.EndFailed}}
 		}
 	}
-	w.run(20 * tick)
 	w.takeOver()
 	w.run(5 * time.Second)
 	expectState(t, w, "a", work.JobSucceeded)
