internal/dispatch: score the workers of a step once

Cause: each task of a step looked at all workers: a task cost 12 us at 48 workers and 184 us at 1,100, sixteen times as much. Change: a heap of candidates for each step in a pass; only the worker that got a task is scored again. Measured: 5.3, 11.3 and 29.4 us a task at 48, 350 and 1,100 workers.

--- /dev/null
+++ b/internal/dispatch/bench_test.go
@@ -0,0 +1,107 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// BenchmarkTask is what a task costs the engine from its job's acceptance to its
+// end: placed, its place kept, started, listed and done, with nine others running
+// on each worker.
+func BenchmarkTask(b *testing.B) {
+	for _, workers := range []int{48, 350, 1100} {
+		b.Run(fmt.Sprintf("%d workers", workers), func(b *testing.B) { benchTask(b, workers) })
+	}
+}
+
+// benchCell is an engine whose actions are carried out at once.
+type benchCell struct {
+	engine *dispatch.Engine
+	clock  *clock.Fake
+	ends   map[dispatch.WorkerID]uint64
+	lasts  map[work.JobID]bool
+}
+
+func (c *benchCell) settle() {
+	c.engine.Advance(c.clock.Now())
+	for {
+		c.engine.Decide()
+		if b := c.engine.TakeBatch(); b != nil {
+			c.engine.Committed(b)
+			continue
+		}
+		actions := c.engine.Actions()
+		if len(actions) == 0 {
+			return
+		}
+		for _, a := range actions {
+			c.carryOut(a)
+		}
+	}
+}
+
+func (c *benchCell) carryOut(a dispatch.Action) {
+	switch a := a.(type) {
+	case dispatch.Start:
+		at := dispatch.WorkerTime(c.clock.Now().UnixNano())
+		c.engine.StartAnswered(a.Worker, a.Task, a.Run, dispatch.StartDone, at)
+		if !c.lasts[a.Task.Job] {
+			c.ends[a.Worker]++
+			c.engine.Listed(a.Worker, &dispatch.Listing{Finished: []dispatch.End{{
+				Number: c.ends[a.Worker], Task: a.Task, Run: a.Run, Kind: dispatch.EndDone,
+			}}}, true)
+		}
+	case dispatch.Hold:
+		if a.Wait == 0 {
+			c.engine.Listed(a.Worker, &dispatch.Listing{At: dispatch.WorkerTime(c.clock.Now().UnixNano())}, a.IsLook)
+		}
+	}
+}
+
+func benchTask(b *testing.B, workers int) {
+	c := &benchCell{
+		engine: dispatch.NewEngine(dispatch.Options{}), clock: clock.NewFake(), ends: map[dispatch.WorkerID]uint64{},
+		lasts: map[work.JobID]bool{},
+	}
+	c.engine.Advance(c.clock.Now())
+	c.engine.SetTrusted(true)
+	c.engine.SetQueues([]dispatch.Queue{{Name: "q", Service: "pool"}})
+	list := []dispatch.Worker{}
+	for i := range workers {
+		list = append(list, dispatch.Worker{
+			ID: dispatch.WorkerID(fmt.Sprintf("w%04d", i)), Service: "pool", Rack: fmt.Sprintf("r%d", i/8),
+			Capacity: leverdyke.Resources{MilliCPU: 10_000, MemoryMiB: 10_000},
+		})
+	}
+	c.engine.SetWorkers(list, true)
+	c.settle()
+	c.lasts["base"] = true
+	need := leverdyke.Resources{MilliCPU: 1000, MemoryMiB: 500}
+	c.engine.AddJob(&work.Spec{ID: "base", Queue: "q", Steps: []work.Step{{Count: 9 * workers, Need: need, IsLasting: true, MayMiss: -1}}})
+	c.settle()
+	if got := c.engine.Counts().Starts; got != 9*workers {
+		b.Fatalf("running at first: got: %d, want: %d", got, 9*workers)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	tasks := 0
+	for i := 0; tasks < b.N; i++ {
+		c.clock.Advance(time.Millisecond)
+		id := work.JobID(fmt.Sprintf("j%d", i))
+		c.engine.AddJob(&work.Spec{ID: id, Queue: "q", Steps: []work.Step{{Count: 8, Need: need, Estimate: time.Second, MayMiss: -1}}})
+		c.settle()
+		if s, _ := c.engine.State(id); s != work.JobSucceeded {
+			b.Fatalf("job %s: got: %s, want: succeeded", id, s)
+		}
+		tasks += 8
+	}
+}
--- /dev/null
+++ b/internal/dispatch/candidates.go
@@ -0,0 +1,82 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import "container/heap"
+
+// candidates are the workers that may be given tasks of a step now, the best on
+// top. Many tasks of one step are placed by one look at all workers.
+type candidates struct {
+	workers []*worker
+	scores  []float64
+	// taken is the worker on top when it was given a task; its score has changed.
+	taken bool
+}
+
+// newCandidates scores the workers for a task that may run on any of them.
+func (e *Engine) newCandidates(s *step, q *Queue) *candidates {
+	c := &candidates{}
+	for _, w := range e.permitted(s, q) {
+		if e.fits(w, s) > 0 {
+			c.workers = append(c.workers, w)
+			c.scores = append(c.scores, e.score(w, s, nil))
+		}
+	}
+	heap.Init(c)
+	return c
+}
+
+// take returns the best worker for task i, or nil when none has room.
+func (c *candidates) take(e *Engine, s *step, i int, q *Queue) *worker {
+	for c.Len() > 0 && e.fits(c.workers[0], s) <= 0 {
+		heap.Pop(c)
+	}
+	if c.Len() == 0 {
+		return nil
+	}
+	w := c.workers[0]
+	if s.tasks[i].avoid != w.ID && w.attempts[s.taskID(i)] == nil {
+		c.taken = true
+		return w
+	}
+	// The best is one to avoid for this task: all are looked at for it alone.
+	c.taken = false
+	return e.choose(s, i, q, nil)
+}
+
+// changed scores the worker again that was given a task.
+func (c *candidates) changed(e *Engine, s *step) {
+	if c.taken && c.Len() > 0 {
+		c.scores[0] = e.score(c.workers[0], s, nil)
+		heap.Fix(c, 0)
+	}
+}
+
+// Len, Less, Swap, Push and Pop make a heap of the candidates.
+func (c *candidates) Len() int { return len(c.workers) }
+
+// Less puts the better worker first, and of two that are alike the same one
+// each time.
+func (c *candidates) Less(i, j int) bool {
+	if c.scores[i] != c.scores[j] {
+		return c.scores[i] > c.scores[j]
+	}
+	return c.workers[i].ID < c.workers[j].ID
+}
+
+// Swap swaps two candidates.
+func (c *candidates) Swap(i, j int) {
+	c.workers[i], c.workers[j] = c.workers[j], c.workers[i]
+	c.scores[i], c.scores[j] = c.scores[j], c.scores[i]
+}
+
+// Push is not used: candidates only become fewer.
+func (*candidates) Push(any) { panic("dispatch: candidates only become fewer") }
+
+// Pop takes the last candidate off.
+func (c *candidates) Pop() any {
+	last := len(c.workers) - 1
+	c.workers, c.scores = c.workers[:last], c.scores[:last]
+	return nil
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -65,16 +65,21 @@
 		return
 	}
 	placed := 0
+	var candidates *candidates
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.state != taskWaiting || len(t.heldBy) > 0 || e.now.Before(t.retryAt) {
 			continue
 		}
-		w := e.choose(s, i, &q, nil)
+		if candidates == nil {
+			candidates = e.newCandidates(s, &q)
+		}
+		w := candidates.take(e, s, i, &q)
 		if w == nil {
 			break
 		}
 		e.start(w, s, i, t.run+1)
+		candidates.changed(e, s)
 		placed++
 	}
 	if placed > 0 {
@@ -257,7 +262,8 @@
 )
 
 // score is higher the better the worker suits: packed tightly, near the data,
-// away from where the task failed and from what it would disturb.
+// away from where the task failed and from what it would disturb. t is nil for
+// any task of the step.
 func (e *Engine) score(w *worker, s *step, t *task) float64 {
 	score := w.fullness()
 	if s.spec.IsLasting || s.spec.IsFiller {
@@ -266,7 +272,7 @@
 	if w.isSlow(e.now) {
 		score -= weightSlow
 	}
-	if t.avoid == w.ID {
+	if t != nil && t.avoid == w.ID {
 		score -= weightAvoid
 	}
 	if s.spec.DataRack != "" && w.Rack != s.spec.DataRack {
