--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -39,8 +39,10 @@
 	// refused are jobs of which each answer said that they were not taken.
 	refused []string
 	actions []string
-	born    int
-	version int
+	// restarting are nodes that were told to end and are not started yet.
+	restarting map[*site.Node]bool
+	born       int
+	version    int
 }
 
 type soakEnd struct {
@@ -71,7 +73,7 @@
 }
 
 func runSoak(t *testing.T, seed uint64, length time.Duration) {
-	s := &soak{rng: rand.New(rand.NewPCG(seed, 2)), proxies: map[string]*toxiproxy.Proxy{}, version: 1, born: 100}
+	s := &soak{rng: rand.New(rand.NewPCG(seed, 2)), proxies: map[string]*toxiproxy.Proxy{}, restarting: map[*site.Node]bool{}, version: 1, born: 100}
 	s.siteCell = newSiteCell(t, 3, site.Options{Workers: 6, HasAdvice: seed%2 == 0, Via: s.via})
 	lasting := small(2, 0)
 	lasting.Perpetual = true
@@ -225,11 +227,19 @@
 // restart ends a node's process, if it runs, and starts it again.
 func (s *soak) restart(n *site.Node, sig syscall.Signal, after time.Duration) {
 	s.note("%v to %s, back after %v", sig, n.Name, after)
+	if s.restarting[n] {
+		// It is on its way out already: one more signal, and no second start.
+		_ = n.Signal(sig)
+		return
+	}
 	_ = n.Signal(syscall.SIGCONT)
 	if n.Signal(sig) != nil {
 		return
 	}
+	s.restarting[n] = true
 	s.until(after, func() {
+		delete(s.restarting, n)
+		_ = n.Signal(syscall.SIGCONT)
 		if sig == syscall.SIGTERM {
 			<-n.Done()
 		} else {
