--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -12,8 +12,8 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/detour"
-	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/link"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -124,11 +124,11 @@
 
 type adviseCall struct {
 	Step    work.StepID
-	Workers []dispatch.WorkerID
+	Workers []order.WorkerID
 }
 
 type adviseReply struct {
-	Good  []dispatch.Ticket
+	Good  []order.Ticket
 	Valid time.Duration
 }
 
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -13,9 +13,9 @@
 
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/detour"
-	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/link"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -23,13 +23,13 @@
 
 // Adviser asks the service that permits workers, from this node.
 type Adviser interface {
-	Ask(ctx context.Context, step work.StepID, workers []dispatch.WorkerID) ([]dispatch.Ticket, time.Duration, error)
+	Ask(ctx context.Context, step work.StepID, workers []order.WorkerID) ([]order.Ticket, time.Duration, error)
 }
 
 // Config follows the operators' configuration.
 type Config interface {
 	// Parse returns the version of a configuration and its queues.
-	Parse(data []byte) (uint64, []dispatch.Queue, error)
+	Parse(data []byte) (uint64, []order.Queue, error)
 	// Wait returns the newest configuration once it is newer than that version, or
 	// nil when the time is over.
 	Wait(ctx context.Context, version uint64) ([]byte, error)
@@ -88,7 +88,7 @@
 	// config is the newest configuration that is known; its version never falls.
 	config        []byte
 	configVersion uint64
-	queues        []dispatch.Queue
+	queues        []order.Queue
 	isLeaving     bool
 	// strongest is the strength of the strongest node known; 0 before a beat.
 	strongest    float64
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -12,9 +12,9 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/codec"
 	"github.com/leverdyke/leverdyke/internal/detour"
-	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/link"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -279,7 +279,7 @@
 }
 
 // Ask asks through a lane.
-func (l *lanes) Ask(ctx context.Context, lane string, step work.StepID, workers []dispatch.WorkerID) ([]dispatch.Ticket, time.Duration, error) {
+func (l *lanes) Ask(ctx context.Context, lane string, step work.StepID, workers []order.WorkerID) ([]order.Ticket, time.Duration, error) {
 	if lane == l.n.options.Name {
 		return l.n.options.Adviser.Ask(ctx, step, workers)
 	}
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -41,8 +42,8 @@
 // advice is what is known of the workers that may run a step.
 type advice struct {
 	// verdicts has the workers that were asked about, and whether they may.
-	verdicts map[WorkerID]bool
-	tickets  map[WorkerID]ticket
+	verdicts map[order.WorkerID]bool
+	tickets  map[order.WorkerID]ticket
 	isAsking bool
 	askedAt  time.Time
 	retryAt  time.Time
@@ -53,10 +54,10 @@
 	expires time.Time
 }
 
-func (a *advice) forget(id WorkerID) { delete(a.tickets, id) }
+func (a *advice) forget(id order.WorkerID) { delete(a.tickets, id) }
 
 // holds returns the ticket of a worker, if it still holds.
-func (a *advice) holds(id WorkerID, now time.Time) (string, bool) {
+func (a *advice) holds(id order.WorkerID, now time.Time) (string, bool) {
 	t, ok := a.tickets[id]
 	return t.text, ok && now.Before(t.expires)
 }
@@ -97,7 +98,7 @@
 }
 
 // Advised takes the answer to a call. isKnown is false when there was none.
-func (e *Engine) Advised(laneName string, id work.StepID, asked []WorkerID, good []Ticket, valid time.Duration, isKnown bool) {
+func (e *Engine) Advised(laneName string, id work.StepID, asked []order.WorkerID, good []order.Ticket, valid time.Duration, isKnown bool) {
 	for i := range e.lanes {
 		if e.lanes[i].name == laneName && e.lanes[i].step == id {
 			e.lanes[i].busySince = time.Time{}
@@ -115,7 +116,7 @@
 		return
 	}
 	if s.advice.verdicts == nil {
-		s.advice.verdicts, s.advice.tickets = map[WorkerID]bool{}, map[WorkerID]ticket{}
+		s.advice.verdicts, s.advice.tickets = map[order.WorkerID]bool{}, map[order.WorkerID]ticket{}
 	}
 	for _, w := range asked {
 		s.advice.verdicts[w] = false
@@ -127,7 +128,7 @@
 }
 
 // askAdvice asks for the step, if it helps and a lane is free.
-func (e *Engine) askAdvice(s *step, policy *AdvicePolicy, missing int) {
+func (e *Engine) askAdvice(s *step, policy *order.AdvicePolicy, missing int) {
 	if s.advice.isAsking || e.now.Before(s.advice.retryAt) {
 		return
 	}
@@ -142,10 +143,10 @@
 	lane.busySince, lane.step = e.now, s.id
 	s.advice.isAsking, s.advice.askedAt = true, e.now
 	e.counts.Asks++
-	e.do(Advise{Lane: lane.name, Step: s.id, Workers: asked})
+	e.do(order.Advise{Lane: lane.name, Step: s.id, Workers: asked})
 }
 
-func (e *Engine) freeLane(policy *AdvicePolicy) *lane {
+func (e *Engine) freeLane(policy *order.AdvicePolicy) *lane {
 	free := 0
 	var found *lane
 	for i := range e.lanes {
@@ -167,14 +168,14 @@
 
 // candidate is a worker that could be asked about, with the tasks that fit now.
 type candidate struct {
-	id     WorkerID
+	id     order.WorkerID
 	fits   int
 	isGood bool
 }
 
 // whomToAsk picks the workers that are likely to take the missing tasks. Those
 // known to be permitted come first; the more room the better.
-func (e *Engine) whomToAsk(s *step, policy *AdvicePolicy, missing int) []WorkerID {
+func (e *Engine) whomToAsk(s *step, policy *order.AdvicePolicy, missing int) []order.WorkerID {
 	found := e.candidates(s)
 	slices.SortFunc(found, func(a, b candidate) int {
 		if a.isGood != b.isGood {
@@ -188,7 +189,7 @@
 		}
 		return compareIDs(a.id, b.id)
 	})
-	out := []WorkerID{}
+	out := []order.WorkerID{}
 	expected := 0.0
 	isCheap := policy.Base <= cheapCall
 	for _, c := range found {
@@ -224,7 +225,7 @@
 	return found
 }
 
-func compareIDs(a, b WorkerID) int {
+func compareIDs(a, b order.WorkerID) int {
 	switch {
 	case a < b:
 		return -1
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -11,6 +11,7 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -27,7 +28,7 @@
 type benchCell struct {
 	engine *dispatch.Engine
 	clock  *clock.Fake
-	ends   map[dispatch.WorkerID]uint64
+	ends   map[order.WorkerID]uint64
 	lasts  map[work.JobID]bool
 }
 
@@ -49,36 +50,36 @@
 	}
 }
 
-func (c *benchCell) carryOut(a dispatch.Action) {
+func (c *benchCell) carryOut(a order.Action) {
 	switch a := a.(type) {
-	case dispatch.Start:
-		at := dispatch.WorkerTime(c.clock.Now().UnixNano())
-		c.engine.StartAnswered(a.Worker, a.Task, a.Run, dispatch.StartDone, at)
+	case order.Start:
+		at := order.WorkerTime(c.clock.Now().UnixNano())
+		c.engine.StartAnswered(a.Worker, a.Task, a.Run, order.StartDone, at)
 		if !c.lasts[a.Task.Job] {
 			c.ends[a.Worker]++
-			c.engine.Listed(a.Worker, &dispatch.Listing{Finished: []dispatch.End{{
-				Number: c.ends[a.Worker], Task: a.Task, Run: a.Run, Kind: dispatch.EndDone,
+			c.engine.Listed(a.Worker, &order.Listing{Finished: []order.End{{
+				Number: c.ends[a.Worker], Task: a.Task, Run: a.Run, Kind: order.EndDone,
 			}}}, true)
 		}
-	case dispatch.Hold:
+	case order.Hold:
 		if a.Wait == 0 {
-			c.engine.Listed(a.Worker, &dispatch.Listing{At: dispatch.WorkerTime(c.clock.Now().UnixNano())}, a.IsLook)
+			c.engine.Listed(a.Worker, &order.Listing{At: order.WorkerTime(c.clock.Now().UnixNano())}, a.IsLook)
 		}
 	}
 }
 
 func benchTask(b *testing.B, workers int) {
 	c := &benchCell{
-		engine: dispatch.NewEngine(dispatch.Options{}), clock: clock.NewFake(), ends: map[dispatch.WorkerID]uint64{},
+		engine: dispatch.NewEngine(dispatch.Options{}), clock: clock.NewFake(), ends: map[order.WorkerID]uint64{},
 		lasts: map[work.JobID]bool{},
 	}
 	c.engine.Advance(c.clock.Now())
 	c.engine.SetTrusted(true)
-	c.engine.SetQueues([]dispatch.Queue{{Name: "q", Service: "pool"}})
-	list := []dispatch.Worker{}
+	c.engine.SetQueues([]order.Queue{{Name: "q", Service: "pool"}})
+	list := []order.Worker{}
 	for i := range workers {
-		list = append(list, dispatch.Worker{
-			ID: dispatch.WorkerID(fmt.Sprintf("w%04d", i)), Service: "pool", Rack: fmt.Sprintf("r%d", i/8),
+		list = append(list, order.Worker{
+			ID: order.WorkerID(fmt.Sprintf("w%04d", i)), Service: "pool", Rack: fmt.Sprintf("r%d", i/8),
 			Capacity: leverdyke.Resources{MilliCPU: 10_000, MemoryMiB: 10_000},
 		})
 	}
--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -3,7 +3,11 @@
 
 package dispatch
 
-import "container/heap"
+import (
+	"container/heap"
+
+	"github.com/leverdyke/leverdyke/internal/order"
+)
 
 // candidates are the workers that may be given tasks of a step now, the best on
 // top. Many tasks of one step are placed by one look at all workers.
@@ -15,7 +19,7 @@
 }
 
 // newCandidates scores the workers for a task that may run on any of them.
-func (e *Engine) newCandidates(s *step, q *Queue) *candidates {
+func (e *Engine) newCandidates(s *step, q *order.Queue) *candidates {
 	c := &candidates{}
 	for _, w := range e.permitted(s, q) {
 		if e.fits(w, s) > 0 {
@@ -28,7 +32,7 @@
 }
 
 // take returns the best worker for task i, or nil when none has room.
-func (c *candidates) take(e *Engine, s *step, i int, q *Queue) *worker {
+func (c *candidates) take(e *Engine, s *step, i int, q *order.Queue) *worker {
 	for c.Len() > 0 && e.fits(c.workers[0], s) <= 0 {
 		heap.Pop(c)
 	}
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -3,7 +3,11 @@
 
 package dispatch
 
-import "github.com/leverdyke/leverdyke/internal/events"
+import (
+	"github.com/leverdyke/leverdyke/internal/events"
+
+	"github.com/leverdyke/leverdyke/internal/order"
+)
 
 // Copies: where the caller allows it, a second attempt of a task runs beside one
 // that may be lost or is slow. Whichever is done first counts.
@@ -47,7 +51,7 @@
 }
 
 // placeCopies starts the copies that are wanted and have room.
-func (e *Engine) placeCopies(s *step, q *Queue) {
+func (e *Engine) placeCopies(s *step, q *order.Queue) {
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if !t.wantsCopy {
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -1,6 +1,14 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
+// Package dispatch decides which task runs on which worker and when. It is pure:
+// what happened comes in by calls with the time, what is to be done goes out as
+// actions. One goroutine calls it.
+//
+// Its promises: a worker's room is charged from the order until the end is
+// known; a task has at most one attempt of which it is not known that it is over
+// (but where copies are allowed); what must last is handed out as a batch, and
+// an end is only confirmed to a worker when the batch with it is committed.
 package dispatch
 
 import (
@@ -8,6 +16,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -60,18 +69,18 @@
 	jobs    map[work.JobID]*job
 	// live are the jobs that are not over, in the order in which they came.
 	live    []*job
-	workers map[WorkerID]*worker
+	workers map[order.WorkerID]*worker
 	// over has lives that are over while the platform's list still has them.
-	over   map[WorkerID]bool
-	queues map[string]Queue
+	over   map[order.WorkerID]bool
+	queues map[string]order.Queue
 	lanes  []lane
 	// unsettled are workers on which an earlier owner may have started tasks that
 	// are not known yet, with these tasks.
-	unsettled map[WorkerID][]work.TaskID
+	unsettled map[order.WorkerID][]work.TaskID
 	// inheritedUntil is when all leases that the earlier owner gave are over;
 	// blockedUntil is that time when any task may run anywhere until then.
 	inheritedUntil, blockedUntil time.Time
-	actions                      []Action
+	actions                      []order.Action
 	// ready are starts whose places are kept and that wait for their turn, and
 	// unanswered counts those that were ordered and not answered.
 	ready      []*attempt
@@ -106,8 +115,8 @@
 		options.Log = func(events.Event, ...any) {}
 	}
 	return &Engine{
-		options: options, jobs: map[work.JobID]*job{}, workers: map[WorkerID]*worker{},
-		queues: map[string]Queue{}, over: map[WorkerID]bool{}, estimates: map[string]*estimates{}, unsettled: map[WorkerID][]work.TaskID{},
+		options: options, jobs: map[work.JobID]*job{}, workers: map[order.WorkerID]*worker{},
+		queues: map[string]order.Queue{}, over: map[order.WorkerID]bool{}, estimates: map[string]*estimates{}, unsettled: map[order.WorkerID][]work.TaskID{},
 	}
 }
 
@@ -152,7 +161,7 @@
 
 // SetQueues puts a configuration in force. A queue that is no longer in it keeps
 // its last policy for the jobs that it has.
-func (e *Engine) SetQueues(queues []Queue) {
+func (e *Engine) SetQueues(queues []order.Queue) {
 	for _, q := range queues {
 		e.queues[q.Name] = q
 	}
@@ -200,10 +209,10 @@
 }
 
 // Actions returns what is to be done since the last call.
-func (e *Engine) Actions() []Action {
+func (e *Engine) Actions() []order.Action {
 	a := e.actions
 	e.actions = nil
 	return a
 }
 
-func (e *Engine) do(a Action) { e.actions = append(e.actions, a) }
+func (e *Engine) do(a order.Action) { e.actions = append(e.actions, a) }
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -14,7 +14,7 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/leverdyke/leverdyke"
-	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -159,7 +159,7 @@
 	id := work.TaskID{Job: "a"}
 	for _, m := range w.workers {
 		if run := m.barred[id]; run > 0 {
-			m.finished = []dispatch.End{{Number: 1, Task: id, Run: run, Kind: dispatch.EndFailed}}
+			m.finished = []order.End{{Number: 1, Task: id, Run: run, Kind: order.EndFailed}}
 		}
 	}
 	w.takeOver()
@@ -321,7 +321,7 @@
 	if w.starts != 0 {
 		t.Errorf("starts: got: %d, want: 0", w.starts)
 	}
-	if got := w.workers["w00"].deadline - deadline; got > dispatch.WorkerTime(300*time.Millisecond) {
+	if got := w.workers["w00"].deadline - deadline; got > order.WorkerTime(300*time.Millisecond) {
 		t.Errorf("lease renewed by: got: %v, want: nothing", time.Duration(got))
 	}
 }
@@ -368,7 +368,7 @@
 
 // trouble does something to the world, or ends it.
 func (w *world) trouble(i int) {
-	ids := []dispatch.WorkerID{}
+	ids := []order.WorkerID{}
 	for id, m := range w.workers {
 		if !m.isDead {
 			ids = append(ids, id)
@@ -409,7 +409,7 @@
 	w.run(time.Second)
 	old := w.workers["w00"]
 	w.crash("w00", "x00")
-	w.lingering = []dispatch.Worker{old.entry}
+	w.lingering = []order.Worker{old.entry}
 	w.run(3 * time.Second)
 	for _, m := range w.workers {
 		if !m.isDead && len(m.running) != 4 {
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -3,7 +3,11 @@
 
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/order"
+)
 
 // How workers are asked for listings.
 const (
@@ -29,7 +33,7 @@
 		return
 	}
 	w.isHeld = true
-	h := Hold{Worker: w.ID, Addr: w.Addr, Confirmed: w.confirmed, Wait: w.holdWait()}
+	h := order.Hold{Worker: w.ID, Addr: w.Addr, Confirmed: w.confirmed, Wait: w.holdWait()}
 	// The lease of a worker that does not answer is left to end: where its tasks
 	// may run is known the sooner.
 	if !w.readAt.IsZero() && e.isTrusted && w.holdFailures == 0 {
@@ -44,7 +48,7 @@
 		return
 	}
 	w.isLooked = true
-	e.do(Hold{Worker: w.ID, Addr: w.Addr, Confirmed: w.confirmed, IsLook: true})
+	e.do(order.Hold{Worker: w.ID, Addr: w.Addr, Confirmed: w.confirmed, IsLook: true})
 }
 
 func (w *worker) holdWait() time.Duration {
@@ -68,7 +72,7 @@
 }
 
 // HoldFailed says that a listing did not come.
-func (e *Engine) HoldFailed(id WorkerID, isLook bool) {
+func (e *Engine) HoldFailed(id order.WorkerID, isLook bool) {
 	w := e.workers[id]
 	if w == nil {
 		return
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -29,7 +30,7 @@
 }
 
 // holdTask notes that a task may run on a worker by an earlier owner's order.
-func (e *Engine) holdTask(id work.TaskID, worker WorkerID) {
+func (e *Engine) holdTask(id work.TaskID, worker order.WorkerID) {
 	_, t := e.find(id)
 	if t == nil || t.state != taskWaiting || slices.Contains(t.heldBy, worker) {
 		return
@@ -44,7 +45,7 @@
 }
 
 // settle says that it is known what a worker runs.
-func (e *Engine) settle(id WorkerID, why string) {
+func (e *Engine) settle(id order.WorkerID, why string) {
 	tasks, ok := e.unsettled[id]
 	if !ok {
 		return
@@ -52,7 +53,7 @@
 	delete(e.unsettled, id)
 	for _, task := range tasks {
 		if _, t := e.find(task); t != nil {
-			t.heldBy = slices.DeleteFunc(t.heldBy, func(w WorkerID) bool { return w == id })
+			t.heldBy = slices.DeleteFunc(t.heldBy, func(w order.WorkerID) bool { return w == id })
 		}
 	}
 	e.isDirty = true
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -81,9 +82,9 @@
 	failures []work.Failure
 	saved    string
 	// avoid is where the task failed or hung last.
-	avoid WorkerID
+	avoid order.WorkerID
 	// heldBy are workers on which an earlier owner may have started it.
-	heldBy []WorkerID
+	heldBy []order.WorkerID
 	// copy is a second attempt beside the first; wantsCopy asks for one.
 	copy      *attempt
 	wantsCopy bool
@@ -176,7 +177,7 @@
 	for _, place := range p.Places {
 		if place.Index >= 0 && place.Index < len(s.tasks) {
 			s.tasks[place.Index].run = max(s.tasks[place.Index].run, place.Run)
-			e.holdTask(work.TaskID{Job: s.id.Job, Round: s.id.Round, Step: s.id.Step, Index: place.Index}, WorkerID(place.Worker))
+			e.holdTask(work.TaskID{Job: s.id.Job, Round: s.id.Round, Step: s.id.Step, Index: place.Index}, order.WorkerID(place.Worker))
 		}
 	}
 	if s.left == 0 {
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -5,15 +5,16 @@
 
 import (
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
 // StartAnswered takes the answer to an order to start, once for each. at is the worker's clock
 // in the answer, 0 when it told none.
-func (e *Engine) StartAnswered(id WorkerID, task work.TaskID, run uint64, outcome StartOutcome, at WorkerTime) {
+func (e *Engine) StartAnswered(id order.WorkerID, task work.TaskID, run uint64, outcome order.StartOutcome, at order.WorkerTime) {
 	e.unanswered--
 	defer e.sendReady()
-	if outcome == StartLifeOver {
+	if outcome == order.StartLifeOver {
 		e.LifeOver(id)
 		return
 	}
@@ -30,34 +31,34 @@
 		return
 	}
 	switch outcome {
-	case StartDone:
+	case order.StartDone:
 		a.startedAt = at
 		if a.phase != phaseRunning {
 			a.phase = phaseRunning
 			a.percentAt = e.now
 		}
-	case StartUnknown:
+	case order.StartUnknown:
 		if a.phase == phaseOrdered {
 			e.doubt(a)
 		}
-	case StartRefused, StartNoRoom, StartNoTicket, StartUnhealthy, StartFenced, StartLifeOver:
+	case order.StartRefused, order.StartNoRoom, order.StartNoTicket, order.StartUnhealthy, order.StartFenced, order.StartLifeOver:
 		e.startRefused(w, a, outcome)
 	}
 }
 
-func (e *Engine) startRefused(w *worker, a *attempt, outcome StartOutcome) {
+func (e *Engine) startRefused(w *worker, a *attempt, outcome order.StartOutcome) {
 	if a.phase == phaseRunning {
 		return
 	}
 	e.options.Log(events.StartRefused, "task", a.id, "run", a.run, "worker", w.ID, "why", outcome)
 	switch outcome {
-	case StartNoTicket:
+	case order.StartNoTicket:
 		a.step.advice.forget(w.ID)
-	case StartUnhealthy:
+	case order.StartUnhealthy:
 		w.health.refused(e.now)
-	case StartNoRoom, StartRefused:
+	case order.StartNoRoom, order.StartRefused:
 		w.health.refused(e.now)
-	case StartDone, StartFenced, StartUnknown, StartLifeOver:
+	case order.StartDone, order.StartFenced, order.StartUnknown, order.StartLifeOver:
 	}
 	e.release(a)
 	e.attemptOver(a)
@@ -68,7 +69,7 @@
 
 // StopAnswered takes the answer to an order to stop. isKnown is false when there
 // was none.
-func (e *Engine) StopAnswered(id WorkerID, task work.TaskID, run uint64, isKnown bool, at WorkerTime) {
+func (e *Engine) StopAnswered(id order.WorkerID, task work.TaskID, run uint64, isKnown bool, at order.WorkerTime) {
 	w := e.workers[id]
 	if w == nil || !isKnown {
 		return
@@ -82,14 +83,14 @@
 	e.look(w)
 }
 
-func (e *Engine) readClock(w *worker, at WorkerTime) {
+func (e *Engine) readClock(w *worker, at order.WorkerTime) {
 	if at > w.readTime {
 		w.readTime, w.readAt = at, e.now
 	}
 }
 
 // Listed takes a worker's word on all that it runs.
-func (e *Engine) Listed(id WorkerID, l *Listing, isLook bool) {
+func (e *Engine) Listed(id order.WorkerID, l *order.Listing, isLook bool) {
 	w := e.workers[id]
 	if w == nil {
 		return
@@ -101,7 +102,7 @@
 	e.dropIfEmpty(w)
 }
 
-func (e *Engine) takeListing(w *worker, l *Listing) {
+func (e *Engine) takeListing(w *worker, l *order.Listing) {
 	for i := range l.Finished {
 		e.ended(w, &l.Finished[i])
 	}
@@ -128,7 +129,7 @@
 }
 
 // runs takes an attempt that the worker says it runs.
-func (e *Engine) runs(w *worker, r *Running) {
+func (e *Engine) runs(w *worker, r *order.Running) {
 	a := w.attempts[r.Task]
 	if a == nil || a.run != r.Run {
 		a = e.adopt(w, r)
@@ -154,11 +155,11 @@
 
 // adopt takes an attempt that an earlier owner started, or stops it when it is
 // of no use.
-func (e *Engine) adopt(w *worker, r *Running) *attempt {
+func (e *Engine) adopt(w *worker, r *order.Running) *attempt {
 	s, t := e.find(r.Task)
 	if s == nil {
 		w.foreign[r.Task] = r.Run
-		e.do(Stop{Worker: w.ID, Addr: w.Addr, Task: r.Task, Run: r.Run})
+		e.do(order.Stop{Worker: w.ID, Addr: w.Addr, Task: r.Task, Run: r.Run})
 		return nil
 	}
 	if old := w.attempts[r.Task]; old != nil {
@@ -198,7 +199,7 @@
 }
 
 // ended takes an end, once.
-func (e *Engine) ended(w *worker, end *End) {
+func (e *Engine) ended(w *worker, end *order.End) {
 	if end.Number <= w.handled {
 		return
 	}
@@ -219,14 +220,14 @@
 		t.saved = end.Saved
 	}
 	switch end.Kind {
-	case EndDone:
+	case order.EndDone:
 		if a != nil {
 			e.learn(a)
 		}
 		e.endedDone(w, s, end)
-	case EndFailed:
+	case order.EndFailed:
 		e.endedFailed(w, s, end)
-	case EndStopped, EndLapsed, EndBroken, EndAlone:
+	case order.EndStopped, order.EndLapsed, order.EndBroken, order.EndAlone:
 		if a == nil || a.stopWhy == "" {
 			e.options.Log(events.AttemptEnded, "task", end.Task, "run", end.Run, "worker", w.ID, "how", end.Kind)
 		}
@@ -236,7 +237,7 @@
 	}
 }
 
-func (e *Engine) endedDone(w *worker, s *step, end *End) {
+func (e *Engine) endedDone(w *worker, s *step, end *order.End) {
 	e.counts.Done++
 	w.health.succeeded()
 	if s.spec.IsLasting {
@@ -261,7 +262,7 @@
 	e.taskEnded(s, i)
 }
 
-func (e *Engine) endedFailed(w *worker, s *step, end *End) {
+func (e *Engine) endedFailed(w *worker, s *step, end *order.End) {
 	e.counts.Failed++
 	i := end.Task.Index
 	isNew := s.addFailure(work.Failure{Index: i, Worker: string(w.ID), Run: end.Run})
@@ -295,7 +296,7 @@
 }
 
 // settleMissing settles the attempts that a listing should have and has not.
-func (e *Engine) settleMissing(w *worker, l *Listing, running map[work.TaskID]bool) {
+func (e *Engine) settleMissing(w *worker, l *order.Listing, running map[work.TaskID]bool) {
 	for id, a := range w.attempts {
 		if running[id] {
 			continue
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -3,7 +3,11 @@
 
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/order"
+)
 
 // How tasks that fill are paced when they disturb tasks that serve users.
 const (
@@ -63,5 +67,5 @@
 		return
 	}
 	a.pace, a.pacedAt = want, e.now
-	e.do(Pace{Worker: a.worker.ID, Addr: a.worker.Addr, Task: a.id, Run: a.run, Percent: want})
+	e.do(order.Pace{Worker: a.worker.ID, Addr: a.worker.Addr, Task: a.id, Run: a.run, Percent: want})
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -94,7 +95,7 @@
 }
 
 // placeGang starts all tasks of a gang or none.
-func (e *Engine) placeGang(s *step, q *Queue) {
+func (e *Engine) placeGang(s *step, q *order.Queue) {
 	if s.waiting < len(s.tasks) || s.hasHeld() {
 		return
 	}
@@ -119,7 +120,7 @@
 
 // gangPlaces returns a worker for each task of a gang, in one rack where that is
 // asked for and possible, or nil.
-func (e *Engine) gangPlaces(s *step, q *Queue) []*worker {
+func (e *Engine) gangPlaces(s *step, q *order.Queue) []*worker {
 	if s.spec.IsSameRack {
 		for _, rack := range e.racks() {
 			if places := e.tryGang(s, q, rack); places != nil {
@@ -141,7 +142,7 @@
 	return out
 }
 
-func (e *Engine) tryGang(s *step, q *Queue, rack string) []*worker {
+func (e *Engine) tryGang(s *step, q *order.Queue, rack string) []*worker {
 	taken := map[*worker]int{}
 	places := make([]*worker, 0, len(s.tasks))
 	for i := range s.tasks {
@@ -199,7 +200,7 @@
 }
 
 // choose picks the worker for a task, or returns nil.
-func (e *Engine) choose(s *step, i int, q *Queue, gang *gangSoFar) *worker {
+func (e *Engine) choose(s *step, i int, q *order.Queue, gang *gangSoFar) *worker {
 	id := s.taskID(i)
 	t := &s.tasks[i]
 	var best *worker
@@ -228,7 +229,7 @@
 
 // permitted returns the workers that may be given tasks of the step now. The
 // slice is reused by the next call.
-func (e *Engine) permitted(s *step, q *Queue) []*worker {
+func (e *Engine) permitted(s *step, q *order.Queue) []*worker {
 	found := e.found[:0]
 	if q.Advice == nil {
 		for _, w := range e.workers {
@@ -391,7 +392,7 @@
 	a.hasSaved = a.step.savedFor(a.id.Index) != ""
 	e.counts.Starts++
 	e.unanswered++
-	e.do(Start{
+	e.do(order.Start{
 		Worker: a.worker.ID, Addr: a.worker.Addr, Task: a.id, Run: a.run, Payload: a.step.job.spec.Payload,
 		Saved: a.step.savedFor(a.id.Index), Ticket: text, Deadline: e.renew(a.worker),
 	})
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -8,12 +8,13 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
 // worker is one life of a worker with the attempts that are charged to it.
 type worker struct {
-	Worker
+	order.Worker
 	attempts map[work.TaskID]*attempt
 	// used is the sum of what the attempts are charged.
 	used leverdyke.Resources
@@ -26,12 +27,12 @@
 	isGone bool
 	// readAt is when its clock was last read, readTime what it showed.
 	readAt   time.Time
-	readTime WorkerTime
-	listedAt WorkerTime
+	readTime order.WorkerTime
+	listedAt order.WorkerTime
 	// toldAt is when the last listing came.
 	toldAt time.Time
 	// deadline is the latest that was ever sent to it; it is never shortened.
-	deadline WorkerTime
+	deadline order.WorkerTime
 	// earlierUntil is when the leases that an earlier owner gave are over.
 	earlierUntil time.Time
 	// handled is the number of the last end that was taken in, confirmed that of
@@ -74,13 +75,13 @@
 	// doubtAt is when the order became doubtful.
 	doubtAt time.Time
 	// startedAt is the worker's clock when it confirmed the start.
-	startedAt WorkerTime
+	startedAt order.WorkerTime
 	// isStopping means that it was told to stop; stopSentAt is when, last.
 	isStopping bool
 	stopSentAt time.Time
 	stopWhy    string
 	// stopAckedAt is the worker's clock when it confirmed the stop; 0 before.
-	stopAckedAt WorkerTime
+	stopAckedAt order.WorkerTime
 	percent     int
 	percentAt   time.Time
 	figure      int
@@ -97,8 +98,8 @@
 
 // SetWorkers takes the platform's list, whole. isCertain is false while the list
 // may lack workers that live: then none is taken as gone.
-func (e *Engine) SetWorkers(list []Worker, isCertain bool) {
-	seen := make(map[WorkerID]bool, len(list))
+func (e *Engine) SetWorkers(list []order.Worker, isCertain bool) {
+	seen := make(map[order.WorkerID]bool, len(list))
 	for _, entry := range list {
 		seen[entry.ID] = true
 		if !e.over[entry.ID] {
@@ -122,7 +123,7 @@
 	}
 }
 
-func (e *Engine) setWorker(entry Worker) {
+func (e *Engine) setWorker(entry order.Worker) {
 	w := e.workers[entry.ID]
 	if w == nil {
 		w = &worker{Worker: entry, attempts: map[work.TaskID]*attempt{}, foreign: map[work.TaskID]uint64{}}
@@ -154,7 +155,7 @@
 }
 
 // LifeOver says that a worker's life is over: nothing of it runs any more.
-func (e *Engine) LifeOver(id WorkerID) {
+func (e *Engine) LifeOver(id order.WorkerID) {
 	e.settle(id, settledByLife)
 	e.over[id] = true
 	w := e.workers[id]
@@ -178,9 +179,9 @@
 }
 
 // renew returns the deadline to send now.
-func (e *Engine) renew(w *worker) WorkerTime {
-	estimate := w.readTime + WorkerTime(e.now.Sub(w.readAt))
-	w.deadline = max(w.deadline, estimate+WorkerTime(leaseLength))
+func (e *Engine) renew(w *worker) order.WorkerTime {
+	estimate := w.readTime + order.WorkerTime(e.now.Sub(w.readAt))
+	w.deadline = max(w.deadline, estimate+order.WorkerTime(leaseLength))
 	return w.deadline
 }
 
@@ -278,7 +279,7 @@
 
 func (e *Engine) sendStop(a *attempt) {
 	a.stopSentAt = e.now
-	e.do(Stop{Worker: a.worker.ID, Addr: a.worker.Addr, Task: a.id, Run: a.run})
+	e.do(order.Stop{Worker: a.worker.ID, Addr: a.worker.Addr, Task: a.id, Run: a.run})
 }
 
 // release gives back the room of an attempt.
--- a/internal/dispatch/worker_model_test.go
+++ b/internal/dispatch/worker_model_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke"
-	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -26,17 +26,17 @@
 // modelWorker is a worker as the platform's page describes it: it does what the
 // highest fence says, guards no room, and kills all when its lease is over.
 type modelWorker struct {
-	entry dispatch.Worker
+	entry order.Worker
 	// clock is how its clock stands to the world's, drift how much slower it runs.
 	clock time.Duration
 	drift float64
 
 	fence    uint64
-	deadline dispatch.WorkerTime
+	deadline order.WorkerTime
 	running  map[work.TaskID]*modelRun
 	// barred has, by task, the highest run that ended or was stopped here.
 	barred   map[work.TaskID]uint64
-	finished []dispatch.End
+	finished []order.End
 	next     uint64
 	isCut    bool
 	now      time.Time
@@ -55,22 +55,22 @@
 
 func newModelWorker(id string, r leverdyke.Resources, clock time.Duration, drift float64) *modelWorker {
 	return &modelWorker{
-		entry: dispatch.Worker{
-			ID: dispatch.WorkerID(id), Machine: "m-" + id, Zone: "z1", Rack: "r1", Service: "pool", Capacity: r,
+		entry: order.Worker{
+			ID: order.WorkerID(id), Machine: "m-" + id, Zone: "z1", Rack: "r1", Service: "pool", Capacity: r,
 		},
 		clock: clock, drift: drift, running: map[work.TaskID]*modelRun{}, barred: map[work.TaskID]uint64{}, next: 1,
 	}
 }
 
 // at returns the worker's clock.
-func (m *modelWorker) at(since time.Duration) dispatch.WorkerTime {
-	return dispatch.WorkerTime(m.clock + time.Duration(float64(since)*(1-m.drift)))
+func (m *modelWorker) at(since time.Duration) order.WorkerTime {
+	return order.WorkerTime(m.clock + time.Duration(float64(since)*(1-m.drift)))
 }
 
-func (m *modelWorker) end(id work.TaskID, r *modelRun, kind dispatch.EndKind) {
+func (m *modelWorker) end(id work.TaskID, r *modelRun, kind order.EndKind) {
 	delete(m.running, id)
 	m.barred[id] = max(m.barred[id], r.run)
-	m.finished = append(m.finished, dispatch.End{Number: m.next, Task: id, Run: r.run, Kind: kind})
+	m.finished = append(m.finished, order.End{Number: m.next, Task: id, Run: r.run, Kind: kind})
 	m.next++
 }
 
@@ -80,14 +80,14 @@
 	for id, r := range m.running {
 		switch {
 		case m.at(since) >= m.deadline:
-			m.end(id, r, dispatch.EndLapsed)
+			m.end(id, r, order.EndLapsed)
 		case !r.stops.IsZero() && !now.Before(r.stops):
-			m.end(id, r, dispatch.EndStopped)
+			m.end(id, r, order.EndStopped)
 		case r.isStuck:
 		case !now.Before(r.endsAt) && r.fails:
-			m.end(id, r, dispatch.EndFailed)
+			m.end(id, r, order.EndFailed)
 		case !now.Before(r.endsAt):
-			m.end(id, r, dispatch.EndDone)
+			m.end(id, r, order.EndDone)
 		}
 	}
 }
@@ -101,23 +101,23 @@
 }
 
 // start carries out an order and reports whether a run began.
-func (m *modelWorker) start(fence uint64, s *dispatch.Start, r *modelRun, since time.Duration) (dispatch.StartOutcome, bool) {
+func (m *modelWorker) start(fence uint64, s *order.Start, r *modelRun, since time.Duration) (order.StartOutcome, bool) {
 	if !m.obeys(fence) {
-		return dispatch.StartFenced, false
+		return order.StartFenced, false
 	}
 	m.deadline = max(m.deadline, s.Deadline)
 	if old := m.running[s.Task]; old != nil && old.run == s.Run {
-		return dispatch.StartDone, false
+		return order.StartDone, false
 	}
 	if m.running[s.Task] != nil || s.Run <= m.barred[s.Task] || s.Deadline <= m.at(since) {
-		return dispatch.StartRefused, false
+		return order.StartRefused, false
 	}
 	r.run = s.Run
 	m.running[s.Task] = r
-	return dispatch.StartDone, true
+	return order.StartDone, true
 }
 
-func (m *modelWorker) stop(fence uint64, s *dispatch.Stop, now time.Time, takes time.Duration) bool {
+func (m *modelWorker) stop(fence uint64, s *order.Stop, now time.Time, takes time.Duration) bool {
 	if !m.obeys(fence) {
 		return false
 	}
@@ -129,21 +129,21 @@
 	return true
 }
 
-func (m *modelWorker) hold(fence uint64, h *dispatch.Hold, since time.Duration) *dispatch.Listing {
+func (m *modelWorker) hold(fence uint64, h *order.Hold, since time.Duration) *order.Listing {
 	if !m.obeys(fence) {
 		return nil
 	}
 	m.deadline = max(m.deadline, h.Deadline)
-	kept := []dispatch.End{}
+	kept := []order.End{}
 	for _, e := range m.finished {
 		if e.Number > h.Confirmed {
 			kept = append(kept, e)
 		}
 	}
 	m.finished = kept
-	l := &dispatch.Listing{At: m.at(since), Finished: append([]dispatch.End{}, kept...)}
+	l := &order.Listing{At: m.at(since), Finished: append([]order.End{}, kept...)}
 	for id, r := range m.running {
-		l.Running = append(l.Running, dispatch.Running{Task: id, Run: r.run, Percent: r.percent(m.now)})
+		l.Running = append(l.Running, order.Running{Task: id, Run: r.run, Percent: r.percent(m.now)})
 	}
 	return l
 }
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -11,6 +11,7 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -22,7 +23,7 @@
 	rng     *rand.Rand
 	engine  *dispatch.Engine
 	fence   uint64
-	workers map[dispatch.WorkerID]*modelWorker
+	workers map[order.WorkerID]*modelWorker
 	// mail is what is on its way: answers and orders that come late.
 	mail []letter
 	// specs and progress are what the store has.
@@ -38,10 +39,10 @@
 	done                 map[work.TaskID]bool
 	failures             map[work.TaskID]int
 	starts               int
-	held                 map[dispatch.WorkerID]int
+	held                 map[order.WorkerID]int
 	broken               []string
 	// lingering are entries of lives that are over.
-	lingering []dispatch.Worker
+	lingering []order.Worker
 	// holdDelay is how much later than asked listings come.
 	holdDelay time.Duration
 	// isInexact means that owners may have started tasks without the store.
@@ -56,23 +57,23 @@
 func newWorld(seed uint64) *world {
 	c := clock.NewFake()
 	w := &world{
-		clock: c, begin: c.Now(), rng: rand.New(rand.NewPCG(seed, 1)), workers: map[dispatch.WorkerID]*modelWorker{},
+		clock: c, begin: c.Now(), rng: rand.New(rand.NewPCG(seed, 1)), workers: map[order.WorkerID]*modelWorker{},
 		specs: map[work.JobID]*work.Spec{}, progress: map[work.JobID]*work.Progress{},
 		done: map[work.TaskID]bool{}, failures: map[work.TaskID]int{},
-		held: map[dispatch.WorkerID]int{},
+		held: map[order.WorkerID]int{},
 	}
 	w.takeOver()
 	return w
 }
 
-var testQueue = dispatch.Queue{Name: "q", Service: "pool", MaxAttempts: 3}
+var testQueue = order.Queue{Name: "q", Service: "pool", MaxAttempts: 3}
 
 // takeOver replaces the engine by one of a new owner that knows what the store has.
 func (w *world) takeOver() {
 	w.fence++
 	w.engine = dispatch.NewEngine(dispatch.Options{})
 	w.engine.Advance(w.clock.Now())
-	w.engine.SetQueues([]dispatch.Queue{testQueue})
+	w.engine.SetQueues([]order.Queue{testQueue})
 	for _, id := range w.order {
 		w.engine.RestoreJob(w.specs[id], w.progress[id])
 	}
@@ -89,8 +90,8 @@
 	}
 }
 
-func (w *world) list() []dispatch.Worker {
-	out := []dispatch.Worker{}
+func (w *world) list() []order.Worker {
+	out := []order.Worker{}
 	for _, m := range w.workers {
 		if !m.isDead {
 			out = append(out, m.entry)
@@ -99,7 +100,7 @@
 	if w.rng.IntN(2) == 0 {
 		return append(out, w.lingering...)
 	}
-	return append(append([]dispatch.Worker{}, w.lingering...), out...)
+	return append(append([]order.Worker{}, w.lingering...), out...)
 }
 
 // later delivers something after a delay, unless the engine is replaced.
@@ -177,15 +178,15 @@
 // delay is the way to a worker or back.
 func (w *world) delay() time.Duration { return time.Duration(1+w.rng.IntN(20)) * time.Millisecond }
 
-func (w *world) carryOut(a dispatch.Action) {
+func (w *world) carryOut(a order.Action) {
 	switch a := a.(type) {
-	case dispatch.Start:
+	case order.Start:
 		w.orderStart(a)
-	case dispatch.Stop:
+	case order.Stop:
 		w.orderStop(a)
-	case dispatch.Hold:
+	case order.Hold:
 		w.orderHold(a)
-	case dispatch.Pace, dispatch.Advise:
+	case order.Pace, order.Advise:
 	}
 }
 
@@ -200,11 +201,11 @@
 	return true, w.delay()
 }
 
-func (w *world) orderStart(s dispatch.Start) {
+func (w *world) orderStart(s order.Start) {
 	m, fence := w.workers[s.Worker], w.fence
 	lost, delay := w.isLost()
 	if m == nil || m.isDead {
-		w.later(w.delay(), func() { w.engine.StartAnswered(s.Worker, s.Task, s.Run, dispatch.StartUnhealthy, 0) })
+		w.later(w.delay(), func() { w.engine.StartAnswered(s.Worker, s.Task, s.Run, order.StartUnhealthy, 0) })
 		return
 	}
 	spec := w.specs[s.Task.Job].Steps[s.Task.Step]
@@ -226,11 +227,11 @@
 		w.later(w.delay(), func() { w.engine.StartAnswered(s.Worker, s.Task, s.Run, outcome, at) })
 	})
 	if lost || m.isCut {
-		w.later(1500*time.Millisecond, func() { w.engine.StartAnswered(s.Worker, s.Task, s.Run, dispatch.StartUnknown, 0) })
+		w.later(1500*time.Millisecond, func() { w.engine.StartAnswered(s.Worker, s.Task, s.Run, order.StartUnknown, 0) })
 	}
 }
 
-func (w *world) orderStop(s dispatch.Stop) {
+func (w *world) orderStop(s order.Stop) {
 	m, fence := w.workers[s.Worker], w.fence
 	lost, delay := w.isLost()
 	if m == nil {
@@ -245,7 +246,7 @@
 	})
 }
 
-func (w *world) orderHold(h dispatch.Hold) {
+func (w *world) orderHold(h order.Hold) {
 	m, fence := w.workers[h.Worker], w.fence
 	lost, delay := w.isLost()
 	if m == nil || m.isDead || m.isCut || lost {
@@ -259,7 +260,7 @@
 		wait = 0
 	}
 	w.orderLater(delay+wait, func() {
-		var l *dispatch.Listing
+		var l *order.Listing
 		if !m.isCut && !m.isDead {
 			l = m.hold(fence, &h, w.since())
 		}
@@ -328,7 +329,7 @@
 }
 
 // crash ends a worker's life and begins another on the same machine.
-func (w *world) crash(id dispatch.WorkerID, next string) {
+func (w *world) crash(id order.WorkerID, next string) {
 	m := w.workers[id]
 	m.isDead = true
 	m.running = map[work.TaskID]*modelRun{}
@@ -339,7 +340,7 @@
 }
 
 // holds returns how many listings a worker was asked for.
-func (w *world) holds(id dispatch.WorkerID) int { return w.held[id] }
+func (w *world) holds(id order.WorkerID) int { return w.held[id] }
 
 // workerOf returns the worker on which a task runs.
 func (w *world) workerOf(id work.TaskID) *modelWorker {
--- a/internal/dispatch/types.go
+++ b/internal/order/order.go
@@ -1,15 +1,9 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-// Package dispatch decides which task runs on which worker and when. It is pure:
-// what happened comes in by calls with the time, what is to be done goes out as
-// actions. One goroutine calls it.
-//
-// Its promises: a worker's room is charged from the order until the end is
-// known; a task has at most one attempt of which it is not known that it is over
-// (but where copies are allowed); what must last is handed out as a batch, and
-// an end is only confirmed to a worker when the batch with it is committed.
-package dispatch
+// Package order has what the engine and those who carry out its decisions tell
+// each other: workers and their words, orders and what became of them.
+package order
 
 import (
 	"net/netip"
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke"
-	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -97,16 +97,16 @@
 }
 
 type workersEvent struct {
-	list      []dispatch.Worker
+	list      []order.Worker
 	isCertain bool
 }
 
 func (ev workersEvent) apply(o *Owner) { o.engine.SetWorkers(ev.list, ev.isCertain) }
 
 type startEvent struct {
-	start   dispatch.Start
-	outcome dispatch.StartOutcome
-	at      dispatch.WorkerTime
+	start   order.Start
+	outcome order.StartOutcome
+	at      order.WorkerTime
 }
 
 func (ev startEvent) apply(o *Owner) {
@@ -115,8 +115,8 @@
 }
 
 type stopEvent struct {
-	stop    dispatch.Stop
-	at      dispatch.WorkerTime
+	stop    order.Stop
+	at      order.WorkerTime
 	isKnown bool
 }
 
@@ -125,8 +125,8 @@
 }
 
 type holdEvent struct {
-	hold    dispatch.Hold
-	listing *dispatch.Listing
+	hold    order.Hold
+	listing *order.Listing
 	outcome HoldOutcome
 }
 
@@ -142,8 +142,8 @@
 }
 
 type adviceEvent struct {
-	advise dispatch.Advise
-	good   []dispatch.Ticket
+	advise order.Advise
+	good   []order.Ticket
 	valid  time.Duration
 	err    error
 }
--- a/internal/owner/fakes_test.go
+++ b/internal/owner/fakes_test.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -98,8 +98,8 @@
 // fakeWorkers start everything and end it at once.
 type fakeWorkers struct {
 	mu     sync.Mutex
-	starts []dispatch.Start
-	ends   []dispatch.End
+	starts []order.Start
+	ends   []order.End
 	began  time.Time
 	told   chan struct{}
 }
@@ -108,30 +108,30 @@
 	return &fakeWorkers{began: time.Now(), told: make(chan struct{}, 1)}
 }
 
-func (w *fakeWorkers) at() dispatch.WorkerTime { return dispatch.WorkerTime(time.Since(w.began)) }
+func (w *fakeWorkers) at() order.WorkerTime { return order.WorkerTime(time.Since(w.began)) }
 
-func (w *fakeWorkers) Start(_ context.Context, _ uint64, s *dispatch.Start) (dispatch.StartOutcome, dispatch.WorkerTime) {
+func (w *fakeWorkers) Start(_ context.Context, _ uint64, s *order.Start) (order.StartOutcome, order.WorkerTime) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts = append(w.starts, *s)
-	w.ends = append(w.ends, dispatch.End{Number: uint64(len(w.ends) + 1), Task: s.Task, Run: s.Run, Kind: dispatch.EndDone})
+	w.ends = append(w.ends, order.End{Number: uint64(len(w.ends) + 1), Task: s.Task, Run: s.Run, Kind: order.EndDone})
 	select {
 	case w.told <- struct{}{}:
 	default:
 	}
-	return dispatch.StartDone, w.at()
+	return order.StartDone, w.at()
 }
 
-func (w *fakeWorkers) Stop(context.Context, uint64, *dispatch.Stop) (dispatch.WorkerTime, bool) {
+func (w *fakeWorkers) Stop(context.Context, uint64, *order.Stop) (order.WorkerTime, bool) {
 	return w.at(), true
 }
 
-func (w *fakeWorkers) Pace(context.Context, uint64, *dispatch.Pace) error { return nil }
+func (w *fakeWorkers) Pace(context.Context, uint64, *order.Pace) error { return nil }
 
-func (w *fakeWorkers) Hold(ctx context.Context, _ uint64, h *dispatch.Hold) (*dispatch.Listing, owner.HoldOutcome) {
+func (w *fakeWorkers) Hold(ctx context.Context, _ uint64, h *order.Hold) (*order.Listing, owner.HoldOutcome) {
 	for {
 		w.mu.Lock()
-		l := &dispatch.Listing{At: w.at()}
+		l := &order.Listing{At: w.at()}
 		for _, e := range w.ends {
 			if e.Number > h.Confirmed {
 				l.Finished = append(l.Finished, e)
@@ -151,15 +151,15 @@
 
 type oneWorker struct{}
 
-func (oneWorker) Workers(context.Context) ([]dispatch.Worker, error) {
-	return []dispatch.Worker{{ID: "w", Service: "pool"}}, nil
+func (oneWorker) Workers(context.Context) ([]order.Worker, error) {
+	return []order.Worker{{ID: "w", Service: "pool"}}, nil
 }
 
 type noLanes struct{}
 
 func (noLanes) Names() []string { return nil }
 
-func (noLanes) Ask(context.Context, string, work.StepID, []dispatch.WorkerID) ([]dispatch.Ticket, time.Duration, error) {
+func (noLanes) Ask(context.Context, string, work.StepID, []order.WorkerID) ([]order.Ticket, time.Duration, error) {
 	return nil, 0, errors.New("not used here")
 }
 
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/clock"
-	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -33,24 +33,24 @@
 // does nothing for a lower one than it has seen. Implementations are safe for
 // concurrent use.
 type Workers interface {
-	Start(ctx context.Context, fence uint64, s *dispatch.Start) (dispatch.StartOutcome, dispatch.WorkerTime)
+	Start(ctx context.Context, fence uint64, s *order.Start) (order.StartOutcome, order.WorkerTime)
 	// Stop returns the worker's clock, and false when no answer came.
-	Stop(ctx context.Context, fence uint64, s *dispatch.Stop) (dispatch.WorkerTime, bool)
-	Hold(ctx context.Context, fence uint64, h *dispatch.Hold) (*dispatch.Listing, HoldOutcome)
-	Pace(ctx context.Context, fence uint64, p *dispatch.Pace) error
+	Stop(ctx context.Context, fence uint64, s *order.Stop) (order.WorkerTime, bool)
+	Hold(ctx context.Context, fence uint64, h *order.Hold) (*order.Listing, HoldOutcome)
+	Pace(ctx context.Context, fence uint64, p *order.Pace) error
 }
 
 // List is the platform's list of workers. It is called by one goroutine.
 type List interface {
 	// Workers returns the whole list.
-	Workers(ctx context.Context) ([]dispatch.Worker, error)
+	Workers(ctx context.Context) ([]order.Worker, error)
 }
 
 // Lanes are the ways to the service that permits workers.
 type Lanes interface {
 	// Names returns the lanes that can be used now.
 	Names() []string
-	Ask(ctx context.Context, lane string, step work.StepID, workers []dispatch.WorkerID) ([]dispatch.Ticket, time.Duration, error)
+	Ask(ctx context.Context, lane string, step work.StepID, workers []order.WorkerID) ([]order.Ticket, time.Duration, error)
 }
 
 // Metrics takes the figures of an owner. Implementations are safe for concurrent
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -7,23 +7,23 @@
 	"context"
 	"time"
 
-	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 )
 
 // carryOut starts what the engine wants done; the outcome comes as an event.
-func (o *Owner) carryOut(a dispatch.Action) {
+func (o *Owner) carryOut(a order.Action) {
 	switch a := a.(type) {
-	case dispatch.Start:
+	case order.Start:
 		o.orders++
 		go o.runStart(a)
-	case dispatch.Stop:
+	case order.Stop:
 		go o.runStop(a)
-	case dispatch.Hold:
+	case order.Hold:
 		go o.runHold(a)
-	case dispatch.Pace:
+	case order.Pace:
 		go o.runPace(a)
-	case dispatch.Advise:
+	case order.Advise:
 		go o.runAsk(a)
 	}
 }
@@ -32,19 +32,19 @@
 	return context.WithTimeout(o.ctx, d)
 }
 
-func (o *Owner) runStart(s dispatch.Start) {
+func (o *Owner) runStart(s order.Start) {
 	ctx, cancel := o.bound(startTimeout)
 	defer cancel()
 	began := o.options.Clock.Now()
 	outcome, at := o.options.Workers.Start(ctx, o.Epoch(), &s)
 	o.options.Metrics.OrderAnswered("start", string(outcome), o.options.Clock.Now().Sub(began))
-	if outcome == dispatch.StartFenced {
+	if outcome == order.StartFenced {
 		o.options.Log(events.RackFenced, "worker", s.Worker, "epoch", o.Epoch())
 	}
 	o.put(startEvent{s, outcome, at})
 }
 
-func (o *Owner) runStop(s dispatch.Stop) {
+func (o *Owner) runStop(s order.Stop) {
 	ctx, cancel := o.bound(stopTimeout)
 	defer cancel()
 	began := o.options.Clock.Now()
@@ -60,14 +60,14 @@
 	return "unknown"
 }
 
-func (o *Owner) runHold(h dispatch.Hold) {
+func (o *Owner) runHold(h order.Hold) {
 	ctx, cancel := o.bound(h.Wait + holdMargin)
 	defer cancel()
 	listing, outcome := o.options.Workers.Hold(ctx, o.Epoch(), &h)
 	o.put(holdEvent{h, listing, outcome})
 }
 
-func (o *Owner) runPace(p dispatch.Pace) {
+func (o *Owner) runPace(p order.Pace) {
 	ctx, cancel := o.bound(stopTimeout)
 	defer cancel()
 	if err := o.options.Workers.Pace(ctx, o.Epoch(), &p); err != nil {
@@ -75,7 +75,7 @@
 	}
 }
 
-func (o *Owner) runAsk(a dispatch.Advise) {
+func (o *Owner) runAsk(a order.Advise) {
 	ctx, cancel := o.bound(askTimeout)
 	defer cancel()
 	good, valid, err := o.options.Lanes.Ask(ctx, a.Lane, a.Step, a.Workers)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -14,6 +14,7 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/ring"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -36,7 +37,7 @@
 
 	mu sync.Mutex
 	// queues is a configuration that the engine does not have yet.
-	queues        []dispatch.Queue
+	queues        []order.Queue
 	queuesVersion uint64
 
 	// What follows belongs to the loop.
@@ -283,7 +284,7 @@
 }
 
 // SetQueues puts a configuration in force, unless a later one is.
-func (o *Owner) SetQueues(version uint64, queues []dispatch.Queue) {
+func (o *Owner) SetQueues(version uint64, queues []order.Queue) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if version >= o.queuesVersion {
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/clock"
-	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -35,7 +35,7 @@
 		Claim: owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: true}, Store: log, Workers: workers, List: oneWorker{},
 		Lanes: noLanes{}, Clock: clock.Real{}, Metrics: noFigures{}, HasOutage: func() bool { return false },
 	})
-	o.SetQueues(1, []dispatch.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
+	o.SetQueues(1, []order.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
 	done := make(chan error, 1)
 	go func() { done <- o.Run(context.WithoutCancel(t.Context())) }()
 	t.Cleanup(func() {
