internal/dispatch: do not take uneven tasks for slow ones; internal/standin/site: judge ends as the users do

Change: a step's time is known when half of it is done and never below the estimate; a task near its end has 4 s. In the stand-in an end counts once it is confirmed, unless the lease was over before: the users' own rule.

--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -21,6 +21,10 @@
 	stuckFiller = 8 * time.Second
 	// stuckLasting is for a lasting task that does not get to work.
 	stuckLasting = 4 * time.Second
+	// nearlyDone is the percent from which a task may take its time: it is longer
+	// than the worker thought. stuckEnd is how long.
+	nearlyDone = 98
+	stuckEnd   = 4 * time.Second
 	// judgeAfter is the least time after which a rate is believed: percents are
 	// whole numbers.
 	judgeAfter = 300 * time.Millisecond
@@ -33,8 +37,9 @@
 	worthRatio = 1.3
 	// maxRescues bounds the attempts of a task that are stopped as too slow.
 	maxRescues = 2
-	// trustedRuns is how many done tasks of a step make its time known, or of a
-	// queue the errors of its estimates.
+	// trustedRuns is how many done tasks of a step make its time known, if they are
+	// half of it, and trustedEstimates how many of a queue make the errors of its
+	// estimates known.
 	trustedRuns, trustedEstimates = 2, 20
 	// trustedError is the mean error of estimates, as a logarithm, up to which one
 	// tells that a task is slow: at 0.4, one in a hundred is off by slowRatio.
@@ -48,15 +53,21 @@
 // tasks of the queue took; 0 when nothing is known.
 func (e *Engine) expected(s *step) time.Duration {
 	if s.doneRuns > 0 {
-		return s.doneTime / time.Duration(s.doneRuns)
+		// The first to be done are the shortest: they do not lower the estimate.
+		return max(s.doneTime/time.Duration(s.doneRuns), e.estimated(s))
 	}
+	return e.estimated(s)
+}
+
+// estimated returns the caller's estimate, corrected.
+func (e *Engine) estimated(s *step) time.Duration {
 	return time.Duration(e.estimates[s.job.spec.Queue].correction() * float64(s.spec.Estimate))
 }
 
 // isTrustedTime reports whether expected is good enough to judge a single task.
 func (e *Engine) isTrustedTime(s *step) bool {
 	q := e.estimates[s.job.spec.Queue]
-	return s.doneRuns >= trustedRuns || s.spec.Estimate > 0 && q != nil && q.runs >= trustedEstimates && q.error < trustedError
+	return s.doneRuns >= max(trustedRuns, len(s.tasks)/2) || s.spec.Estimate > 0 && q != nil && q.runs >= trustedEstimates && q.error < trustedError
 }
 
 // estimates is how good the estimates of a queue's callers are.
@@ -154,7 +165,7 @@
 	}
 	// Progress is only known from listings: a silent worker is no stuck task.
 	still := a.worker.toldAt.Sub(a.percentAt)
-	if still >= e.stuckLimit(a.step) && a.pace == fullPace {
+	if still >= e.stuckLimit(a) && a.pace == fullPace {
 		e.options.Log(events.AttemptStuck, "task", a.id, "run", a.run, "worker", a.worker.ID, "percent", a.percent, "for", still, "expected", e.expected(a.step))
 		if !a.step.spec.IsFiller {
 			a.worker.health.setAside(e.now)
@@ -167,12 +178,15 @@
 	}
 }
 
-func (e *Engine) stuckLimit(s *step) time.Duration {
+func (e *Engine) stuckLimit(a *attempt) time.Duration {
+	s := a.step
 	switch {
 	case s.spec.IsLasting:
 		return stuckLasting
 	case s.spec.IsFiller:
 		return stuckFiller
+	case a.percent >= nearlyDone:
+		return stuckEnd
 	}
 	expected := e.expected(s)
 	return stuckLeast + time.Duration(stuckShare*float64(expected))
--- a/internal/standin/site/oracle.go
+++ b/internal/standin/site/oracle.go
@@ -16,8 +16,8 @@
 	mu sync.Mutex
 	// places has, by task, the workers on which it runs.
 	places map[string][]string
-	// finished has the tasks that ended well.
-	finished   map[string]bool
+	// good has, by task, the ends that were good.
+	good       map[string][]*goodEnd
 	startCount int
 	// jobs are those of which a task began.
 	jobs   map[string]bool
@@ -25,7 +25,7 @@
 }
 
 func newOracle() *Oracle {
-	return &Oracle{places: map[string][]string{}, finished: map[string]bool{}, jobs: map[string]bool{}}
+	return &Oracle{places: map[string][]string{}, good: map[string][]*goodEnd{}, jobs: map[string]bool{}}
 }
 
 // began notes a start; the worker's lock is held.
@@ -38,8 +38,9 @@
 	if on := o.places[task]; len(on) > 0 {
 		o.broken = append(o.broken, fmt.Sprintf("%s starts on %s while it runs on %v", task, w.id, on))
 	}
-	if o.finished[task] {
-		o.broken = append(o.broken, fmt.Sprintf("%s starts on %s after it was done", task, w.id))
+	for _, e := range o.good[task] {
+		e.startedOn = append(e.startedOn, w.id)
+		o.judge(task, e)
 	}
 	o.places[task] = append(o.places[task], w.id)
 	cpu, mem := int64(0), int64(0)
@@ -58,10 +59,51 @@
 	o.places[task] = slices.DeleteFunc(o.places[task], func(id string) bool { return id == worker })
 }
 
-func (o *Oracle) done(task string) {
+// goodEnd is a run that ended well. It counts once a node has taken note of it,
+// unless the worker's lease was over before: then nobody had to know of it.
+type goodEnd struct {
+	worker          string
+	isNoted, isVoid bool
+	startedOn       []string
+}
+
+func (o *Oracle) done(task, worker string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.good[task] = append(o.good[task], &goodEnd{worker: worker})
+}
+
+// noted says that a node has confirmed a worker's end of a task.
+func (o *Oracle) noted(task, worker string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.finished[task] = true
+	for _, e := range o.good[task] {
+		if e.worker == worker && !e.isVoid {
+			e.isNoted = true
+			o.judge(task, e)
+		}
+	}
+}
+
+// lapsed says that a worker's lease is over.
+func (o *Oracle) lapsed(worker string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, ends := range o.good {
+		for _, e := range ends {
+			if e.worker == worker && !e.isNoted {
+				e.isVoid = true
+			}
+		}
+	}
+}
+
+// judge tells a start after an end that counts; the caller holds the lock.
+func (o *Oracle) judge(task string, e *goodEnd) {
+	if e.isNoted && len(e.startedOn) > 0 {
+		o.broken = append(o.broken, fmt.Sprintf("%s starts on %v after it was done on %s", task, e.startedOn, e.worker))
+		e.startedOn = nil
+	}
 }
 
 func (o *Oracle) breaks(what string) {
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -198,6 +198,7 @@
 	if w.now() < w.deadline {
 		return
 	}
+	w.site.oracle.lapsed(w.id)
 	for task, r := range w.running {
 		w.end(task, r, "lapsed")
 	}
@@ -215,7 +216,7 @@
 	w.next++
 	w.site.oracle.ended(task, w.id)
 	if how == "done" {
-		w.site.oracle.done(task)
+		w.site.oracle.done(task, w.id)
 	}
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -290,6 +291,8 @@
 		for _, e := range w.finished {
 			if e.number > b.LastSeen {
 				kept = append(kept, e)
+			} else if e.how == "done" {
+				w.site.oracle.noted(e.task, w.id)
 			}
 		}
 		w.finished = kept
