--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -57,8 +57,6 @@
 	Metrics  owner.Metrics
 	// StopTime is the longest that a worker takes to stop a task.
 	StopTime time.Duration
-	// EarlyTime is how much before its time a round may start.
-	EarlyTime time.Duration
 	// HolderPause is how long a former owner does not claim again.
 	HolderPause time.Duration
 	// Strength is how many processors the node has: the strongest should own.
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -45,7 +45,6 @@
 	verdicts map[order.WorkerID]bool
 	tickets  map[order.WorkerID]ticket
 	isAsking bool
-	askedAt  time.Time
 	retryAt  time.Time
 }
 
@@ -141,7 +140,7 @@
 		return
 	}
 	lane.busySince, lane.step = e.now, s.id
-	s.advice.isAsking, s.advice.askedAt = true, e.now
+	s.advice.isAsking = true
 	e.counts.Asks++
 	e.do(order.Advise{Lane: lane.name, Step: s.id, Workers: asked})
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -58,8 +58,6 @@
 	NodeZone string
 	// StopTime is the longest that a worker takes to stop a task.
 	StopTime time.Duration
-	// EarlyTime is how much before its time a round may start.
-	EarlyTime time.Duration
 }
 
 // Engine decides for one shard: its jobs and its workers.
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -33,14 +33,12 @@
 	pausedUntil time.Time
 	pause       time.Duration
 	onTrial     bool
-	wins        int
 }
 
 func (h *health) succeeded() {
 	h.inRow = 0
 	h.onTrial = false
 	h.pause = 0
-	h.wins++
 }
 
 func (h *health) failed(now time.Time, j *job) {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -87,8 +87,6 @@
 	figure      int
 	pace        int
 	pacedAt     time.Time
-	// highSince is when its tail was first seen over the target; zero when it is not.
-	highSince time.Time
 	// hasSaved means that it went on from where an earlier attempt was saved;
 	// isAdopted that an earlier owner started it.
 	hasSaved, isAdopted bool
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -65,6 +65,7 @@
 	HandedOver       = add(307, "shard handed over", LevelInfo)
 	OwnerFollowed    = add(308, "node follows the owner", LevelInfo)
 	InheritedSettled = add(465, "what an earlier owner started on a worker is over", LevelInfo)
+	Totals           = add(466, "totals of the owner", LevelInfo)
 	StartsUnlogged   = add(309, "tasks are started without the store", LevelWarning)
 	VMListFailed     = add(310, "list of VMs does not answer", LevelWarning)
 	ConfigInForce    = add(320, "document in force", LevelInfo)
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -93,8 +93,6 @@
 	NodeZone  string
 	// StopTime is the longest that a worker takes to stop a task.
 	StopTime time.Duration
-	// EarlyTime is how much before its time a round may start.
-	EarlyTime time.Duration
 }
 
 // Durations.
@@ -138,6 +136,8 @@
 	// handOverBound is how long a hand-over waits for orders and appends: longer
 	// than any order takes.
 	handOverBound = 500 * time.Millisecond
+	// totalsPeriod is the time between two lines with the engine's totals.
+	totalsPeriod = 10 * time.Second
 	// unloggedAfter is how long the store must be out until tasks are started
 	// whose places are not kept. Tasks that must wait less are not harmed much: a
 	// job's end cannot be shown meanwhile either.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -51,6 +51,7 @@
 	submits     map[work.JobID][]chan error
 	cancels     map[work.JobID][]chan error
 	orders      int
+	totalsAt    time.Time
 	handOver    chan bool
 	handOverAt  time.Time
 	// outSince is when the store was found out; zero while it serves.
@@ -69,7 +70,7 @@
 	return &Owner{
 		options: options,
 		engine: dispatch.NewEngine(dispatch.Options{
-			Log: options.Log, NodeZone: options.NodeZone, StopTime: options.StopTime, EarlyTime: options.EarlyTime,
+			Log: options.Log, NodeZone: options.NodeZone, StopTime: options.StopTime,
 		}),
 		inbox: ring.NewRing[event](eventsBound), ctx: ctx, cancel: cancel,
 		writes: make(chan *write, 1), loaded: make(chan struct{}),
@@ -140,6 +141,7 @@
 			o.engine.Tick()
 			o.engine.SetLanes(o.options.Lanes.Names())
 			o.setUnlogged()
+			o.logTotals()
 		}
 		o.step()
 	}
@@ -159,6 +161,18 @@
 	}
 }
 
+// logTotals writes the engine's totals now and then, for a look back without
+// figures.
+func (o *Owner) logTotals() {
+	if o.now.Sub(o.totalsAt) < totalsPeriod {
+		return
+	}
+	o.totalsAt = o.now
+	c := o.engine.Counts()
+	o.options.Log(events.Totals, "epoch", o.Epoch(), "starts", c.Starts, "done", c.Done, "failed", c.Failed, "stopped", c.Stopped,
+		"lapsed", c.Lapsed, "doubtful", c.Doubtful, "asks", c.Asks, "orders", o.orders)
+}
+
 // setUnlogged finds out whether the store has been out for so long that tasks are
 // started without it.
 func (o *Owner) setUnlogged() {
