internal/command: exit with 2 when the platform's settings are at fault

Cause: leverdyked's help promises exit code 2 for settings; the platform's gave 1. Change: errors of adapters can say that a file is at fault.

--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -45,10 +45,11 @@
 	refused := &operator.ProblemError{}
 	verdict := &leverdyke.Error{}
 	usage := &UsageError{}
+	input := inputError(nil)
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &field), errors.As(err, &usage):
+	case errors.As(err, &field), errors.As(err, &usage), errors.As(err, &input):
 		return ExitInvalid
 	case errors.As(err, &refused):
 		return codeOfProblem(refused)
@@ -58,6 +59,13 @@
 	return ExitFailed
 }
 
+// inputError is an error of an adapter that says that a file is at fault.
+type inputError interface {
+	error
+	// IsInput tells such errors from others by having it.
+	IsInput()
+}
+
 func codeOfProblem(p *operator.ProblemError) int {
 	switch {
 	case p.IsInvalid:
--- /dev/null
+++ b/internal/command/exit_test.go
@@ -0,0 +1,35 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package command_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/command"
+)
+
+// badFile is an error of an adapter about a file.
+type badFile struct{ error }
+
+func (badFile) IsInput() {}
+
+func TestCodeOf(t *testing.T) {
+	for name, tc := range map[string]struct {
+		err  error
+		want int
+	}{
+		"nothing":           {nil, command.ExitOK},
+		"any failure":       {errors.New("x"), command.ExitFailed},
+		"a file":            {fmt.Errorf("run: %w", badFile{errors.New("x")}), command.ExitInvalid},
+		"may have run":      {leverdyke.MayHaveRun("x", nil), command.ExitUnknown},
+		"certainly not run": {leverdyke.NotRun("x", 0), command.ExitFailed},
+	} {
+		if got := command.CodeOf(tc.err); got != tc.want {
+			t.Errorf("%s: got: %d, want: %d", name, got, tc.want)
+		}
+	}
+}
