internal/cell, internal/store/fakestore: test nodes together in one process

Cause: internal/cell was only covered by whole processes. Change: a store in memory for tests, used by internal/owner's too, and tests of nodes that find an owner, go on after its end, leave as planned, refuse without one, and pass configurations on without going back.

--- /dev/null
+++ b/internal/cell/node_test.go
@@ -0,0 +1,245 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package cell_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/cell"
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/detour"
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/store/fakestore"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// idle is what a node needs of the platform where nothing is started.
+type idle struct{}
+
+func (idle) Do(context.Context, *detour.Request) (*detour.Response, error) {
+	return nil, &detour.UnsentError{Err: errors.New("not used here")}
+}
+
+func (idle) Ask(context.Context, work.StepID, []order.WorkerID) ([]order.Ticket, time.Duration, error) {
+	return nil, 0, errors.New("not used here")
+}
+
+func (idle) Start(context.Context, uint64, *order.Start) (order.StartOutcome, order.WorkerTime) {
+	return order.StartUnhealthy, 0
+}
+
+func (idle) Stop(context.Context, uint64, *order.Stop) (order.WorkerTime, bool) { return 0, false }
+
+func (idle) Pace(context.Context, uint64, *order.Pace) error { return nil }
+
+func (idle) Hold(context.Context, uint64, *order.Hold) (*order.Listing, owner.HoldOutcome) {
+	return nil, owner.HoldSilent
+}
+
+func (idle) Workers(context.Context) ([]order.Worker, error) { return nil, nil }
+
+func (idle) OrderAnswered(string, string, time.Duration) {}
+
+func (idle) Appended(string, time.Duration) {}
+
+// config is the operators' configuration: a version as JSON.
+type config struct {
+	mu      sync.Mutex
+	data    []byte
+	changed chan struct{}
+	applied uint64
+}
+
+func newConfig() *config { return &config{changed: make(chan struct{}, 8)} }
+
+func (c *config) set(version uint64) {
+	data, err := json.Marshal(version)
+	if err != nil {
+		panic(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.data = data
+	c.changed <- struct{}{}
+}
+
+func (*config) Parse(data []byte) (uint64, []order.Queue, error) {
+	version := uint64(0)
+	err := json.Unmarshal(data, &version)
+	return version, []order.Queue{{Name: "q", Service: "pool"}}, err
+}
+
+func (c *config) Wait(ctx context.Context, _ uint64) ([]byte, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-c.changed:
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.data, nil
+}
+
+func (c *config) Apply(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return json.Unmarshal(data, &c.applied)
+}
+
+func (c *config) inForce() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.applied
+}
+
+// testNode is a node with its own configuration reader.
+type testNode struct {
+	*cell.Node
+	config *config
+}
+
+func newNode(t *testing.T, log *fakestore.Log, name, life string) *testNode {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	c := newConfig()
+	n, err := cell.NewNode(cell.Options{
+		Name: name, Zone: "z", LinkAddr: addr, Life: life, Clock: clock.Real{}, Direct: idle{}, Adviser: idle{}, Config: c,
+		NewStore: func(detour.Doer) store.Log { return log },
+		NewOwner: func(detour.Doer) (owner.Workers, owner.List) { return idle{}, idle{} },
+		Log:      func(events.Event, ...any) {}, Metrics: idle{}, Strength: 1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(n.Close)
+	return &testNode{n, c}
+}
+
+// awaitTrue polls until the condition holds.
+func awaitTrue(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	tooLate := time.After(30 * time.Second)
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-tooLate:
+			t.Fatal("not in time: " + what)
+		}
+	}
+}
+
+func job(id string) *work.Spec {
+	return &work.Spec{ID: work.JobID(id), Queue: "q", Steps: []work.Step{{Count: 1, MayMiss: -1}}}
+}
+
+// submit hands a job in until it is accepted.
+func (n *testNode) submit(t *testing.T, id string) {
+	t.Helper()
+	awaitTrue(t, id+" is accepted", func() bool { return n.Submit(t.Context(), job(id)) == nil })
+}
+
+func (n *testNode) knows(t *testing.T, id string) bool {
+	t.Helper()
+	_, ok, err := n.State(t.Context(), work.JobID(id))
+	return err == nil && ok
+}
+
+func TestAnyNodeServesAnyCaller(t *testing.T) {
+	log := fakestore.NewLog()
+	nodes := []*testNode{}
+	for i := range 3 {
+		nodes = append(nodes, newNode(t, log, fmt.Sprintf("n%d", i), "1"))
+	}
+	for i, n := range nodes {
+		n.submit(t, fmt.Sprintf("j%d", i))
+	}
+	for _, n := range nodes {
+		for i := range 3 {
+			id := fmt.Sprintf("j%d", i)
+			awaitTrue(t, id+" is known everywhere", func() bool { return n.knows(t, id) })
+		}
+		if count, err := n.Pending(t.Context(), "q"); err != nil || count != 3 {
+			t.Errorf("pending: got: %d, %v, want: 3", count, err)
+		}
+	}
+	if ok, err := nodes[0].Cancel(t.Context(), "j2"); err != nil || !ok {
+		t.Errorf("cancel: got: %v, %v, want: done", ok, err)
+	}
+	if state, _, err := nodes[1].State(t.Context(), "j2"); err != nil || state != work.JobCancelled {
+		t.Errorf("state elsewhere: got: %v, %v, want: %v", state, err, work.JobCancelled)
+	}
+}
+
+func TestAnotherNodeGoesOnAfterTheOwnersEnd(t *testing.T) {
+	log := fakestore.NewLog()
+	first := newNode(t, log, "n0", "1")
+	first.submit(t, "a")
+	second := newNode(t, log, "n1", "1")
+	awaitTrue(t, "the second node serves", func() bool { return second.knows(t, "a") })
+	first.Close()
+	awaitTrue(t, "the job is known after the owner's end", func() bool { return second.knows(t, "a") })
+	second.submit(t, "b")
+}
+
+func TestAPlannedStopLeavesNoGap(t *testing.T) {
+	log := fakestore.NewLog()
+	first := newNode(t, log, "n0", "1")
+	first.submit(t, "a")
+	second := newNode(t, log, "n1", "1")
+	awaitTrue(t, "the second node serves", func() bool { return second.knows(t, "a") })
+	first.Leave(t.Context())
+	second.submit(t, "b")
+	awaitTrue(t, "the leaving node passes requests on", func() bool { return first.knows(t, "b") })
+	if first.IsReady() {
+		t.Error("the leaving node: got: ready, want: not ready")
+	}
+}
+
+func TestANodeWithoutAnOwnerRefuses(t *testing.T) {
+	log := fakestore.NewLog()
+	log.SetDown(true)
+	n := newNode(t, log, "n0", "1")
+	err := n.Submit(t.Context(), job("a"))
+	e := &leverdyke.Error{}
+	if !errors.As(err, &e) || e.Verdict != leverdyke.VerdictNotRun || e.RetryAfterSeconds == 0 {
+		t.Errorf("got: %v, want: %v with a time to come back", err, leverdyke.VerdictNotRun)
+	}
+}
+
+func TestConfigurationComesByPeersAndNeverGoesBack(t *testing.T) {
+	log := fakestore.NewLog()
+	first, second := newNode(t, log, "n0", "1"), newNode(t, log, "n1", "1")
+	first.submit(t, "a")
+	second.submit(t, "b")
+	first.config.set(7)
+	awaitTrue(t, "both have the configuration", func() bool { return first.config.inForce() == 7 && second.config.inForce() == 7 })
+	second.config.set(9)
+	awaitTrue(t, "both have the next", func() bool { return first.config.inForce() == 9 && second.config.inForce() == 9 })
+	first.config.set(8)
+	second.submit(t, "c")
+	if got := first.config.inForce(); got != 9 {
+		t.Errorf("after an older one: got: %d, want: 9", got)
+	}
+}
--- a/internal/owner/fakes_test.go
+++ b/internal/owner/fakes_test.go
@@ -11,90 +11,9 @@
 
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
-	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
-// fakeLog is a store in memory that fails as it is told.
-type fakeLog struct {
-	mu      sync.Mutex
-	topics  map[string][]store.Record
-	epoch   uint64
-	answers map[uint64]uint64
-	// fail is asked before an append to the jobs; isDone says whether the append
-	// is done all the same.
-	fail    func(a *store.Append) (err error, isDone bool)
-	appends int
-	// isDown makes the store refuse everything.
-	isDown bool
-}
-
-func newFakeLog() *fakeLog {
-	return &fakeLog{topics: map[string][]store.Record{}, answers: map[uint64]uint64{}}
-}
-
-func (l *fakeLog) Append(_ context.Context, a *store.Append) (uint64, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.isDown {
-		return 0, &store.Error{Failure: store.NotDone}
-	}
-	if a.Topic == owner.TopicJobs && len(a.Records) > 0 {
-		l.appends++
-		if l.fail != nil {
-			if err, isDone := l.fail(a); err != nil {
-				if isDone {
-					_, _ = l.append(a)
-				}
-				return 0, err
-			}
-		}
-	}
-	return l.append(a)
-}
-
-func (l *fakeLog) append(a *store.Append) (uint64, error) {
-	end := uint64(len(l.topics[a.Topic]))
-	if a.At != nil && *a.At != end {
-		return 0, &store.Error{Failure: store.Moved, End: end}
-	}
-	if w := a.Writer; w != nil {
-		if w.Epoch < l.epoch {
-			return 0, &store.Error{Failure: store.Fenced}
-		}
-		l.epoch = w.Epoch
-		if first, ok := l.answers[w.Sequence]; ok && len(a.Records) > 0 {
-			return first, nil
-		}
-		l.answers[w.Sequence] = end
-	}
-	for _, r := range a.Records {
-		r.Offset = uint64(len(l.topics[a.Topic]))
-		l.topics[a.Topic] = append(l.topics[a.Topic], r)
-	}
-	return end, nil
-}
-
-func (l *fakeLog) ReadNewest(_ context.Context, topic string) (*store.Newest, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	newest := map[string]store.Record{}
-	for _, r := range l.topics[topic] {
-		newest[r.Key] = r
-	}
-	out := &store.Newest{End: uint64(len(l.topics[topic]))}
-	for _, r := range newest {
-		if len(r.Value) > 0 {
-			out.Records = append(out.Records, r)
-		}
-	}
-	return out, nil
-}
-
-func (l *fakeLog) Wait(context.Context, string, uint64, time.Duration) ([]store.Record, error) {
-	return nil, errors.New("not used here")
-}
-
 // fakeWorkers start everything and end it at once.
 type fakeWorkers struct {
 	mu     sync.Mutex
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -14,11 +14,12 @@
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/store/fakestore"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
 // claimed claims the shard and returns an owner that runs.
-func claimed(t *testing.T, log *fakeLog, workers *fakeWorkers) *owner.Owner {
+func claimed(t *testing.T, log *fakestore.Log, workers *fakeWorkers) *owner.Owner {
 	t.Helper()
 	earlier, at, err := owner.ReadRecord(t.Context(), log)
 	if err != nil {
@@ -81,7 +82,7 @@
 }
 
 func TestAJobIsKeptAndRun(t *testing.T) {
-	log, workers := newFakeLog(), newFakeWorkers()
+	log, workers := fakestore.NewLog(), newFakeWorkers()
 	o := claimed(t, log, workers)
 	if err := o.Submit(t.Context(), job("a")); err != nil {
 		t.Fatal(err)
@@ -99,17 +100,13 @@
 }
 
 func TestAJobThatTheStoreRefusesNeverRuns(t *testing.T) {
-	log, workers := newFakeLog(), newFakeWorkers()
+	log, workers := fakestore.NewLog(), newFakeWorkers()
 	o := claimed(t, log, workers)
-	log.mu.Lock()
-	log.fail = func(*store.Append) (error, bool) { return &store.Error{Failure: store.NotDone}, false }
-	log.mu.Unlock()
+	log.SetFail(func(*store.Append) (error, bool) { return &store.Error{Failure: store.NotDone}, false })
 	if got := verdictOf(o.Submit(t.Context(), job("a"))); got != leverdyke.VerdictNotRun {
 		t.Errorf("got: %v, want: %v", got, leverdyke.VerdictNotRun)
 	}
-	log.mu.Lock()
-	log.fail = nil
-	log.mu.Unlock()
+	log.SetFail(nil)
 	if err := o.Submit(t.Context(), job("b")); err != nil {
 		awaitTrue(t, "the store is found to serve", func() bool { return o.Submit(t.Context(), job("b")) == nil })
 	}
@@ -121,36 +118,27 @@
 
 // A lost answer is settled by the same sequence number: the job is kept once.
 func TestALostAnswerIsSettled(t *testing.T) {
-	log, workers := newFakeLog(), newFakeWorkers()
+	log, workers := fakestore.NewLog(), newFakeWorkers()
 	o := claimed(t, log, workers)
 	lost := 0
-	log.mu.Lock()
-	log.fail = func(*store.Append) (error, bool) {
+	log.SetFail(func(*store.Append) (error, bool) {
 		if lost++; lost <= 2 {
 			return &store.Error{Failure: store.Unknown}, lost == 1
 		}
 		return nil, false
-	}
-	log.mu.Unlock()
+	})
 	if err := o.Submit(t.Context(), job("a")); err != nil {
 		t.Fatal(err)
 	}
 	awaitState(t, o, "a", work.JobSucceeded)
-	specs := 0
-	log.mu.Lock()
-	defer log.mu.Unlock()
-	for _, r := range log.topics[owner.TopicJobs] {
-		if r.Key == "j/a" {
-			specs++
-		}
-	}
+	specs := log.CountKey(owner.TopicJobs, "j/a")
 	if specs != 1 {
 		t.Errorf("records of the job: got: %d, want: 1", specs)
 	}
 }
 
 func TestANewOwnerEndsTheEarlierOne(t *testing.T) {
-	log, workers := newFakeLog(), newFakeWorkers()
+	log, workers := fakestore.NewLog(), newFakeWorkers()
 	first := claimed(t, log, workers)
 	if err := first.Submit(t.Context(), job("a")); err != nil {
 		t.Fatal(err)
@@ -168,7 +156,7 @@
 }
 
 func TestHandOverEndsTheOwner(t *testing.T) {
-	log, workers := newFakeLog(), newFakeWorkers()
+	log, workers := fakestore.NewLog(), newFakeWorkers()
 	o := claimed(t, log, workers)
 	if err := o.Submit(t.Context(), job("a")); err != nil {
 		t.Fatal(err)
@@ -181,11 +169,9 @@
 
 // Nobody could claim the shard while the store is out: the owner keeps it.
 func TestHandOverIsLeftOutWhileTheStoreIsOut(t *testing.T) {
-	log, workers := newFakeLog(), newFakeWorkers()
+	log, workers := fakestore.NewLog(), newFakeWorkers()
 	o := claimed(t, log, workers)
-	log.mu.Lock()
-	log.isDown = true
-	log.mu.Unlock()
+	log.SetDown(true)
 	if err := o.Submit(t.Context(), job("a")); err == nil {
 		t.Fatal("got: accepted, want: refused")
 	}
--- /dev/null
+++ b/internal/store/fakestore/fakelog.go
@@ -0,0 +1,151 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package fakestore is a store in memory, for tests.
+package fakestore
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/store"
+)
+
+// Log is a store in memory that fails as it is told. It is safe for concurrent
+// use.
+type Log struct {
+	mu      sync.Mutex
+	topics  map[string][]store.Record
+	epoch   uint64
+	answers map[uint64]uint64
+	// fail is asked before an append with records; isDone says whether the append
+	// is done all the same.
+	fail func(a *store.Append) (err error, isDone bool)
+	// isDown makes the store refuse everything.
+	isDown bool
+	// changed is closed at the next append.
+	changed chan struct{}
+}
+
+// NewLog returns an empty store.
+func NewLog() *Log {
+	return &Log{topics: map[string][]store.Record{}, answers: map[uint64]uint64{}, changed: make(chan struct{})}
+}
+
+// Append adds records as the platform's store does.
+func (l *Log) Append(_ context.Context, a *store.Append) (uint64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isDown {
+		return 0, &store.Error{Failure: store.NotDone}
+	}
+	if a.Writer != nil && len(a.Records) > 0 {
+		if l.fail != nil {
+			if err, isDone := l.fail(a); err != nil {
+				if isDone {
+					_, _ = l.append(a)
+				}
+				return 0, err
+			}
+		}
+	}
+	return l.append(a)
+}
+
+func (l *Log) append(a *store.Append) (uint64, error) {
+	end := uint64(len(l.topics[a.Topic]))
+	if a.At != nil && *a.At != end {
+		return 0, &store.Error{Failure: store.Moved, End: end}
+	}
+	if w := a.Writer; w != nil {
+		if w.Epoch < l.epoch {
+			return 0, &store.Error{Failure: store.Fenced}
+		}
+		l.epoch = w.Epoch
+		if first, ok := l.answers[w.Sequence]; ok && len(a.Records) > 0 {
+			return first, nil
+		}
+		l.answers[w.Sequence] = end
+	}
+	for _, r := range a.Records {
+		r.Offset = uint64(len(l.topics[a.Topic]))
+		l.topics[a.Topic] = append(l.topics[a.Topic], r)
+	}
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return end, nil
+}
+
+// ReadNewest returns the newest record of each key.
+func (l *Log) ReadNewest(_ context.Context, topic string) (*store.Newest, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isDown {
+		return nil, &store.Error{Failure: store.NotDone}
+	}
+	newest := map[string]store.Record{}
+	for _, r := range l.topics[topic] {
+		newest[r.Key] = r
+	}
+	out := &store.Newest{End: uint64(len(l.topics[topic]))}
+	for _, r := range newest {
+		if len(r.Value) > 0 {
+			out.Records = append(out.Records, r)
+		}
+	}
+	return out, nil
+}
+
+// Wait returns the records from an offset on, as soon as there is one.
+func (l *Log) Wait(ctx context.Context, topic string, from uint64, wait time.Duration) ([]store.Record, error) {
+	tooLate := time.After(wait)
+	for {
+		l.mu.Lock()
+		all := l.topics[topic]
+		changed := l.changed
+		isDown := l.isDown
+		l.mu.Unlock()
+		switch {
+		case isDown:
+			return nil, &store.Error{Failure: store.NotDone}
+		case from < uint64(len(all)):
+			return all[from:], nil
+		}
+		select {
+		case <-changed:
+		case <-tooLate:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, &store.Error{Failure: store.Unknown, Err: ctx.Err()}
+		}
+	}
+}
+
+// SetDown makes the store refuse everything, or serve again.
+func (l *Log) SetDown(isDown bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.isDown = isDown
+}
+
+// SetFail sets what is asked before an append by a writer: the error that it
+// gets, and whether it is done all the same. nil lets all appends succeed.
+func (l *Log) SetFail(fail func(a *store.Append) (err error, isDone bool)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fail = fail
+}
+
+// CountKey returns how many records of a topic have the key.
+func (l *Log) CountKey(topic, key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, r := range l.topics[topic] {
+		if r.Key == key {
+			n++
+		}
+	}
+	return n
+}
