internal/dispatch: miss an attempt only in listings asked for after its start

Cause: a worker stamps a listing when it answers, after it has put it together. A listing under way while a start was confirmed had a later clock and no attempt: the room was given back and the task started a second time. Change: an attempt is missing, or a stop done, only by a listing that was asked for after the start or stop was confirmed here; the clock still counts as well. Measured: TestAListingAskedForBeforeAStartEndsNothing fails without the change.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -14,6 +14,8 @@
 	"github.com/leanovate/gopter/prop"
 
 	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -520,3 +522,49 @@
 		t.Errorf("starts while leases may run: got: %d, want: none", w.starts-before)
 	}
 }
+
+// A worker stamps a listing when it answers, after it has put it together: a
+// listing that was asked for before a start was confirmed did not have the
+// attempt, and the task started a second time (soak seed 1 on a busy machine).
+func TestAListingAskedForBeforeAStartEndsNothing(t *testing.T) {
+	c := clock.NewFake()
+	e := dispatch.NewEngine(dispatch.Options{})
+	e.Advance(c.Now())
+	e.SetTrusted(true)
+	e.SetQueues([]order.Queue{testQueue})
+	e.SetWorkers([]order.Worker{{ID: "w", Service: "pool", Capacity: room}, {ID: "v", Service: "pool", Capacity: room}}, true)
+	e.Listed("w", &order.Listing{At: 10}, false)
+	e.Listed("v", &order.Listing{At: 10}, false)
+	e.AddJob(&work.Spec{ID: "a", Queue: "q", Steps: []work.Step{step(1, time.Second)}})
+	starts := []order.Start{}
+	settle := func() {
+		e.Decide()
+		for b := e.TakeBatch(); b != nil; b = e.TakeBatch() {
+			e.Committed(b)
+			e.Decide()
+		}
+		for _, a := range e.Actions() {
+			if s, ok := a.(order.Start); ok {
+				starts = append(starts, s)
+			}
+		}
+	}
+	settle()
+	c.Advance(5 * time.Millisecond)
+	e.Advance(c.Now())
+	e.StartAnswered(starts[0].Worker, starts[0].Task, 1, order.StartDone, 20)
+	e.Listed(starts[0].Worker, &order.Listing{At: 30}, false)
+	settle()
+	if len(starts) != 1 {
+		t.Errorf("starts: got: %d, want: 1", len(starts))
+	}
+	for at := order.WorkerTime(40); at <= 50; at += 10 {
+		c.Advance(5 * time.Millisecond)
+		e.Advance(c.Now())
+		e.Listed(starts[0].Worker, &order.Listing{At: at}, false)
+		settle()
+	}
+	if len(starts) != 2 {
+		t.Errorf("starts after a later listing without the attempt: got: %d, want: 2", len(starts))
+	}
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -32,7 +32,7 @@
 	if w.isHeld {
 		return
 	}
-	w.isHeld = true
+	w.isHeld, w.heldOn = true, e.now
 	h := order.Hold{Worker: w.ID, Addr: w.Addr, Confirmed: w.confirmed, Wait: w.holdWait()}
 	// The lease of a worker that does not answer is left to end: where its tasks
 	// may run is known the sooner.
@@ -45,9 +45,10 @@
 // look asks for a listing at once.
 func (e *Engine) look(w *worker) {
 	if w.isLooked {
+		w.wantsLook = true
 		return
 	}
-	w.isLooked = true
+	w.isLooked, w.lookedOn = true, e.now
 	e.do(order.Hold{Worker: w.ID, Addr: w.Addr, Confirmed: w.confirmed, IsLook: true})
 }
 
@@ -87,6 +88,10 @@
 func (e *Engine) answeredHold(w *worker, isLook bool) {
 	if isLook {
 		w.isLooked = false
+		if w.wantsLook {
+			w.wantsLook = false
+			e.look(w)
+		}
 		return
 	}
 	w.isHeld = false
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -32,7 +34,7 @@
 	}
 	switch outcome {
 	case order.StartDone:
-		a.startedAt = at
+		a.startedAt, a.startedOn = at, e.now
 		if a.phase != phaseRunning {
 			a.phase = phaseRunning
 			a.percentAt = e.now
@@ -79,7 +81,7 @@
 	if a == nil || a.run != run {
 		return
 	}
-	a.stopAckedAt = at
+	a.stopAckedAt, a.stopAckedOn = at, e.now
 	e.look(w)
 }
 
@@ -97,12 +99,16 @@
 	}
 	e.readClock(w, l.At)
 	w.holdFailures = 0
-	e.takeListing(w, l)
+	askedOn := w.heldOn
+	if isLook {
+		askedOn = w.lookedOn
+	}
+	e.takeListing(w, l, askedOn)
 	e.answeredHold(w, isLook)
 	e.dropIfEmpty(w)
 }
 
-func (e *Engine) takeListing(w *worker, l *order.Listing) {
+func (e *Engine) takeListing(w *worker, l *order.Listing, askedOn time.Time) {
 	for i := range l.Finished {
 		e.ended(w, &l.Finished[i])
 	}
@@ -117,7 +123,7 @@
 		running[l.Running[i].Task] = true
 		e.runs(w, &l.Running[i])
 	}
-	e.settleMissing(w, l, running)
+	e.settleMissing(w, l, running, askedOn)
 	if !w.isListed {
 		e.endEarlierLives(w)
 		w.isListed = true
@@ -169,7 +175,7 @@
 	}
 	a := &attempt{
 		id: r.Task, step: s, run: r.Run, worker: w, charge: s.spec.Charge(), phase: phaseRunning,
-		orderedAt: e.now, startedAt: w.readTime, percentAt: e.now, pace: fullPace, isAdopted: true,
+		orderedAt: e.now, startedAt: w.readTime, startedOn: e.now, percentAt: e.now, pace: fullPace, isAdopted: true,
 	}
 	w.earlierUntil = e.inheritedUntil
 	e.charge(a)
@@ -295,8 +301,10 @@
 	}
 }
 
-// settleMissing settles the attempts that a listing should have and has not.
-func (e *Engine) settleMissing(w *worker, l *order.Listing, running map[work.TaskID]bool) {
+// settleMissing settles the attempts that a listing should have and has not: those
+// whose start or stop was confirmed before the listing was asked for. The clock
+// in a listing does not tell when its content was put together.
+func (e *Engine) settleMissing(w *worker, l *order.Listing, running map[work.TaskID]bool, askedOn time.Time) {
 	for id, a := range w.attempts {
 		if running[id] {
 			continue
@@ -304,8 +312,8 @@
 		if a.phase == phaseDoubtful && !a.isStopping {
 			e.stop(a, "order was not carried out in time")
 		}
-		isStopped := a.stopAckedAt > 0 && a.stopAckedAt <= l.At
-		isStarted := a.phase == phaseRunning && a.startedAt > 0 && a.startedAt < l.At
+		isStopped := a.stopAckedAt > 0 && a.stopAckedAt <= l.At && !askedOn.Before(a.stopAckedOn)
+		isStarted := a.phase == phaseRunning && a.startedAt > 0 && a.startedAt < l.At && askedOn.After(a.startedOn)
 		if !isStopped && !isStarted {
 			continue
 		}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -41,6 +41,10 @@
 	health             health
 	// isHeld means that a listing that waits is on its way, isLooked one at once.
 	isHeld, isLooked bool
+	// heldOn and lookedOn are when these were asked for, by the engine's time;
+	// wantsLook asks for another one at once when the present one is there.
+	heldOn, lookedOn time.Time
+	wantsLook        bool
 	// holdFailures counts listings in a row that did not come; the next is asked
 	// for at holdAt.
 	holdFailures int
@@ -76,6 +80,9 @@
 	doubtAt time.Time
 	// startedAt is the worker's clock when it confirmed the start.
 	startedAt order.WorkerTime
+	// startedOn and stopAckedOn are when the worker's word came, by the engine's
+	// time: only a listing that was asked for later can do without the attempt.
+	startedOn, stopAckedOn time.Time
 	// isStopping means that it was told to stop; stopSentAt is when, last.
 	isStopping bool
 	stopSentAt time.Time
