internal/link: end a call with its caller

The log shows that the owner was a node which the store turned away: each append went through six peers, and a peer worked on it for as long as the link lasted, without an answer. These requests held all 16 connections of each peer to the store, and so its read of the configuration. Ruled out: nodes turned away themselves (two only), the reader's own time-out. Change: a call carries how long its caller waits; the peer gives up then. TestAPeerGivesUpWithItsCaller fails without it.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -33,6 +33,9 @@
 	Body    []byte
 	// Failure is set in a reply to a call that failed.
 	Failure string
+	// Patience is how long the caller waits for the reply; 0 means for as long as
+	// the connection lasts.
+	Patience time.Duration
 }
 
 // Bounds of a connection.
@@ -126,8 +129,9 @@
 	return err == nil && c.send(&message{Kind: kind, Body: body})
 }
 
-// Call sends a call and waits for its reply, which it reads into reply. Any
-// error but *CallError leaves open whether the peer carried it out.
+// Call sends a call and waits for its reply, which it reads into reply. The
+// peer works on it no longer than ctx lasts. Any error but *CallError leaves
+// open whether the peer carried it out.
 func (c *Conn) Call(ctx context.Context, kind Kind, v, reply any) error {
 	body, err := codec.MarshalCompact(v)
 	if err != nil {
@@ -135,7 +139,7 @@
 	}
 	id, ch := c.expect()
 	defer c.forget(id)
-	if !c.send(&message{ID: id, Kind: kind, Body: body}) {
+	if !c.send(&message{ID: id, Kind: kind, Body: body, Patience: patience(ctx)}) {
 		return ErrClosed
 	}
 	select {
@@ -151,6 +155,15 @@
 	}
 }
 
+// patience returns how long ctx still lasts; 0 when it has no end.
+func patience(ctx context.Context) time.Duration {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(end), time.Nanosecond)
+}
+
 func (c *Conn) expect() (uint64, chan *message) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -252,8 +265,14 @@
 
 func (c *Conn) runCall(m *message) {
 	defer func() { <-c.slots }()
+	ctx := c.ctx
+	if m.Patience > 0 {
+		bounded, cancel := context.WithTimeout(ctx, m.Patience)
+		defer cancel()
+		ctx = bounded
+	}
 	reply := &message{ID: m.ID, Kind: m.Kind, IsReply: true}
-	v, err := c.handler.HandleCall(c.ctx, c, m.Kind, m.Body)
+	v, err := c.handler.HandleCall(ctx, c, m.Kind, m.Body)
 	if err == nil {
 		reply.Body, err = codec.MarshalCompact(v)
 	}
--- a/internal/link/conn_test.go
+++ b/internal/link/conn_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/leverdyke/leverdyke/internal/codec"
 	"github.com/leverdyke/leverdyke/internal/link"
@@ -15,8 +16,9 @@
 
 // handler answers a call with what it got, or fails, and passes notices on.
 type handler struct {
-	notices chan string
-	blocked chan struct{}
+	notices  chan string
+	blocked  chan struct{}
+	released chan struct{}
 }
 
 func (h *handler) HandleCall(ctx context.Context, _ *link.Conn, kind link.Kind, body []byte) (any, error) {
@@ -30,6 +32,7 @@
 	case "block":
 		close(h.blocked)
 		<-ctx.Done()
+		close(h.released)
 	}
 	return text + "!", nil
 }
@@ -44,7 +47,7 @@
 func newPair(t *testing.T) (*link.Conn, *link.Conn, *handler) {
 	t.Helper()
 	a, b := net.Pipe()
-	h := &handler{notices: make(chan string, 1), blocked: make(chan struct{})}
+	h := &handler{notices: make(chan string, 1), blocked: make(chan struct{}), released: make(chan struct{})}
 	left, right := link.NewConn(a, h), link.NewConn(b, h)
 	t.Cleanup(left.Close)
 	t.Cleanup(right.Close)
@@ -104,3 +107,17 @@
 	go func() { _, _ = b.Write([]byte{0xff, 0xff, 0xff, 0xff, 1, 2, 3}) }()
 	<-c.Done()
 }
+
+// Calls for the store that nobody waited for any more held all connections of
+// the peers, which then read no configuration for eight seconds.
+func TestAPeerGivesUpWithItsCaller(t *testing.T) {
+	left, _, h := newPair(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	got := ""
+	if err := left.Call(ctx, "block", "x", &got); err == nil {
+		t.Errorf("got: %q, want: an error", got)
+	}
+	<-h.blocked
+	<-h.released
+}
