internal/detour: try the next way beside one that is slow

Cause: a request waited 0.7 s for a direct way that stayed silent, every 0.8 s again, and an append whose answer was lost 0.7 to 1.5 s; callers were refused meanwhile. Change: ways are tried in stages, the next one beside the last when that takes four times the usual answer; a way that was overtaken is left alone for a while; the peer that worked last goes first. Appends are safe to repeat: they carry a sequence number or a condition.

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -2,13 +2,16 @@
 // SPDX-License-Identifier: Apache-2.0
 
 // Package detour reaches a service through peers when it turns this node away
-// and serves others.
+// and serves others, or leaves a request without an answer. A request may so be
+// carried out more than once: callers send only what the service or a condition
+// in the request makes harmless to repeat.
 package detour
 
 import (
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,12 +66,23 @@
 }
 
 const (
-	// tryTimeout bounds one way: a slow store takes 0.4 s.
+	// tryTimeout bounds a request over all ways: a slow store takes 0.4 s.
 	tryTimeout = 700 * time.Millisecond
 	// directPause is how long the direct way is left alone after it failed.
 	directPause = 800 * time.Millisecond
 	// sampleSize is how many peers are tried at once.
 	sampleSize = 6
+	// hedgeRatio is how many usual answer times a way may take until the next one
+	// is tried beside it, between shortestHedge, which a node that waits for its
+	// share of a processor takes, and longestHedge.
+	hedgeRatio    = 4
+	shortestHedge = 40 * time.Millisecond
+	longestHedge  = 400 * time.Millisecond
+	// againPause is the time between two tries of ways that were tried already: a
+	// service that comes back answers new requests only.
+	againPause = 200 * time.Millisecond
+	// answerWeight is the weight of a new answer in the usual answer time.
+	answerWeight = 0.2
 	// outageWindow is how long a failure of all ways counts, backWindow how long
 	// the outage counts after its end: the owner's next beat takes half a second.
 	outageWindow = 3 * time.Second
@@ -83,8 +97,12 @@
 	clock  clock.Service
 
 	mu sync.Mutex
-	// directAt is when the direct way may be tried again.
+	// directAt is when the direct way may be tried again; zero while it serves.
 	directAt time.Time
+	// lastPeer is the peer by which a request was served last.
+	lastPeer string
+	// answerTime is how long the service usually takes.
+	answerTime time.Duration
 	// failedAt is when all ways failed last, servedAt when one worked last, and
 	// backAt when one worked again after all had failed.
 	failedAt, servedAt, backAt time.Time
@@ -105,111 +123,71 @@
 	return (isOut || now.Sub(d.backAt) < backWindow) && d.peers.IsMajority()
 }
 
-// attempt is what became of one way.
-type attempt struct {
-	response *Response
-	err      error
+// Do sends the request directly, and through peers when that fails or takes
+// longer than usual. The first answer of a service that took it counts.
+func (d *Detour) Do(ctx context.Context, r *Request) (*Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout+r.Wait)
+	defer cancel()
+	return newSearch(ctx, d, r).run()
 }
 
-func (a attempt) isServed() bool { return a.err == nil && a.response.isServed() }
-
-// isOpen reports whether the request may have been or may be carried out.
-func (a attempt) isOpen() bool {
-	if a.err == nil {
-		return false
-	}
-	_, isUnsent := a.err.(*UnsentError)
-	return !isUnsent
+// hedge returns how long a way may take until the next one is tried beside it.
+func (d *Detour) hedge() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return min(max(hedgeRatio*d.answerTime, shortestHedge), longestHedge)
 }
 
-// Do sends the request directly, or through peers when that fails.
-func (d *Detour) Do(ctx context.Context, r *Request) (*Response, error) {
-	tried := []attempt{}
-	if d.isDirectDue() {
-		a := try(ctx, r, d.direct.Do)
-		if a.isServed() {
-			d.note(true, true)
-			return a.response, nil
-		}
-		d.note(false, true)
-		tried = append(tried, a)
-	}
-	found, more := d.viaPeers(ctx, r)
-	if found != nil {
-		d.note(true, false)
-		return found.response, nil
+// stages returns the ways in the order in which they are tried.
+func (d *Detour) stages() [][]string {
+	names := d.peers.Sample(sampleSize)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := [][]string{}
+	if !d.clock.Now().Before(d.directAt) {
+		out = append(out, []string{direct})
 	}
-	d.note(false, false)
-	tried = append(tried, more...)
-	return verdict(tried)
-}
-
-// verdict returns the answer when no way worked: open if any try is.
-func verdict(tried []attempt) (*Response, error) {
-	for _, a := range tried {
-		if a.isOpen() {
-			return nil, a.err
-		}
+	if i := slices.Index(names, d.lastPeer); i > 0 {
+		names[0], names[i] = names[i], names[0]
 	}
-	for _, a := range tried {
-		if a.err == nil {
-			return a.response, nil
-		}
+	if len(names) > 0 {
+		out = append(out, names[:1])
 	}
-	if len(tried) > 0 {
-		return nil, tried[0].err
+	if len(names) > 1 {
+		out = append(out, names[1:])
 	}
-	return nil, &UnsentError{fmt.Errorf("no way to the service is open")}
+	return out
 }
 
-func try(ctx context.Context, r *Request, do func(context.Context, *Request) (*Response, error)) attempt {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout+r.Wait)
-	defer cancel()
-	response, err := do(ctx, r)
-	return attempt{response, err}
-}
-
-// viaPeers tries a few peers at once and returns the first that is served.
-func (d *Detour) viaPeers(ctx context.Context, r *Request) (*attempt, []attempt) {
-	names := d.peers.Sample(sampleSize)
-	results := make(chan attempt, len(names))
-	for _, name := range names {
-		go d.runVia(ctx, name, r, results)
+// noteServed notes an answer by a way.
+func (d *Detour) noteServed(t *try, wait time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	if d.failedAt.After(d.servedAt) {
+		d.backAt = now
 	}
-	failed := make([]attempt, 0, len(names))
-	for range names {
-		a := <-results
-		if a.isServed() {
-			return &a, nil
-		}
-		failed = append(failed, a)
+	d.servedAt = now
+	if t.way == direct {
+		d.directAt = time.Time{}
+	} else {
+		d.lastPeer = t.way
+	}
+	if wait == 0 {
+		d.answerTime += time.Duration(answerWeight * float64(now.Sub(t.began)-d.answerTime))
 	}
-	return nil, failed
-}
-
-func (d *Detour) runVia(ctx context.Context, peer string, r *Request, results chan<- attempt) {
-	results <- try(ctx, r, func(ctx context.Context, r *Request) (*Response, error) { return d.peers.Via(ctx, peer, r) })
 }
 
-func (d *Detour) isDirectDue() bool {
+// noteDirectFailed leaves the direct way alone for a while.
+func (d *Detour) noteDirectFailed() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.clock.Now().Before(d.directAt)
+	d.directAt = d.clock.Now().Add(directPause)
 }
 
-func (d *Detour) note(isServed, isDirect bool) {
+// noteAllFailed notes that no way worked.
+func (d *Detour) noteAllFailed() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.clock.Now()
-	switch {
-	case isServed:
-		if d.failedAt.After(d.servedAt) {
-			d.backAt = now
-		}
-		d.servedAt = now
-	case isDirect:
-		d.directAt = now.Add(directPause)
-	default:
-		d.failedAt = now
-	}
+	d.failedAt = d.clock.Now()
 }
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -142,3 +143,99 @@
 		t.Error("got: an outage, want: none, as this node may be cut off")
 	}
 }
+
+// silentWay never answers before its context is over, but for the calls from
+// the number answersFrom on.
+type silentWay struct {
+	mu          sync.Mutex
+	answersFrom int
+	calls       int
+	asked       chan struct{}
+}
+
+func newSilentWay(answersFrom int) *silentWay {
+	return &silentWay{answersFrom: answersFrom, asked: make(chan struct{}, 64)}
+}
+
+func (w *silentWay) Do(ctx context.Context, _ *detour.Request) (*detour.Response, error) {
+	w.mu.Lock()
+	w.calls++
+	isServed := w.answersFrom > 0 && w.calls >= w.answersFrom
+	w.mu.Unlock()
+	w.asked <- struct{}{}
+	if isServed {
+		return &detour.Response{Status: 200}, nil
+	}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (w *silentWay) count() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.calls
+}
+
+// longWait is of requests that would take an hour if nothing were tried beside
+// the way that does not answer.
+const longWait = time.Hour
+
+// doSoon sends a request and returns a channel with its error.
+func doSoon(t *testing.T, d *detour.Detour) chan error {
+	t.Helper()
+	done := make(chan error, 1)
+	go func() {
+		_, err := d.Do(context.WithoutCancel(t.Context()), &detour.Request{Method: http.MethodPost, Wait: longWait})
+		done <- err
+	}()
+	return done
+}
+
+// advanceUntil moves a fake clock on until the channel has something.
+func advanceUntil[T any](c *clock.Fake, ch <-chan T) T {
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case v := <-ch:
+			return v
+		case <-ticker.C:
+			c.Advance(longWait)
+		}
+	}
+}
+
+// An owner that the store had turned away in silence waited 0.7 s for it again
+// and again; its callers were refused meanwhile.
+func TestASilentWayIsOvertakenAndLeftAlone(t *testing.T) {
+	c := clock.NewFake()
+	direct, peers := newSilentWay(0), &onePeer{way: way{status: 200}, isLinked: true}
+	d := detour.New(direct, peers, c)
+	done := doSoon(t, d)
+	<-direct.asked
+	if err := advanceUntil(c, done); err != nil {
+		t.Errorf("got: %v, want: served by the peer", err)
+	}
+	for range 5 {
+		if _, err := d.Do(t.Context(), &detour.Request{}); err != nil {
+			t.Error(err)
+		}
+	}
+	if got := direct.count(); got != 1 {
+		t.Errorf("direct calls: got: %d, want: 1, as it was overtaken", got)
+	}
+}
+
+// A service whose answer was lost says nothing more on that way; it answers the
+// same request when it comes again.
+func TestALostAnswerIsAskedForAgain(t *testing.T) {
+	c := clock.NewFake()
+	direct := newSilentWay(3)
+	d := detour.New(direct, &onePeer{}, c)
+	if err := advanceUntil(c, doSoon(t, d)); err != nil {
+		t.Errorf("got: %v, want: served", err)
+	}
+	if got := direct.count(); got != 3 {
+		t.Errorf("direct calls: got: %d, want: 3", got)
+	}
+}
