internal/dispatch: notice a lost answer of a worker at once

Cause: where 6 % of the calls to workers got no answer, a listing that was lost kept the ends of its worker unknown for 1.4 s (0.5 s of wait and 0.9 s of margin), a lost listing after a stop another 0.9 s. Change: answers are expected as TCP expects them, by their mean and deviation; a listing that is overdue is asked for again at once, and a worker is silent after the second one; listings carry when they were asked for, so that several may be on their way; while answers get lost workers wait 0.15 s for an end. TestALostListingIsAskedForAgain fails without it.

--- /dev/null
+++ b/internal/dispatch/answers_test.go
@@ -0,0 +1,32 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+)
+
+func TestPatienceFollowsTheAnswers(t *testing.T) {
+	const ms = time.Millisecond
+	for name, tc := range map[string]struct {
+		answers  []time.Duration
+		min, max time.Duration
+	}{
+		"none yet":         {nil, 200 * ms, 200 * ms},
+		"always quick":     {[]time.Duration{4 * ms}, 60 * ms, 60 * ms},
+		"slow but regular": {[]time.Duration{90 * ms, 100 * ms, 110 * ms}, 110 * ms, 160 * ms},
+		"very slow":        {[]time.Duration{300 * ms}, 200 * ms, 200 * ms},
+	} {
+		a := &dispatch.AnswerTimes{}
+		for i := range 100 * min(len(tc.answers), 1) {
+			a.Learn(tc.answers[i%len(tc.answers)])
+		}
+		if got := a.Patience(); got < tc.min || got > tc.max {
+			t.Errorf("%s: got: %v, want: %v to %v", name, got, tc.min, tc.max)
+		}
+	}
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -33,15 +33,11 @@
 	// overdueAfter is how long a worker may be silent before it gets nothing new;
 	// a listing comes at least every 2 s.
 	overdueAfter = 2600 * time.Millisecond
-	// orderPatience is how long an order to start may stay without an answer. A
-	// worker answers within milliseconds; an owner that is slowed five times takes
-	// some tens.
-	orderPatience = 200 * time.Millisecond
 	// doubtPatience is how long a listing may take that tells whether a doubtful
 	// order was carried out.
 	doubtPatience = 150 * time.Millisecond
 	// stopRetry is the pause before a stop without an answer is sent again.
-	stopRetry = 250 * time.Millisecond
+	stopRetry = 120 * time.Millisecond
 	// flushPause is the longest that progress waits for its batch; a job's end
 	// does not wait.
 	flushPause = 60 * time.Millisecond
@@ -98,6 +94,10 @@
 	// pending counts, by queue, jobs none of whose tasks has begun.
 	nextWalk time.Time
 	counts   Counts
+	// answers tells how long workers take to answer an order to start.
+	answers answerTimes
+	// lossyUntil is until when answers of workers may be lost.
+	lossyUntil time.Time
 	// estimates has, by queue, how good the callers' estimates are.
 	estimates map[string]*estimates
 }
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -533,8 +533,12 @@
 	e.SetTrusted(true)
 	e.SetQueues([]order.Queue{testQueue})
 	e.SetWorkers([]order.Worker{{ID: "w", Service: "pool", Capacity: room}, {ID: "v", Service: "pool", Capacity: room}}, true)
-	e.Listed("w", &order.Listing{At: 10}, false)
-	e.Listed("v", &order.Listing{At: 10}, false)
+	listed := func(id order.WorkerID, at order.WorkerTime, askedAt time.Time) {
+		e.Listed(&order.Hold{Worker: id, AskedAt: askedAt}, &order.Listing{At: at})
+	}
+	askedAt := c.Now()
+	listed("w", 10, askedAt)
+	listed("v", 10, askedAt)
 	e.AddJob(&work.Spec{ID: "a", Queue: "q", Steps: []work.Step{step(1, time.Second)}})
 	starts := []order.Start{}
 	settle := func() {
@@ -553,18 +557,64 @@
 	c.Advance(5 * time.Millisecond)
 	e.Advance(c.Now())
 	e.StartAnswered(starts[0].Worker, starts[0].Task, 1, order.StartDone, 20)
-	e.Listed(starts[0].Worker, &order.Listing{At: 30}, false)
+	listed(starts[0].Worker, 30, askedAt)
 	settle()
 	if len(starts) != 1 {
 		t.Errorf("starts: got: %d, want: 1", len(starts))
 	}
 	for at := order.WorkerTime(40); at <= 50; at += 10 {
+		askedAt = c.Now()
 		c.Advance(5 * time.Millisecond)
 		e.Advance(c.Now())
-		e.Listed(starts[0].Worker, &order.Listing{At: at}, false)
+		listed(starts[0].Worker, at, askedAt)
 		settle()
 	}
 	if len(starts) != 2 {
 		t.Errorf("starts after a later listing without the attempt: got: %d, want: 2", len(starts))
 	}
 }
+
+// After a stop was confirmed the engine waited up to 0.9 s for a listing whose
+// answer was lost before it asked for another one.
+func TestALostListingIsAskedForAgain(t *testing.T) {
+	c := clock.NewFake()
+	e := dispatch.NewEngine(dispatch.Options{})
+	e.Advance(c.Now())
+	e.SetTrusted(true)
+	e.SetQueues([]order.Queue{testQueue})
+	e.SetWorkers([]order.Worker{{ID: "w", Service: "pool", Capacity: room}}, true)
+	e.Listed(&order.Hold{Worker: "w", AskedAt: c.Now()}, &order.Listing{At: 10})
+	e.AddJob(&work.Spec{ID: "a", Queue: "q", Steps: []work.Step{step(1, time.Second)}})
+	looks := 0
+	advance := func(d time.Duration) {
+		c.Advance(d)
+		e.Advance(c.Now())
+		e.Tick()
+		e.Decide()
+		for b := e.TakeBatch(); b != nil; b = e.TakeBatch() {
+			e.Committed(b)
+		}
+		for _, a := range e.Actions() {
+			switch a := a.(type) {
+			case order.Start:
+				e.StartAnswered(a.Worker, a.Task, a.Run, order.StartUnknown, 0)
+			case order.Stop:
+				e.StopAnswered(a.Worker, a.Task, a.Run, true, 20)
+			case order.Hold:
+				if a.IsLook {
+					looks++
+				}
+			case order.Advise, order.Pace:
+			}
+		}
+	}
+	for range 60 {
+		advance(10 * time.Millisecond)
+	}
+	if looks < 3 {
+		t.Errorf("listings asked for without an answer in 0.6 s: got: %d, want: 3 or more", looks)
+	}
+	if looks > 4 {
+		t.Errorf("listings asked for without an answer in 0.6 s: got: %d, want: at most 4", looks)
+	}
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -16,6 +16,17 @@
 	// 2 s at most.
 	busyWait = 500 * time.Millisecond
 	idleWait = 2 * time.Second
+	// lossyWait is for a worker with tasks for lossyTime after an answer was lost: an
+	// end is not told while the engine waits for an answer that does not come.
+	lossyWait = 150 * time.Millisecond
+	lossyTime = 5 * time.Second
+	// missesAllowed is how many listings in a row may stay away until the worker
+	// counts as silent: an answer may be lost.
+	missesAllowed = 1
+	// holdPatiences is how many times as long as an order to start a listing may
+	// stay without an answer, besides its wait, and shortestHoldPatience the least.
+	holdPatiences        = 3
+	shortestHoldPatience = 150 * time.Millisecond
 	// pacedWait is for a worker on which tasks disturb each other.
 	pacedWait = 500 * time.Millisecond
 	// firstRetry is the pause after a listing that did not come; it doubles up to
@@ -25,6 +36,10 @@
 	confirmWait  = 400 * time.Millisecond
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = time.Second
+	// lookPatience is how long a listing at once may take until another one is
+	// asked for beside it, maxLooks how many may be on their way to a worker.
+	lookPatience = 100 * time.Millisecond
+	maxLooks     = 4
 )
 
 // hold asks for the next listing of a worker.
@@ -32,8 +47,8 @@
 	if w.isHeld {
 		return
 	}
-	w.isHeld, w.heldOn = true, e.now
-	h := order.Hold{Worker: w.ID, Addr: w.Addr, Confirmed: w.confirmed, Wait: w.holdWait()}
+	w.isHeld = true
+	h := order.Hold{Worker: w.ID, Addr: w.Addr, Confirmed: w.confirmed, Wait: e.holdWait(w), Patience: e.holdPatience(), AskedAt: e.now}
 	// The lease of a worker that does not answer is left to end: where its tasks
 	// may run is known the sooner.
 	if !w.readAt.IsZero() && e.isTrusted && w.holdFailures == 0 {
@@ -42,22 +57,31 @@
 	e.do(h)
 }
 
-// look asks for a listing at once.
+// look asks for a listing at once, or as soon as the last such question is
+// answered or overdue: an answer may be lost.
 func (e *Engine) look(w *worker) {
-	if w.isLooked {
+	if w.looks >= maxLooks || w.looks > 0 && e.now.Sub(w.lookedAt) < lookPatience {
 		w.wantsLook = true
 		return
 	}
-	w.isLooked, w.lookedOn = true, e.now
-	e.do(order.Hold{Worker: w.ID, Addr: w.Addr, Confirmed: w.confirmed, IsLook: true})
+	w.looks++
+	w.lookedAt, w.wantsLook = e.now, false
+	e.do(order.Hold{Worker: w.ID, Addr: w.Addr, Confirmed: w.confirmed, IsLook: true, Patience: e.holdPatience(), AskedAt: e.now})
 }
 
-func (w *worker) holdWait() time.Duration {
+// holdPatience returns how much longer than it waits a listing may take.
+func (e *Engine) holdPatience() time.Duration {
+	return max(holdPatiences*e.answers.patience(), shortestHoldPatience)
+}
+
+func (e *Engine) holdWait(w *worker) time.Duration {
 	switch {
 	case !w.isListed || w.holdFailures > 0:
 		return 0
 	case len(w.attempts) == 0:
 		return idleWait
+	case e.now.Before(e.lossyUntil):
+		return lossyWait
 	}
 	hasServing, hasFiller := false, false
 	for _, a := range w.attempts {
@@ -72,30 +96,34 @@
 	return busyWait
 }
 
+// isSilent reports whether the worker does not answer.
+func (w *worker) isSilent() bool { return w.holdFailures > missesAllowed }
+
 // HoldFailed says that a listing did not come.
-func (e *Engine) HoldFailed(id order.WorkerID, isLook bool) {
-	w := e.workers[id]
+func (e *Engine) HoldFailed(h *order.Hold) {
+	w := e.workers[h.Worker]
 	if w == nil {
 		return
 	}
-	if !isLook {
-		w.holdAt = e.now.Add(min(firstRetry<<min(w.holdFailures, 4), longestRetry))
+	if !h.IsLook {
+		if w.holdFailures >= missesAllowed {
+			w.holdAt = e.now.Add(min(firstRetry<<min(w.holdFailures, 4), longestRetry))
+		}
 		w.holdFailures++
 	}
-	e.answeredHold(w, isLook)
+	e.answeredHold(w, h.IsLook)
 }
 
 func (e *Engine) answeredHold(w *worker, isLook bool) {
 	if isLook {
-		w.isLooked = false
+		w.looks--
 		if w.wantsLook {
-			w.wantsLook = false
 			e.look(w)
 		}
 		return
 	}
 	w.isHeld = false
-	if w.holdFailures > 0 {
+	if w.isSilent() {
 		return
 	}
 	if w.handled > w.confirmed {
@@ -109,7 +137,7 @@
 // confirm lets a worker forget ends, and asks it for the next.
 func (e *Engine) confirm(w *worker, number uint64) {
 	w.confirmed = max(w.confirmed, number)
-	if w.holdFailures == 0 && w.confirmed >= w.handled && e.workers[w.ID] == w {
+	if !w.isSilent() && w.confirmed >= w.handled && e.workers[w.ID] == w {
 		e.hold(w)
 	}
 }
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -32,6 +32,9 @@
 	if a.phase == phasePlanned {
 		return
 	}
+	if a.phase == phaseOrdered && outcome != order.StartUnknown {
+		e.answers.learn(e.now.Sub(a.orderedAt))
+	}
 	switch outcome {
 	case order.StartDone:
 		a.startedAt, a.startedOn = at, e.now
@@ -92,19 +95,18 @@
 }
 
 // Listed takes a worker's word on all that it runs.
-func (e *Engine) Listed(id order.WorkerID, l *order.Listing, isLook bool) {
-	w := e.workers[id]
+func (e *Engine) Listed(h *order.Hold, l *order.Listing) {
+	w := e.workers[h.Worker]
 	if w == nil {
 		return
 	}
 	e.readClock(w, l.At)
-	w.holdFailures = 0
-	askedOn := w.heldOn
-	if isLook {
-		askedOn = w.lookedOn
+	if w.holdFailures > 0 && !w.isSilent() {
+		e.lossyUntil = e.now.Add(lossyTime)
 	}
-	e.takeListing(w, l, askedOn)
-	e.answeredHold(w, isLook)
+	w.holdFailures = 0
+	e.takeListing(w, l, h.AskedAt)
+	e.answeredHold(w, h.IsLook)
 	e.dropIfEmpty(w)
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -39,12 +39,13 @@
 	// the last one that is kept.
 	handled, confirmed uint64
 	health             health
-	// isHeld means that a listing that waits is on its way, isLooked one at once.
-	isHeld, isLooked bool
-	// heldOn and lookedOn are when these were asked for, by the engine's time;
-	// wantsLook asks for another one at once when the present one is there.
-	heldOn, lookedOn time.Time
-	wantsLook        bool
+	// isHeld means that a listing that waits is on its way; looks counts those at
+	// once, lookedAt is when the last of these was asked for. wantsLook asks for
+	// another one when an answer is there or overdue.
+	isHeld    bool
+	looks     int
+	lookedAt  time.Time
+	wantsLook bool
 	// holdFailures counts listings in a row that did not come; the next is asked
 	// for at holdAt.
 	holdFailures int
@@ -204,6 +205,9 @@
 	if !w.isHeld && !e.now.Before(w.holdAt) {
 		e.hold(w)
 	}
+	if w.wantsLook {
+		e.look(w)
+	}
 	e.dropIfEmpty(w)
 	if len(w.attempts) == 0 {
 		return
@@ -228,7 +232,7 @@
 		}
 		return
 	}
-	if a.phase == phaseOrdered && e.now.Sub(a.orderedAt) > orderPatience {
+	if a.phase == phaseOrdered && e.now.Sub(a.orderedAt) > e.answers.patience() {
 		e.doubt(a)
 	}
 	if a.phase == phaseDoubtful && !a.isStopping && e.now.Sub(a.doubtAt) > doubtPatience {
@@ -239,6 +243,9 @@
 	if a.isStopping && a.stopAckedAt == 0 && e.now.Sub(a.stopSentAt) > stopRetry {
 		e.sendStop(a)
 	}
+	if a.isStopping && a.stopAckedAt > 0 && a.phase == phaseDoubtful {
+		e.look(a.worker)
+	}
 	e.checkProgress(a)
 }
 
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -250,7 +250,7 @@
 	m, fence := w.workers[h.Worker], w.fence
 	lost, delay := w.isLost()
 	if m == nil || m.isDead || m.isCut || lost {
-		w.later(900*time.Millisecond, func() { w.engine.HoldFailed(h.Worker, h.IsLook) })
+		w.later(h.Wait+h.Patience, func() { w.engine.HoldFailed(&h) })
 		return
 	}
 	w.held[h.Worker]++
@@ -269,10 +269,10 @@
 		}
 		w.later(w.delay(), func() {
 			if l == nil {
-				w.engine.HoldFailed(h.Worker, h.IsLook)
+				w.engine.HoldFailed(&h)
 				return
 			}
-			w.engine.Listed(h.Worker, l, h.IsLook)
+			w.engine.Listed(&h, l)
 		})
 	})
 }
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -181,10 +181,14 @@
 	Deadline WorkerTime
 	// Confirmed is the number up to which the worker may forget ends.
 	Confirmed uint64
-	// Wait is how long the worker may wait for an end before it answers.
-	Wait time.Duration
+	// Wait is how long the worker may wait for an end before it answers, Patience
+	// how much longer the answer may take.
+	Wait, Patience time.Duration
 	// IsLook marks a listing at once, beside the one that waits.
 	IsLook bool
+	// AskedAt is when the engine asked, by its time: a listing tells nothing of an
+	// attempt that was confirmed later.
+	AskedAt time.Time
 }
 
 func (Start) isAction()  {}
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -137,9 +137,9 @@
 func (ev holdEvent) apply(o *Owner) {
 	switch ev.outcome {
 	case HoldListed:
-		o.engine.Listed(ev.hold.Worker, ev.listing, ev.hold.IsLook)
+		o.engine.Listed(&ev.hold, ev.listing)
 	case HoldSilent:
-		o.engine.HoldFailed(ev.hold.Worker, ev.hold.IsLook)
+		o.engine.HoldFailed(&ev.hold)
 	case HoldLifeOver:
 		o.engine.LifeOver(ev.hold.Worker)
 	}
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -123,8 +123,6 @@
 	startTimeout = 400 * time.Millisecond
 	// stopTimeout bounds an order to stop, which is sent again.
 	stopTimeout = 500 * time.Millisecond
-	// holdMargin is how much longer than asked a listing may take.
-	holdMargin = 900 * time.Millisecond
 	// askTimeout bounds a question about workers: 100 of them on the slowest
 	// policy seen take 1.1 s.
 	askTimeout = 3 * time.Second
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -61,7 +61,7 @@
 }
 
 func (o *Owner) runHold(h order.Hold) {
-	ctx, cancel := o.bound(h.Wait + holdMargin)
+	ctx, cancel := o.bound(h.Wait + h.Patience)
 	defer cancel()
 	listing, outcome := o.options.Workers.Hold(ctx, o.Epoch(), &h)
 	o.put(holdEvent{h, listing, outcome})
