internal/owner: keep only the state of a job that is over; claim at once after a restart

Change: records carry the strength of the strongest node, so that equal nodes do not wait; a node whose record is stale is dialled for 0.06 s; the record of a job's steps is dropped with its end. CountKey of the fake store counts records with a value, so that the dropped one is not taken for a second copy; the test that a job is kept once is as strict as before.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -140,13 +140,8 @@
 	n.yieldIfUnfit(o)
 	record, keptAt := o.LastRecord()
 	age := n.options.Clock.Now().Sub(keptAt)
-	all := n.peers.all()
-	strongest := n.options.Strength
-	for i := range all {
-		strongest = max(strongest, all[i].hello.Strength)
-	}
-	for _, p := range all {
-		p.conn.Notify(kindBeat, beat{o.Epoch(), record, age, version, o.IsUnlogged(), strongest})
+	for _, p := range n.peers.all() {
+		p.conn.Notify(kindBeat, beat{o.Epoch(), record, age, version, o.IsUnlogged()})
 	}
 }
 
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -76,8 +76,6 @@
 	// IsUnlogged means that the owner has started tasks whose places the store does
 	// not have.
 	IsUnlogged bool
-	// Strongest is the strength of the strongest node that the owner knows.
-	Strongest float64
 }
 
 // alive is sent by followers.
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -108,10 +108,8 @@
 	isLeaving   bool
 	// isYielding means that this owner hands over to a faster node, yieldedAt is
 	// when one did last.
-	isYielding bool
-	yieldedAt  time.Time
-	// strongest is the strength of the strongest node known; 0 before a beat.
-	strongest    float64
+	isYielding   bool
+	yieldedAt    time.Time
 	noClaimUntil time.Time
 	// unloggedEpoch is that of an owner that started tasks without the store.
 	unloggedEpoch uint64
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -103,6 +103,16 @@
 	return slices.DeleteFunc(p.all(), func(q peer) bool { return now.Sub(q.heardAt) > peerSilence || q.isLeaving })
 }
 
+// strongestKnown returns the strength of the strongest node that is linked, or of
+// this one.
+func (n *Node) strongestKnown() float64 {
+	strongest := n.options.Strength
+	for _, p := range n.peers.usable() {
+		strongest = max(strongest, p.hello.Strength)
+	}
+	return strongest
+}
+
 // byFitness returns the usable peers, the strongest first, and of those that are
 // alike that which has run for the shortest time.
 func (p *peers) byFitness() []peer {
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -25,7 +25,7 @@
 	longestPause = 500 * time.Millisecond
 	// staleDialTimeout is that for an owner whose record is old: a node that lives
 	// answers within some tens of milliseconds.
-	staleDialTimeout = 150 * time.Millisecond
+	staleDialTimeout = 60 * time.Millisecond
 	// linkSilence is how long the link to a silent owner is kept that lives by the
 	// store's word: one that is out of processor time answers late, and requests on
 	// their way need not be sent again.
@@ -102,10 +102,17 @@
 		n.sleep(seekPause)
 		return
 	}
-	if d := n.claimDelay(); d > 0 {
+	if d := n.claimDelay(earlier); d > 0 {
 		n.sleep(d)
 	}
-	r := owner.Record{Node: n.options.Name, Addr: n.options.LinkAddr, Life: n.options.Life, Epoch: end + 1, SentAt: n.options.Clock.Now()}
+	r := owner.Record{
+		Node: n.options.Name, Addr: n.options.LinkAddr, Life: n.options.Life, Epoch: end + 1, SentAt: n.options.Clock.Now(),
+		Strongest: n.strongestKnown(),
+	}
+	if earlier != nil {
+		// Stronger nodes may not be linked yet.
+		r.Strongest = max(r.Strongest, earlier.Strongest)
+	}
 	at, err := owner.AppendRecord(n.ctx, n.log, &r, end)
 	if err != nil {
 		n.options.Log(events.ClaimRefused, "epoch", r.Epoch, "err", err)
@@ -131,14 +138,13 @@
 	return n.unloggedEpoch != 0
 }
 
-// claimDelay is how long a weak node leaves the shard to stronger ones. A node
-// that knows no others takes most nodes to be stronger than a small one.
-func (n *Node) claimDelay() time.Duration {
-	n.mu.Lock()
-	strongest := n.strongest
-	n.mu.Unlock()
-	if strongest == 0 {
-		strongest = usualStrength
+// claimDelay is how long a weak node leaves the shard to stronger ones, by the
+// earlier owner's record. Where there was none, a node takes most nodes to be
+// stronger than a small one.
+func (n *Node) claimDelay(earlier *owner.Record) time.Duration {
+	strongest := usualStrength
+	if earlier != nil && earlier.Strongest > 0 {
+		strongest = earlier.Strongest
 	}
 	lack := 1 - n.options.Strength/strongest
 	if lack < equalStrength {
@@ -159,7 +165,7 @@
 	o := owner.New(owner.Options{
 		Claim: c, Store: n.options.NewStore(n.detour), Workers: workers, List: list, Lanes: &lanes{n},
 		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasOutage: n.detour.HasOutage, NodeZone: n.options.Zone,
-		StopTime: n.options.StopTime,
+		StopTime: n.options.StopTime, Strongest: n.strongestKnown,
 	})
 	n.mu.Lock()
 	n.claimed = c.Record.Epoch
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -191,7 +191,6 @@
 		return
 	}
 	n.watch.hear(n.options.Clock.Now(), b)
-	n.strongest = b.Strongest
 	if b.IsUnlogged {
 		n.unloggedEpoch = b.Epoch
 	}
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -255,6 +255,7 @@
 	r := o.options.Claim.Record
 	r.Beat = o.beat + 1
 	r.SentAt = sentAt
+	r.Strongest = o.options.Strongest()
 	at := o.offset + 1
 	offset, err := AppendRecord(o.ctx, o.options.Store, &r, at)
 	if err == nil {
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -87,6 +87,8 @@
 	Log     func(e events.Event, keysAndValues ...any)
 	// Metrics takes figures.
 	Metrics Metrics
+	// Strongest returns the strength of the strongest node known.
+	Strongest func() float64
 	// HasOutage reports whether most nodes are linked to this one and none reaches
 	// the store. Then no other node can become owner, and this one goes on.
 	HasOutage func() bool
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -28,6 +28,8 @@
 	// SentAt is when it was sent, by the owner's time of day, which may differ from
 	// that of other nodes.
 	SentAt time.Time `msgpack:"t"`
+	// Strongest is the strength of the strongest node that the owner knows.
+	Strongest float64 `msgpack:"s"`
 }
 
 // Age returns how old the record is by the time of day.
@@ -73,6 +75,10 @@
 			return nil, err
 		}
 		add(progressPrefix+string(id), data)
+		if p.State.IsFinal() {
+			// Of a job that is over only the state is asked for.
+			add(specPrefix+string(id), nil)
+		}
 	}
 	for _, id := range b.Forgotten {
 		add(specPrefix+string(id), nil)
@@ -83,6 +89,7 @@
 
 // kept is a job as the store has it.
 type kept struct {
+	// spec has only the ID when the job is over.
 	spec     *work.Spec
 	progress *work.Progress
 	offset   uint64
@@ -111,7 +118,7 @@
 	for i := range records {
 		r := &records[i]
 		id, ok := strings.CutPrefix(r.Key, progressPrefix)
-		if !ok || len(r.Value) == 0 || byID[id] == nil {
+		if !ok || len(r.Value) == 0 {
 			continue
 		}
 		p := &work.Progress{}
@@ -119,7 +126,13 @@
 			bad(r.Key, err)
 			continue
 		}
-		byID[id].progress = p
+		if byID[id] == nil && p.State.IsFinal() {
+			byID[id] = &kept{spec: &work.Spec{ID: work.JobID(id)}, offset: r.Offset}
+			jobs = append(jobs, byID[id])
+		}
+		if k := byID[id]; k != nil {
+			k.progress = p
+		}
 	}
 	return jobs
 }
--- a/internal/store/fakestore/fakelog.go
+++ b/internal/store/fakestore/fakelog.go
@@ -137,13 +137,13 @@
 	l.fail = fail
 }
 
-// CountKey returns how many records of a topic have the key.
+// CountKey returns how many records of a topic have the key and a value.
 func (l *Log) CountKey(topic, key string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := 0
 	for _, r := range l.topics[topic] {
-		if r.Key == key {
+		if r.Key == key && len(r.Value) > 0 {
 			n++
 		}
 	}
