internal/dispatch: give a last attempt to a sound worker, and not where the task failed

Change: a task that has failed waits up to 2.2 s for another worker; with one attempt left up to 1.5 s for one that has failed nothing since its last success; the risk of a worker weighs the more, the fewer attempts are left, and grows with the time since its last success.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -209,9 +209,10 @@
 func (e *Engine) candidates(s *step) []candidate {
 	found := []candidate{}
 	pool := e.queues[s.job.spec.Queue].Service
+	needsSound := slices.ContainsFunc(s.tasks, func(t task) bool { return t.state == taskWaiting && e.isLastAttempt(s, &t) && len(t.failures) > 0 })
 	for id, w := range e.workers {
 		isGood, isAsked := s.advice.verdicts[id]
-		if isAsked && !isGood || !e.isUsable(w) || !e.mayRun(w, s, pool) {
+		if isAsked && !isGood || !e.isUsable(w) || !e.mayRun(w, s, pool) || needsSound && w.health.hasFailedLately() {
 			continue
 		}
 		if _, ok := s.advice.holds(id, e.now); ok {
--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -40,11 +40,13 @@
 		return nil
 	}
 	w := c.workers[0]
-	if s.tasks[i].avoid != w.ID && w.attempts[s.taskID(i)] == nil {
+	t := &s.tasks[i]
+	if t.avoid != w.ID && len(t.failures) == 0 && w.attempts[s.taskID(i)] == nil {
 		c.taken = true
 		return w
 	}
-	// The best is one to avoid for this task: all are looked at for it alone.
+	// The best is one to avoid for this task, or the task has failed before: all are
+	// looked at for it alone.
 	c.taken = false
 	return e.choose(s, i, q, nil)
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -81,6 +81,9 @@
 	unanswered int
 	// found is the buffer of permitted.
 	found []*worker
+	// recheckAt is when to look again for workers for tasks that wait for a sound one;
+	// zero when none does.
+	recheckAt time.Time
 	// isDirty means that something may be placed that could not be before.
 	isDirty  bool
 	isPaused bool
@@ -172,6 +175,9 @@
 	for _, w := range e.workers {
 		e.tickWorker(w)
 	}
+	if !e.recheckAt.IsZero() && !e.now.Before(e.recheckAt) {
+		e.recheckAt, e.isDirty = time.Time{}, true
+	}
 	if !e.now.Before(e.nextWalk) {
 		e.nextWalk = e.now.Add(walkPause)
 		e.walkJobs()
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -33,9 +33,34 @@
 	pausedUntil time.Time
 	pause       time.Duration
 	onTrial     bool
+	// provenAt is when it last ended a task well.
+	provenAt time.Time
 }
 
-func (h *health) succeeded() {
+const (
+	// unprovenAfter is how long after a success a worker counts as one of which
+	// nothing is known, and unprovenRisk is the risk that it is then.
+	unprovenAfter = 3 * time.Second
+	unprovenRisk  = 0.25
+)
+
+// risk is how likely the worker fails what it is given: about 0 for one that has
+// just done well, 1 and more for one that has failed since.
+func (h *health) risk(now time.Time) float64 {
+	risk := float64(h.inRow)
+	if h.onTrial {
+		risk++
+	}
+	age := min(now.Sub(h.provenAt), unprovenAfter)
+	return risk + unprovenRisk*float64(age)/float64(unprovenAfter)
+}
+
+// hasFailedLately reports whether the worker has failed something since its last
+// success.
+func (h *health) hasFailedLately() bool { return h.inRow > 0 || h.onTrial }
+
+func (h *health) succeeded(now time.Time) {
+	h.provenAt = now
 	h.inRow = 0
 	h.onTrial = false
 	h.pause = 0
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
@@ -90,8 +91,39 @@
 	wantsCopy bool
 	// rescues counts attempts that were stopped as too slow.
 	rescues int
-	// retryAt is when the next attempt may start.
-	retryAt time.Time
+	// failedAt is when an attempt failed last.
+	failedAt time.Time
+}
+
+const (
+	// soundPatience is how long a task with one attempt left waits for a worker that
+	// has not failed anything since its last success: with the last attempt the
+	// whole job fails.
+	soundPatience = 1500 * time.Millisecond
+	// otherPatience is how long a task that has failed waits for a worker on which it
+	// has not. Callers expect that nothing stands still for 3 s while there is room.
+	otherPatience = 2200 * time.Millisecond
+	// recheckPause is the time between two looks for such a worker.
+	recheckPause = 250 * time.Millisecond
+)
+
+// mayTry reports whether a task that has failed may start on the worker now.
+func (e *Engine) mayTry(w *worker, s *step, t *task) bool {
+	if len(t.failures) == 0 || s.spec.IsLasting {
+		return true
+	}
+	waited := e.now.Sub(t.failedAt)
+	if e.isLastAttempt(s, t) && w.health.hasFailedLately() && waited < soundPatience {
+		return false
+	}
+	failedHere := slices.ContainsFunc(t.failures, func(f work.Failure) bool { return f.Worker == string(w.ID) })
+	return !failedHere || waited >= otherPatience
+}
+
+// isLastAttempt reports whether the job fails if the task fails once more.
+func (e *Engine) isLastAttempt(s *step, t *task) bool {
+	limit := e.queues[s.job.spec.Queue].MaxAttempts
+	return limit > 0 && !s.spec.IsLasting && limit-s.failuresOf(t) <= 1
 }
 
 // AddJob takes a job that is to be kept. It reports whether the job is new; a
@@ -292,11 +324,13 @@
 }
 
 // failureCount returns how many of the allowed attempts the task has used.
-func (s *step) failureCount(i int) int {
+func (s *step) failureCount(i int) int { return s.failuresOf(&s.tasks[i]) }
+
+func (s *step) failuresOf(t *task) int {
 	if s.spec.IsGang {
 		return len(s.gangFailures)
 	}
-	return len(s.tasks[i].failures)
+	return len(t.failures)
 }
 
 // taskEnded notes that a task has ended well, once.
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -247,7 +247,7 @@
 
 func (e *Engine) endedDone(w *worker, s *step, end *order.End) {
 	e.counts.Done++
-	w.health.succeeded()
+	w.health.succeeded(e.now)
 	if s.spec.IsLasting {
 		return
 	}
@@ -278,7 +278,7 @@
 		return
 	}
 	w.health.failed(e.now, s.job)
-	s.tasks[i].avoid = w.ID
+	s.tasks[i].avoid, s.tasks[i].failedAt = w.ID, e.now
 	e.touch(s.job)
 	e.options.Log(events.AttemptEnded, "task", end.Task, "run", end.Run, "worker", w.ID, "how", end.Kind, "failures", s.failureCount(i))
 	if s.spec.IsLasting {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -69,13 +69,18 @@
 	var candidates *candidates
 	for i := range s.tasks {
 		t := &s.tasks[i]
-		if t.state != taskWaiting || len(t.heldBy) > 0 || e.now.Before(t.retryAt) {
+		if t.state != taskWaiting || len(t.heldBy) > 0 {
 			continue
 		}
 		if candidates == nil {
 			candidates = e.newCandidates(s, &q)
 		}
 		w := candidates.take(e, s, i, &q)
+		if w == nil && len(t.failures) > 0 {
+			// Only this task may have no worker that suits it.
+			e.recheckAt = e.now.Add(recheckPause)
+			continue
+		}
 		if w == nil {
 			break
 		}
@@ -206,7 +211,7 @@
 	var best *worker
 	bestScore := 0.0
 	for _, w := range e.permitted(s, q) {
-		if w.attempts[id] != nil {
+		if w.attempts[id] != nil || !e.mayTry(w, s, t) {
 			continue
 		}
 		room := e.fits(w, s)
@@ -259,7 +264,12 @@
 	weightFar    = 1.0
 	weightShared = 1.5
 	weightZone   = 0.01
-	weightSteady = 0.3
+	// weightSpare, weightScarce and weightLast are for the risk that a worker fails
+	// the task, which has three attempts left or more, two, or one: the job fails
+	// with the last one.
+	weightSpare  = 0.3
+	weightScarce = 0.8
+	weightLast   = 5.0
 )
 
 // score is higher the better the worker suits: packed tightly, near the data,
@@ -282,15 +292,33 @@
 	if w.Zone == e.options.NodeZone {
 		score += weightZone
 	}
-	if w.health.inRow > 0 {
-		score -= weightSteady * float64(w.health.inRow)
-	}
+	score -= e.stake(s, t) * w.health.risk(e.now)
 	if s.spec.IsFiller || s.spec.TailTarget > 0 {
 		score -= weightShared * w.conflicts(s)
 	}
 	return score
 }
 
+// stake is the weight of the risk that a task fails; t is nil for a task that has
+// not failed yet.
+func (e *Engine) stake(s *step, t *task) float64 {
+	limit := e.queues[s.job.spec.Queue].MaxAttempts
+	if s.spec.IsLasting || limit <= 0 {
+		return weightSpare
+	}
+	left := limit
+	if t != nil {
+		left -= s.failuresOf(t)
+	}
+	switch {
+	case left <= 1:
+		return weightLast
+	case left == 2:
+		return weightScarce
+	}
+	return weightSpare
+}
+
 // fullness is the part of the worker's room that is taken, by the dimension that
 // is taken most.
 func (w *worker) fullness() float64 {
--- /dev/null
+++ b/internal/dispatch/retry_test.go
@@ -0,0 +1,145 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// retryCell is an engine whose orders succeed at once; ends are told by the test.
+type retryCell struct {
+	engine *dispatch.Engine
+	clock  *clock.Fake
+	starts []order.Start
+	ends   map[order.WorkerID]uint64
+	at     order.WorkerTime
+}
+
+func newRetryCell(workers ...order.WorkerID) *retryCell {
+	c := &retryCell{engine: dispatch.NewEngine(dispatch.Options{}), clock: clock.NewFake(), ends: map[order.WorkerID]uint64{}, at: 10}
+	c.engine.Advance(c.clock.Now())
+	c.engine.SetTrusted(true)
+	c.engine.SetQueues([]order.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
+	list := []order.Worker{}
+	for _, id := range workers {
+		list = append(list, order.Worker{ID: id, Service: "pool", Capacity: step(1, 0).Need})
+	}
+	c.engine.SetWorkers(list, true)
+	for _, id := range workers {
+		c.listed(id)
+	}
+	return c
+}
+
+func (c *retryCell) listed(id order.WorkerID, ends ...order.End) {
+	c.at++
+	running := []order.Running{}
+	for _, s := range c.starts {
+		if s.Worker == id && !c.hasEnded(s, ends) {
+			running = append(running, order.Running{Task: s.Task, Run: s.Run})
+		}
+	}
+	c.engine.Listed(&order.Hold{Worker: id, AskedAt: c.clock.Now()}, &order.Listing{At: c.at, Running: running, Finished: ends})
+}
+
+func (*retryCell) hasEnded(s order.Start, ends []order.End) bool {
+	for _, e := range ends {
+		if e.Task == s.Task && e.Run == s.Run {
+			return true
+		}
+	}
+	return false
+}
+
+// advance lets time pass and keeps the workers' words fresh.
+func (c *retryCell) advance(d time.Duration) {
+	for range d / tick {
+		c.clock.Advance(tick)
+		c.engine.Advance(c.clock.Now())
+		c.engine.Tick()
+		c.settle()
+	}
+}
+
+func (c *retryCell) settle() {
+	c.engine.Decide()
+	for b := c.engine.TakeBatch(); b != nil; b = c.engine.TakeBatch() {
+		c.engine.Committed(b)
+		c.engine.Decide()
+	}
+	for _, a := range c.engine.Actions() {
+		switch a := a.(type) {
+		case order.Start:
+			c.starts = append(c.starts, a)
+			c.at++
+			c.engine.StartAnswered(a.Worker, a.Task, a.Run, order.StartDone, c.at)
+		case order.Hold:
+			c.listed(a.Worker)
+		case order.Stop, order.Pace, order.Advise:
+		}
+	}
+}
+
+func (c *retryCell) submit(id work.JobID, lasts bool) {
+	s := step(1, time.Second)
+	s.IsLasting = lasts
+	c.engine.AddJob(&work.Spec{ID: id, Queue: "q", Steps: []work.Step{s}})
+	c.settle()
+}
+
+// end tells the end of the last start.
+func (c *retryCell) end(kind order.EndKind) order.WorkerID {
+	s := c.starts[len(c.starts)-1]
+	c.ends[s.Worker]++
+	c.starts = c.starts[:len(c.starts)-1]
+	c.listed(s.Worker, order.End{Number: c.ends[s.Worker], Task: s.Task, Run: s.Run, Kind: kind})
+	c.settle()
+	return s.Worker
+}
+
+// A worker that failed all it got was given the same task again at once when no
+// other had room, so that the job used up its attempts in 0.15 s.
+func TestATaskWaitsForAWorkerOnWhichItHasNotFailed(t *testing.T) {
+	c := newRetryCell("v", "w")
+	c.submit("lasting", true)
+	c.submit("a", false)
+	if len(c.starts) != 2 {
+		t.Fatalf("starts: got: %d, want: 2", len(c.starts))
+	}
+	c.end(order.EndFailed)
+	c.advance(time.Second)
+	if len(c.starts) != 1 {
+		t.Errorf("starts within a second of the failure: got: %v, want: none", c.starts[1:])
+	}
+	c.advance(2 * time.Second)
+	if len(c.starts) != 2 {
+		t.Error("after 3 s without another worker: got: no start, want: one, as nothing stands still")
+	}
+}
+
+func TestTheLastAttemptGoesToASoundWorker(t *testing.T) {
+	c := newRetryCell("u", "v", "w")
+	c.submit("a", false)
+	first := c.end(order.EndFailed)
+	if len(c.starts) != 1 {
+		t.Fatalf("second attempts: got: %d, want: 1", len(c.starts))
+	}
+	second := c.starts[0].Worker
+	c.end(order.EndDone)
+	c.submit("b", false)
+	third := c.starts[0].Worker
+	c.end(order.EndFailed)
+	if len(c.starts) != 1 {
+		t.Fatalf("second attempts of b: got: %d, want: 1", len(c.starts))
+	}
+	if got := c.starts[0].Worker; got == first && third != first || got == third {
+		t.Errorf("last attempt of b: got: %s, want: not one that failed last (%s, %s); sound: %s", got, first, third, second)
+	}
+}
