internal/integration: put proxies between nodes and let clocks differ in the soak

Cause: the soak harmed the ways to the store and to workers only, and all nodes had one clock, though an owner's record is now judged by the time of day.

--- a/cmd/leverdyked/platform.go
+++ b/cmd/leverdyked/platform.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 
 	"github.com/spf13/cobra"
@@ -16,21 +17,31 @@
 // newPlatform returns the command that runs a node on the users' platform.
 func newPlatform() *cobra.Command {
 	file := ""
-	metricsPort := uint16(0)
+	options := platform.RunOptions{}
+	advertise := ""
 	c := &cobra.Command{
 		Use: "platform", Short: "Run a node on the users' platform until SIGTERM or SIGINT", Args: cobra.NoArgs,
 		Example: "  leverdyked platform --settings node.yaml",
 		RunE: func(*cobra.Command, []string) error {
+			if advertise != "" {
+				addr, err := netip.ParseAddrPort(advertise)
+				if err != nil {
+					return fmt.Errorf("leverdyked: advertise: %w", err)
+				}
+				options.AdvertiseAddr = addr
+			}
 			sink, err := events.NewSink(os.Stdout)
 			if err != nil {
 				return err
 			}
 			defer sink.Close()
-			return platform.Run(file, metricsPort)
+			return platform.Run(file, options)
 		},
 	}
 	c.Flags().StringVarP(&file, "settings", "s", platform.SettingsPath(), "the platform's settings file")
-	c.Flags().Uint16Var(&metricsPort, "metrics-port", 0, "the port that serves figures; 0 serves none")
+	c.Flags().Uint16Var(&options.MetricsPort, "metrics-port", 0, "the port that serves figures; 0 serves none")
+	c.Flags().StringVar(&advertise, "advertise", "", "address and port at which other nodes reach this one, if not where it listens")
+	c.Flags().DurationVar(&options.ClockShift, "clock-shift", 0, "how far the time of day is ahead, for tests of clocks that differ")
 	check := &cobra.Command{
 		Use: "check", Short: "Check the platform's settings file and start nothing", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -47,8 +47,9 @@
 type Options struct {
 	Name string
 	Zone string
-	// LinkAddr is where other nodes reach this one.
-	LinkAddr netip.AddrPort
+	// LinkAddr is where it listens for other nodes; AdvertiseAddr is where these
+	// reach it, if elsewhere.
+	LinkAddr, AdvertiseAddr netip.AddrPort
 	// Life tells this process from earlier ones of the node.
 	Life    string
 	Clock   clock.Service
@@ -129,6 +130,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("cell: %w", err)
 	}
+	if !options.AdvertiseAddr.IsValid() {
+		options.AdvertiseAddr = options.LinkAddr
+	}
 	if options.Patience == 0 {
 		options.Patience = defaultPatience
 	}
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -106,7 +106,7 @@
 		n.sleep(d)
 	}
 	r := owner.Record{
-		Node: n.options.Name, Addr: n.options.LinkAddr, Life: n.options.Life, Epoch: end + 1, SentAt: n.options.Clock.Now(),
+		Node: n.options.Name, Addr: n.options.AdvertiseAddr, Life: n.options.Life, Epoch: end + 1, SentAt: n.options.Clock.Now(),
 		Strongest: n.strongestKnown(),
 	}
 	if earlier != nil {
@@ -256,7 +256,7 @@
 
 func (n *Node) hello() hello {
 	return hello{
-		Name: n.options.Name, Zone: n.options.Zone, Addr: n.options.LinkAddr, Life: n.options.Life,
+		Name: n.options.Name, Zone: n.options.Zone, Addr: n.options.AdvertiseAddr, Life: n.options.Life,
 		Age: n.options.Clock.Now().Sub(n.startedAt), Strength: n.options.Strength,
 	}
 }
--- a/internal/clock/service.go
+++ b/internal/clock/service.go
@@ -37,6 +37,17 @@
 // After returns a timer's channel.
 func (Real) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
+// Shifted is the machine's clock with another time of day, for tests of nodes
+// whose clocks differ.
+type Shifted struct {
+	Real
+	// By is how far its time of day is ahead.
+	By time.Duration
+}
+
+// Now returns the current time, shifted.
+func (s Shifted) Now() time.Time { return time.Now().Add(s.By) }
+
 // Fake is a clock that moves only when it is told to.
 type Fake struct {
 	mu   sync.Mutex
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -27,8 +27,8 @@
 // 1: a listing asked for before a start took the attempt for missing.
 var soakSeeds = []uint64{1}
 
-// soak is a cell under random faults: signals to nodes, proxies between nodes and
-// the store and on the way to workers, and a store that misbehaves.
+// soak is a cell under random faults: signals to nodes, proxies between nodes, to
+// the store and to workers, clocks that differ, and a store that misbehaves.
 type soak struct {
 	*siteCell
 	rng *rand.Rand
@@ -46,6 +46,9 @@
 	version    int
 }
 
+// maxClockShift is how far, in ms, the time of day of a node may be off.
+const maxClockShift = 3000
+
 type soakEnd struct {
 	at  time.Time
 	end func()
@@ -237,6 +240,8 @@
 	if n.Signal(sig) != nil {
 		return
 	}
+	n.ClockShift = time.Duration(s.rng.IntN(2*maxClockShift)-maxClockShift) * time.Millisecond
+	s.note("the clock of %s is then %v ahead", n.Name, n.ClockShift)
 	s.restarting[n] = true
 	s.until(after, func() {
 		delete(s.restarting, n)
--- a/internal/standin/site/node.go
+++ b/internal/standin/site/node.go
@@ -26,10 +26,14 @@
 	ready   string
 	binary  string
 	file    string
-	log     string
-	process *exec.Cmd
-	done    chan struct{}
-	client  *http.Client
+	// advertised is where other nodes reach it.
+	advertised string
+	// ClockShift is how far its time of day is ahead from its next start on.
+	ClockShift time.Duration
+	log        string
+	process    *exec.Cmd
+	done       chan struct{}
+	client     *http.Client
 }
 
 // settingsText is a settings file as the platform writes it.
@@ -78,6 +82,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if n.advertised, err = s.via(n.Name+"-link", fmt.Sprintf("%s:%d", ip, linkPort)); err != nil {
+		return nil, err
+	}
 	text := fmt.Sprintf(settingsText, n.Name, ip, n.Callers, n.ready, linkPort, linkPort, s.AdviceAddr, storeAddr)
 	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("site: %w", err)
@@ -92,7 +99,7 @@
 		return fmt.Errorf("site: %w", err)
 	}
 	defer func() { _ = out.Close() }()
-	n.process = exec.Command(n.binary, "platform", "--settings", n.file)
+	n.process = exec.Command(n.binary, "platform", "--settings", n.file, "--advertise", n.advertised, "--clock-shift", n.ClockShift.String())
 	n.process.Stdout, n.process.Stderr = out, out
 	if err := n.process.Start(); err != nil {
 		return fmt.Errorf("site: %w", err)
