internal/listen, internal/await, internal/metrics: write what stood twice once

Change: internal/listen opens servers, metrics.newMeter makes an exporter, internal/await polls for tests. No change of behaviour.

--- a/cmd/leverdyked/main.go
+++ b/cmd/leverdyked/main.go
@@ -7,10 +7,8 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -26,6 +24,7 @@
 	"github.com/leverdyke/leverdyke/internal/caller"
 	"github.com/leverdyke/leverdyke/internal/command"
 	"github.com/leverdyke/leverdyke/internal/entry"
+	"github.com/leverdyke/leverdyke/internal/listen"
 	"github.com/leverdyke/leverdyke/internal/metrics"
 	"github.com/leverdyke/leverdyke/internal/operator"
 	"github.com/leverdyke/leverdyke/internal/settings"
@@ -85,7 +84,7 @@
 	handler   *caller.Handler
 	callers   *http.Server
 	operators *http.Server
-	failed    chan error
+	servers   *listen.Group
 }
 
 func runNode(file string) error {
@@ -103,7 +102,7 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	select {
 	case <-signals:
-	case err := <-d.failed:
+	case err := <-d.servers.Failed():
 		d.node.Close()
 		return err
 	}
@@ -121,7 +120,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &daemon{settings: s, node: n, failed: make(chan error, 2)}
+	d := &daemon{settings: s, node: n, servers: listen.NewGroup()}
 	d.handler = caller.NewHandler(caller.NewHandlerOptions{
 		Router: n.Router(), Keys: n, Metrics: m, IsReady: n.IsReady, MaxRequests: s.MaxRequests, MaxTimeout: s.MaxTimeout,
 	})
@@ -135,22 +134,14 @@
 		server *http.Server
 		addr   netip.AddrPort
 	}{{d.callers, s.CallersAddr}, {d.operators, s.OperatorsAddr}} {
-		l, err := net.Listen("tcp", door.addr.String())
-		if err != nil {
+		if err := d.servers.Open(door.server, door.addr); err != nil {
 			n.Close()
-			return nil, fmt.Errorf("leverdyked: %w", err)
+			return nil, err
 		}
-		go d.runDoor(door.server, l)
 	}
 	return d, nil
 }
 
-func (d *daemon) runDoor(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		d.failed <- fmt.Errorf("leverdyked: %w", err)
-	}
-}
-
 // stop is the planned stop: not ready, hand over, finish what is in progress,
 // leave. Nothing in progress is cut off.
 func (d *daemon) stop() {
--- a/internal/cell/node_test.go
+++ b/internal/cell/node_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/await"
 	"github.com/leverdyke/leverdyke/internal/cell"
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/detour"
@@ -153,21 +154,6 @@
 // patience is so long that no request is given up on a busy machine.
 const patience = time.Hour
 
-// awaitTrue polls until the condition holds.
-func awaitTrue(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	ticker := time.NewTicker(5 * time.Millisecond)
-	defer ticker.Stop()
-	tooLate := time.After(30 * time.Second)
-	for !holds() {
-		select {
-		case <-ticker.C:
-		case <-tooLate:
-			t.Fatal("not in time: " + what)
-		}
-	}
-}
-
 func job(id string) *work.Spec {
 	return &work.Spec{ID: work.JobID(id), Queue: "q", Steps: []work.Step{{Count: 1, MayMiss: -1}}}
 }
@@ -175,7 +161,7 @@
 // submit hands a job in until it is accepted.
 func (n *testNode) submit(t *testing.T, id string) {
 	t.Helper()
-	awaitTrue(t, id+" is accepted", func() bool { return n.Submit(t.Context(), job(id)) == nil })
+	await.True(t, id+" is accepted", func() bool { return n.Submit(t.Context(), job(id)) == nil })
 }
 
 func (n *testNode) knows(t *testing.T, id string) bool {
@@ -196,7 +182,7 @@
 	for _, n := range nodes {
 		for i := range 3 {
 			id := fmt.Sprintf("j%d", i)
-			awaitTrue(t, id+" is known everywhere", func() bool { return n.knows(t, id) })
+			await.True(t, id+" is known everywhere", func() bool { return n.knows(t, id) })
 		}
 		if count, err := n.Pending(t.Context(), "q"); err != nil || count != 3 {
 			t.Errorf("pending: got: %d, %v, want: 3", count, err)
@@ -215,9 +201,9 @@
 	first := newNode(t, log, "n0", "1")
 	first.submit(t, "a")
 	second := newNode(t, log, "n1", "1")
-	awaitTrue(t, "the second node serves", func() bool { return second.knows(t, "a") })
+	await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
 	first.Close()
-	awaitTrue(t, "the job is known after the owner's end", func() bool { return second.knows(t, "a") })
+	await.True(t, "the job is known after the owner's end", func() bool { return second.knows(t, "a") })
 	second.submit(t, "b")
 }
 
@@ -226,10 +212,10 @@
 	first := newNode(t, log, "n0", "1")
 	first.submit(t, "a")
 	second := newNode(t, log, "n1", "1")
-	awaitTrue(t, "the second node serves", func() bool { return second.knows(t, "a") })
+	await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
 	first.Leave(t.Context())
 	second.submit(t, "b")
-	awaitTrue(t, "the leaving node passes requests on", func() bool { return first.knows(t, "b") })
+	await.True(t, "the leaving node passes requests on", func() bool { return first.knows(t, "b") })
 	if first.IsReady() {
 		t.Error("the leaving node: got: ready, want: not ready")
 	}
@@ -246,7 +232,7 @@
 		first := newNode(t, log, "n0", "1")
 		first.submit(t, "a")
 		second := newNode(t, log, "n1", "1")
-		awaitTrue(t, "the second node serves", func() bool { return second.knows(t, "a") })
+		await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
@@ -290,7 +276,7 @@
 	for _, n := range []*testNode{first, second} {
 		n.config.set(7)
 	}
-	awaitTrue(t, "both have read it", func() bool { return first.config.inForce() == 7 && second.config.inForce() == 7 })
+	await.True(t, "both have read it", func() bool { return first.config.inForce() == 7 && second.config.inForce() == 7 })
 	if got := first.config.parsed() + second.config.parsed(); got != 2 {
 		t.Errorf("configurations read: got: %d, want: 2, one at each node", got)
 	}
@@ -301,7 +287,7 @@
 	first := newNodeWith(t, log, "n0", "1", slowClock{})
 	first.submit(t, "a")
 	second := newNode(t, log, "n1", "1")
-	awaitTrue(t, "the second node owns the jobs", func() bool {
+	await.True(t, "the second node owns the jobs", func() bool {
 		r, _, err := owner.ReadRecord(t.Context(), log)
 		return err == nil && r != nil && r.Node == "n1" && second.knows(t, "a")
 	})
@@ -324,9 +310,9 @@
 	first.submit(t, "a")
 	second.submit(t, "b")
 	first.config.set(7)
-	awaitTrue(t, "both have the configuration", func() bool { return first.config.inForce() == 7 && second.config.inForce() == 7 })
+	await.True(t, "both have the configuration", func() bool { return first.config.inForce() == 7 && second.config.inForce() == 7 })
 	second.config.set(9)
-	awaitTrue(t, "both have the next", func() bool { return first.config.inForce() == 9 && second.config.inForce() == 9 })
+	await.True(t, "both have the next", func() bool { return first.config.inForce() == 9 && second.config.inForce() == 9 })
 	first.config.set(8)
 	second.submit(t, "c")
 	if got := first.config.inForce(); got != 9 {
--- /dev/null
+++ b/internal/listen/group_test.go
@@ -0,0 +1,38 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package listen_test
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+
+	"github.com/leverdyke/leverdyke/internal/listen"
+)
+
+func TestOpenNamesATakenAddress(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	if err := listen.NewGroup().Open(&http.Server{}, netip.MustParseAddrPort(l.Addr().String())); err == nil {
+		t.Error("got: nil, want: an error")
+	}
+}
+
+func TestAClosedServerIsNoFailure(t *testing.T) {
+	g := listen.NewGroup()
+	s := &http.Server{}
+	if err := g.Open(s, netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+		t.Fatal(err)
+	}
+	_ = s.Close()
+	select {
+	case err := <-g.Failed():
+		t.Errorf("got: %v, want: none", err)
+	default:
+	}
+}
--- a/internal/metrics/jobs.go
+++ b/internal/metrics/jobs.go
@@ -9,12 +9,8 @@
 	"net/http"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
 )
 
 // Jobs has the instruments of a node that serves jobs. It is safe for concurrent
@@ -34,13 +30,11 @@
 
 // NewJobs returns the instruments, with an exporter of their own.
 func NewJobs() (*Jobs, error) {
-	registry := prometheus.NewRegistry()
-	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo())
+	meter, handler, err := newMeter()
 	if err != nil {
-		return nil, fmt.Errorf("metrics: %w", err)
+		return nil, err
 	}
-	meter := sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("leverdyke")
-	j := &Jobs{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: meter}
+	j := &Jobs{handler: handler, meter: meter}
 	for _, h := range []struct {
 		name, text string
 		to         *metric.Float64Histogram
@@ -91,16 +85,3 @@
 func (j *Jobs) Gauge(name, label string, values func() map[string]float64) error {
 	return registerGauge(j.meter, name, label, values)
 }
-
-func registerGauge(meter metric.Meter, name, label string, values func() map[string]float64) error {
-	_, err := meter.Float64ObservableGauge(name, metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
-		for k, v := range values() {
-			o.Observe(v, metric.WithAttributes(attribute.String(label, k)))
-		}
-		return nil
-	}))
-	if err != nil {
-		return fmt.Errorf("metrics: %w", err)
-	}
-	return nil
-}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -11,12 +11,8 @@
 	"net/http"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
-	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
-	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/leverdyke/leverdyke"
 )
@@ -45,13 +41,11 @@
 
 // NewSet returns the instruments, with an exporter of their own.
 func NewSet() (*Set, error) {
-	registry := prometheus.NewRegistry()
-	reader, err := exporter.New(exporter.WithRegisterer(registry), exporter.WithoutScopeInfo())
+	meter, handler, err := newMeter()
 	if err != nil {
-		return nil, fmt.Errorf("metrics: %w", err)
+		return nil, err
 	}
-	meter := sdk.NewMeterProvider(sdk.WithReader(reader)).Meter("leverdyke")
-	s := &Set{handler: promhttp.HandlerFor(registry, promhttp.HandlerOpts{}), meter: meter}
+	s := &Set{handler: handler, meter: meter}
 	waits := metric.WithExplicitBucketBoundaries(.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 3.4, 5, 10, 30, 60, 300)
 	times := metric.WithExplicitBucketBoundaries(1e-6, 5e-6, 1e-5, 2e-5, 5e-5, 1e-4, 5e-4, 1e-3, 1e-2)
 	var errs [8]error
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -7,9 +7,9 @@
 	"context"
 	"errors"
 	"testing"
-	"time"
 
 	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/await"
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
@@ -43,32 +43,17 @@
 		o.Stop()
 		<-done
 	})
-	awaitTrue(t, "the jobs are read", o.IsLoaded)
+	await.True(t, "the jobs are read", o.IsLoaded)
 	return o
 }
 
-// awaitTrue polls until the condition holds.
-func awaitTrue(t *testing.T, what string, holds func() bool) {
-	t.Helper()
-	ticker := time.NewTicker(5 * time.Millisecond)
-	defer ticker.Stop()
-	tooLate := time.After(30 * time.Second)
-	for !holds() {
-		select {
-		case <-ticker.C:
-		case <-tooLate:
-			t.Fatal("not in time: " + what)
-		}
-	}
-}
-
 func job(id string) *work.Spec {
 	return &work.Spec{ID: work.JobID(id), Queue: "q", Steps: []work.Step{{Count: 2, MayMiss: -1}}}
 }
 
 func awaitState(t *testing.T, o *owner.Owner, id string, want work.JobState) {
 	t.Helper()
-	awaitTrue(t, id+" is "+string(want), func() bool {
+	await.True(t, id+" is "+string(want), func() bool {
 		state, ok, err := o.State(t.Context(), work.JobID(id))
 		return err == nil && ok && state == want
 	})
@@ -108,7 +93,7 @@
 	}
 	log.SetFail(nil)
 	if err := o.Submit(t.Context(), job("b")); err != nil {
-		awaitTrue(t, "the store is found to serve", func() bool { return o.Submit(t.Context(), job("b")) == nil })
+		await.True(t, "the store is found to serve", func() bool { return o.Submit(t.Context(), job("b")) == nil })
 	}
 	awaitState(t, o, "b", work.JobSucceeded)
 	if _, ok, _ := o.State(t.Context(), "a"); ok {
