--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -15,6 +15,7 @@
 	"slices"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/estimate"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -98,11 +99,11 @@
 	nextWalk time.Time
 	counts   Counts
 	// answers tells how long workers take to answer an order to start.
-	answers answerTimes
+	answers estimate.Answers
 	// lossyUntil is until when answers of workers may be lost.
 	lossyUntil time.Time
 	// estimates has, by queue, how good the callers' estimates are.
-	estimates map[string]*estimates
+	estimates map[string]*estimate.Durations
 }
 
 // Counts are totals since the engine was made.
@@ -117,7 +118,7 @@
 	}
 	return &Engine{
 		options: options, jobs: map[work.JobID]*job{}, workers: map[order.WorkerID]*worker{},
-		queues: map[string]order.Queue{}, over: map[order.WorkerID]bool{}, estimates: map[string]*estimates{}, unsettled: map[order.WorkerID][]work.TaskID{},
+		queues: map[string]order.Queue{}, over: map[order.WorkerID]bool{}, estimates: map[string]*estimate.Durations{}, unsettled: map[order.WorkerID][]work.TaskID{},
 	}
 }
 
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -29,11 +29,11 @@
 	shortestHoldPatience = 150 * time.Millisecond
 	// pacedWait is for a worker on which tasks disturb each other.
 	pacedWait = 500 * time.Millisecond
-	// firstRetry is the pause after a listing that did not come; it doubles up to
-	// longestRetry.
 	// confirmWait is the longest that a listing waits for ends to be kept: the
 	// store may be out, and progress and new ends are worth telling again.
-	confirmWait  = 400 * time.Millisecond
+	confirmWait = 400 * time.Millisecond
+	// firstRetry is the pause after a listing that did not come; it doubles up to
+	// longestRetry.
 	firstRetry   = 100 * time.Millisecond
 	longestRetry = time.Second
 	// lookPatience is how long a listing at once may take until another one is
@@ -71,7 +71,7 @@
 
 // holdPatience returns how much longer than it waits a listing may take.
 func (e *Engine) holdPatience() time.Duration {
-	return max(holdPatiences*e.answers.patience(), shortestHoldPatience)
+	return max(holdPatiences*e.answers.Patience(), shortestHoldPatience)
 }
 
 func (e *Engine) holdWait(w *worker) time.Duration {
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if a.phase == phaseOrdered && outcome != order.StartUnknown {
-		e.answers.learn(e.now.Sub(a.orderedAt))
+		e.answers.Learn(e.now.Sub(a.orderedAt))
 	}
 	switch outcome {
 	case order.StartDone:
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -4,9 +4,9 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/estimate"
 	"github.com/leverdyke/leverdyke/internal/events"
 )
 
@@ -38,14 +38,8 @@
 	// maxRescues bounds the attempts of a task that are stopped as too slow.
 	maxRescues = 2
 	// trustedRuns is how many done tasks of a step make its time known, if they are
-	// half of it, and trustedEstimates how many of a queue make the errors of its
-	// estimates known.
-	trustedRuns, trustedEstimates = 2, 20
-	// trustedError is the mean error of estimates, as a logarithm, up to which one
-	// tells that a task is slow: at 0.4, one in a hundred is off by slowRatio.
-	trustedError = 0.4
-	// biasWeight is the weight of a new task in what estimates are corrected by.
-	biasWeight = 0.05
+	// half of it.
+	trustedRuns = 2
 )
 
 // expected returns how long a task of the step should take on a sound worker, by
@@ -61,37 +55,12 @@
 
 // estimated returns the caller's estimate, corrected.
 func (e *Engine) estimated(s *step) time.Duration {
-	return time.Duration(e.estimates[s.job.spec.Queue].correction() * float64(s.spec.Estimate))
+	return e.estimates[s.job.spec.Queue].Correct(s.spec.Estimate)
 }
 
 // isTrustedTime reports whether expected is good enough to judge a single task.
 func (e *Engine) isTrustedTime(s *step) bool {
-	q := e.estimates[s.job.spec.Queue]
-	return s.doneRuns >= max(trustedRuns, len(s.tasks)/2) || s.spec.Estimate > 0 && q != nil && q.runs >= trustedEstimates && q.error < trustedError
-}
-
-// estimates is how good the estimates of a queue's callers are.
-type estimates struct {
-	runs int
-	// bias is the mean logarithm of how much longer tasks take than estimated,
-	// error the mean distance from it.
-	bias, error float64
-}
-
-// correction is the factor by which estimates are corrected.
-func (q *estimates) correction() float64 {
-	if q == nil {
-		return 1
-	}
-	return math.Exp(q.bias)
-}
-
-func (q *estimates) learn(ratio float64) {
-	q.runs++
-	weight := max(biasWeight, 1/float64(q.runs))
-	distance := math.Log(ratio) - q.bias
-	q.bias += weight * distance
-	q.error += weight * (math.Abs(distance) - q.error)
+	return s.doneRuns >= max(trustedRuns, len(s.tasks)/2) || s.spec.Estimate > 0 && e.estimates[s.job.spec.Queue].IsTrusted()
 }
 
 // learn takes the time that a task took from its order to its end.
@@ -108,9 +77,9 @@
 	}
 	queue := s.job.spec.Queue
 	if e.estimates[queue] == nil {
-		e.estimates[queue] = &estimates{}
+		e.estimates[queue] = &estimate.Durations{}
 	}
-	e.estimates[queue].learn(float64(max(took, time.Millisecond)) / float64(s.spec.Estimate))
+	e.estimates[queue].Learn(took, s.spec.Estimate)
 }
 
 // projected returns how long the attempt will take in all at the rate so far; 0
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -232,7 +232,7 @@
 		}
 		return
 	}
-	if a.phase == phaseOrdered && e.now.Sub(a.orderedAt) > e.answers.patience() {
+	if a.phase == phaseOrdered && e.now.Sub(a.orderedAt) > e.answers.Patience() {
 		e.doubt(a)
 	}
 	if a.phase == phaseDoubtful && !a.isStopping && e.now.Sub(a.doubtAt) > doubtPatience {
--- a/internal/dispatch/answers.go
+++ b/internal/estimate/answers.go
@@ -1,13 +1,15 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package dispatch
+// Package estimate learns how long things take.
+package estimate
 
 import "time"
 
-// answerTimes estimates how long workers take to answer an order to start, with
+// Answers estimates how long workers take to answer an order to start, with
 // the delays of this node in it, as TCP estimates a round trip (RFC 6298).
-type answerTimes struct {
+// The zero value works.
+type Answers struct {
 	mean, deviation time.Duration
 }
 
@@ -23,20 +25,21 @@
 	longestPatience  = 200 * time.Millisecond
 )
 
-func (t *answerTimes) learn(took time.Duration) {
-	if t.mean == 0 {
-		t.mean, t.deviation = took, took/2
+// Learn takes the time of an answer.
+func (a *Answers) Learn(took time.Duration) {
+	if a.mean == 0 {
+		a.mean, a.deviation = took, took/2
 		return
 	}
-	distance := took - t.mean
-	t.mean += time.Duration(meanWeight * float64(distance))
-	t.deviation += time.Duration(deviationWeight * float64(distance.Abs()-t.deviation))
+	distance := took - a.mean
+	a.mean += time.Duration(meanWeight * float64(distance))
+	a.deviation += time.Duration(deviationWeight * float64(distance.Abs()-a.deviation))
 }
 
-// patience returns how long an order to start may stay without an answer.
-func (t *answerTimes) patience() time.Duration {
-	if t.mean == 0 {
+// Patience returns how long an order to start may stay without an answer.
+func (a *Answers) Patience() time.Duration {
+	if a.mean == 0 {
 		return longestPatience
 	}
-	return min(max(t.mean+deviations*t.deviation, shortestPatience), longestPatience)
+	return min(max(a.mean+deviations*a.deviation, shortestPatience), longestPatience)
 }
--- a/internal/dispatch/answers_test.go
+++ b/internal/estimate/answers_test.go
@@ -1,13 +1,13 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package dispatch_test
+package estimate_test
 
 import (
 	"testing"
 	"time"
 
-	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/estimate"
 )
 
 func TestPatienceFollowsTheAnswers(t *testing.T) {
@@ -21,7 +21,7 @@
 		"slow but regular": {[]time.Duration{90 * ms, 100 * ms, 110 * ms}, 110 * ms, 160 * ms},
 		"very slow":        {[]time.Duration{300 * ms}, 200 * ms, 200 * ms},
 	} {
-		a := &dispatch.AnswerTimes{}
+		a := &estimate.Answers{}
 		for i := range 100 * min(len(tc.answers), 1) {
 			a.Learn(tc.answers[i%len(tc.answers)])
 		}
