internal/dispatch: take a worker that has left as planned as over at once

Change: the removal of an entry of a draining worker whose last heartbeat is younger than the platform's limit for silent ones (three heartbeats, less 1 s for the reading) tells that it has left; when it then does not answer, its life is over. Not while the list may lack workers, nor for one that never said that it drains: those serve on. TestTasksOfAWorkerThatHasLeft- StartElsewhere fails without it.

--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -64,6 +64,8 @@
 	Metrics  owner.Metrics
 	// StopTime is the longest that a worker takes to stop a task.
 	StopTime time.Duration
+	// Heartbeat is the time between two heartbeats of a worker; 0 when not known.
+	Heartbeat time.Duration
 	// HolderPause is how long a former owner does not claim again.
 	HolderPause time.Duration
 	// Strength is how many processors the node has: the strongest should own.
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -165,7 +165,7 @@
 	o := owner.New(owner.Options{
 		Claim: c, Store: n.options.NewStore(n.detour), Workers: workers, List: list, Lanes: &lanes{n},
 		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasOutage: n.detour.HasOutage, NodeZone: n.options.Zone,
-		StopTime: n.options.StopTime, Strongest: n.strongestKnown,
+		StopTime: n.options.StopTime, Heartbeat: n.options.Heartbeat, Strongest: n.strongestKnown,
 	})
 	n.mu.Lock()
 	n.claimed = c.Record.Epoch
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -55,6 +55,8 @@
 	NodeZone string
 	// StopTime is the longest that a worker takes to stop a task.
 	StopTime time.Duration
+	// Heartbeat is the time between two heartbeats of a worker; 0 when not known.
+	Heartbeat time.Duration
 }
 
 // Engine decides for one shard: its jobs and its workers.
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -105,6 +105,10 @@
 	if w == nil {
 		return
 	}
+	if w.hasLeft {
+		e.LifeOver(w.ID)
+		return
+	}
 	if !h.IsLook {
 		if w.holdFailures >= missesAllowed {
 			w.holdAt = e.now.Add(min(firstRetry<<min(w.holdFailures, 4), longestRetry))
--- /dev/null
+++ b/internal/dispatch/leave_test.go
@@ -0,0 +1,44 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/order"
+)
+
+// What ran on a worker that had left as planned waited for the end of its lease,
+// 6.6 s, though the removal of its entry told that it was gone (inc-8de9).
+func TestTasksOfAWorkerThatHasLeftStartElsewhere(t *testing.T) {
+	for name, tc := range map[string]struct {
+		isDraining, isCertain bool
+		heartbeat             time.Duration
+		isOver                bool
+	}{
+		"drained, heard lately":       {true, true, time.Second, true},
+		"drained, silent for long":    {true, true, 5 * time.Second, false},
+		"drained, the list uncertain": {true, false, time.Second, false},
+		"not drained":                 {false, true, time.Second, false},
+	} {
+		c := newRetryCell("v", "w")
+		c.submit("a", false)
+		leaving := c.starts[0].Worker
+		entry := order.Worker{ID: leaving, Service: "pool", Capacity: step(1, 0).Need, IsDraining: tc.isDraining}
+		other := order.Worker{ID: "v", Service: "pool", Capacity: step(1, 0).Need}
+		if leaving == "v" {
+			other.ID = "w"
+		}
+		c.engine.SetWorkers([]order.Worker{entry, other}, true)
+		c.silent = leaving
+		c.settle()
+		entry.IsRemoved, entry.HeartbeatAt = true, c.clock.Now().Add(-tc.heartbeat)
+		c.engine.SetWorkers([]order.Worker{entry, other}, tc.isCertain)
+		c.advance(500 * time.Millisecond)
+		if got := len(c.starts) == 2; got != tc.isOver {
+			t.Errorf("%s: started elsewhere: got: %v, want: %v", name, got, tc.isOver)
+		}
+	}
+}
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -20,10 +20,12 @@
 	starts []order.Start
 	ends   map[order.WorkerID]uint64
 	at     order.WorkerTime
+	// silent is a worker that answers no question for a listing.
+	silent order.WorkerID
 }
 
 func newRetryCell(workers ...order.WorkerID) *retryCell {
-	c := &retryCell{engine: dispatch.NewEngine(dispatch.Options{}), clock: clock.NewFake(), ends: map[order.WorkerID]uint64{}, at: 10}
+	c := &retryCell{engine: dispatch.NewEngine(dispatch.Options{Heartbeat: 1500 * time.Millisecond}), clock: clock.NewFake(), ends: map[order.WorkerID]uint64{}, at: 10}
 	c.engine.Advance(c.clock.Now())
 	c.engine.SetTrusted(true)
 	c.engine.SetQueues([]order.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
@@ -81,7 +83,11 @@
 			c.at++
 			c.engine.StartAnswered(a.Worker, a.Task, a.Run, order.StartDone, c.at)
 		case order.Hold:
-			c.listed(a.Worker)
+			if a.Worker == c.silent {
+				c.engine.HoldFailed(&a)
+			} else {
+				c.listed(a.Worker)
+			}
 		case order.Stop, order.Pace, order.Advise:
 		}
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -23,8 +23,9 @@
 	foreign map[work.TaskID]uint64
 	// isListed means that it has told all that it runs since this engine watches.
 	isListed bool
-	// isGone means that the platform's list no longer has it.
-	isGone bool
+	// isGone means that the platform's list no longer has it; hasLeft that it was
+	// removed because the worker has ended as planned.
+	isGone, hasLeft bool
 	// readAt is when its clock was last read, readTime what it showed.
 	readAt   time.Time
 	readTime order.WorkerTime
@@ -107,6 +108,10 @@
 func (e *Engine) SetWorkers(list []order.Worker, isCertain bool) {
 	seen := make(map[order.WorkerID]bool, len(list))
 	for _, entry := range list {
+		if entry.IsRemoved {
+			e.entryRemoved(&entry, isCertain)
+			continue
+		}
 		seen[entry.ID] = true
 		if !e.over[entry.ID] {
 			e.setWorker(entry)
@@ -147,6 +152,36 @@
 	w.isGone = false
 }
 
+const (
+	// heartbeatsMissed is how many heartbeats must stay away until the platform
+	// removes the entry of a silent worker.
+	heartbeatsMissed = 3
+	// removalSlack covers when heartbeats and removals are seen: the list is read
+	// every 0.4 s.
+	removalSlack = time.Second
+)
+
+// entryRemoved takes the removal of an entry. One of a worker that drains and was
+// heard lately was removed because the worker has left, and nothing of it runs
+// any more; otherwise the worker may only be cut off.
+func (e *Engine) entryRemoved(entry *order.Worker, isCertain bool) {
+	w := e.workers[entry.ID]
+	if w == nil || !w.IsDraining || !isCertain || entry.HeartbeatAt.IsZero() {
+		return
+	}
+	silent := e.now.Sub(entry.HeartbeatAt)
+	if silent >= heartbeatsMissed*e.options.Heartbeat-removalSlack {
+		return
+	}
+	w.hasLeft = true
+	e.options.Log(events.WorkerLeft, "worker", w.ID, "attempts", len(w.attempts), "heartbeat", silent)
+	if w.holdFailures > 0 {
+		e.LifeOver(w.ID)
+		return
+	}
+	e.look(w)
+}
+
 // endEarlierLives ends the other lives of a machine whose worker has answered:
 // it has one at a time.
 func (e *Engine) endEarlierLives(w *worker) {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -109,6 +109,7 @@
 	AdviceFailed   = add(457, "nobody told which workers may run a step", LevelWarning)
 	WorkerUnlisted = add(460, "worker is no longer in the list", LevelInfo)
 	WorkerLifeOver = add(461, "worker's life is over", LevelInfo)
+	WorkerLeft     = add(467, "worker has left as planned", LevelInfo)
 	Inherited      = add(462, "all that an earlier owner started is known", LevelInfo)
 	JobRefused     = add(458, "job refused", LevelWarning)
 	PaceFailed     = add(459, "worker was not told the pace of a task", LevelWarning)
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -29,6 +29,11 @@
 	Capacity leverdyke.Resources
 	// IsDraining means that it is leaving: it finishes what it has.
 	IsDraining bool
+	// HeartbeatAt is when a heartbeat of it was seen last; zero when none was.
+	HeartbeatAt time.Time
+	// IsRemoved means that its entry has been taken out of the list since the list
+	// was told last.
+	IsRemoved bool
 }
 
 // Queue is the policy of a queue, from the configuration.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -77,7 +77,7 @@
 	return &Owner{
 		options: options,
 		engine: dispatch.NewEngine(dispatch.Options{
-			Log: options.Log, NodeZone: options.NodeZone, StopTime: options.StopTime,
+			Log: options.Log, NodeZone: options.NodeZone, StopTime: options.StopTime, Heartbeat: options.Heartbeat,
 		}),
 		inbox: ring.NewRing[event](eventsBound), ctx: ctx, cancel: cancel,
 		writes: make(chan *write, 1), loaded: make(chan struct{}),
