--- a/internal/standin/site/node.go
+++ b/internal/standin/site/node.go
@@ -115,6 +115,23 @@
 	_ = p.Wait()
 }
 
+// HasEnded reports whether the process has ended.
+func (n *Node) HasEnded() bool {
+	select {
+	case <-n.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// EndedByHangup reports whether the process, which has ended, was ended by a
+// SIGHUP: it came before the process could catch it.
+func (n *Node) EndedByHangup() bool {
+	status, ok := n.process.ProcessState.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGHUP
+}
+
 // Signal sends a signal to the process.
 func (n *Node) Signal(sig syscall.Signal) error { return n.process.Process.Signal(sig) }
 
