internal/detour: do not take one overtaking for a failure, ask strong peers first

Change: the direct way is left alone after two overtakings in a row; the time until the next way is tried grows with the request; strong peers are asked first, weak ones when there are not enough.

--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -126,16 +126,28 @@
 	return out
 }
 
-// Sample returns up to n usable peers, others each time.
+// Sample returns up to n usable peers, the strong ones first, and others of these
+// each time.
 func (p *peers) Sample(n int) []string {
 	usable := p.usable()
+	if len(usable) == 0 {
+		return nil
+	}
+	strongest := slices.MaxFunc(usable, func(a, b peer) int { return cmp.Compare(a.hello.Strength, b.hello.Strength) }).hello.Strength
+	isWeak := func(q peer) bool { return q.hello.Strength < (1-equalStrength)*strongest }
+	strong := slices.DeleteFunc(slices.Clone(usable), isWeak)
+	weak := slices.DeleteFunc(usable, func(q peer) bool { return !isWeak(q) })
 	p.mu.Lock()
-	p.next += n
+	p.next++
 	first := p.next
 	p.mu.Unlock()
 	out := []string{}
-	for i := range min(n, len(usable)) {
-		out = append(out, usable[(first+i)%len(usable)].hello.Name)
+	for _, group := range [][]peer{strong, weak} {
+		for i := range group {
+			if len(out) < n {
+				out = append(out, group[(first+i)%len(group)].hello.Name)
+			}
+		}
 	}
 	return out
 }
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -81,6 +81,12 @@
 	// againPause is the time between two tries of ways that were tried already: a
 	// service that comes back answers new requests only.
 	againPause = 200 * time.Millisecond
+	// overtakes is how often in a row a peer must be sooner than the direct way until
+	// that counts as failed: a single one tells little on a busy node.
+	overtakes = 2
+	// slowestLink is the rate at which a request is expected to leave at least, in
+	// bytes a second.
+	slowestLink = 1 << 20
 	// answerWeight is the weight of a new answer in the usual answer time.
 	answerWeight = 0.2
 	// outageWindow is how long a failure of all ways counts, backWindow how long
@@ -99,6 +105,8 @@
 	mu sync.Mutex
 	// directAt is when the direct way may be tried again; zero while it serves.
 	directAt time.Time
+	// overtaken counts how often in a row a peer was sooner than the direct way.
+	overtaken int
 	// lastPeer is the peer by which a request was served last.
 	lastPeer string
 	// answerTime is how long the service usually takes.
@@ -131,11 +139,13 @@
 	return newSearch(ctx, d, r).run()
 }
 
-// hedge returns how long a way may take until the next one is tried beside it.
-func (d *Detour) hedge() time.Duration {
+// hedge returns how long a way may take for a request until the next one is tried
+// beside it.
+func (d *Detour) hedge(r *Request) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return min(max(hedgeRatio*d.answerTime, shortestHedge), longestHedge)
+	sending := time.Duration(len(r.Body)) * time.Second / slowestLink
+	return min(max(hedgeRatio*d.answerTime, shortestHedge)+sending, longestHedge) + r.Wait
 }
 
 // stages returns the ways in the order in which they are tried.
@@ -170,6 +180,7 @@
 	d.servedAt = now
 	if t.way == direct {
 		d.directAt = time.Time{}
+		d.overtaken = 0
 	} else {
 		d.lastPeer = t.way
 	}
@@ -178,6 +189,15 @@
 	}
 }
 
+// noteOvertaken notes that a peer was sooner than the direct way.
+func (d *Detour) noteOvertaken() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.overtaken++; d.overtaken >= overtakes {
+		d.directAt = d.clock.Now().Add(directPause)
+	}
+}
+
 // noteDirectFailed leaves the direct way alone for a while.
 func (d *Detour) noteDirectFailed() {
 	d.mu.Lock()
--- a/internal/detour/search.go
+++ b/internal/detour/search.go
@@ -55,7 +55,7 @@
 }
 
 func (s *search) run() (*Response, error) {
-	pause := s.request.Wait + s.detour.hedge()
+	pause := s.detour.hedge(s.request)
 	s.next()
 	timer := s.detour.clock.After(pause)
 	for s.open > 0 {
@@ -95,7 +95,7 @@
 	}
 	s.detour.noteServed(t, s.request.Wait)
 	if s.openDirect > 0 && t.way != direct {
-		s.detour.noteDirectFailed()
+		s.detour.noteOvertaken()
 	}
 	return true
 }
