internal/cell: hand over only to nodes that the store serves

Cause: found by reading: an owner that hands over asked its three strongest peers, also such as the store turns away; these cannot claim, and with a third of the nodes turned away the shard could stay without an owner for seconds, and a weak owner could hand over again and again. Change: signs of life tell whether the store answers a node; heirs and peers that carry requests to the store are chosen among those that it serves. Measured: TestNothingIsHandedToANodeThatTheStoreTurnsAway fails without it.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -29,6 +29,9 @@
 		version := n.configVersion
 		n.mu.Unlock()
 		data, err := n.options.Config.Wait(n.ctx, version)
+		n.mu.Lock()
+		n.isTurnedAway = err != nil
+		n.mu.Unlock()
 		if err != nil {
 			n.sleep(configPause)
 			continue
@@ -149,6 +152,6 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.ownerLink != nil {
-		n.ownerLink.Notify(kindAlive, alive{n.configVersion, n.isLeaving})
+		n.ownerLink.Notify(kindAlive, alive{n.configVersion, n.isLeaving, n.isTurnedAway})
 	}
 }
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -23,3 +23,13 @@
 func (o *OwnerWatch) Patience(now time.Time, newest uint64, answerTime time.Duration) time.Duration {
 	return o.w.patience(now, newest, answerTime)
 }
+
+// Heirs returns the names of the peers that this owner would hand over to, the
+// fittest first.
+func (n *Node) Heirs() []string {
+	out := []string{}
+	for _, p := range n.peers.byFitness() {
+		out = append(out, p.hello.Name)
+	}
+	return out
+}
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -83,6 +83,8 @@
 	ConfigVersion uint64
 	// IsLeaving means that the process is about to end.
 	IsLeaving bool
+	// IsTurnedAway means that the store does not serve this node itself.
+	IsTurnedAway bool
 }
 
 type configMessage struct {
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -109,6 +109,8 @@
 	behindSince time.Time
 	isFetching  bool
 	isLeaving   bool
+	// isTurnedAway means that the store did not answer this node's last read.
+	isTurnedAway bool
 	// isYielding means that this owner hands over to a faster node, yieldedAt is
 	// when one did last.
 	isYielding   bool
--- a/internal/cell/node_test.go
+++ b/internal/cell/node_test.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -63,8 +64,20 @@
 	changed chan struct{}
 	applied uint64
 	parses  int
+	// isAway makes the store refuse to tell the configuration.
+	isAway bool
 }
 
+// turnAway makes the store refuse this node from now on.
+func (c *config) turnAway() {
+	c.mu.Lock()
+	c.isAway = true
+	c.mu.Unlock()
+	c.changed <- struct{}{}
+}
+
+var errTurnedAway = errors.New("turned away")
+
 func newConfig() *config { return &config{changed: make(chan struct{}, 8)} }
 
 func (c *config) set(version uint64) {
@@ -95,6 +108,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.isAway {
+		c.changed <- struct{}{}
+		return nil, errTurnedAway
+	}
 	return c.data, nil
 }
 
@@ -282,6 +299,24 @@
 	}
 }
 
+// An owner that hands over to nodes that the store turns away leaves the shard
+// without an owner for seconds.
+func TestNothingIsHandedToANodeThatTheStoreTurnsAway(t *testing.T) {
+	log := fakestore.NewLog()
+	first := newNode(t, log, "n0", "1")
+	first.submit(t, "a")
+	second, third := newNode(t, log, "n1", "1"), newNode(t, log, "n2", "1")
+	for _, n := range []*testNode{second, third} {
+		await.True(t, "the others serve", func() bool { return n.knows(t, "a") })
+	}
+	second.config.turnAway()
+	await.True(t, "the owner knows who is turned away", func() bool { return slices.Equal(first.Heirs(), []string{"n2"}) })
+	first.Leave(t.Context())
+	if r, _, err := owner.ReadRecord(t.Context(), log); err != nil || r.Node != "n2" {
+		t.Errorf("next owner: got: %v, %v, want: n2", r, err)
+	}
+}
+
 func TestASlowOwnerHandsOver(t *testing.T) {
 	log := fakestore.NewLog()
 	first := newNodeWith(t, log, "n0", "1", slowClock{})
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -31,6 +31,8 @@
 	bornAt    time.Time
 	heardAt   time.Time
 	isLeaving bool
+	// isTurnedAway means that the store does not serve it.
+	isTurnedAway bool
 }
 
 // peers are the followers of this node. It is safe for concurrent use.
@@ -75,7 +77,7 @@
 	defer p.mu.Unlock()
 	for _, peer := range p.byName {
 		if peer.conn == c {
-			peer.heardAt, peer.isLeaving = p.clock.Now(), a.IsLeaving
+			peer.heardAt, peer.isLeaving, peer.isTurnedAway = p.clock.Now(), a.IsLeaving, a.IsTurnedAway
 		}
 	}
 }
@@ -113,10 +115,15 @@
 	return strongest
 }
 
-// byFitness returns the usable peers, the strongest first, and of those that are
-// alike that which has run for the shortest time.
+// served returns the usable peers that the store serves, as far as they know.
+func (p *peers) served() []peer {
+	return slices.DeleteFunc(p.usable(), func(q peer) bool { return q.isTurnedAway })
+}
+
+// byFitness returns the peers that could own the shard, the strongest first, and
+// of those that are alike that which has run for the shortest time.
 func (p *peers) byFitness() []peer {
-	out := p.usable()
+	out := p.served()
 	slices.SortFunc(out, func(a, b peer) int {
 		if c := cmp.Compare(b.hello.Strength, a.hello.Strength); c != 0 {
 			return c
@@ -126,10 +133,13 @@
 	return out
 }
 
-// Sample returns up to n usable peers, the strong ones first, and others of these
-// each time.
+// Sample returns up to n peers to send requests through: such as the store serves,
+// if there are any, the strong ones first, and others of these each time.
 func (p *peers) Sample(n int) []string {
-	usable := p.usable()
+	usable := p.served()
+	if len(usable) == 0 {
+		usable = p.usable()
+	}
 	if len(usable) == 0 {
 		return nil
 	}
