--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -59,7 +59,7 @@
 	f.DurationVar(&a.timeout, "timeout", defaultTimeout, "how long one node may take")
 	f.BoolVarP(&a.isQuiet, "quiet", "q", false, "show no progress")
 	a.root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &command.UsageError{Text: err.Error()} })
-	a.root.AddCommand(a.newJob(), a.newTemplate(), a.newConfig(), a.newWorker(), a.newNode(), a.newCheck(), newVersion())
+	a.root.AddCommand(a.newJob(), a.newTemplate(), a.newConfig(), a.newWorker(), a.newNode(), a.newCheck(), newReport(), newVersion())
 	return a.root
 }
 
--- /dev/null
+++ b/internal/report/report_test.go
@@ -0,0 +1,66 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package report_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/leverdyke/leverdyke/internal/report"
+)
+
+const testLog = `  4.0723 edge-1 I0526 02:58:46.0 1 keep.go:231] "job accepted" event="LD0422" job="a" queue="q" steps=2 batch=1 took="12ms"
+I1202 17:12:04.9 2 place.go:87] "tasks of a step placed" event="LD0450" step="a.0.0" queue="q" placed=3 waiting=1 waited="30ms"
+I1202 17:12:04.9 2 place.go:87] "tasks of a step placed" event="LD0450" step="a.0.0" queue="q" placed=1 waiting=0 waited="500ms"
+I1202 17:12:04.9 2 worker.go:252] "order to start was not answered" event="LD0451" task="a.0.0.1" run=1 worker="i \"1\"" age="70ms"
+I1202 17:12:04.9 2 listing.go:281] "attempt ended without success" event="LD0453" task="a.0.0.2" run=1 worker="w" how="failed" failures=1
+I1202 17:12:04.9 2 listing.go:281] "attempt ended without success" event="LD0453" task="a.0.0.2" run=1 worker="w" how="stopped"
+I1202 17:12:04.9 2 place.go:87] "tasks of a step placed" event="LD0450" step="a.0.1" queue="q" placed=1 waiting=0 waited="20ms"
+I1202 17:12:04.9 2 job.go:346] "job is over" event="LD0456" job="a" state="succeeded" why="all = ended" took="1.05s" attempts=0
+I1202 17:12:04.9 2 keep.go:231] "job accepted" event="LD0422" job="b" queue="q" steps=1 batch=1 took="11ms"
+not a line of a node, event="LD
+`
+
+func TestReportTellsWhereTheTimeWent(t *testing.T) {
+	r := &report.Report{}
+	if err := r.Read(strings.NewReader(testLog)); err != nil {
+		t.Fatal(err)
+	}
+	out := &strings.Builder{}
+	if err := r.Write(out, 5); err != nil {
+		t.Fatal(err)
+	}
+	text := strings.Join(strings.Fields(out.String()), " ")
+	for _, want := range []string{
+		"2 jobs, 1 of them from their acceptance to their end",
+		"q accept 1 12ms 12ms 12ms 12ms",
+		"q wait for a place 1 50ms",
+		"q run and notice 1 1s",
+		"a q 1.05s 12ms 50ms 1, 1, 0 succeeded",
+	} {
+		if !strings.Contains(text, want) {
+			t.Errorf("got: %s, want: %q in it", out, want)
+		}
+	}
+}
+
+func TestReportOfNothing(t *testing.T) {
+	out := &strings.Builder{}
+	r := &report.Report{}
+	if err := r.Read(strings.NewReader("")); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Write(out, 5); err != nil || !strings.HasPrefix(out.String(), "0 lines, 0 jobs") {
+		t.Errorf("got: %q, %v, want: a report of nothing", out, err)
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(testLog)
+	f.Add(`x event="LD0422" job="`)
+	f.Fuzz(func(_ *testing.T, log string) {
+		r := &report.Report{}
+		_ = r.Read(strings.NewReader(log))
+	})
+}
