--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -33,3 +33,10 @@
 	}
 	return out
 }
+
+// IsBehind reports whether a peer is known to have a later configuration.
+func (n *Node) IsBehind() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.behind != nil
+}
--- a/internal/cell/node_test.go
+++ b/internal/cell/node_test.go
@@ -290,9 +290,9 @@
 	first, second := newNodeWith(t, log, "n0", "1", stillClock{}), newNodeWith(t, log, "n1", "1", stillClock{})
 	first.submit(t, "a")
 	second.submit(t, "b")
-	for _, n := range []*testNode{first, second} {
-		n.config.set(7)
-	}
+	first.config.set(7)
+	await.True(t, "the second node hears of it", second.IsBehind)
+	second.config.set(7)
 	await.True(t, "both have read it", func() bool { return first.config.inForce() == 7 && second.config.inForce() == 7 })
 	if got := first.config.parsed() + second.config.parsed(); got != 2 {
 		t.Errorf("configurations read: got: %d, want: 2, one at each node", got)
--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -16,12 +16,14 @@
 	for name, tc := range map[string]struct {
 		isDraining, isCertain bool
 		heartbeat             time.Duration
-		isOver                bool
+		// answers means that it answers until its entry is removed.
+		answers, isOver bool
 	}{
-		"drained, heard lately":       {true, true, time.Second, true},
-		"drained, silent for long":    {true, true, 5 * time.Second, false},
-		"drained, the list uncertain": {true, false, time.Second, false},
-		"not drained":                 {false, true, time.Second, false},
+		"drained, heard lately":       {true, true, time.Second, false, true},
+		"drained, answered until now": {true, true, time.Second, true, true},
+		"drained, silent for long":    {true, true, 5 * time.Second, false, false},
+		"drained, the list uncertain": {true, false, time.Second, false, false},
+		"not drained":                 {false, true, time.Second, false, false},
 	} {
 		c := newRetryCell("v", "w")
 		c.submit("a", false)
@@ -32,8 +34,11 @@
 			other.ID = "w"
 		}
 		c.engine.SetWorkers([]order.Worker{entry, other}, true)
-		c.silent = leaving
+		if !tc.answers {
+			c.silent = leaving
+		}
 		c.settle()
+		c.silent = leaving
 		entry.IsRemoved, entry.HeartbeatAt = true, c.clock.Now().Add(-tc.heartbeat)
 		c.engine.SetWorkers([]order.Worker{entry, other}, tc.isCertain)
 		c.advance(500 * time.Millisecond)
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -117,6 +117,7 @@
 // other had room, so that the job used up its attempts in 0.15 s.
 func TestATaskWaitsForAWorkerOnWhichItHasNotFailed(t *testing.T) {
 	c := newRetryCell("v", "w")
+	c.engine.SetQueues([]order.Queue{{Name: "q", Service: "pool", MaxAttempts: 3}})
 	c.submit("lasting", true)
 	c.submit("a", false)
 	if len(c.starts) != 2 {
@@ -133,23 +134,28 @@
 	}
 }
 
+// With the last attempt the whole job fails: it waits for a worker that has failed
+// nothing since its last success, for a while.
 func TestTheLastAttemptGoesToASoundWorker(t *testing.T) {
-	c := newRetryCell("u", "v", "w")
+	c := newRetryCell("v", "w")
 	c.submit("a", false)
-	first := c.end(order.EndFailed)
-	if len(c.starts) != 1 {
-		t.Fatalf("second attempts: got: %d, want: 1", len(c.starts))
+	unsound := c.end(order.EndFailed)
+	if len(c.starts) != 1 || c.starts[0].Worker == unsound {
+		t.Fatalf("second attempt: got: %v, want: one on the other worker than %s", c.starts, unsound)
 	}
-	second := c.starts[0].Worker
 	c.end(order.EndDone)
 	c.submit("b", false)
-	third := c.starts[0].Worker
+	if got := c.starts[0].Worker; got == unsound {
+		t.Fatalf("first attempt of b: got: %s, want: the sound worker", got)
+	}
 	c.end(order.EndFailed)
-	if len(c.starts) != 1 {
-		t.Fatalf("second attempts of b: got: %d, want: 1", len(c.starts))
+	c.advance(time.Second)
+	if len(c.starts) != 0 {
+		t.Errorf("within a second: got: %v, want: no last attempt, as both workers have failed", c.starts)
 	}
-	if got := c.starts[0].Worker; got == first && third != first || got == third {
-		t.Errorf("last attempt of b: got: %s, want: not one that failed last (%s, %s); sound: %s", got, first, third, second)
+	c.advance(time.Second)
+	if len(c.starts) != 1 || c.starts[0].Worker != unsound {
+		t.Errorf("after two seconds: got: %v, want: one on %s, where b has not failed", c.starts, unsound)
 	}
 }
 
