internal/link: let the blocked call of a test fail as real ones do

The peer's patience is as long as the caller's, so that its answer may be there before the caller's own timer fires. The test's handler answered with success when its context had ended, which no real handler does; the caller then got an answer where the test wants an error.

Ruled out: a reply that is given to a caller whose call had ended (replies are joined by id), and a context that does not end at the peer (released is awaited as before).

Change: the handler returns the context's error. The test still wants an error from the call, and that the peer's work ends with its caller.

--- a/internal/link/conn_test.go
+++ b/internal/link/conn_test.go
@@ -33,6 +33,7 @@
 		close(h.blocked)
 		<-ctx.Done()
 		close(h.released)
+		return nil, ctx.Err()
 	}
 	return text + "!", nil
 }
