internal/cell: leave an owner that was replaced at once

Cause: a follower whose owner went silent asks the store about it. When a later owner had claimed the shard meanwhile, the answer counted as "lives": the follower asked again every 7 ms and served nobody until the link was given up, 0.9 s later.

Ruled out: a slow store (its answers took 4 ms) and a lost claim (these followers never tried one).

Change: the store's word on a silent owner is lives, dead or replaced; on replaced the follower looks for the next owner.

--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -3,7 +3,12 @@
 
 package cell
 
-import "time"
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/link"
+	"github.com/leverdyke/leverdyke/internal/owner"
+)
 
 // OwnerWatch lets tests drive an ownerWatch.
 type OwnerWatch struct{ w ownerWatch }
@@ -40,3 +45,13 @@
 	defer n.mu.Unlock()
 	return n.behind != nil
 }
+
+// Stay follows an owner over a link until the node turns to another.
+func (n *Node) Stay(conn *link.Conn, r *owner.Record) { n.stay(conn, r) }
+
+// IsFollowing reports whether the node has a link to an owner.
+func (n *Node) IsFollowing() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ownerLink != nil
+}
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -28,7 +28,7 @@
 	defer stop()
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
-	var asked chan claimable
+	var asked chan ownerState
 	for {
 		select {
 		case <-n.ctx.Done():
@@ -40,11 +40,15 @@
 			return
 		case found := <-asked:
 			asked = nil
-			if found.record != nil {
+			switch found.word {
+			case ownerReplaced:
+				return
+			case ownerDead:
 				conn.Close()
 				n.setOwnerLink(nil)
 				n.claim(found.record, found.end, false)
 				return
+			case ownerLives:
 			}
 		case <-ticks:
 		}
@@ -53,7 +57,7 @@
 		}
 		if asked == nil && n.isOwnerSilent() {
 			n.options.Log(events.PeerSuspected, "peer", r.Node, "epoch", r.Epoch, "silent", n.silence())
-			asked = make(chan claimable, 1)
+			asked = make(chan ownerState, 1)
 			n.wg.Add(1)
 			go n.runQuestion(ctx, r, asked)
 		}
@@ -100,9 +104,23 @@
 	n.claim(newest, at+1, true)
 }
 
-// claimable is an owner that is dead by the store, with the end of the topic at
-// which it can be claimed after; the record is nil when it lives.
-type claimable struct {
+// ownerWord is what the store says of an owner.
+type ownerWord string
+
+const (
+	// ownerLives means that it still gets records of it, or does not answer.
+	ownerLives ownerWord = "lives"
+	// ownerDead means that its next record is overdue.
+	ownerDead ownerWord = "dead"
+	// ownerReplaced means that a later owner has claimed the shard.
+	ownerReplaced ownerWord = "replaced"
+)
+
+// ownerState is the store's word on a silent owner.
+type ownerState struct {
+	word ownerWord
+	// record is the newest one of a dead owner, end the end of the topic at which the
+	// shard can be claimed after it.
 	record *owner.Record
 	end    uint64
 }
@@ -110,21 +128,27 @@
 // runQuestion finds out by the store whether a silent owner lives. Requests on
 // their way over the link are left alone until that is known: a stalled owner
 // still answers them.
-func (n *Node) runQuestion(ctx context.Context, r *owner.Record, answer chan<- claimable) {
+func (n *Node) runQuestion(ctx context.Context, r *owner.Record, answer chan<- ownerState) {
 	defer n.wg.Done()
+	answer <- n.askStore(ctx, r)
+}
+
+func (n *Node) askStore(ctx context.Context, r *owner.Record) ownerState {
 	began := n.options.Clock.Now()
 	newest, at, err := owner.ReadRecord(ctx, n.log)
-	if err != nil || newest == nil || newest.Epoch != r.Epoch || !n.isOwnerSilent() {
-		answer <- claimable{}
-		return
+	if err != nil || newest == nil {
+		return ownerState{word: ownerLives}
+	}
+	if newest.Epoch != r.Epoch {
+		return ownerState{word: ownerReplaced}
 	}
 	now := n.options.Clock.Now()
 	n.mu.Lock()
+	isSilent := n.watch.isSilent(now)
 	patience := n.watch.patience(now, newest.Beat, now.Sub(began))
 	n.mu.Unlock()
-	if !n.isDeadByStore(ctx, newest, at, patience) {
-		answer <- claimable{}
-		return
+	if !isSilent || !n.isDeadByStore(ctx, newest, at, patience) {
+		return ownerState{word: ownerLives}
 	}
-	answer <- claimable{newest, at + 1}
+	return ownerState{ownerDead, newest, at + 1}
 }
--- a/internal/cell/node_test.go
+++ b/internal/cell/node_test.go
@@ -8,10 +8,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +23,7 @@
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/detour"
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/link"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store"
@@ -317,6 +320,49 @@
 	}
 }
 
+// steppedClock shows the time that it was set to, and ticks as the machine's.
+type steppedClock struct {
+	clock.Real
+	ahead atomic.Int64
+}
+
+func (c *steppedClock) Now() time.Time {
+	return time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(c.ahead.Load()))
+}
+
+// Followers of an owner that had been replaced asked the store about it without a
+// pause until the link was given up, and served nobody for 0.9 s.
+func TestAFollowerLeavesAnOwnerThatWasReplaced(t *testing.T) {
+	log := fakestore.NewLog()
+	claims := []owner.Record{{Node: "a", Life: "1", Epoch: 1}, {Node: "b", Life: "1", Epoch: 2}}
+	for i := range claims {
+		if _, err := owner.AppendRecord(t.Context(), log, &claims[i], uint64(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	clk := &steppedClock{}
+	n := newNodeWith(t, log, "n0", "1", clk)
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		n.Stay(link.NewConn(near, n), &claims[0])
+	}()
+	await.True(t, "the follower has a link", n.IsFollowing)
+	// Longer than three beats, shorter than the time after which a link is given up.
+	clk.ahead.Store(int64(800 * time.Millisecond))
+	await.True(t, "the follower looks for the next owner", func() bool {
+		select {
+		case <-left:
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 func TestASlowOwnerHandsOver(t *testing.T) {
 	log := fakestore.NewLog()
 	first := newNodeWith(t, log, "n0", "1", slowClock{})
