internal/owner, internal/dispatch, internal/cell: run ahead of a store that is slow or out

Cause: while the store was out, jobs accepted before stood still between their steps, failed tasks were not tried again, and ends were not told, as places and ends have to be kept first.

Ruled out: slow notice of the outage (a refused append shows it at once) and a late return (the first job is accepted 40 ms after it).

Change: while the store is slow or out the owner orders starts at once and keeps their places later, and tells ends once they are announced to the other nodes, who remember them until they are kept. A mark in the owner's record, or that record's age, tells the next owner, which waits until all workers have told what they run.

--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/leverdyke/leverdyke/internal/link"
 	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/work"
 )
 
 // OwnerWatch lets tests drive an ownerWatch.
@@ -55,3 +56,20 @@
 	defer n.mu.Unlock()
 	return n.ownerLink != nil
 }
+
+// Announce tells the followers that jobs are over.
+func (n *Node) Announce(list []work.JobEnd) { n.announce(list) }
+
+// Announced returns the announced ends that the node remembers.
+func (n *Node) Announced() []work.JobEnd { return n.announced() }
+
+// IsUnlogged reports whether this node owns the shard and runs ahead of the store.
+func (n *Node) IsUnlogged() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owner != nil && n.owner.IsUnlogged()
+}
+
+// IsExact reports whether an owner with that record has kept the place of each
+// task, as far as this node knows.
+func (n *Node) IsExact(r *owner.Record) bool { return n.isExact(r) }
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -83,7 +83,7 @@
 		n.claim(nil, at, false)
 	case r.Node == n.options.Name && r.Life == n.options.Life && r.Epoch > n.claimed:
 		// The answer to this node's claim was lost.
-		n.become(owner.Claim{Record: *r, Offset: at, Earlier: r, IsExact: !n.hasSeenUnlogged()})
+		n.become(owner.Claim{Record: *r, Offset: at, Earlier: r, IsExact: !r.IsUnlogged, Ends: n.announced()})
 	case r.Node == n.options.Name:
 		n.claim(r, at+1, true)
 	default:
@@ -103,11 +103,11 @@
 	}
 	r := owner.Record{
 		Node: n.options.Name, Addr: n.options.AdvertiseAddr, Life: n.options.Life, Epoch: end + 1, SentAt: n.options.Clock.Now(),
-		Strongest: n.strongestKnown(),
+		Strongest: n.strongestKnown(), IsUnlogged: !n.isExact(earlier),
 	}
 	if earlier != nil {
 		// Stronger nodes may not be linked yet.
-		r.Strongest = max(r.Strongest, earlier.Strongest)
+		r.Strongest, r.Listed = max(r.Strongest, earlier.Strongest), earlier.Listed
 	}
 	at, err := owner.AppendRecord(n.ctx, n.log, &r, end)
 	if err != nil {
@@ -117,21 +117,28 @@
 		}
 		return
 	}
-	n.become(owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: n.isExact(earlier), IsOver: isOver})
+	n.become(owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: !r.IsUnlogged, IsOver: isOver, Ends: n.announced()})
 }
 
-// isExact reports whether an earlier owner is not known to have started tasks
-// without the store.
-func (n *Node) isExact(earlier *owner.Record) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return earlier == nil || n.unloggedEpoch == 0 || n.unloggedEpoch != earlier.Epoch
-}
+const (
+	// exactAge is the age of an owner's record, by the time of day, up to which that
+	// owner has not run ahead of the store without a mark in it; clocks of nodes
+	// differ by less than what is left to owner.PlainAge.
+	exactAge = owner.PlainAge - clockSlack
+	// clockSlack is how far clocks of nodes that are alike may differ.
+	clockSlack = 300 * time.Millisecond
+)
 
-func (n *Node) hasSeenUnlogged() bool {
+// isExact reports whether an earlier owner has kept the place of each task that
+// it started, by its last record and by its beats.
+func (n *Node) isExact(earlier *owner.Record) bool {
+	if earlier == nil {
+		return true
+	}
+	age := earlier.Age(n.options.Clock.Now())
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.unloggedEpoch != 0
+	return !earlier.IsUnlogged && age < exactAge && age > -clockSlack && n.unloggedEpoch != earlier.Epoch
 }
 
 // claimDelay is how long a weak node leaves the shard to stronger ones, by the
@@ -162,6 +169,7 @@
 		Claim: c, Store: n.options.NewStore(n.detour), Workers: workers, List: list, Lanes: &lanes{n},
 		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasOutage: n.detour.HasOutage, NodeZone: n.options.Zone,
 		StopTime: n.options.StopTime, Heartbeat: n.options.Heartbeat, Strongest: n.strongestKnown,
+		Announce: n.announce,
 	})
 	n.mu.Lock()
 	n.claimed = c.Record.Epoch
@@ -241,6 +249,7 @@
 		return nil, notEnded
 	}
 	if w.IsOwner && w.Epoch == r.Epoch {
+		n.remember(w.Ends)
 		return conn, notEnded
 	}
 	conn.Close()
@@ -253,7 +262,7 @@
 func (n *Node) hello() hello {
 	return hello{
 		Name: n.options.Name, Zone: n.options.Zone, Addr: n.options.AdvertiseAddr, Life: n.options.Life,
-		Age: n.options.Clock.Now().Sub(n.startedAt), Strength: n.options.Strength,
+		Age: n.options.Clock.Now().Sub(n.startedAt), Strength: n.options.Strength, Ends: n.announced(),
 	}
 }
 
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -109,8 +109,9 @@
 	n.mu.Unlock()
 	w := &welcome{Life: n.options.Life}
 	if o != nil {
-		w.IsOwner, w.Epoch = true, o.Epoch()
+		w.IsOwner, w.Epoch, w.Ends = true, o.Epoch(), n.announced()
 		n.peers.add(h, from)
+		o.TakeEnds(h.Ends)
 	}
 	return w, nil
 }
@@ -179,6 +180,11 @@
 			n.notePeerVersion(from, a.ConfigVersion)
 			n.mu.Unlock()
 		}
+	case kindEnds:
+		e := ends{}
+		if codec.Unmarshal(body, &e) == nil {
+			n.remember(e.Ends)
+		}
 	default:
 		n.options.Log(events.BadFrame, "kind", kind)
 	}
@@ -191,8 +197,11 @@
 		return
 	}
 	n.watch.hear(n.options.Clock.Now(), b)
+	n.unloggedEpoch = 0
 	if b.IsUnlogged {
 		n.unloggedEpoch = b.Epoch
+	} else {
+		clear(n.ends)
 	}
 	n.notePeerVersion(from, b.ConfigVersion)
 }
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -18,7 +18,8 @@
 
 	jobs []*job
 	seen map[*worker]uint64
-	// planned are starts whose places are in Progress.
+	// planned are attempts whose places are in Progress. Those that were not ordered
+	// yet are when it is committed.
 	planned  []*attempt
 	isUrgent bool
 }
@@ -67,13 +68,14 @@
 	}
 	for id, p := range b.Progress {
 		if j := e.jobs[id]; j != nil && p.State.IsFinal() {
-			j.isShown = true
+			e.setShown(j)
 		}
 	}
 	for w, n := range b.seen {
 		e.confirm(w, n)
 	}
 	for _, a := range b.planned {
+		e.placeKept(a)
 		e.sendSoon(a)
 	}
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -74,10 +74,11 @@
 	// unsettled are workers on which an earlier owner may have started tasks that
 	// are not known yet, with these tasks.
 	unsettled map[order.WorkerID][]work.TaskID
-	// inheritedUntil is when all leases that the earlier owner gave are over;
-	// blockedUntil is that time when any task may run anywhere until then.
-	inheritedUntil, blockedUntil time.Time
-	actions                      []order.Action
+	// inheritedUntil is when all leases that the earlier owner gave are over.
+	inheritedUntil time.Time
+	// inherited is set while any task may run anywhere by an earlier owner's order.
+	inherited *inheritedDoubt
+	actions   []order.Action
 	// ready are starts whose places are kept and that wait for their turn, and
 	// unanswered counts those that were ordered and not answered.
 	ready      []*attempt
@@ -93,10 +94,16 @@
 	// isTrusted means that this node is known to own the shard still. Without it
 	// nothing is started and no lease is renewed.
 	isTrusted bool
-	// isUnlogged means that starts are ordered before their places are kept.
+	// isUnlogged means that starts are ordered, and ends shown, before they are kept.
 	isUnlogged bool
-	batch      *Batch
-	lastFlush  time.Time
+	// unkept counts attempts that were ordered and whose places are not kept yet.
+	unkept int
+	// ends are ends of jobs to announce; unshown counts announced ones that are not
+	// kept yet.
+	ends      []work.JobEnd
+	unshown   int
+	batch     *Batch
+	lastFlush time.Time
 	// pending counts, by queue, jobs none of whose tasks has begun.
 	nextWalk time.Time
 	counts   Counts
@@ -142,9 +149,9 @@
 	e.isDirty = true
 }
 
-// SetUnlogged says whether starts are ordered before their places are kept, which
-// is for a store that has been out for long. What an owner that does so had
-// started is not known to the next one.
+// SetUnlogged says whether starts are ordered, and the ends of jobs told to
+// callers, before they are kept, which is for a store that is slow or out. What an
+// owner that does so had started is not known to the next one while HasUnkept.
 func (e *Engine) SetUnlogged(isUnlogged bool) {
 	if e.isUnlogged == isUnlogged {
 		return
@@ -155,11 +162,20 @@
 	}
 	for _, w := range e.workers {
 		for _, a := range w.attempts {
-			e.send(a)
+			if a.phase == phasePlanned {
+				e.sendSoon(a)
+			}
 		}
 	}
+	for _, j := range e.jobs {
+		e.announce(j)
+	}
 }
 
+// HasUnkept reports whether tasks may run in places that are not kept, by this
+// owner's orders or by an earlier one's, or ends of jobs are told that are not.
+func (e *Engine) HasUnkept() bool { return e.unkept > 0 || e.unshown > 0 || e.inherited != nil }
+
 // Counts returns the totals.
 func (e *Engine) Counts() Counts { return e.counts }
 
--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -394,7 +394,7 @@
 	case 6:
 		w.takeOver()
 	case 7:
-		w.isOut = !w.isOut
+		w.isOut, w.runsAhead = !w.isOut, w.rng.IntN(2) == 0
 	case 8:
 		w.failShare = 0.1 * w.rng.Float64()
 	}
@@ -495,7 +495,7 @@
 	if w.starts != 2 {
 		t.Errorf("starts while places cannot be kept: got: %d, want: 2", w.starts)
 	}
-	w.engine.SetUnlogged(true)
+	w.runsAhead = true
 	w.run(time.Second)
 	if w.starts != 4 {
 		t.Errorf("starts after the store has been out for long: got: %d, want: 4", w.starts)
@@ -508,8 +508,7 @@
 	w.run(time.Second)
 	w.submit("a", step(1, 200*time.Millisecond), step(1, 200*time.Millisecond))
 	w.run(100 * time.Millisecond)
-	w.isOut = true
-	w.engine.SetUnlogged(true)
+	w.isOut, w.runsAhead = true, true
 	w.run(250 * time.Millisecond)
 	for _, m := range w.workers {
 		m.isCut = true
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -18,17 +18,68 @@
 //
 // isExact means that the earlier owner kept each place of a task before it
 // ordered the start. Otherwise any task may run anywhere, and none is started
-// before until unless a worker says that it runs there.
-func (e *Engine) Inherit(until time.Time, isExact bool) {
+// before all workers have told what they run, or until. listed is how many
+// workers the earlier owner's list had.
+func (e *Engine) Inherit(until time.Time, isExact bool, listed int) {
 	e.inheritedUntil = until
 	if !isExact {
-		e.blockedUntil = until
+		e.inherited = &inheritedDoubt{until: until, listed: listed, entriesBackAt: e.now.Add(entriesBack)}
 	}
 	for _, j := range e.live {
 		j.isInherited = true
 	}
 }
 
+// entriesBack is how long after the store's return the entries of workers that
+// live may be missing from the platform's list: about two seconds by its word.
+const entriesBack = 2300 * time.Millisecond
+
+// inheritedDoubt is what is open about the orders of an earlier owner that did not keep
+// the places of all tasks.
+type inheritedDoubt struct {
+	// until is when all leases that it gave are over.
+	until time.Time
+	// listed is how many workers its list had. A shorter list may lack some that
+	// live until entriesBackAt.
+	listed        int
+	entriesBackAt time.Time
+	// entries is how many workers the list has now; 0 before it is known to be whole.
+	entries int
+	// lostUntil is when the leases are over of workers that went from the list before
+	// they told what they run.
+	lostUntil time.Time
+}
+
+// lost takes that a worker went from the list before it told what it runs. One
+// that drained has ended; another was silent for two heartbeats at least, and
+// goes on under its lease if it is only cut off.
+func (e *Engine) lost(w *worker) {
+	if e.inherited == nil || w.isListed || w.IsDraining {
+		return
+	}
+	lease := time.Duration(float64(leaseLength)*(1+clockSkew)) + lapseSlack
+	e.inherited.lostUntil = e.now.Add(lease - (heartbeatsMissed-1)*e.options.Heartbeat)
+}
+
+// isDoubtOver reports whether all workers have told what they run, or nothing of the
+// earlier owner's can run any more.
+func (e *Engine) isDoubtOver() bool {
+	d := e.inherited
+	if !e.now.Before(d.until) {
+		return true
+	}
+	isWhole := d.entries > 0 && (d.entries >= d.listed || !e.now.Before(d.entriesBackAt))
+	if !isWhole || e.now.Before(d.lostUntil) {
+		return false
+	}
+	for _, w := range e.workers {
+		if !w.isListed && !w.isGone {
+			return false
+		}
+	}
+	return true
+}
+
 // holdTask notes that a task may run on a worker by an earlier owner's order.
 func (e *Engine) holdTask(id work.TaskID, worker order.WorkerID) {
 	_, t := e.find(id)
@@ -41,7 +92,7 @@
 
 // isBlocked reports whether any task of the job may run where nobody can tell.
 func (e *Engine) isBlocked(j *job) bool {
-	return j.isInherited && e.now.Before(e.blockedUntil)
+	return j.isInherited && e.inherited != nil
 }
 
 // settle says that it is known what a worker runs.
@@ -74,8 +125,9 @@
 
 // tickInherited settles workers whose leases are over and that nobody reaches.
 func (e *Engine) tickInherited() {
-	if !e.blockedUntil.IsZero() && !e.now.Before(e.blockedUntil) {
-		e.blockedUntil = time.Time{}
+	if e.inherited != nil && e.isDoubtOver() {
+		e.options.Log(events.DoubtOver, "entries", e.inherited.entries, "earlier", e.inherited.listed, "left", e.inherited.until.Sub(e.now))
+		e.inherited = nil
 		e.isDirty = true
 	}
 	if e.now.Before(e.inheritedUntil) {
--- /dev/null
+++ b/internal/dispatch/inherit_test.go
@@ -0,0 +1,108 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// heir is the engine of an owner whose earlier one ran ahead of the store, with a
+// job that waits.
+type heir struct {
+	*dispatch.Engine
+	clock *clock.Fake
+}
+
+func newHeir(listed int) *heir {
+	c := clock.NewFake()
+	e := dispatch.NewEngine(dispatch.Options{Heartbeat: 1500 * time.Millisecond})
+	e.Advance(c.Now())
+	e.SetTrusted(true)
+	e.SetQueues([]order.Queue{testQueue})
+	e.RestoreJob(&work.Spec{ID: "a", Queue: "q", Steps: []work.Step{step(1, time.Second)}}, nil)
+	e.Inherit(c.Now().Add(9*time.Second), false, listed)
+	return &heir{e, c}
+}
+
+// starts lets time pass and returns how many tasks are ordered to start.
+func (h *heir) starts(d time.Duration) int {
+	h.clock.Advance(d)
+	h.Advance(h.clock.Now())
+	h.Tick()
+	h.Decide()
+	for b := h.TakeBatch(); b != nil; b = h.TakeBatch() {
+		h.Committed(b)
+	}
+	n := 0
+	for _, a := range h.Actions() {
+		if _, ok := a.(order.Start); ok {
+			n++
+		}
+	}
+	return n
+}
+
+// list sets the platform's list, told lets a worker tell that it runs nothing.
+func (h *heir) list(ids ...order.WorkerID) {
+	list := []order.Worker{}
+	for _, id := range ids {
+		list = append(list, order.Worker{ID: id, Service: "pool", Capacity: room})
+	}
+	h.SetWorkers(list, true)
+}
+
+func (h *heir) told(id order.WorkerID) {
+	at := order.WorkerTime(h.clock.Now().Sub(clock.NewFake().Now()) + time.Second)
+	h.Listed(&order.Hold{Worker: id, AskedAt: h.clock.Now()}, &order.Listing{At: at})
+}
+
+// All tasks of all jobs waited 6.5 s for leases after an owner that had run ahead
+// of the store, also when all workers had told what they ran.
+func TestDoubtEndsWhenAllWorkersHaveTold(t *testing.T) {
+	h := newHeir(2)
+	h.list("v", "w")
+	h.told("v")
+	if got := h.starts(100 * time.Millisecond); got != 0 {
+		t.Errorf("one worker has told: got: %d starts, want: none", got)
+	}
+	h.told("w")
+	if got := h.starts(100 * time.Millisecond); got != 1 {
+		t.Errorf("all have told: got: %d starts, want: 1", got)
+	}
+	if h.HasUnkept() {
+		t.Error("got: places are not kept, want: kept")
+	}
+}
+
+func TestAShortListIsWaitedFor(t *testing.T) {
+	h := newHeir(2)
+	h.list("v")
+	h.told("v")
+	if got := h.starts(2200 * time.Millisecond); got != 0 {
+		t.Errorf("one of two workers is listed: got: %d starts, want: none", got)
+	}
+	if got := h.starts(200 * time.Millisecond); got != 1 {
+		t.Errorf("entries of all that live are back: got: %d starts, want: 1", got)
+	}
+}
+
+func TestAWorkerThatGoesUnheardIsWaitedFor(t *testing.T) {
+	h := newHeir(2)
+	h.list("v", "w")
+	h.told("v")
+	h.list("v")
+	if got := h.starts(3 * time.Second); got != 0 {
+		t.Errorf("its lease may run: got: %d starts, want: none", got)
+	}
+	h.told("v")
+	if got := h.starts(time.Second); got != 1 {
+		t.Errorf("its lease is over: got: %d starts, want: 1", got)
+	}
+}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
@@ -181,6 +182,11 @@
 	}
 	w.earlierUntil = e.inheritedUntil
 	e.charge(a)
+	if slices.Contains(t.heldBy, w.ID) {
+		a.isKept = true
+	} else {
+		e.keepPlace(a)
+	}
 	t.run = max(t.run, r.Run)
 	if s.spec.MayDuplicate && t.state == taskPlaced && t.copy == nil && !s.job.state.IsFinal() {
 		s.dropCopyWish(t)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -381,16 +381,41 @@
 	}
 	e.charge(a)
 	t.run = max(t.run, run)
-	e.touch(s.job)
-	b := e.batchNow()
-	b.planned = append(b.planned, a)
-	b.isUrgent = true
+	e.keepPlace(a)
+	e.batchNow().isUrgent = true
 	if e.isUnlogged {
-		e.send(a)
+		e.sendSoon(a)
 	}
 	return a
 }
 
+// keepPlace puts the place of an attempt into the batch. One that is ordered
+// already counts as unkept until then.
+func (e *Engine) keepPlace(a *attempt) {
+	e.touch(a.step.job)
+	b := e.batchNow()
+	b.planned = append(b.planned, a)
+	if a.phase != phasePlanned {
+		e.noteUnkept(a)
+	}
+}
+
+func (e *Engine) noteUnkept(a *attempt) {
+	if !a.isKept && !a.isUnkept {
+		a.isUnkept = true
+		e.unkept++
+	}
+}
+
+// placeKept says that the place of an attempt is in the store.
+func (e *Engine) placeKept(a *attempt) {
+	a.isKept = true
+	if a.isUnkept {
+		a.isUnkept = false
+		e.unkept--
+	}
+}
+
 // maxOrders is how many orders to start may be without an answer: so many that
 // the workers are never waited for, so few that a node with half a processor
 // answers each within some 20 ms.
@@ -423,6 +448,7 @@
 		return
 	}
 	a.phase, a.orderedAt = phaseOrdered, e.now
+	e.noteUnkept(a)
 	a.hasSaved = a.step.savedFor(a.id.Index) != ""
 	e.counts.Starts++
 	e.unanswered++
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -102,6 +102,9 @@
 	hasSaved, isAdopted bool
 	// isReplaced means that it was judged as stuck or too slow.
 	isReplaced bool
+	// isKept means that its place is in the store, isUnkept that it was ordered
+	// without.
+	isKept, isUnkept bool
 }
 
 // SetWorkers takes the platform's list, whole. isCertain is false while the list
@@ -121,6 +124,9 @@
 	if !isCertain {
 		return
 	}
+	if e.inherited != nil {
+		e.inherited.entries = len(seen)
+	}
 	for id := range e.over {
 		if !seen[id] {
 			delete(e.over, id)
@@ -129,6 +135,7 @@
 	for id, w := range e.workers {
 		if !seen[id] && !w.isGone {
 			w.isGone = true
+			e.lost(w)
 			e.options.Log(events.WorkerUnlisted, "worker", id, "attempts", len(w.attempts), "silent", e.now.Sub(w.readAt))
 			e.dropIfEmpty(w)
 		}
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -47,6 +47,11 @@
 	holdDelay time.Duration
 	// isInexact means that owners may have started tasks without the store.
 	isInexact bool
+	// runsAhead makes the engine run ahead of the store while that is out.
+	runsAhead bool
+	// announced are ends that the other nodes remember, told what callers know.
+	announced []work.JobEnd
+	told      map[work.JobID]work.JobState
 }
 
 type letter struct {
@@ -60,7 +65,7 @@
 		clock: c, begin: c.Now(), rng: rand.New(rand.NewPCG(seed, 1)), workers: map[order.WorkerID]*modelWorker{},
 		specs: map[work.JobID]*work.Spec{}, progress: map[work.JobID]*work.Progress{},
 		done: map[work.TaskID]bool{}, failures: map[work.TaskID]int{},
-		held: map[order.WorkerID]int{},
+		held: map[order.WorkerID]int{}, told: map[work.JobID]work.JobState{},
 	}
 	w.takeOver()
 	return w
@@ -71,13 +76,15 @@
 // takeOver replaces the engine by one of a new owner that knows what the store has.
 func (w *world) takeOver() {
 	w.fence++
+	isExact := !w.isInexact && (w.engine == nil || !w.engine.HasUnkept())
 	w.engine = dispatch.NewEngine(dispatch.Options{})
 	w.engine.Advance(w.clock.Now())
 	w.engine.SetQueues([]order.Queue{testQueue})
 	for _, id := range w.order {
 		w.engine.RestoreJob(w.specs[id], w.progress[id])
 	}
-	w.engine.Inherit(w.clock.Now().Add(10*time.Second), !w.isInexact)
+	w.engine.Inherit(w.clock.Now().Add(10*time.Second), isExact, len(w.list()))
+	w.engine.TakeEnds(w.announced)
 	w.engine.SetTrusted(true)
 }
 
@@ -147,6 +154,8 @@
 		l.deliver()
 	}
 	w.engine.SetWorkers(w.list(), true)
+	w.engine.SetUnlogged(w.isOut && w.runsAhead)
+	w.announced = append(w.announced, w.engine.Ends()...)
 	w.engine.Tick()
 	w.engine.Decide()
 	for _, a := range w.engine.Actions() {
@@ -288,6 +297,9 @@
 	if w.done[id] {
 		w.breaks("%s starts on %s after its end was kept", id, m.entry.ID)
 	}
+	if state := w.told[id.Job]; state != "" {
+		w.breaks("%s starts on %s after its job was told to have %s", id, m.entry.ID, state)
+	}
 }
 
 // check looks at what runs now.
@@ -298,6 +310,7 @@
 		}
 	}
 	for _, id := range w.order {
+		w.tell(id)
 		p := w.progress[id]
 		if p == nil || p.State.IsFinal() {
 			continue
@@ -314,6 +327,17 @@
 	}
 }
 
+// tell asks for the state of a job, as its caller does. A final one never changes.
+func (w *world) tell(id work.JobID) {
+	state, ok := w.engine.State(id)
+	if before := w.told[id]; before != "" && ok && state != before {
+		w.breaks("%s is told to be %s after %s", id, state, before)
+	}
+	if state.IsFinal() {
+		w.told[id] = state
+	}
+}
+
 func (w *world) breaks(format string, args ...any) {
 	w.broken = append(w.broken, fmt.Sprintf("%8v ", w.since())+fmt.Sprintf(format, args...))
 }
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -105,7 +105,20 @@
 	isCertain bool
 }
 
-func (ev workersEvent) apply(o *Owner) { o.engine.SetWorkers(ev.list, ev.isCertain) }
+func (ev workersEvent) apply(o *Owner) {
+	listed := int64(0)
+	for i := range ev.list {
+		if !ev.list[i].IsRemoved {
+			listed++
+		}
+	}
+	o.listed.Store(listed)
+	o.engine.SetWorkers(ev.list, ev.isCertain)
+}
+
+type endsEvent struct{ ends []work.JobEnd }
+
+func (ev endsEvent) apply(o *Owner) { o.engine.TakeEnds(ev.ends) }
 
 type startEvent struct {
 	start   order.Start
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -13,3 +13,29 @@
 
 // Share returns the part of the time that ticks are late.
 func (l *LagMeter) Share() float64 { return l.m.share }
+
+// AheadGate lets tests drive an aheadGate.
+type AheadGate struct{ g aheadGate }
+
+// NewAheadGate begins with a plain record.
+func NewAheadGate(sentAt time.Time) *AheadGate {
+	return &AheadGate{newAheadGate(&Record{SentAt: sentAt})}
+}
+
+// Slow takes a sign that the store is slow.
+func (a *AheadGate) Slow(now time.Time) {
+	a.g.noteSlow(now)
+	a.g.update(now, false)
+}
+
+// Update decides on the mark of the next record.
+func (a *AheadGate) Update(now time.Time, hasUnkept bool) { a.g.update(now, hasUnkept) }
+
+// Compose returns the mark of a record that is written now.
+func (a *AheadGate) Compose(now time.Time) bool { return a.g.compose(now) }
+
+// Kept says that a record is in the store.
+func (a *AheadGate) Kept(isMarked bool) { a.g.kept(isMarked) }
+
+// MayRunAhead reports whether the owner may run ahead of the store.
+func (a *AheadGate) MayRunAhead(now time.Time) bool { return a.g.mayRunAhead(now) }
--- a/internal/owner/fakes_test.go
+++ b/internal/owner/fakes_test.go
@@ -14,17 +14,20 @@
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
-// fakeWorkers start everything and end it at once.
+// fakeWorkers start everything and end it at once, or when the gate is closed.
 type fakeWorkers struct {
 	mu     sync.Mutex
+	gate   chan struct{}
 	starts []order.Start
-	ends   []order.End
-	began  time.Time
-	told   chan struct{}
+	// running are those that wait for the gate.
+	running map[work.TaskID]uint64
+	ends    []order.End
+	began   time.Time
+	told    chan struct{}
 }
 
 func newFakeWorkers() *fakeWorkers {
-	return &fakeWorkers{began: time.Now(), told: make(chan struct{}, 1)}
+	return &fakeWorkers{began: time.Now(), running: map[work.TaskID]uint64{}, told: make(chan struct{}, 1)}
 }
 
 func (w *fakeWorkers) at() order.WorkerTime { return order.WorkerTime(time.Since(w.began)) }
@@ -33,12 +36,30 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.starts = append(w.starts, *s)
+	if w.gate != nil {
+		w.running[s.Task] = s.Run
+		go w.runGate(s)
+		return order.StartDone, w.at()
+	}
+	w.end(s)
+	return order.StartDone, w.at()
+}
+
+// runGate ends a task once the gate is open.
+func (w *fakeWorkers) runGate(s *order.Start) {
+	<-w.gate
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.running, s.Task)
+	w.end(s)
+}
+
+func (w *fakeWorkers) end(s *order.Start) {
 	w.ends = append(w.ends, order.End{Number: uint64(len(w.ends) + 1), Task: s.Task, Run: s.Run, Kind: order.EndDone})
 	select {
 	case w.told <- struct{}{}:
 	default:
 	}
-	return order.StartDone, w.at()
 }
 
 func (w *fakeWorkers) Stop(context.Context, uint64, *order.Stop) (order.WorkerTime, bool) {
@@ -51,6 +72,9 @@
 	for {
 		w.mu.Lock()
 		l := &order.Listing{At: w.at()}
+		for id, run := range w.running {
+			l.Running = append(l.Running, order.Running{Task: id, Run: run})
+		}
 		for _, e := range w.ends {
 			if e.Number > h.Confirmed {
 				l.Finished = append(l.Finished, e)
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -53,8 +53,9 @@
 		if o.options.Claim.IsOver {
 			bound = leaseRest
 		}
-		o.engine.Inherit(o.now.Add(bound), o.options.Claim.IsExact)
+		o.engine.Inherit(o.now.Add(bound), o.options.Claim.IsExact, earlier.Listed)
 	}
+	o.engine.TakeEnds(o.options.Claim.Ends)
 	o.options.Log(events.JobsLoaded, "epoch", o.Epoch(), "jobs", len(jobs), "records", len(newest.Records), "end", newest.End, "took", o.now.Sub(began))
 	return 1, nil
 }
@@ -256,10 +257,14 @@
 	r.Beat = o.beat + 1
 	r.SentAt = sentAt
 	r.Strongest = o.options.Strongest()
+	r.Listed = int(o.listed.Load())
+	o.mu.Lock()
+	r.IsUnlogged = o.ahead.compose(sentAt)
+	o.mu.Unlock()
 	at := o.offset + 1
 	offset, err := AppendRecord(o.ctx, o.options.Store, &r, at)
 	if err == nil {
-		o.noteRecord(r.Beat, offset, sentAt)
+		o.noteRecord(&r, offset, sentAt)
 		return
 	}
 	if o.ctx.Err() != nil {
@@ -272,10 +277,11 @@
 }
 
 // noteRecord notes the newest record of this owner in the store.
-func (o *Owner) noteRecord(beat, offset uint64, sentAt time.Time) {
+func (o *Owner) noteRecord(r *Record, offset uint64, sentAt time.Time) {
 	o.offset = offset
 	o.mu.Lock()
-	o.beat, o.keptAt = beat, o.options.Clock.Now()
+	o.beat, o.keptAt = r.Beat, o.options.Clock.Now()
+	o.ahead.kept(r.IsUnlogged)
 	o.mu.Unlock()
 	o.put(beatEvent{sentAt})
 }
@@ -296,7 +302,7 @@
 	case err != nil:
 		o.options.Log(events.StoreFailed, "what", "read of the owner", "err", err)
 	case r != nil && r.Epoch == o.Epoch():
-		o.noteRecord(r.Beat, offset, sentAt)
+		o.noteRecord(r, offset, sentAt)
 	default:
 		o.options.Log(events.ShardDropped, "epoch", o.Epoch(), "why", "the store names another owner")
 		o.cancel()
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -71,6 +71,8 @@
 	// IsExact means that the earlier owner is known to have kept the place of each
 	// task before it ordered the start.
 	IsExact bool
+	// Ends are ends of jobs that earlier owners announced and may not have kept.
+	Ends []work.JobEnd
 	// IsOver means that the earlier owner is known to have stopped: it renews no
 	// lease any more.
 	IsOver bool
@@ -92,7 +94,9 @@
 	// HasOutage reports whether most nodes are linked to this one and none reaches
 	// the store. Then no other node can become owner, and this one goes on.
 	HasOutage func() bool
-	NodeZone  string
+	// Announce tells the other nodes that jobs are over, before that is kept.
+	Announce func(ends []work.JobEnd)
+	NodeZone string
 	// StopTime is the longest that a worker takes to stop a task.
 	StopTime time.Duration
 	// Heartbeat is the time between two heartbeats of a worker; 0 when not known.
@@ -141,10 +145,6 @@
 	handOverBound = 500 * time.Millisecond
 	// totalsPeriod is the time between two lines with the engine's totals.
 	totalsPeriod = 10 * time.Second
-	// unloggedAfter is how long the store must be out until tasks are started
-	// whose places are not kept. Tasks that must wait less are not harmed much: a
-	// job's end cannot be shown meanwhile either.
-	unloggedAfter = 10 * time.Second
 	// retryAfter is when a refused caller should come back, in seconds; outRetry
 	// while the store is out, which lasts for seconds: callers come back a few
 	// times only.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -34,7 +34,10 @@
 	// loaded is closed when the jobs are read from the store.
 	loaded chan struct{}
 
-	unlogged atomic.Bool
+	// isUnlogged is what IsUnlogged returns.
+	isUnlogged atomic.Bool
+	// listed is how many workers the list had last.
+	listed atomic.Int64
 	// lagShare is the bits of what Lag returns.
 	lagShare atomic.Uint64
 
@@ -46,6 +49,7 @@
 	// was kept.
 	beat   uint64
 	keptAt time.Time
+	ahead  aheadGate
 
 	// What follows belongs to the loop.
 	now         time.Time
@@ -61,8 +65,7 @@
 	totalsAt    time.Time
 	handOver    chan bool
 	handOverAt  time.Time
-	// outSince is when the store was found out; zero while it serves.
-	outSince time.Time
+	isAhead     bool
 }
 
 // event is something that happened, for the loop.
@@ -83,6 +86,7 @@
 		writes: make(chan *write, 1), loaded: make(chan struct{}),
 		submits: map[work.JobID][]chan error{}, cancels: map[work.JobID][]chan error{},
 		offset: options.Claim.Offset, beat: options.Claim.Record.Beat, keptAt: options.Clock.Now(),
+		ahead: newAheadGate(&options.Claim.Record),
 	}
 }
 
@@ -157,9 +161,9 @@
 			o.lagShare.Store(math.Float64bits(o.lag.share))
 			o.engine.Tick()
 			o.engine.SetLanes(o.options.Lanes.Names())
-			o.setUnlogged()
 			o.logTotals()
 		}
+		o.runAhead()
 		o.step()
 	}
 }
@@ -190,31 +194,36 @@
 		"lapsed", c.Lapsed, "doubtful", c.Doubtful, "asks", c.Asks, "orders", o.orders)
 }
 
-// setUnlogged finds out whether the store has been out for so long that tasks are
-// started without it.
-func (o *Owner) setUnlogged() {
-	isOut := o.isStoreOut || o.now.Sub(o.confirmedAt) > TrustPeriod
-	switch {
-	case !isOut:
-		o.outSince = time.Time{}
-	case o.outSince.IsZero():
-		o.outSince = o.now
+// runAhead finds out whether the store is slow or out, and whether tasks are
+// started and ends told without waiting for it.
+func (o *Owner) runAhead() {
+	isSlow := o.isStoreOut || o.writing != nil && o.now.Sub(o.writingAt) > slowAppend || o.now.Sub(o.confirmedAt) > overdueBeat
+	hasUnkept := o.engine.HasUnkept()
+	o.mu.Lock()
+	if isSlow {
+		o.ahead.noteSlow(o.now)
 	}
-	isUnlogged := isOut && o.now.Sub(o.outSince) > unloggedAfter
-	if isUnlogged && !o.unlogged.Swap(true) {
-		o.options.Log(events.StartsUnlogged, "epoch", o.Epoch(), "out", o.now.Sub(o.outSince))
+	o.ahead.update(o.now, hasUnkept)
+	isAhead := o.ahead.mayRunAhead(o.now)
+	o.mu.Unlock()
+	if isAhead != o.isAhead {
+		o.isAhead = isAhead
+		o.options.Log(events.StartsUnlogged, "epoch", o.Epoch(), "ahead", isAhead, "confirmed", o.now.Sub(o.confirmedAt), "out", o.isStoreOut)
 	}
-	o.engine.SetUnlogged(isUnlogged)
+	o.isUnlogged.Store(isAhead || hasUnkept)
+	o.engine.SetUnlogged(isAhead)
 }
 
-// IsUnlogged reports whether this owner has started tasks whose places are not in
-// the store; it stays so, as the next owner has to know it.
-func (o *Owner) IsUnlogged() bool { return o.unlogged.Load() }
+// IsUnlogged reports whether tasks may run in places that are not in the store.
+func (o *Owner) IsUnlogged() bool { return o.isUnlogged.Load() }
 
 // step decides on what has happened.
 func (o *Owner) step() {
 	o.takeQueues()
 	o.engine.SetTrusted(o.isTrusted())
+	if ends := o.engine.Ends(); len(ends) > 0 {
+		o.options.Announce(ends)
+	}
 	o.engine.Decide()
 	for _, a := range o.engine.Actions() {
 		o.carryOut(a)
@@ -331,6 +340,9 @@
 	return a.count, err
 }
 
+// TakeEnds takes ends of jobs that an earlier owner announced.
+func (o *Owner) TakeEnds(ends []work.JobEnd) { o.put(endsEvent{ends}) }
+
 // SetQueues puts a configuration in force, unless a later one is.
 func (o *Owner) SetQueues(version uint64, queues []order.Queue) {
 	o.mu.Lock()
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -35,6 +35,7 @@
 	o := owner.New(owner.Options{
 		Claim: owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: true}, Store: log, Workers: workers, List: oneWorker{},
 		Lanes: noLanes{}, Clock: clock.Real{}, Metrics: noFigures{}, HasOutage: func() bool { return false }, Strongest: func() float64 { return 1 },
+		Announce: func([]work.JobEnd) {},
 	})
 	o.SetQueues(1, []order.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
 	done := make(chan error, 1)
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -30,6 +30,10 @@
 	SentAt time.Time `msgpack:"t"`
 	// Strongest is the strength of the strongest node that the owner knows.
 	Strongest float64 `msgpack:"s"`
+	// IsUnlogged means that tasks may run in places that are not kept.
+	IsUnlogged bool `msgpack:"u"`
+	// Listed is how many workers the owner's list had; 0 when it had none yet.
+	Listed int `msgpack:"w"`
 }
 
 // Age returns how old the record is by the time of day.
