internal/owner, internal/dispatch: mark records before the store goes out

Cause: an owner ran ahead of the store 1.2 s after its last record, as it had not written the mark when the store went out; jobs whose steps ended in that time were late.

Ruled out: a shorter age without a mark (silent owners are replaced after up to 0.75 s, and each such change would be taken as one in doubt).

Change: while all workers answer, each record has the mark: the next owner then soon knows what all of them run, so that it costs little.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -100,8 +100,10 @@
 	unkept int
 	// ends are ends of jobs to announce; unshown counts announced ones that are not
 	// kept yet.
-	ends      []work.JobEnd
-	unshown   int
+	ends    []work.JobEnd
+	unshown int
+	// allAnswer is what AllAnswer returns.
+	allAnswer bool
 	batch     *Batch
 	lastFlush time.Time
 	// pending counts, by queue, jobs none of whose tasks has begun.
@@ -172,6 +174,10 @@
 	}
 }
 
+// AllAnswer reports whether all workers had told what they run, and none was
+// silent, at the last Tick.
+func (e *Engine) AllAnswer() bool { return e.allAnswer }
+
 // HasUnkept reports whether tasks may run in places that are not kept, by this
 // owner's orders or by an earlier one's, or ends of jobs are told that are not.
 func (e *Engine) HasUnkept() bool { return e.unkept > 0 || e.unshown > 0 || e.inherited != nil }
@@ -191,8 +197,10 @@
 // Tick does what is due by time alone. It is called every 50 ms or so.
 func (e *Engine) Tick() {
 	e.tickInherited()
+	e.allAnswer = true
 	for _, w := range e.workers {
 		e.tickWorker(w)
+		e.allAnswer = e.allAnswer && w.isListed && w.holdFailures == 0
 	}
 	if !e.recheckAt.IsZero() && !e.now.Before(e.recheckAt) {
 		e.recheckAt, e.isDirty = time.Time{}, true
--- a/internal/owner/ahead.go
+++ b/internal/owner/ahead.go
@@ -45,9 +45,11 @@
 func (g *aheadGate) noteSlow(now time.Time) { g.slowUntil = now.Add(slowHold) }
 
 // update decides on the mark of the next record. hasUnkept means that tasks may
-// run in places that are not kept.
-func (g *aheadGate) update(now time.Time, hasUnkept bool) {
-	g.wantsMark = hasUnkept || now.Before(g.slowUntil)
+// run in places that are not kept. allAnswer means that all workers answer: the
+// next owner then knows soon what they run, so that the mark costs it little, and
+// is there when the store goes out.
+func (g *aheadGate) update(now time.Time, hasUnkept, allAnswer bool) {
+	g.wantsMark = hasUnkept || allAnswer || now.Before(g.slowUntil)
 }
 
 // mayRunAhead reports whether the owner may run ahead of the store.
--- a/internal/owner/ahead_test.go
+++ b/internal/owner/ahead_test.go
@@ -40,17 +40,22 @@
 			g.Slow(begin.Add(100 * ms))
 			g.Kept(g.Compose(begin.Add(150 * ms)))
 		}, 200 * ms, true},
+		"the mark is kept before, as all workers answer": {func(g *owner.AheadGate) {
+			g.Update(begin, false, true)
+			g.Kept(g.Compose(begin.Add(50 * ms)))
+			g.Slow(begin.Add(100 * ms))
+		}, 100 * ms, true},
 		"a plain record follows the mark": {func(g *owner.AheadGate) {
 			g.Slow(begin.Add(100 * ms))
 			g.Kept(g.Compose(begin.Add(150 * ms)))
-			g.Update(begin.Add(2000*ms), false)
+			g.Update(begin.Add(2000*ms), false, false)
 			g.Compose(begin.Add(2000 * ms))
 			g.Slow(begin.Add(2100 * ms))
 		}, 2200 * ms, false},
 		"places are unkept after the store is back": {func(g *owner.AheadGate) {
 			g.Slow(begin.Add(100 * ms))
 			g.Kept(g.Compose(begin.Add(150 * ms)))
-			g.Update(begin.Add(2000*ms), true)
+			g.Update(begin.Add(2000*ms), true, false)
 			g.Kept(g.Compose(begin.Add(2000 * ms)))
 			g.Slow(begin.Add(2100 * ms))
 		}, 2200 * ms, true},
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -25,11 +25,13 @@
 // Slow takes a sign that the store is slow.
 func (a *AheadGate) Slow(now time.Time) {
 	a.g.noteSlow(now)
-	a.g.update(now, false)
+	a.g.update(now, false, false)
 }
 
 // Update decides on the mark of the next record.
-func (a *AheadGate) Update(now time.Time, hasUnkept bool) { a.g.update(now, hasUnkept) }
+func (a *AheadGate) Update(now time.Time, hasUnkept, allAnswer bool) {
+	a.g.update(now, hasUnkept, allAnswer)
+}
 
 // Compose returns the mark of a record that is written now.
 func (a *AheadGate) Compose(now time.Time) bool { return a.g.compose(now) }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -203,7 +203,7 @@
 	if isSlow {
 		o.ahead.noteSlow(o.now)
 	}
-	o.ahead.update(o.now, hasUnkept)
+	o.ahead.update(o.now, hasUnkept, o.engine.AllAnswer())
 	isAhead := o.ahead.mayRunAhead(o.now)
 	o.mu.Unlock()
 	if isAhead != o.isAhead {
