internal/dispatch, internal/estimate, internal/owner: judge nobody by this node's own delays

Seen in the owner's log: (1) estimates were corrected by the first tasks to be done, which are the shortest of their kind; (2) after 60 ms in which the node did not run, 35 orders were overdue at once although their answers had come.

Change: run times count only when tasks of the queue have been ordered for three times as long as estimated; a tick takes what has come before it judges; after a stall no order counts as unanswered for as long again; a worker that was slow gets what others have no room for until it ends a task in the usual time, and is asked about last.

TestTheFirstTasksToBeDoneTellNothing and TestAnOrderIsNotUnansweredBecauseThisNodeStoodStill fail without it.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -170,6 +170,8 @@
 	id     order.WorkerID
 	fits   int
 	isGood bool
+	// isSuspect means that the worker is or was slow.
+	isSuspect bool
 }
 
 // whomToAsk picks the workers that are likely to take the missing tasks. Those
@@ -183,6 +185,12 @@
 			}
 			return 1
 		}
+		if a.isSuspect != b.isSuspect {
+			if b.isSuspect {
+				return -1
+			}
+			return 1
+		}
 		if a.fits != b.fits {
 			return b.fits - a.fits
 		}
@@ -219,7 +227,7 @@
 			continue
 		}
 		if n := e.fits(w, s); n > 0 {
-			found = append(found, candidate{id, n, isGood})
+			found = append(found, candidate{id, n, isGood, w.speed.isSuspect})
 		}
 	}
 	return found
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -109,6 +109,9 @@
 	// pending counts, by queue, jobs none of whose tasks has begun.
 	nextWalk time.Time
 	counts   Counts
+	// tickedAt is when Tick was called last, stalledUntil until when answers are late
+	// because this node was kept from running.
+	tickedAt, stalledUntil time.Time
 	// answers tells how long workers take to answer an order to start.
 	answers estimate.Answers
 	// lossyUntil is until when answers of workers may be lost.
@@ -196,6 +199,7 @@
 
 // Tick does what is due by time alone. It is called every 50 ms or so.
 func (e *Engine) Tick() {
+	e.noteStall()
 	e.tickInherited()
 	e.allAnswer = true
 	for _, w := range e.workers {
@@ -211,6 +215,25 @@
 	}
 }
 
+const (
+	// longTick is the time between two ticks from which this node was kept from
+	// running; the owner ticks every 20 ms.
+	longTick = 60 * time.Millisecond
+	// longestStall bounds what one such time counts.
+	longestStall = 300 * time.Millisecond
+)
+
+// noteStall finds out from the time since the last tick whether this node was kept
+// from running. Answers that came meanwhile are taken in as late as that: no order
+// counts as unanswered for as long again.
+func (e *Engine) noteStall() {
+	gap := e.now.Sub(e.tickedAt)
+	if !e.tickedAt.IsZero() && gap > longTick {
+		e.stalledUntil = e.now.Add(min(gap, longestStall))
+	}
+	e.tickedAt = e.now
+}
+
 // walkPause is the time between two looks at all jobs for rounds that are due
 // and for jobs to forget.
 const walkPause = 50 * time.Millisecond
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -265,11 +265,12 @@
 // Weights of a placement's score, in parts of a worker's room. What makes a task
 // slower or likely to fail outweighs packing.
 const (
-	weightAvoid  = 4.0
-	weightSlow   = 3.0
-	weightFar    = 1.0
-	weightShared = 1.5
-	weightZone   = 0.01
+	weightAvoid   = 4.0
+	weightSlow    = 3.0
+	weightSuspect = 1.5
+	weightFar     = 1.0
+	weightShared  = 1.5
+	weightZone    = 0.01
 	// weightSpare, weightScarce and weightLast are for the risk that a worker fails
 	// the task, which has three attempts left or more, two, or one: the job fails
 	// with the last one.
@@ -286,8 +287,11 @@
 	if s.spec.IsLasting || s.spec.IsFiller {
 		score = -score
 	}
-	if w.isSlow(e.now) {
+	switch {
+	case w.speed.isSlow(e.now):
 		score -= weightSlow
+	case w.speed.isSuspect:
+		score -= weightSuspect
 	}
 	if t != nil && t.avoid == w.ID {
 		score -= weightAvoid
@@ -448,6 +452,7 @@
 		return
 	}
 	a.phase, a.orderedAt = phaseOrdered, e.now
+	e.durations(a.step).Begin(e.now)
 	e.noteUnkept(a)
 	a.hasSaved = a.step.savedFor(a.id.Index) != ""
 	e.counts.Starts++
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -28,11 +28,6 @@
 	// judgeAfter is the least time after which a rate is believed: percents are
 	// whole numbers.
 	judgeAfter = 300 * time.Millisecond
-	// slowRatio is how much longer than expected a task may seem to take. Slow
-	// workers take four times as long and more; sizes of like tasks differ by less.
-	slowRatio = 2.5
-	// slowPause is how long a slow worker is left for the last choice.
-	slowPause = 4 * time.Second
 	// worthRatio is how much sooner another attempt must be done to be worth it.
 	worthRatio = 1.3
 	// maxRescues bounds the attempts of a task that are stopped as too slow.
@@ -70,16 +65,22 @@
 		return
 	}
 	took := e.now.Sub(a.orderedAt)
+	a.worker.speed.ended(took, e.expected(s))
 	s.doneRuns++
 	s.doneTime += took
-	if s.spec.Estimate <= 0 || a.worker.isSlow(e.now) {
+	if s.spec.Estimate <= 0 || a.worker.speed.isSlow(e.now) {
 		return
 	}
+	e.durations(s).Learn(e.now, took, s.spec.Estimate)
+}
+
+// durations returns what is learned of the run times of a step's queue.
+func (e *Engine) durations(s *step) *estimate.Durations {
 	queue := s.job.spec.Queue
 	if e.estimates[queue] == nil {
 		e.estimates[queue] = &estimate.Durations{}
 	}
-	e.estimates[queue].Learn(took, s.spec.Estimate)
+	return e.estimates[queue]
 }
 
 // projected returns how long the attempt will take in all at the rate so far; 0
@@ -92,40 +93,6 @@
 	return time.Duration(float64(elapsed) * 100 / max(float64(a.percent), 1))
 }
 
-// judgeSpeed finds out from a listing whether a worker is slow: whether most of
-// its tasks seem to take far too long, of two steps at least or of one whose time
-// is known well.
-func (e *Engine) judgeSpeed(w *worker) {
-	judged, slow := 0, 0
-	var first *step
-	isSeveral := false
-	for _, a := range w.attempts {
-		if a.step == nil || a.phase != phaseRunning || a.isStopping || a.step.spec.IsLasting || a.step.spec.IsFiller {
-			continue
-		}
-		expected, projected := e.expected(a.step), a.projected()
-		if expected <= 0 || projected == 0 {
-			continue
-		}
-		judged++
-		if float64(projected) > slowRatio*float64(expected) {
-			slow++
-			isSeveral = isSeveral || e.isTrustedTime(a.step) || first != nil && first != a.step
-			first = a.step
-		}
-	}
-	if !isSeveral || 2*slow <= judged {
-		return
-	}
-	if !w.isSlow(e.now) {
-		e.options.Log(events.WorkerSlow, "worker", w.ID, "slow", slow, "judged", judged)
-	}
-	w.slowUntil = e.now.Add(slowPause)
-	e.isDirty = true
-}
-
-func (w *worker) isSlow(now time.Time) bool { return now.Before(w.slowUntil) }
-
 // checkProgress gives a task another chance elsewhere when its attempt stands
 // still, or goes on so slowly that another one would be done sooner.
 func (e *Engine) checkProgress(a *attempt) {
@@ -142,7 +109,7 @@
 		e.replace(a, "stands still")
 		return
 	}
-	if (a.worker.isSlow(e.now) || e.isTrustedTime(a.step)) && e.isWorthReplacing(a) {
+	if (a.worker.speed.isSlow(e.now) || e.isTrustedTime(a.step)) && e.isWorthReplacing(a) {
 		e.replace(a, "too slow")
 	}
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -51,9 +51,8 @@
 	// holdFailures counts listings in a row that did not come; the next is asked
 	// for at holdAt.
 	holdFailures int
-	// slowUntil is until when it is left for the last choice.
-	slowUntil time.Time
-	holdAt    time.Time
+	holdAt       time.Time
+	speed        speed
 }
 
 // phase is where an attempt is.
@@ -276,7 +275,7 @@
 		}
 		return
 	}
-	if a.phase == phaseOrdered && e.now.Sub(a.orderedAt) > e.answers.Patience() {
+	if a.phase == phaseOrdered && e.now.Sub(a.orderedAt) > e.answers.Patience() && !e.now.Before(e.stalledUntil) {
 		e.doubt(a)
 	}
 	if a.phase == phaseDoubtful && !a.isStopping && e.now.Sub(a.doubtAt) > doubtPatience {
--- a/internal/estimate/durations.go
+++ b/internal/estimate/durations.go
@@ -16,12 +16,18 @@
 	trustedError = 0.4
 	// biasWeight is the weight of a new task in what estimates are corrected by.
 	biasWeight = 0.05
+	// settled is how many times as long as a task's estimate tasks must have been
+	// ordered for until its time counts: the first to be done are the shortest, and
+	// make all others look slow.
+	settled = 3
 )
 
 // Durations learns how good callers' estimates of run times are. The zero value
 // works; a nil *Durations knows nothing.
 type Durations struct {
-	runs int
+	// began is when the first task was ordered.
+	began time.Time
+	runs  int
 	// bias is the mean logarithm of how much longer tasks take than estimated,
 	// error the mean distance from it.
 	bias, error float64
@@ -40,9 +46,19 @@
 	return d != nil && d.runs >= trustedRuns && d.error < trustedError
 }
 
-// Learn takes how long a task took for which there was an estimate, which must be
-// positive.
-func (d *Durations) Learn(took, estimate time.Duration) {
+// Begin takes that a task was ordered.
+func (d *Durations) Begin(now time.Time) {
+	if d.began.IsZero() {
+		d.began = now
+	}
+}
+
+// Learn takes how long a task took that is done now, for which there was an
+// estimate, which must be positive.
+func (d *Durations) Learn(now time.Time, took, estimate time.Duration) {
+	if now.Sub(d.began) < settled*estimate {
+		return
+	}
 	d.runs++
 	weight := max(biasWeight, 1/float64(d.runs))
 	ratio := float64(max(took, time.Millisecond)) / float64(estimate)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -157,6 +157,8 @@
 			o.drainInbox()
 		case <-ticks:
 			o.tick()
+			// What has come already is not overdue.
+			o.drainInbox()
 			o.lag.tick(o.now, tickPeriod)
 			o.lagShare.Store(math.Float64bits(o.lag.share))
 			o.engine.Tick()
