internal/dispatch: judge workers by the share of what they failed lately

Ruled out: tasks that fail by their own fault (their jobs failed on workers that fail nothing else), and choosing the same worker twice.

Change: ends count by how long ago they were (2 s to a third); the risk grows with the share of failures, and each success halves that of a worker of which little is known. A last attempt goes to a worker under 0.15.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -220,7 +220,7 @@
 	needsSound := slices.ContainsFunc(s.tasks, func(t task) bool { return t.state == taskWaiting && e.isLastAttempt(s, &t) && len(t.failures) > 0 })
 	for id, w := range e.workers {
 		isGood, isAsked := s.advice.verdicts[id]
-		if isAsked && !isGood || !e.isUsable(w) || !e.mayRun(w, s, pool) || needsSound && w.health.hasFailedLately() {
+		if isAsked && !isGood || !e.isUsable(w) || !e.mayRun(w, s, pool) || needsSound && !w.health.isSound(e.now) {
 			continue
 		}
 		if _, ok := s.advice.holds(id, e.now); ok {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -33,40 +34,68 @@
 	pausedUntil time.Time
 	pause       time.Duration
 	onTrial     bool
-	// provenAt is when it last ended a task well.
-	provenAt time.Time
+	// done and undone count tasks that ended well and that failed, less the longer
+	// ago; countedAt is as of when.
+	done, undone float64
+	countedAt    time.Time
 }
 
 const (
-	// unprovenAfter is how long after a success a worker counts as one of which
-	// nothing is known, and unprovenRisk is the risk that it is then.
-	unprovenAfter = 3 * time.Second
-	unprovenRisk  = 0.25
+	// countTime is how long ago an end counts a third: long enough for some ends of
+	// a busy worker (two to three a second), short enough to see one turn bad.
+	countTime = 2 * time.Second
+	// usualShare is the share of tasks that fail by their own fault, and usualWeight
+	// how many ends that is worth where few are known.
+	usualShare  = 0.05
+	usualWeight = 2
+	// soundShare is the share of failures up to which a worker counts as sound: two
+	// of ten by the tasks' own fault are above it.
+	soundShare = 0.15
+	// shareWeight is the risk of a worker that fails all, unprovenRisk that of one of
+	// which nothing is known; each end that went well halves it.
+	shareWeight  = 3.0
+	unprovenRisk = 0.25
 )
 
+// count forgets ends by how long ago they were.
+func (h *health) count(now time.Time) {
+	fade := math.Exp(-float64(now.Sub(h.countedAt)) / float64(countTime))
+	h.done, h.undone, h.countedAt = h.done*fade, h.undone*fade, now
+}
+
+// failedShare is the share of tasks that the worker fails, as far as is known.
+func (h *health) failedShare(now time.Time) float64 {
+	h.count(now)
+	return (h.undone + usualShare*usualWeight) / (h.done + h.undone + usualWeight)
+}
+
 // risk is how likely the worker fails what it is given: about 0 for one that has
-// just done well, 1 and more for one that has failed since.
+// just done well, 1 and more for one that fails most.
 func (h *health) risk(now time.Time) float64 {
-	risk := float64(h.inRow)
+	risk := shareWeight * max(h.failedShare(now)-2*usualShare, 0)
 	if h.onTrial {
 		risk++
 	}
-	age := min(now.Sub(h.provenAt), unprovenAfter)
-	return risk + unprovenRisk*float64(age)/float64(unprovenAfter)
+	return risk + unprovenRisk*math.Pow(0.5, h.done)
 }
 
-// hasFailedLately reports whether the worker has failed something since its last
-// success.
-func (h *health) hasFailedLately() bool { return h.inRow > 0 || h.onTrial }
+// isSound reports whether the worker has ended well what it had lately, but for what
+// fails by its own fault.
+func (h *health) isSound(now time.Time) bool {
+	return h.inRow == 0 && !h.onTrial && h.failedShare(now) <= soundShare
+}
 
 func (h *health) succeeded(now time.Time) {
-	h.provenAt = now
+	h.count(now)
+	h.done++
 	h.inRow = 0
 	h.onTrial = false
 	h.pause = 0
 }
 
 func (h *health) failed(now time.Time, j *job) {
+	h.count(now)
+	h.undone++
 	if h.onTrial || h.lastJob != j.spec.ID {
 		h.inRow++
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -116,7 +116,7 @@
 		return true
 	}
 	waited := e.now.Sub(t.failedAt)
-	if e.isLastAttempt(s, t) && w.health.hasFailedLately() && waited < soundPatience {
+	if e.isLastAttempt(s, t) && !w.health.isSound(e.now) && waited < soundPatience {
 		return false
 	}
 	failedHere := slices.ContainsFunc(t.failures, func(f work.Failure) bool { return f.Worker == string(w.ID) })
