internal/dispatch: judge speed by the last rate, on the worker's clock

Cause: how long an attempt would take was told from all of its time so far, so that a worker that turned slow while tasks were half done was found out late; listings that waited at a busy owner made sound workers look slow.

Ruled out: listings come too rarely (twice a second where nothing ends).

TestAWorkerThatTurnsSlowIsFoundByItsLastRate fails without it.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -44,6 +44,9 @@
 	// countTime is how long ago an end counts a third: long enough for some ends of
 	// a busy worker (two to three a second), short enough to see one turn bad.
 	countTime = 2 * time.Second
+	// countStep is how often that is worked out: workers are scored thousands of times
+	// a second.
+	countStep = 50 * time.Millisecond
 	// usualShare is the share of tasks that fail by their own fault, and usualWeight
 	// how many ends that is worth where few are known.
 	usualShare  = 0.05
@@ -59,7 +62,11 @@
 
 // count forgets ends by how long ago they were.
 func (h *health) count(now time.Time) {
-	fade := math.Exp(-float64(now.Sub(h.countedAt)) / float64(countTime))
+	since := now.Sub(h.countedAt)
+	if since < countStep {
+		return
+	}
+	fade := math.Exp(-float64(since) / float64(countTime))
 	h.done, h.undone, h.countedAt = h.done*fade, h.undone*fade, now
 }
 
@@ -76,7 +83,7 @@
 	if h.onTrial {
 		risk++
 	}
-	return risk + unprovenRisk*math.Pow(0.5, h.done)
+	return risk + unprovenRisk*math.Exp2(-h.done)
 }
 
 // isSound reports whether the worker has ended well what it had lately, but for what
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -39,6 +39,9 @@
 	switch outcome {
 	case order.StartDone:
 		a.startedAt, a.startedOn = at, e.now
+		if at > 0 && !a.hasSaved {
+			a.progress.take(at, 0, 0)
+		}
 		if a.phase != phaseRunning {
 			a.phase = phaseRunning
 			a.percentAt = e.now
@@ -154,6 +157,7 @@
 		a.percent, a.percentAt = r.Percent, e.now
 	}
 	a.figure = r.Figure
+	a.progress.take(w.listedAt, r.Percent, e.expected(a.step))
 	if a.step != nil {
 		a.step.job.hasBegun = true
 		if r.Saved != "" {
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -25,9 +25,6 @@
 	// than the worker thought. stuckEnd is how long.
 	nearlyDone = 98
 	stuckEnd   = 4 * time.Second
-	// judgeAfter is the least time after which a rate is believed: percents are
-	// whole numbers.
-	judgeAfter = 300 * time.Millisecond
 	// worthRatio is how much sooner another attempt must be done to be worth it.
 	worthRatio = 1.3
 	// maxRescues bounds the attempts of a task that are stopped as too slow.
@@ -83,16 +80,6 @@
 	return e.estimates[queue]
 }
 
-// projected returns how long the attempt will take in all at the rate so far; 0
-// when that cannot be told yet.
-func (a *attempt) projected() time.Duration {
-	elapsed := a.worker.toldAt.Sub(a.orderedAt)
-	if a.isAdopted || elapsed < judgeAfter || a.percent <= 0 && elapsed < stuckLeast {
-		return 0
-	}
-	return time.Duration(float64(elapsed) * 100 / max(float64(a.percent), 1))
-}
-
 // checkProgress gives a task another chance elsewhere when its attempt stands
 // still, or goes on so slowly that another one would be done sooner.
 func (e *Engine) checkProgress(a *attempt) {
--- /dev/null
+++ b/internal/dispatch/speed_test.go
@@ -0,0 +1,66 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// A worker that turned slow while it had half done its tasks was found out only
+// when they had taken two and a half times as long as they should.
+func TestAWorkerThatTurnsSlowIsFoundByItsLastRate(t *testing.T) {
+	const ms = time.Millisecond
+	for name, tc := range map[string]struct {
+		percents []int
+		want     bool
+	}{
+		"goes on":             {[]int{25, 50, 90}, false},
+		"turns slow":          {[]int{25, 50, 53}, true},
+		"slow from the start": {[]int{3, 6, 10}, true},
+	} {
+		c := clock.NewFake()
+		begin := c.Now()
+		isSlow := false
+		e := dispatch.NewEngine(dispatch.Options{Log: func(ev events.Event, _ ...any) { isSlow = isSlow || ev == events.WorkerSlow }})
+		e.Advance(c.Now())
+		e.SetTrusted(true)
+		e.SetQueues([]order.Queue{testQueue})
+		e.SetWorkers([]order.Worker{{ID: "w", Service: "pool", Capacity: room}}, true)
+		at := func() order.WorkerTime { return order.WorkerTime(time.Second + c.Now().Sub(begin)) }
+		e.Listed(&order.Hold{Worker: "w", AskedAt: c.Now()}, &order.Listing{At: at()})
+		for _, id := range []work.JobID{"a", "b"} {
+			e.AddJob(&work.Spec{ID: id, Queue: "q", Steps: []work.Step{step(1, time.Second)}})
+		}
+		e.Decide()
+		for b := e.TakeBatch(); b != nil; b = e.TakeBatch() {
+			e.Committed(b)
+			e.Decide()
+		}
+		running := []order.Running{}
+		for _, a := range e.Actions() {
+			if s, ok := a.(order.Start); ok {
+				e.StartAnswered("w", s.Task, s.Run, order.StartDone, at())
+				running = append(running, order.Running{Task: s.Task, Run: s.Run})
+			}
+		}
+		for _, percent := range tc.percents {
+			c.Advance(300 * ms)
+			e.Advance(c.Now())
+			for i := range running {
+				running[i].Percent = percent
+			}
+			e.Listed(&order.Hold{Worker: "w", AskedAt: c.Now()}, &order.Listing{At: at(), Running: running})
+		}
+		if len(running) != 2 || isSlow != tc.want {
+			t.Errorf("%s: slow: got: %v with %d tasks, want: %v with 2", name, isSlow, len(running), tc.want)
+		}
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -93,6 +93,7 @@
 	stopAckedAt order.WorkerTime
 	percent     int
 	percentAt   time.Time
+	progress    progress
 	figure      int
 	pace        int
 	pacedAt     time.Time
