--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -17,12 +17,16 @@
 // their way need not be sent again.
 const linkSilence = 1200 * time.Millisecond
 
+// relinkTimeout bounds the try of a new link to an owner that is silent on the old
+// one: a stalled owner does not answer it either.
+const relinkTimeout = 250 * time.Millisecond
+
 // stay passes requests on over the link while the owner's beats come.
 func (n *Node) stay(conn *link.Conn, r *owner.Record) {
 	n.setOwnerLink(conn)
 	n.options.Log(events.OwnerFollowed, "owner", r.Node, "epoch", r.Epoch)
 	n.sendAlive()
-	defer conn.Close()
+	defer func() { conn.Close() }()
 	defer n.setOwnerLink(nil)
 	ticks, stop := n.options.Clock.Subscribe(seekPause)
 	defer stop()
@@ -43,6 +47,12 @@
 			switch found.word {
 			case ownerReplaced:
 				return
+			case ownerRelinked:
+				n.options.Log(events.OwnerFollowed, "owner", r.Node, "epoch", r.Epoch, "silent", n.silence())
+				conn.Close()
+				conn = found.conn
+				n.setOwnerLink(conn)
+				n.sendAlive()
 			case ownerDead:
 				conn.Close()
 				n.setOwnerLink(nil)
@@ -57,7 +67,7 @@
 		}
 		if asked == nil && n.isOwnerSilent() {
 			n.options.Log(events.PeerSuspected, "peer", r.Node, "epoch", r.Epoch, "silent", n.silence())
-			asked = make(chan ownerState, 1)
+			asked = make(chan ownerState)
 			n.wg.Add(1)
 			go n.runQuestion(ctx, r, asked)
 		}
@@ -112,6 +122,8 @@
 	ownerLives ownerWord = "lives"
 	// ownerDead means that its next record is overdue.
 	ownerDead ownerWord = "dead"
+	// ownerRelinked means that it lives and took a new link: the old one is dead.
+	ownerRelinked ownerWord = "relinked"
 	// ownerReplaced means that a later owner has claimed the shard.
 	ownerReplaced ownerWord = "replaced"
 )
@@ -123,6 +135,8 @@
 	// shard can be claimed after it.
 	record *owner.Record
 	end    uint64
+	// conn is the new link.
+	conn *link.Conn
 }
 
 // runQuestion finds out by the store whether a silent owner lives. Requests on
@@ -130,7 +144,20 @@
 // still answers them.
 func (n *Node) runQuestion(ctx context.Context, r *owner.Record, answer chan<- ownerState) {
 	defer n.wg.Done()
-	answer <- n.askStore(ctx, r)
+	s := n.askStore(ctx, r)
+	if s.word == ownerLives && n.isOwnerSilent() {
+		// A connection may be dead without a word, while new ones work.
+		if conn, _ := n.reach(r, relinkTimeout); conn != nil {
+			s.word, s.conn = ownerRelinked, conn
+		}
+	}
+	select {
+	case answer <- s:
+	case <-ctx.Done():
+		if s.conn != nil {
+			s.conn.Close()
+		}
+	}
 }
 
 func (n *Node) askStore(ctx context.Context, r *owner.Record) ownerState {
@@ -150,5 +177,5 @@
 	if !isSilent || !n.isDeadByStore(ctx, newest, at, patience) {
 		return ownerState{word: ownerLives}
 	}
-	return ownerState{ownerDead, newest, at + 1}
+	return ownerState{word: ownerDead, record: newest, end: at + 1}
 }
--- a/internal/cell/node_test.go
+++ b/internal/cell/node_test.go
@@ -147,7 +147,7 @@
 	return newNodeWith(t, log, name, life, clock.Real{})
 }
 
-func newNodeWith(t *testing.T, log *fakestore.Log, name, life string, clk clock.Service) *testNode {
+func newNodeWith(t *testing.T, log *fakestore.Log, name, life string, clk clock.Service, change ...func(o *cell.Options)) *testNode {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -158,12 +158,16 @@
 		t.Fatal(err)
 	}
 	c := newConfig()
-	n, err := cell.NewNode(cell.Options{
+	options := cell.Options{
 		Name: name, Zone: "z", LinkAddr: addr, Life: life, Clock: clk, Direct: idle{}, Adviser: idle{}, Config: c,
 		NewStore: func(detour.Doer) store.Log { return log },
 		NewOwner: func(detour.Doer) (owner.Workers, owner.List) { return idle{}, idle{} },
 		Log:      func(events.Event, ...any) {}, Metrics: idle{}, Strength: 1, Patience: patience,
-	})
+	}
+	for _, f := range change {
+		f(&options)
+	}
+	n, err := cell.NewNode(options)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -363,6 +367,123 @@
 	})
 }
 
+// mute is a relay that can silence the connections that it has, for good, while
+// new ones work.
+type mute struct {
+	net.Listener
+	to string
+
+	mu    sync.Mutex
+	conns []net.Conn
+	after int
+	// dropped counts what was read of silenced connections.
+	dropped atomic.Int64
+}
+
+func newMute(t *testing.T) *mute {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &mute{Listener: l}
+	t.Cleanup(m.close)
+	return m
+}
+
+func (m *mute) addr() netip.AddrPort { return netip.MustParseAddrPort(m.Addr().String()) }
+
+func (m *mute) run() {
+	for {
+		near, err := m.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", m.to)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		m.mu.Lock()
+		i := len(m.conns)
+		m.conns = append(m.conns, near, far)
+		m.mu.Unlock()
+		go m.runCopy(near, far, i)
+		go m.runCopy(far, near, i)
+	}
+}
+
+// runCopy passes bytes on until the connection is silenced; then it drops them.
+func (m *mute) runCopy(from, to net.Conn, i int) {
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		if m.isSilenced(i) {
+			m.dropped.Add(1)
+			continue
+		}
+		_, _ = to.Write(buf[:n])
+	}
+}
+
+func (m *mute) isSilenced(i int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return i < m.after
+}
+
+func (m *mute) silence() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.after = len(m.conns)
+}
+
+func (m *mute) close() {
+	_ = m.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, c := range m.conns {
+		_ = c.Close()
+	}
+}
+
+// Requests were refused for 0.9 s when the link to a living owner went silent
+// without a reset.
+func TestASilentLinkIsReplacedWhileTheOwnerLives(t *testing.T) {
+	log := fakestore.NewLog()
+	relay := newMute(t)
+	first := newNodeWith(t, log, "n0", "1", clock.Real{}, func(o *cell.Options) {
+		relay.to = o.LinkAddr.String()
+		o.AdvertiseAddr = relay.addr()
+	})
+	go relay.run()
+	first.submit(t, "a")
+	clk := &steppedClock{}
+	second := newNodeWith(t, log, "n1", "1", clk)
+	await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
+	relay.silence()
+	await.True(t, "beats are dropped", func() bool { return relay.dropped.Load() >= 3 })
+	// Longer than three beats, shorter than the time after which a link is given up.
+	clk.ahead.Store(int64(800 * time.Millisecond))
+	served := make(chan error, 1)
+	go func() { served <- second.Submit(t.Context(), job("b")) }()
+	await.True(t, "a request is served", func() bool {
+		select {
+		case err := <-served:
+			return err == nil
+		default:
+			return false
+		}
+	})
+	if r, _, err := owner.ReadRecord(t.Context(), log); err != nil || r.Node != "n0" {
+		t.Errorf("owner: got: %v, %v, want: n0 still", r, err)
+	}
+}
+
 func TestASlowOwnerHandsOver(t *testing.T) {
 	log := fakestore.NewLog()
 	first := newNodeWith(t, log, "n0", "1", slowClock{})
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -25,8 +25,14 @@
 	maxAsked = 100
 	// minAsked is the least that a call names, if there are so many.
 	minAsked = 6
-	// laneTimeout is when a lane that does not answer counts as lost.
-	laneTimeout = 4 * time.Second
+	// askRatio and askMargin are how long a call may take: so many times the time that
+	// the policy tells, as the lane may be busy with one that was given up, and what
+	// the ways there and back take on a busy node.
+	askRatio  = 2
+	askMargin = 250 * time.Millisecond
+	// laneMargin is how much later than that a call counts as lost that the owner of
+	// the lane has not given up.
+	laneMargin = 300 * time.Millisecond
 	// cheapLanes are the lanes that calls that take long leave to the others.
 	cheapLanes = 2
 )
@@ -37,6 +43,8 @@
 	// busySince is when the call on it was sent; zero when it is free.
 	busySince time.Time
 	step      work.StepID
+	// patience is how long that call may take.
+	patience time.Duration
 }
 
 // advice is what is known of the workers that may run a step.
@@ -139,22 +147,18 @@
 	if len(asked) == 0 {
 		return
 	}
-	lane.busySince, lane.step = e.now, s.id
+	patience := askRatio*(policy.Base+time.Duration(len(asked))*policy.Each) + askMargin
+	lane.busySince, lane.step, lane.patience = e.now, s.id, patience
 	s.advice.isAsking = true
 	e.counts.Asks++
-	e.do(order.Advise{Lane: lane.name, Step: s.id, Workers: asked})
+	e.do(order.Advise{Lane: lane.name, Step: s.id, Workers: asked, Patience: patience})
 }
 
 func (e *Engine) freeLane(policy *order.AdvicePolicy) *lane {
 	free := 0
 	var found *lane
 	for i := range e.lanes {
-		l := &e.lanes[i]
-		if !l.busySince.IsZero() && e.now.Sub(l.busySince) > laneTimeout {
-			l.busySince = time.Time{}
-			e.adviceLost(l.step)
-		}
-		if l.busySince.IsZero() {
+		if l := &e.lanes[i]; l.busySince.IsZero() {
 			free++
 			found = l
 		}
@@ -165,6 +169,17 @@
 	return found
 }
 
+// expireLanes frees the lanes that do not answer, and asks again by others.
+func (e *Engine) expireLanes() {
+	for i := range e.lanes {
+		l := &e.lanes[i]
+		if !l.busySince.IsZero() && e.now.Sub(l.busySince) > l.patience+laneMargin {
+			l.busySince = time.Time{}
+			e.adviceLost(l.step)
+		}
+	}
+}
+
 // candidate is a worker that could be asked about, with the tasks that fit now.
 type candidate struct {
 	id     order.WorkerID
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -200,6 +200,7 @@
 // Tick does what is due by time alone. It is called every 50 ms or so.
 func (e *Engine) Tick() {
 	e.noteStall()
+	e.expireLanes()
 	e.tickInherited()
 	e.allAnswer = true
 	for _, w := range e.workers {
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -175,6 +175,8 @@
 	Lane    string
 	Step    work.StepID
 	Workers []WorkerID
+	// Patience is how long the answer may take.
+	Patience time.Duration
 }
 
 // Hold asks a worker for a listing and renews its lease. Each is answered by a
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -131,9 +131,6 @@
 	startTimeout = 400 * time.Millisecond
 	// stopTimeout bounds an order to stop, which is sent again.
 	stopTimeout = 500 * time.Millisecond
-	// askTimeout bounds a question about workers: 100 of them on the slowest
-	// policy seen take 1.1 s.
-	askTimeout = 3 * time.Second
 	// writeTimeout bounds one try to append: a slow store takes 0.4 s.
 	writeTimeout = 1500 * time.Millisecond
 	// writeRetry is the pause before an append is tried again.
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -76,7 +76,7 @@
 }
 
 func (o *Owner) runAsk(a order.Advise) {
-	ctx, cancel := o.bound(askTimeout)
+	ctx, cancel := o.bound(a.Patience)
 	defer cancel()
 	good, valid, err := o.options.Lanes.Ask(ctx, a.Lane, a.Step, a.Workers)
 	o.put(adviceEvent{a, good, valid, err})
