internal/owner: log each answer to a cancelling

Change: one line (LD0470) for each cancelling that is answered: the job, the answer, the owner's epoch and how long ago the store last confirmed it. No logic is changed.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -113,6 +113,7 @@
 	WorkerLifeOver = add(461, "worker's life is over", LevelInfo)
 	WorkerLeft     = add(467, "worker has left as planned", LevelInfo)
 	Inherited      = add(462, "all that an earlier owner started is known", LevelInfo)
+	CancelAnswered = add(470, "cancelling of a job answered", LevelInfo)
 	JobRefused     = add(458, "job refused", LevelWarning)
 	PaceFailed     = add(459, "worker was not told the pace of a task", LevelWarning)
 	JobsLoaded     = add(463, "jobs read from the store", LevelInfo)
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -51,15 +51,27 @@
 }
 
 func (ev cancelEvent) apply(o *Owner) {
-	if !o.engine.Cancel(ev.id) {
-		ev.reply <- errNoJob
-		return
+	isKnown := o.engine.Cancel(ev.id)
+	o.cancels[ev.id] = append(o.cancels[ev.id], ev.reply)
+	switch {
+	case !isKnown:
+		o.answerCancel(ev.id, errNoJob)
+	case o.engine.IsSettledCancel(ev.id):
+		o.answerCancel(ev.id, nil)
 	}
-	if o.engine.IsSettledCancel(ev.id) {
-		ev.reply <- nil
+}
+
+// answerCancel answers those who wait for the cancelling of a job.
+func (o *Owner) answerCancel(id work.JobID, err error) {
+	if len(o.cancels[id]) == 0 {
 		return
 	}
-	o.cancels[ev.id] = append(o.cancels[ev.id], ev.reply)
+	answer := "cancelled"
+	if err != nil {
+		answer = err.Error()
+	}
+	o.options.Log(events.CancelAnswered, "job", id, "answer", answer, "epoch", o.Epoch(), "confirmed", o.now.Sub(o.confirmedAt))
+	o.answer(o.cancels, id, err)
 }
 
 type stateAnswer struct {
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -116,7 +116,7 @@
 func (o *Owner) refuseNew(why string) {
 	for _, id := range o.engine.RefuseNew() {
 		o.answer(o.submits, id, leverdyke.NotRun(why, outRetry))
-		o.answer(o.cancels, id, errNoJob)
+		o.answerCancel(id, errNoJob)
 	}
 }
 
@@ -220,7 +220,7 @@
 		o.engine.Refused(b)
 		for _, spec := range b.Specs {
 			o.answer(o.submits, spec.ID, leverdyke.NotRun("the store does not take new jobs", outRetry))
-			o.answer(o.cancels, spec.ID, errNoJob)
+			o.answerCancel(spec.ID, errNoJob)
 		}
 		o.refuseNew("the store does not take new jobs")
 		return
@@ -233,7 +233,7 @@
 	}
 	for id := range b.Progress {
 		if o.engine.IsSettledCancel(id) {
-			o.answer(o.cancels, id, nil)
+			o.answerCancel(id, nil)
 		}
 	}
 }
