internal/owner: reproduce the cancelled jobs that run, failing

U2 (kept, then lost) could not be brought about: an acknowledgement of a known job waits for the append that has it.

--- /dev/null
+++ b/internal/owner/cancel_test.go
@@ -0,0 +1,163 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package owner_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+
+	"github.com/leverdyke/leverdyke/internal/await"
+	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/store/fakestore"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// cutLog is a store that a node may be cut off from, while others reach it.
+type cutLog struct {
+	store.Log
+	isCut atomic.Bool
+}
+
+var errCut = &store.Error{Failure: store.Unknown, Err: errors.New("cut off")}
+
+func (l *cutLog) Append(ctx context.Context, a *store.Append) (uint64, error) {
+	if l.isCut.Load() {
+		return 0, errCut
+	}
+	return l.Log.Append(ctx, a)
+}
+
+func (l *cutLog) ReadNewest(ctx context.Context, topic string) (*store.Newest, error) {
+	if l.isCut.Load() {
+		return nil, errCut
+	}
+	return l.Log.ReadNewest(ctx, topic)
+}
+
+// replaced returns an owner that does not know that it was replaced, the store that
+// it is cut off from, and the owner that runs since, which has accepted the job a.
+func replaced(t *testing.T) (first *owner.Owner, cut *cutLog, second *owner.Owner) {
+	t.Helper()
+	log := fakestore.NewLog()
+	cut = &cutLog{Log: log}
+	first = claimed(t, cut, newFakeWorkers())
+	cut.isCut.Store(true)
+	workers := newFakeWorkers()
+	workers.gate = make(chan struct{})
+	t.Cleanup(func() { close(workers.gate) })
+	second = claimed(t, log, workers)
+	if err := second.Submit(t.Context(), job("a")); err != nil {
+		t.Fatal(err)
+	}
+	return first, cut, second
+}
+
+// The incident of issue 15: the earlier owner, cut off, said of a job that it did
+// not know that there is none. Its caller took that for an acknowledgement, and
+// the job ran on.
+func TestAnOwnerThatWasReplacedAcknowledgesNoCancel(t *testing.T) {
+	first, cut, second := replaced(t)
+	answered := make(chan error, 1)
+	go func() {
+		_, err := first.Cancel(t.Context(), "a")
+		answered <- err
+	}()
+	cut.isCut.Store(false)
+	if err := <-answered; err == nil {
+		t.Error("cancelling at the earlier owner: got: acknowledged, want: an error")
+	}
+	if state, ok, err := second.State(t.Context(), "a"); state.IsFinal() || !ok || err != nil {
+		t.Errorf("the job at the later owner: got: %v, %v, %v, want: it runs", state, ok, err)
+	}
+}
+
+// A cancelling may overtake the submission of its job, which a caller may have sent
+// more than once. What was cancelled must not run, whoever owns the shard then.
+func TestACancelOfAnUnknownJobIsKept(t *testing.T) {
+	log := fakestore.NewLog()
+	o := claimed(t, log, newFakeWorkers())
+	if ok, err := o.Cancel(t.Context(), "a"); ok || err != nil {
+		t.Fatalf("cancelling before the submission: got: %v, %v, want: not known", ok, err)
+	}
+	if _, ok, err := o.State(t.Context(), "a"); ok || err != nil {
+		t.Errorf("its state: got: %v, %v, want: not known", ok, err)
+	}
+	o.Stop()
+	workers := newFakeWorkers()
+	next := claimed(t, log, workers)
+	for _, id := range []string{"a", "b"} {
+		if err := next.Submit(t.Context(), job(id)); err != nil {
+			t.Fatalf("submission of %s: got: %v, want: accepted", id, err)
+		}
+	}
+	awaitState(t, next, "b", work.JobSucceeded)
+	if state, ok, err := next.State(t.Context(), "a"); state != work.JobCancelled || !ok || err != nil {
+		t.Errorf("the cancelled job: got: %v, %v, %v, want: %v", state, ok, err, work.JobCancelled)
+	}
+	if workers.hasStarted("a") {
+		t.Error("the cancelled job: got: started, want: never")
+	}
+}
+
+// refusingLog holds the first append of jobs back until it is told to refuse it.
+type refusingLog struct {
+	store.Log
+	refuse chan struct{}
+	once   atomic.Bool
+}
+
+func (l *refusingLog) Append(ctx context.Context, a *store.Append) (uint64, error) {
+	if a.Topic == owner.TopicJobs && len(a.Records) > 0 && l.once.CompareAndSwap(false, true) {
+		<-l.refuse
+		return 0, &store.Error{Failure: store.NotDone}
+	}
+	return l.Log.Append(ctx, a)
+}
+
+// The store refuses a job while its caller cancels it: the retry of the submission
+// must not bring it back.
+func TestACancelOfARefusedJobIsKept(t *testing.T) {
+	log, workers := &refusingLog{Log: fakestore.NewLog(), refuse: make(chan struct{})}, newFakeWorkers()
+	o := claimed(t, log, workers)
+	submitted, cancelled := make(chan error, 1), make(chan error, 1)
+	go func() { submitted <- o.Submit(t.Context(), job("a")) }()
+	awaitState(t, o, "a", work.JobQueued)
+	go func() {
+		_, err := o.Cancel(t.Context(), "a")
+		cancelled <- err
+	}()
+	// Until the cancelling is kept a caller is told that the job runs.
+	awaitState(t, o, "a", work.JobRunning)
+	close(log.refuse)
+	if err := <-submitted; err == nil {
+		t.Fatal("the submission: got: accepted, want: refused")
+	}
+	if err := <-cancelled; err != nil {
+		t.Fatalf("the cancelling: got: %v, want: acknowledged", err)
+	}
+	for _, id := range []string{"a", "b"} {
+		await.True(t, id+" is accepted", func() bool { return o.Submit(t.Context(), job(id)) == nil })
+	}
+	awaitState(t, o, "b", work.JobSucceeded)
+	if state, ok, err := o.State(t.Context(), "a"); state != work.JobCancelled || !ok || err != nil {
+		t.Errorf("the cancelled job: got: %v, %v, %v, want: %v", state, ok, err, work.JobCancelled)
+	}
+	if workers.hasStarted("a") {
+		t.Error("the cancelled job: got: started, want: never")
+	}
+}
+
+func (w *fakeWorkers) hasStarted(id work.JobID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i := range w.starts {
+		if w.starts[i].Task.Job == id {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -19,7 +19,7 @@
 )
 
 // claimed claims the shard and returns an owner that runs.
-func claimed(t *testing.T, log *fakestore.Log, workers *fakeWorkers) *owner.Owner {
+func claimed(t *testing.T, log store.Log, workers *fakeWorkers) *owner.Owner {
 	t.Helper()
 	earlier, at, err := owner.ReadRecord(t.Context(), log)
 	if err != nil {
