internal/dispatch, internal/owner: keep every cancelling before it is answered

Cause: what a cancelling was answered came from the memory of one node in three cases: "no such job" by an owner that had been replaced (U1: it is cut off, nothing asks whether it is trusted, and a takeover takes 0.3 s while trust lasts 3 s); "no such job" by an owner that did not know the job yet; and "no such job" for a job that the store had just refused (U3). Each is an acknowledgement for the caller, and the job ran when its submission, or the retry of it, was taken. Change: a cancelling is answered when the store has it, also that of a job that is not known or was refused: it is kept as withdrawn, which callers hear as "no such job"; handed in later, it is cancelled and never runs. An owner that is not trusted, or hands over, says so at once. A job that was refused is no longer kept under the ID of one that was handed in again. Ruled out: a check of trust alone, which leaves a window of up to 3 s; U2, an acknowledgement of a known job waited for its append before, too.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -46,6 +48,8 @@
 	e.batch = nil
 	e.lastFlush = e.now
 	b.Progress = map[work.JobID]*work.Progress{}
+	// A job that was refused meanwhile is not kept; another may have its ID by now.
+	b.jobs = slices.DeleteFunc(b.jobs, func(j *job) bool { return e.jobs[j.spec.ID] != j })
 	for _, j := range b.jobs {
 		j.isDirty = false
 		b.Progress[j.spec.ID] = j.progress()
@@ -66,10 +70,8 @@
 			e.openRounds(j)
 		}
 	}
-	for id, p := range b.Progress {
-		if j := e.jobs[id]; j != nil && p.State.IsFinal() {
-			e.setShown(j)
-		}
+	for _, j := range b.jobs {
+		e.progressKept(j, b.Progress[j.spec.ID].State)
 	}
 	for w, n := range b.seen {
 		e.confirm(w, n)
@@ -80,12 +82,21 @@
 	}
 }
 
+// progressKept says that a state of a job is kept.
+func (e *Engine) progressKept(j *job, state work.JobState) {
+	if e.jobs[j.spec.ID] != j || !state.IsFinal() {
+		return
+	}
+	e.setShown(j)
+	j.isKept = j.isKept || state != work.JobWithdrawn
+}
+
 // Refused says that the batch is certainly not in the store. Its new jobs are
 // dropped as never accepted; its progress goes into the next batch.
 func (e *Engine) Refused(b *Batch) {
 	for _, spec := range b.Specs {
 		if j := e.jobs[spec.ID]; j != nil && !j.isKept {
-			delete(e.jobs, spec.ID)
+			e.dropNew(j)
 		}
 	}
 	next := e.batchNow()
@@ -154,7 +165,7 @@
 }
 
 // RefuseNew drops the new jobs of the batch that is not taken yet and returns
-// them: they were never accepted.
+// them: they were never accepted. Those that were cancelled stay withdrawn.
 func (e *Engine) RefuseNew() []work.JobID {
 	if e.batch == nil {
 		return nil
@@ -162,7 +173,9 @@
 	refused := make([]work.JobID, 0, len(e.batch.Specs))
 	for _, spec := range e.batch.Specs {
 		refused = append(refused, spec.ID)
-		delete(e.jobs, spec.ID)
+		if j := e.jobs[spec.ID]; j != nil {
+			e.dropNew(j)
+		}
 	}
 	e.batch.Specs = nil
 	return refused
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -132,7 +132,12 @@
 // AddJob takes a job that is to be kept. It reports whether the job is new; a
 // job that is known is left as it is. The job starts when its batch is committed.
 func (e *Engine) AddJob(spec *work.Spec) bool {
-	if _, ok := e.jobs[spec.ID]; ok {
+	if j, ok := e.jobs[spec.ID]; ok {
+		if j.state == work.JobWithdrawn {
+			j.state = work.JobCancelled
+			e.touch(j)
+			e.batchNow().isUrgent = true
+		}
 		return false
 	}
 	j := e.newJob(spec)
@@ -149,11 +154,11 @@
 		return
 	}
 	j := e.newJob(spec)
-	j.isKept = true
 	e.jobs[spec.ID] = j
 	if p != nil {
 		e.restore(j, p)
 	}
+	j.isKept = j.state != work.JobWithdrawn
 	if j.state.IsFinal() {
 		return
 	}
@@ -405,15 +410,36 @@
 	b.jobs = append(b.jobs, j)
 }
 
-// Cancel cancels a job. It reports whether there is such a job; the cancelling
-// is kept once the batch that the engine is filling is committed.
+// Cancel cancels a job, whether it is known or not: its submission may still be on
+// its way, or have been refused and be sent again. The cancelling is kept once
+// IsSettledCancel says so, which is when a caller may hear of it. It reports whether
+// there is such a job.
 func (e *Engine) Cancel(id work.JobID) bool {
 	j := e.jobs[id]
 	if j == nil {
-		return false
+		j = e.newJob(&work.Spec{ID: id})
+		e.jobs[id] = j
+		e.withdraw(j)
 	}
 	e.endJob(j, work.JobCancelled, "cancelled by its caller")
-	return true
+	return j.state != work.JobWithdrawn
+}
+
+// withdraw keeps in mind that a job that is not taken was cancelled.
+func (e *Engine) withdraw(j *job) {
+	j.state, j.endedAt = work.JobWithdrawn, e.now
+	e.touch(j)
+	e.batchNow().isUrgent = true
+}
+
+// dropNew drops a job that is certainly not kept. One that was cancelled meanwhile
+// stays withdrawn.
+func (e *Engine) dropNew(j *job) {
+	if j.state.IsFinal() {
+		e.withdraw(j)
+		return
+	}
+	delete(e.jobs, j.spec.ID)
 }
 
 // IsSettledCancel reports whether the final state of a job is kept.
@@ -426,7 +452,7 @@
 func (e *Engine) State(id work.JobID) (work.JobState, bool) {
 	j := e.jobs[id]
 	switch {
-	case j == nil:
+	case j == nil || j.state == work.JobWithdrawn:
 		return "", false
 	case j.state.IsFinal() && (j.isShown || j.isAnnounced):
 		return j.state, true
--- /dev/null
+++ b/internal/dispatch/refused_test.go
@@ -0,0 +1,46 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"testing"
+
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// A new job that was cancelled and then refused stayed in the batch. Handed in
+// again, it was kept as cancelled, without its steps, and yet accepted and run: the
+// next owner knew nothing of it, and its end counted as kept before it was.
+func TestWhatIsKeptOfAJobAgreesWithWhatIsRun(t *testing.T) {
+	e := dispatch.NewEngine(dispatch.Options{})
+	e.Advance(clock.NewFake().Now())
+	e.SetTrusted(true)
+	e.SetQueues([]order.Queue{testQueue})
+	spec := func() *work.Spec {
+		return &work.Spec{ID: "a", Queue: "q", Steps: []work.Step{step(1, 0)}}
+	}
+	e.AddJob(spec())
+	e.Cancel("a")
+	e.RefuseNew()
+	e.AddJob(spec())
+	b := e.TakeBatch()
+	if b == nil {
+		t.Fatal("got: no batch, want: one")
+	}
+	kept := work.JobQueued
+	if p := b.Progress["a"]; p != nil {
+		kept = p.State
+	}
+	e.Committed(b)
+	if got, _ := e.State("a"); got != kept {
+		t.Errorf("the job here: got: %v, want: %v, as it is kept", got, kept)
+	}
+	e.Cancel("a")
+	if kept != work.JobCancelled && e.IsSettledCancel("a") {
+		t.Error("its cancelling: got: settled, want: not yet kept")
+	}
+}
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -51,24 +51,31 @@
 }
 
 func (ev cancelEvent) apply(o *Owner) {
-	isKnown := o.engine.Cancel(ev.id)
-	o.cancels[ev.id] = append(o.cancels[ev.id], ev.reply)
+	isSettled := o.engine.IsSettledCancel(ev.id)
 	switch {
-	case !isKnown:
-		o.answerCancel(ev.id, errNoJob)
-	case o.engine.IsSettledCancel(ev.id):
-		o.answerCancel(ev.id, nil)
+	case !isSettled && !o.isTrusted():
+		ev.reply <- leverdyke.NotRun("this node may not be the owner of the jobs", retryAfter)
+		return
+	case !isSettled && o.handOver != nil:
+		ev.reply <- errLeaving()
+		return
 	}
+	o.engine.Cancel(ev.id)
+	o.cancels[ev.id] = append(o.cancels[ev.id], ev.reply)
+	o.answerCancel(ev.id)
 }
 
-// answerCancel answers those who wait for the cancelling of a job.
-func (o *Owner) answerCancel(id work.JobID, err error) {
-	if len(o.cancels[id]) == 0 {
+// answerCancel answers those who wait for the cancelling of a job once it is kept:
+// only the store can tell that this node still is the owner, and only what is kept
+// outlasts it.
+func (o *Owner) answerCancel(id work.JobID) {
+	if len(o.cancels[id]) == 0 || !o.engine.IsSettledCancel(id) {
 		return
 	}
+	var err error
 	answer := "cancelled"
-	if err != nil {
-		answer = err.Error()
+	if _, isKnown := o.engine.State(id); !isKnown {
+		err, answer = errNoJob, "no such job"
 	}
 	o.options.Log(events.CancelAnswered, "job", id, "answer", answer, "epoch", o.Epoch(), "confirmed", o.now.Sub(o.confirmedAt))
 	o.answer(o.cancels, id, err)
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -116,7 +116,6 @@
 func (o *Owner) refuseNew(why string) {
 	for _, id := range o.engine.RefuseNew() {
 		o.answer(o.submits, id, leverdyke.NotRun(why, outRetry))
-		o.answerCancel(id, errNoJob)
 	}
 }
 
@@ -220,7 +219,6 @@
 		o.engine.Refused(b)
 		for _, spec := range b.Specs {
 			o.answer(o.submits, spec.ID, leverdyke.NotRun("the store does not take new jobs", outRetry))
-			o.answerCancel(spec.ID, errNoJob)
 		}
 		o.refuseNew("the store does not take new jobs")
 		return
@@ -232,8 +230,10 @@
 		o.options.Log(events.JobAccepted, "job", spec.ID, "queue", spec.Queue, "steps", len(spec.Steps), "batch", len(b.Specs), "took", o.now.Sub(o.writingAt))
 	}
 	for id := range b.Progress {
-		if o.engine.IsSettledCancel(id) {
-			o.answerCancel(id, nil)
+		o.answerCancel(id)
+		if o.engine.IsKept(id) {
+			// It was withdrawn before it was handed in.
+			o.answer(o.submits, id, nil)
 		}
 	}
 }
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -13,11 +13,20 @@
 	JobSucceeded JobState = "succeeded"
 	JobFailed    JobState = "failed"
 	JobCancelled JobState = "cancelled"
+	// JobWithdrawn is a job that was cancelled while it was not known, or not taken.
+	// Callers are told that there is none. It never runs: handed in later, it is
+	// cancelled.
+	JobWithdrawn JobState = "withdrawn"
 )
 
-// IsFinal reports whether the state never changes again.
+// IsFinal reports whether no task of the job runs any more.
 func (s JobState) IsFinal() bool {
-	return s == JobSucceeded || s == JobFailed || s == JobCancelled
+	switch s {
+	case JobSucceeded, JobFailed, JobCancelled, JobWithdrawn:
+		return true
+	case JobQueued, JobRunning:
+	}
+	return false
 }
 
 // Failure is one attempt of a task that failed. Worker and run together name the
