internal/owner: pause before a batch that the store refused is sent again

Cause: a batch that the store refuses (503, 429) went out again in the same turn of the loop, over all ways: thousands of appends a second, each with a price and counted for the store's rate.

--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -95,6 +95,9 @@
 		}
 		return
 	}
+	if o.now.Before(o.writeAfter) {
+		return
+	}
 	batch := o.engine.TakeBatch()
 	if batch == nil {
 		return
@@ -216,6 +219,7 @@
 	b := ev.write.batch
 	if !ev.isKept {
 		o.isStoreOut = true
+		o.writeAfter = o.now.Add(writeRetry)
 		o.engine.Refused(b)
 		for _, spec := range b.Specs {
 			o.answer(o.submits, spec.ID, leverdyke.NotRun("the store does not take new jobs", outRetry))
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -52,9 +52,11 @@
 	ahead  aheadGate
 
 	// What follows belongs to the loop.
-	now         time.Time
-	writing     *write
-	writingAt   time.Time
+	now       time.Time
+	writing   *write
+	writingAt time.Time
+	// writeAfter is when the next batch may go out, after one that the store refused.
+	writeAfter  time.Time
 	isStoreOut  bool
 	confirmedAt time.Time
 	offset      uint64
--- /dev/null
+++ b/internal/owner/still_test.go
@@ -0,0 +1,191 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package owner_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/await"
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/store/fakestore"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// stillOwner is an owner whose clock stands still unless the test moves it: it
+// writes its first beat and no further one.
+type stillOwner struct {
+	*owner.Owner
+	clock *clock.Fake
+	// over gets each job that the owner takes as over.
+	over chan work.JobID
+}
+
+func claimedStill(t *testing.T, log *fakestore.Log) *stillOwner {
+	t.Helper()
+	earlier, at, err := owner.ReadRecord(t.Context(), log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if earlier != nil {
+		at++
+	}
+	r := owner.Record{Node: "n", Life: "l", Epoch: at + 1}
+	if _, err := owner.AppendRecord(t.Context(), log, &r, at); err != nil {
+		t.Fatal(err)
+	}
+	o := &stillOwner{clock: clock.NewFake(), over: make(chan work.JobID, 8)}
+	o.Owner = owner.New(owner.Options{
+		Claim: owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: true}, Store: log, Workers: newFakeWorkers(), List: oneWorker{},
+		Lanes: noLanes{}, Clock: o.clock, Metrics: noFigures{}, HasOutage: func() bool { return false }, Strongest: func() float64 { return 1 },
+		Announce: func([]work.JobEnd) {},
+		Log: func(e events.Event, keysAndValues ...any) {
+			if e == events.JobEnded {
+				o.over <- keysAndValues[1].(work.JobID)
+			}
+		},
+	})
+	o.SetQueues(1, []order.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
+	done := make(chan error, 1)
+	go func() { done <- o.Run(context.WithoutCancel(t.Context())) }()
+	t.Cleanup(func() {
+		o.Stop()
+		<-done
+	})
+	await.True(t, "the first beat is kept and the jobs are read", func() bool {
+		beat, _ := o.LastRecord()
+		return beat > 0 && o.IsLoaded()
+	})
+	return o
+}
+
+// result is the outcome of a call in the background.
+type result struct {
+	isKnown bool
+	err     error
+}
+
+func (o *stillOwner) goSubmit(ctx context.Context, id string) <-chan result {
+	ch := make(chan result, 1)
+	go func() { ch <- result{true, o.Submit(ctx, job(id))} }()
+	return ch
+}
+
+func (o *stillOwner) goCancel(ctx context.Context, id string) <-chan result {
+	ch := make(chan result, 1)
+	go func() {
+		ok, err := o.Cancel(ctx, work.JobID(id))
+		ch <- result{ok, err}
+	}()
+	return ch
+}
+
+// until waits for an outcome and lets the owner's time pass meanwhile.
+func (o *stillOwner) until(t *testing.T, what string, ch <-chan result) result {
+	t.Helper()
+	var r result
+	await.True(t, what, func() bool {
+		select {
+		case r = <-ch:
+			return true
+		default:
+			o.clock.Advance(tick)
+			return false
+		}
+	})
+	return r
+}
+
+// tick is the period of the owner's loop.
+const tick = 20 * time.Millisecond
+
+// wantCancelled hands a job in once more, as a caller does whose first try had no
+// answer, and checks that it stays cancelled.
+func wantCancelled(t *testing.T, o *stillOwner, id string) {
+	t.Helper()
+	var err error
+	await.True(t, "the store is found to serve", func() bool {
+		o.clock.Advance(tick)
+		err = o.Submit(t.Context(), job(id))
+		return verdictOf(err) != leverdyke.VerdictNotRun
+	})
+	state, _, _ := o.State(t.Context(), work.JobID(id))
+	if state != work.JobCancelled {
+		t.Errorf("the job, handed in again (%v) after its cancelling was acknowledged: got: %v, want: %v", err, state, work.JobCancelled)
+	}
+}
+
+// A job that the owner refused because the store stalled, cancelled meanwhile, came
+// back with the next try of its submission.
+func TestACancelledJobThatWasRefusedInAStallStaysCancelled(t *testing.T) {
+	log := fakestore.NewLog()
+	o := claimedStill(t, log)
+	entered, keep := make(chan bool), make(chan bool)
+	isFirst := true
+	log.SetFail(func(*store.Append) (error, bool) {
+		if isFirst {
+			isFirst = false
+			close(entered)
+			<-keep
+		}
+		return nil, false
+	})
+	other := o.goSubmit(t.Context(), "b")
+	<-entered
+	submitted := o.goSubmit(t.Context(), "a")
+	await.True(t, "the owner has the job", func() bool {
+		_, ok, _ := o.State(t.Context(), "a")
+		return ok
+	})
+	cancelled := o.goCancel(t.Context(), "a")
+	<-o.over
+	// A stalled append makes the owner refuse new jobs after 0.7 s.
+	o.clock.Advance(800 * time.Millisecond)
+	if got := verdictOf((<-submitted).err); got != leverdyke.VerdictNotRun {
+		t.Fatalf("the first try: got: %v, want: %v", got, leverdyke.VerdictNotRun)
+	}
+	close(keep)
+	if b := o.until(t, "the other job is answered", other); b.err != nil {
+		t.Fatal(b.err)
+	}
+	if c := o.until(t, "the cancelling is answered", cancelled); c.err != nil {
+		t.Fatalf("the cancelling: got: %v, want: acknowledged, as the store serves again", c.err)
+	}
+	wantCancelled(t, o, "a")
+}
+
+// A batch that the store refused was sent again at once, thousands of times a
+// second: each call has a price and counts for the rate at which the store refuses.
+func TestARefusedBatchIsNotSentAgainAtOnce(t *testing.T) {
+	log := fakestore.NewLog()
+	o := claimedStill(t, log)
+	if err := o.Submit(t.Context(), job("a")); err != nil {
+		t.Fatal(err)
+	}
+	appends := atomic.Int64{}
+	log.SetFail(func(*store.Append) (error, bool) {
+		appends.Add(1)
+		return &store.Error{Failure: store.NotDone}, false
+	})
+	cancelled := o.goCancel(t.Context(), "a")
+	<-o.over
+	// The clock stands still: whatever the loop is asked, there is nothing new to send.
+	for range 5000 {
+		_, _, _ = o.State(t.Context(), "a")
+	}
+	if got := appends.Load(); got > 2 {
+		t.Errorf("appends in no time: got: %d, want: 2 at most", got)
+	}
+	log.SetFail(nil)
+	if c := o.until(t, "the cancelling is answered", cancelled); !c.isKnown || c.err != nil {
+		t.Errorf("the cancelling: got: %v, %v, want: acknowledged", c.isKnown, c.err)
+	}
+}
