internal/owner: deny a job only on the store's word

Cause: the same class as the cancellings: an owner that was replaced and still trusts itself (up to 3 s) told callers that there is no such job, though the later owner had accepted it. Change: the question for a job that is not known waits for the next record of the owner in the store, 0.3 s at most while that serves; while it does not, the question is refused at once. Jobs that are known are answered as before.

--- a/internal/owner/cancel_test.go
+++ b/internal/owner/cancel_test.go
@@ -75,6 +75,20 @@
 	}
 }
 
+// As with cancellings: that there is no such job is for the owner to say.
+func TestAnOwnerThatWasReplacedDeniesNoJob(t *testing.T) {
+	first, cut, _ := replaced(t)
+	answered := make(chan error, 1)
+	go func() {
+		_, _, err := first.State(t.Context(), "a")
+		answered <- err
+	}()
+	cut.isCut.Store(false)
+	if err := <-answered; err == nil {
+		t.Error("state at the earlier owner: got: no such job, want: an error")
+	}
+}
+
 // A cancelling may overtake the submission of its job, which a caller may have sent
 // more than once. What was cancelled must not run, whoever owns the shard then.
 func TestACancelOfAnUnknownJobIsKept(t *testing.T) {
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -93,12 +93,37 @@
 }
 
 func (ev stateEvent) apply(o *Owner) {
-	if !o.isTrusted() {
+	state, isKnown := o.engine.State(ev.id)
+	switch {
+	case !o.isTrusted() || !isKnown && o.isStalled():
 		ev.reply <- stateAnswer{err: leverdyke.NotRun("this node may not be the owner of the jobs", retryAfter)}
-		return
+	case !isKnown:
+		o.denials = append(o.denials, denial{ev, o.now})
+	default:
+		ev.reply <- stateAnswer{state: state, isKnown: true}
+	}
+}
+
+// denial is a question for a job that is not known here. A later owner may have the
+// job, so that it is only answered when this node was the owner after askedAt, by the
+// store's word.
+type denial struct {
+	question stateEvent
+	askedAt  time.Time
+}
+
+// answerDenials answers the questions from before confirmedAt.
+func (o *Owner) answerDenials() {
+	waiting := o.denials[:0]
+	for _, d := range o.denials {
+		if d.askedAt.After(o.confirmedAt) {
+			waiting = append(waiting, d)
+			continue
+		}
+		state, isKnown := o.engine.State(d.question.id)
+		d.question.reply <- stateAnswer{state: state, isKnown: isKnown}
 	}
-	state, ok := o.engine.State(ev.id)
-	ev.reply <- stateAnswer{state: state, isKnown: ok}
+	o.denials = waiting
 }
 
 type pendingAnswer struct {
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -320,6 +320,7 @@
 
 func (ev beatEvent) apply(o *Owner) {
 	o.confirmedAt = ev.sentAt
+	o.answerDenials()
 	if o.writing == nil {
 		o.isStoreOut = false
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -63,11 +63,14 @@
 	lag         lagMeter
 	submits     map[work.JobID][]chan error
 	cancels     map[work.JobID][]chan error
-	orders      int
-	totalsAt    time.Time
-	handOver    chan bool
-	handOverAt  time.Time
-	isAhead     bool
+	// denials are questions for jobs that are not known here, until the store confirms
+	// that this node still is the owner.
+	denials    []denial
+	orders     int
+	totalsAt   time.Time
+	handOver   chan bool
+	handOverAt time.Time
+	isAhead    bool
 }
 
 // event is something that happened, for the loop.
@@ -276,6 +279,10 @@
 			delete(waiting, id)
 		}
 	}
+	for _, d := range o.denials {
+		d.question.reply <- stateAnswer{err: errGone()}
+	}
+	o.denials = nil
 }
 
 // ask puts an event and waits for its answer.
--- a/internal/owner/still_test.go
+++ b/internal/owner/still_test.go
@@ -142,7 +142,10 @@
 	<-entered
 	submitted := o.goSubmit(t.Context(), "a")
 	await.True(t, "the owner has the job", func() bool {
-		_, ok, _ := o.State(t.Context(), "a")
+		// That a job is not known is only said after the next beat.
+		ctx, cancel := context.WithTimeout(t.Context(), tick)
+		defer cancel()
+		_, ok, _ := o.State(ctx, "a")
 		return ok
 	})
 	cancelled := o.goCancel(t.Context(), "a")
