--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -36,6 +36,8 @@
 
 	// isUnlogged is what IsUnlogged returns.
 	isUnlogged atomic.Bool
+	// isTrustedNow is what IsTrusted returns.
+	isTrustedNow atomic.Bool
 	// listed is how many workers the list had last.
 	listed atomic.Int64
 	// lagShare is the bits of what Lag returns.
@@ -127,6 +129,7 @@
 	defer context.AfterFunc(ctx, o.cancel)()
 	o.tick()
 	o.confirmedAt = o.now
+	o.isTrustedNow.Store(true)
 	// Reading the jobs may take longer than others wait for a record.
 	o.wg.Add(1)
 	go o.runBeats()
@@ -157,6 +160,10 @@
 		case <-o.ctx.Done():
 			return
 		case ev := <-o.inbox.Out():
+			if o.ctx.Err() != nil {
+				// Another node may be the owner: nothing more is answered.
+				return
+			}
 			o.tick()
 			ev.apply(o)
 			o.drainInbox()
@@ -227,7 +234,9 @@
 // step decides on what has happened.
 func (o *Owner) step() {
 	o.takeQueues()
-	o.engine.SetTrusted(o.isTrusted())
+	isTrusted := o.isTrusted()
+	o.isTrustedNow.Store(isTrusted)
+	o.engine.SetTrusted(isTrusted)
 	if ends := o.engine.Ends(); len(ends) > 0 {
 		o.options.Announce(ends)
 	}
@@ -239,6 +248,10 @@
 	o.finishHandOver()
 }
 
+// IsTrusted reports whether this node may act as the owner: no other one can be it
+// yet. Without that it refuses all that is asked of it.
+func (o *Owner) IsTrusted() bool { return o.isTrustedNow.Load() }
+
 // isTrusted reports whether no other node can be the owner yet, or whether it
 // would have to reach a store that no node reaches.
 func (o *Owner) isTrusted() bool {
--- a/internal/owner/still_test.go
+++ b/internal/owner/still_test.go
@@ -192,3 +192,21 @@
 		t.Errorf("the cancelling: got: %v, %v, want: acknowledged", c.isKnown, c.err)
 	}
 }
+
+// A node that refuses all that is asked of it must not call itself ready: one that
+// was cut off from the store got callers' requests for as long as that lasted.
+func TestAnOwnerThatTheStoreDoesNotConfirmIsNotTrusted(t *testing.T) {
+	log := fakestore.NewLog()
+	o := claimedStill(t, log)
+	if !o.IsTrusted() {
+		t.Error("after a beat: got: not trusted, want: trusted")
+	}
+	log.SetDown(true)
+	o.clock.Advance(owner.TrustPeriod + tick)
+	await.True(t, "it is not trusted", func() bool { return !o.IsTrusted() })
+	log.SetDown(false)
+	await.True(t, "it is trusted again", func() bool {
+		o.clock.Advance(tick)
+		return o.IsTrusted()
+	})
+}
