internal/owner, platform: close the connections of an ownership that ends

A worker takes 64, so that after the sixth term orders got no connection and failed in milliseconds (LD0451). Change: owner.Workers has Close, and an owner calls it when it ends. Before it, Workers.Close was called by a test only.

--- a/internal/cell/node_test.go
+++ b/internal/cell/node_test.go
@@ -48,6 +48,8 @@
 
 func (idle) Stop(context.Context, uint64, *order.Stop) (order.WorkerTime, bool) { return 0, false }
 
+func (idle) Close() {}
+
 func (idle) Pace(context.Context, uint64, *order.Pace) error { return nil }
 
 func (idle) Hold(context.Context, uint64, *order.Hold) (*order.Listing, owner.HoldOutcome) {
--- a/internal/owner/fakes_test.go
+++ b/internal/owner/fakes_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/order"
@@ -24,6 +25,8 @@
 	ends    []order.End
 	began   time.Time
 	told    chan struct{}
+	// isClosed means that the owner has given up its connections.
+	isClosed atomic.Bool
 }
 
 func newFakeWorkers() *fakeWorkers {
@@ -66,6 +69,8 @@
 	return w.at(), true
 }
 
+func (w *fakeWorkers) Close() { w.isClosed.Store(true) }
+
 func (w *fakeWorkers) Pace(context.Context, uint64, *order.Pace) error { return nil }
 
 func (w *fakeWorkers) Hold(ctx context.Context, _ uint64, h *order.Hold) (*order.Listing, owner.HoldOutcome) {
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -38,6 +38,9 @@
 	Stop(ctx context.Context, fence uint64, s *order.Stop) (order.WorkerTime, bool)
 	Hold(ctx context.Context, fence uint64, h *order.Hold) (*order.Listing, HoldOutcome)
 	Pace(ctx context.Context, fence uint64, p *order.Pace) error
+	// Close ends the connections that are kept for later orders. It is called when
+	// the ownership ends: a worker takes connections of a few nodes only.
+	Close()
 }
 
 // List is the platform's list of workers. It is called by one goroutine.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -124,6 +124,7 @@
 
 // Run decides until ctx or Stop ends it, or another node is the owner.
 func (o *Owner) Run(ctx context.Context) error {
+	defer o.options.Workers.Close()
 	defer o.wg.Wait()
 	defer o.cancel()
 	defer context.AfterFunc(ctx, o.cancel)()
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -178,6 +178,7 @@
 		t.Error("got: kept, want: handed over")
 	}
 	<-o.Done()
+	await.True(t, "its connections to workers are closed", workers.isClosed.Load)
 }
 
 // Nobody could claim the shard while the store is out: the owner keeps it.
