internal/dispatch, internal/integration: show that ends told in an outage are lost

The stand-in's oracle notes each final state that a caller was shown; a later start of a task of that job, or another final state, breaks.

--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -88,6 +88,12 @@
 	w.engine.SetTrusted(true)
 }
 
+// losePower replaces the engine after all nodes have lost their memory.
+func (w *world) losePower() {
+	w.announced = nil
+	w.takeOver()
+}
+
 func (w *world) since() time.Duration { return w.clock.Now().Sub(w.begin) }
 
 func (w *world) addWorkers(n int, r leverdyke.Resources) {
--- a/internal/integration/site_test.go
+++ b/internal/integration/site_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -150,6 +151,10 @@
 		if err := json.Unmarshal(body, &answer); err != nil {
 			c.t.Fatal(err)
 		}
+		switch answer.State {
+		case "succeeded", "failed", "cancelled":
+			c.NoteShown(id, answer.State)
+		}
 		return answer.State
 	}
 	return ""
@@ -386,3 +391,63 @@
 	c.awaitReady(c.nodes...)
 	c.awaitAll()
 }
+
+// While the store was out, callers were told that a job had succeeded which only
+// the nodes' memory and one worker knew: when both were gone, its tasks ran again.
+func TestSiteToldEndsSurviveAllNodesAndTheWorker(t *testing.T) {
+	for name, leave := range map[string]func(*site.Worker){
+		"drained": func(w *site.Worker) { w.Drain(); w.Crash() },
+		"crashed": func(w *site.Worker) { w.Crash() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newSiteCell(t, 3, site.Options{Workers: 2})
+			id := c.mustSubmit(small(3, 1500))
+			c.await("its tasks run", func() bool { return c.running() == 3 })
+			c.Store.SetMode(site.StoreBusy)
+			c.awaitLog("job is over", "succeeded")
+			c.awaitLog("owner runs ahead", "ahead=true")
+			c.await("the job's state is told", func() bool { return c.state(id) != "" })
+			for i, w := range c.Workers() {
+				leave(w)
+				if _, err := c.AddWorker(10 + i); err != nil {
+					t.Fatal(err)
+				}
+			}
+			c.losePower()
+			c.awaitState(id, "succeeded")
+		})
+	}
+}
+
+// awaitLog waits until a line of any node's log has all texts.
+func (c *siteCell) awaitLog(texts ...string) {
+	c.t.Helper()
+	c.await(fmt.Sprintf("a node logs %q", texts), func() bool {
+		for _, n := range c.nodes {
+			for line := range strings.Lines(n.Log()) {
+				if !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) }) {
+					return true
+				}
+			}
+		}
+		return false
+	})
+}
+
+// losePower ends all nodes at once, and starts them again when the store is back.
+func (c *siteCell) losePower() {
+	c.t.Helper()
+	for _, n := range c.nodes {
+		c.signal(n, syscall.SIGKILL)
+	}
+	for _, n := range c.nodes {
+		<-n.Done()
+	}
+	c.Store.SetMode(site.StoreUp)
+	for _, n := range c.nodes {
+		if err := n.Start(); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+	c.awaitReady(c.nodes...)
+}
--- a/internal/standin/site/oracle.go
+++ b/internal/standin/site/oracle.go
@@ -20,12 +20,14 @@
 	good       map[string][]*goodEnd
 	startCount int
 	// jobs are those of which a task began.
-	jobs   map[string]bool
+	jobs map[string]bool
+	// told has, by job, the final state that a caller was shown: it holds for good.
+	told   map[string]string
 	broken []string
 }
 
 func newOracle() *Oracle {
-	return &Oracle{places: map[string][]string{}, good: map[string][]*goodEnd{}, jobs: map[string]bool{}}
+	return &Oracle{places: map[string][]string{}, good: map[string][]*goodEnd{}, jobs: map[string]bool{}, told: map[string]string{}}
 }
 
 // began notes a start; the worker's lock is held.
@@ -35,6 +37,9 @@
 	o.startCount++
 	job, _, _ := strings.Cut(task, ".")
 	o.jobs[job] = true
+	if state := o.told[job]; state != "" {
+		o.broken = append(o.broken, fmt.Sprintf("%s starts on %s after its job was shown as %s", task, w.id, state))
+	}
 	if on := o.places[task]; len(on) > 0 {
 		o.broken = append(o.broken, fmt.Sprintf("%s starts on %s while it runs on %v", task, w.id, on))
 	}
@@ -106,6 +111,16 @@
 	}
 }
 
+// shown notes the final state of a job that a caller was shown.
+func (o *Oracle) shown(job, state string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if before := o.told[job]; before != "" && before != state {
+		o.broken = append(o.broken, fmt.Sprintf("%s is shown as %s after %s", job, state, before))
+	}
+	o.told[job] = state
+}
+
 func (o *Oracle) breaks(what string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -243,6 +243,10 @@
 // HasRun reports whether any task of a job ever began.
 func (s *Site) HasRun(job string) bool { return s.oracle.hasRun(job) }
 
+// NoteShown notes the final state of a job that a caller was shown. A start of one
+// of its tasks from then on counts as broken.
+func (s *Site) NoteShown(job, state string) { s.oracle.shown(job, state) }
+
 // Starts returns how many runs began.
 func (s *Site) Starts() int { return s.oracle.starts() }
 
