internal/dispatch: tell ends of jobs only when they are kept

All nodes' memory and the worker with the end can go in one outage; nothing but the store survives both. Change: a final state is told when the batch with it is in the store, always. Starting tasks and next steps ahead of the store stays, and so do the mark and the age by which the next owner knows of them.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -141,14 +141,10 @@
 		return
 	}
 	n.yieldIfUnfit(o)
-	isUnlogged := o.IsUnlogged()
-	if !isUnlogged {
-		n.forgetEnds()
-	}
 	record, keptAt := o.LastRecord()
 	age := n.options.Clock.Now().Sub(keptAt)
 	for _, p := range n.peers.all() {
-		p.conn.Notify(kindBeat, beat{o.Epoch(), record, age, version, isUnlogged})
+		p.conn.Notify(kindBeat, beat{o.Epoch(), record, age, version, o.IsUnlogged()})
 	}
 }
 
--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/leverdyke/leverdyke/internal/link"
 	"github.com/leverdyke/leverdyke/internal/owner"
-	"github.com/leverdyke/leverdyke/internal/work"
 )
 
 // OwnerWatch lets tests drive an ownerWatch.
@@ -57,12 +56,6 @@
 	return n.ownerLink != nil
 }
 
-// Announce tells the followers that jobs are over.
-func (n *Node) Announce(list []work.JobEnd) { n.announce(list) }
-
-// Announced returns the announced ends that the node remembers.
-func (n *Node) Announced() []work.JobEnd { return n.announced() }
-
 // IsUnlogged reports whether this node owns the shard and runs ahead of the store.
 func (n *Node) IsUnlogged() bool {
 	n.mu.Lock()
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -26,8 +26,6 @@
 	kindBeat link.Kind = "beat"
 	// kindAlive is a follower's: alive.
 	kindAlive link.Kind = "alive"
-	// kindEnds is the owner's notification that jobs are over: ends.
-	kindEnds link.Kind = "ends"
 	// kindConfig asks for the configuration in force: empty, configMessage.
 	kindConfig link.Kind = "config"
 	// kindClaim asks a follower to become the owner: empty, empty.
@@ -57,20 +55,13 @@
 	Age time.Duration
 	// Strength is how many processors the node has.
 	Strength float64
-	// Ends are ends of jobs that earlier owners announced and may not have kept.
-	Ends []work.JobEnd
 }
 
-// ends are ends of jobs that are not kept yet.
-type ends struct{ Ends []work.JobEnd }
-
 // welcome is the answer to hello.
 type welcome struct {
 	Life    string
 	IsOwner bool
 	Epoch   uint64
-	// Ends are ends of jobs that the owner has announced and may not have kept.
-	Ends []work.JobEnd
 }
 
 // beat is sent by the owner.
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -119,8 +119,6 @@
 	// unloggedEpoch is that of the owner if it runs ahead of the store, by its last
 	// beat.
 	unloggedEpoch uint64
-	// ends are ends of jobs that owners announced before they could keep them.
-	ends map[work.JobID]work.JobState
 	// claimed has the epochs that this process has acted on.
 	claimed uint64
 	wg      sync.WaitGroup
@@ -147,7 +145,7 @@
 	n := &Node{
 		options: options, listener: l, ctx: ctx, cancel: cancel, startedAt: options.Clock.Now(),
 		log: options.NewStore(options.Direct), peers: newPeers(options.Clock), takeOver: make(chan struct{}, 1),
-		changed: make(chan struct{}), ends: map[work.JobID]work.JobState{},
+		changed: make(chan struct{}),
 	}
 	n.detour = detour.New(options.Direct, n.peers, options.Clock)
 	n.wg.Add(5)
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -84,7 +84,7 @@
 		n.claim(nil, at, false)
 	case r.Node == n.options.Name && r.Life == n.options.Life && r.Epoch > n.claimed:
 		// The answer to this node's claim was lost.
-		n.become(owner.Claim{Record: *r, Offset: at, Earlier: r, IsExact: !r.IsUnlogged, Ends: n.announced()})
+		n.become(owner.Claim{Record: *r, Offset: at, Earlier: r, IsExact: !r.IsUnlogged})
 	case r.Node == n.options.Name:
 		n.claim(r, at+1, true)
 	default:
@@ -118,7 +118,7 @@
 		}
 		return
 	}
-	n.become(owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: !r.IsUnlogged, IsOver: isOver, Ends: n.announced()})
+	n.become(owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: !r.IsUnlogged, IsOver: isOver})
 }
 
 const (
@@ -174,7 +174,6 @@
 		Claim: c, Store: n.options.NewStore(n.detour), Workers: workers, List: list, Lanes: &lanes{n},
 		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasOutage: n.detour.HasOutage, NodeZone: n.options.Zone,
 		StopTime: n.options.StopTime, Heartbeat: n.options.Heartbeat, Strongest: n.strongestKnown,
-		Announce: n.announce,
 	})
 	n.mu.Lock()
 	n.claimed = c.Record.Epoch
@@ -256,7 +255,6 @@
 		return nil, notEnded
 	}
 	if w.IsOwner && w.Epoch == r.Epoch {
-		n.remember(w.Ends)
 		return conn, notEnded
 	}
 	conn.Close()
@@ -269,7 +267,7 @@
 func (n *Node) hello() hello {
 	return hello{
 		Name: n.options.Name, Zone: n.options.Zone, Addr: n.options.AdvertiseAddr, Life: n.options.Life,
-		Age: n.options.Clock.Now().Sub(n.startedAt), Strength: n.options.Strength, Ends: n.announced(),
+		Age: n.options.Clock.Now().Sub(n.startedAt), Strength: n.options.Strength,
 	}
 }
 
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -109,9 +109,8 @@
 	n.mu.Unlock()
 	w := &welcome{Life: n.options.Life}
 	if o != nil {
-		w.IsOwner, w.Epoch, w.Ends = true, o.Epoch(), n.announced()
+		w.IsOwner, w.Epoch = true, o.Epoch()
 		n.peers.add(h, from)
-		o.TakeEnds(h.Ends)
 	}
 	return w, nil
 }
@@ -180,11 +179,6 @@
 			n.notePeerVersion(from, a.ConfigVersion)
 			n.mu.Unlock()
 		}
-	case kindEnds:
-		e := ends{}
-		if codec.Unmarshal(body, &e) == nil {
-			n.remember(e.Ends)
-		}
 	default:
 		n.options.Log(events.BadFrame, "kind", kind)
 	}
@@ -200,8 +194,6 @@
 	n.unloggedEpoch = 0
 	if b.IsUnlogged {
 		n.unloggedEpoch = b.Epoch
-	} else {
-		clear(n.ends)
 	}
 	n.notePeerVersion(from, b.ConfigVersion)
 }
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -87,7 +87,7 @@
 	if e.jobs[j.spec.ID] != j || !state.IsFinal() {
 		return
 	}
-	e.setShown(j)
+	j.isShown = true
 	j.isKept = j.isKept || state != work.JobWithdrawn
 }
 
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -98,10 +98,6 @@
 	isUnlogged bool
 	// unkept counts attempts that were ordered and whose places are not kept yet.
 	unkept int
-	// ends are ends of jobs to announce; unshown counts announced ones that are not
-	// kept yet.
-	ends    []work.JobEnd
-	unshown int
 	// allAnswer is what AllAnswer returns.
 	allAnswer bool
 	batch     *Batch
@@ -154,9 +150,9 @@
 	e.isDirty = true
 }
 
-// SetUnlogged says whether starts are ordered, and the ends of jobs told to
-// callers, before they are kept, which is for a store that is slow or out. What an
-// owner that does so had started is not known to the next one while HasUnkept.
+// SetUnlogged says whether starts are ordered before their places are kept, which
+// is for a store that is slow or out. What an owner that does so had started is not
+// known to the next one while HasUnkept. Ends are told only when they are kept.
 func (e *Engine) SetUnlogged(isUnlogged bool) {
 	if e.isUnlogged == isUnlogged {
 		return
@@ -172,9 +168,6 @@
 			}
 		}
 	}
-	for _, j := range e.jobs {
-		e.announce(j)
-	}
 }
 
 // AllAnswer reports whether all workers had told what they run, and none was
@@ -182,8 +175,8 @@
 func (e *Engine) AllAnswer() bool { return e.allAnswer }
 
 // HasUnkept reports whether tasks may run in places that are not kept, by this
-// owner's orders or by an earlier one's, or ends of jobs are told that are not.
-func (e *Engine) HasUnkept() bool { return e.unkept > 0 || e.unshown > 0 || e.inherited != nil }
+// owner's orders or by an earlier one's.
+func (e *Engine) HasUnkept() bool { return e.unkept > 0 || e.inherited != nil }
 
 // Counts returns the totals.
 func (e *Engine) Counts() Counts { return e.counts }
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -31,8 +31,6 @@
 	// isShown means that the final state is in the store; until then callers are
 	// told that the job runs.
 	isShown bool
-	// isAnnounced means that other nodes know the final state, before it is kept.
-	isAnnounced bool
 	// isInherited means that an earlier owner may have started tasks of it.
 	isInherited bool
 	isDirty     bool
@@ -383,9 +381,6 @@
 	}
 	j.state, j.endedAt = state, e.now
 	e.touch(j)
-	if e.isUnlogged {
-		e.announce(j)
-	}
 	e.batchNow().isUrgent = true
 	e.isDirty = true
 	e.options.Log(events.JobEnded, "job", j.spec.ID, "state", state, "why", why, "took", e.now.Sub(j.acceptedAt), "attempts", j.attempts)
@@ -454,7 +449,7 @@
 	switch {
 	case j == nil || j.state == work.JobWithdrawn:
 		return "", false
-	case j.state.IsFinal() && (j.isShown || j.isAnnounced):
+	case j.state.IsFinal() && j.isShown:
 		return j.state, true
 	case j.hasBegun || j.state.IsFinal():
 		return work.JobRunning, true
--- a/internal/dispatch/told_test.go
+++ b/internal/dispatch/told_test.go
@@ -34,7 +34,7 @@
 			for i := range 3 {
 				w.crash(order.WorkerID(fmt.Sprintf("w%02d", i)), fmt.Sprintf("x%02d", i))
 			}
-			w.losePower()
+			w.takeOver()
 			w.isOut = false
 			w.run(20 * time.Second)
 			expectState(t, w, "a", tc.want)
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -49,9 +49,8 @@
 	isInexact bool
 	// runsAhead makes the engine run ahead of the store while that is out.
 	runsAhead bool
-	// announced are ends that the other nodes remember, told what callers know.
-	announced []work.JobEnd
-	told      map[work.JobID]work.JobState
+	// told is what callers know.
+	told map[work.JobID]work.JobState
 }
 
 type letter struct {
@@ -73,7 +72,8 @@
 
 var testQueue = order.Queue{Name: "q", Service: "pool", MaxAttempts: 3}
 
-// takeOver replaces the engine by one of a new owner that knows what the store has.
+// takeOver replaces the engine by one of a new owner that knows what the store has:
+// nothing else outlasts the nodes.
 func (w *world) takeOver() {
 	w.fence++
 	isExact := !w.isInexact && (w.engine == nil || !w.engine.HasUnkept())
@@ -84,16 +84,9 @@
 		w.engine.RestoreJob(w.specs[id], w.progress[id])
 	}
 	w.engine.Inherit(w.clock.Now().Add(10*time.Second), isExact, len(w.list()))
-	w.engine.TakeEnds(w.announced)
 	w.engine.SetTrusted(true)
 }
 
-// losePower replaces the engine after all nodes have lost their memory.
-func (w *world) losePower() {
-	w.announced = nil
-	w.takeOver()
-}
-
 func (w *world) since() time.Duration { return w.clock.Now().Sub(w.begin) }
 
 func (w *world) addWorkers(n int, r leverdyke.Resources) {
@@ -161,7 +154,6 @@
 	}
 	w.engine.SetWorkers(w.list(), true)
 	w.engine.SetUnlogged(w.isOut && w.runsAhead)
-	w.announced = append(w.announced, w.engine.Ends()...)
 	w.engine.Tick()
 	w.engine.Decide()
 	for _, a := range w.engine.Actions() {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -67,7 +67,6 @@
 	OwnerUnfit       = add(312, "owner is too slow and hands over", LevelWarning)
 	InheritedSettled = add(465, "what an earlier owner started on a worker is over", LevelInfo)
 	DoubtOver        = add(468, "no task can run where nobody knows any more", LevelInfo)
-	EndsDropped      = add(469, "ends of jobs are not remembered: there are too many", LevelWarning)
 	Totals           = add(466, "totals of the owner", LevelInfo)
 	StartsUnlogged   = add(309, "owner runs ahead of the store, or no longer", LevelWarning)
 	VMListFailed     = add(310, "list of VMs does not answer", LevelWarning)
--- a/internal/owner/ahead.go
+++ b/internal/owner/ahead.go
@@ -21,8 +21,7 @@
 )
 
 // aheadGate decides when an owner may run ahead of the store: start tasks before
-// their places are kept, and tell ends of jobs before these are. The next owner
-// must be able to know it. So either the owner's newest record in the store has
+// their places are kept. The next owner must be able to know it. So either the owner's newest record in the store has
 // a mark, or its newest record without one is older than PlainAge. Not safe for
 // concurrent use.
 type aheadGate struct {
--- a/internal/owner/ahead_test.go
+++ b/internal/owner/ahead_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/leverdyke/leverdyke/internal/await"
 	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/store/fakestore"
@@ -68,44 +69,48 @@
 	}
 }
 
-// Jobs whose last task ended while the store was out were late by what was left
-// of the outage.
-func TestAJobEndsWhileTheStoreIsOut(t *testing.T) {
-	log, workers := fakestore.NewLog(), newFakeWorkers()
-	release := make(chan struct{})
-	workers.gate = release
-	o := claimed(t, log, workers)
-	if err := o.Submit(t.Context(), &work.Spec{ID: "a", Queue: "q", Steps: []work.Step{{Count: 1, MayMiss: -1}, {Count: 1, MayMiss: -1, After: []int{0}}}}); err != nil {
-		t.Fatal(err)
-	}
-	log.SetFail(func(*store.Append) (error, bool) { return &store.Error{Failure: store.NotDone}, false })
-	log.SetDown(true)
-	close(release)
-	awaitState(t, o, "a", work.JobSucceeded)
-	if !o.IsUnlogged() {
-		t.Error("the owner: got: all is kept, want: the next owner must not rely on it")
-	}
-	log.SetFail(nil)
-	log.SetDown(false)
-	await.True(t, "all is kept", func() bool { return !o.IsUnlogged() })
-	awaitState(t, o, "a", work.JobSucceeded)
-}
-
-// A worker left with the ends that it had listed, the owner ended, and the next
-// one ran tasks of a job again that its caller had been told to have succeeded.
-func TestAnAnnouncedEndHoldsAtTheNextOwner(t *testing.T) {
-	log, workers := fakestore.NewLog(), newFakeWorkers()
-	workers.gate = make(chan struct{})
-	first := claimed(t, log, workers)
-	if err := first.Submit(t.Context(), job("a")); err != nil {
-		t.Fatal(err)
-	}
-	idle := newFakeWorkers()
-	idle.gate = make(chan struct{})
-	second := claimed(t, log, idle)
-	second.TakeEnds([]work.JobEnd{{Job: "a", State: work.JobSucceeded}, {Job: "b", State: work.JobSucceeded}})
-	awaitState(t, second, "a", work.JobSucceeded)
-	if _, ok, _ := second.State(t.Context(), "b"); ok {
-		t.Error("a job that nobody handed in: got: known, want: not known")
+// While the store was out, ends of jobs were told that it did not have: a worker
+// left with the ends, all nodes lost their memory, and the next owner ran the tasks
+// again. The next step starts ahead of the store, but a job's end waits for it.
+func TestAJobsEndIsToldOnlyOnceItIsKept(t *testing.T) {
+	for name, isBack := range map[string]bool{"the store is back": true, "all memory and the worker are lost": false} {
+		t.Run(name, func(t *testing.T) {
+			log, workers := fakestore.NewLog(), newFakeWorkers()
+			release, ended := make(chan struct{}), make(chan struct{})
+			workers.gate = release
+			o := claimedWith(t, log, workers, func(e events.Event, _ ...any) {
+				if e == events.JobEnded {
+					close(ended)
+				}
+			})
+			if err := o.Submit(t.Context(), &work.Spec{ID: "a", Queue: "q", Steps: []work.Step{{Count: 1, MayMiss: -1}, {Count: 1, MayMiss: -1, After: []int{0}}}}); err != nil {
+				t.Fatal(err)
+			}
+			log.SetFail(func(*store.Append) (error, bool) { return &store.Error{Failure: store.NotDone}, false })
+			log.SetDown(true)
+			close(release)
+			<-ended
+			if got, _, err := o.State(t.Context(), "a"); err != nil || got != work.JobRunning {
+				t.Errorf("the state while its end is not kept: got: %v, %v, want: %v", got, err, work.JobRunning)
+			}
+			if !o.IsUnlogged() {
+				t.Error("the owner: got: all is kept, want: the next owner must not rely on it")
+			}
+			if !isBack {
+				o.Stop()
+				<-o.Done()
+				workers = newFakeWorkers()
+			}
+			log.SetFail(nil)
+			log.SetDown(false)
+			if !isBack {
+				o = claimed(t, log, workers)
+			}
+			awaitState(t, o, "a", work.JobSucceeded)
+			await.True(t, "all is kept", func() bool { return !o.IsUnlogged() })
+			if got := len(workers.starts); got != 2 {
+				t.Errorf("starts at the worker that is left: got: %d, want: 2", got)
+			}
+		})
 	}
 }
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -160,10 +160,6 @@
 	o.engine.SetWorkers(ev.list, ev.isCertain)
 }
 
-type endsEvent struct{ ends []work.JobEnd }
-
-func (ev endsEvent) apply(o *Owner) { o.engine.TakeEnds(ev.ends) }
-
 type startEvent struct {
 	start   order.Start
 	outcome order.StartOutcome
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -55,7 +55,6 @@
 		}
 		o.engine.Inherit(o.now.Add(bound), o.options.Claim.IsExact, earlier.Listed)
 	}
-	o.engine.TakeEnds(o.options.Claim.Ends)
 	o.options.Log(events.JobsLoaded, "epoch", o.Epoch(), "jobs", len(jobs), "records", len(newest.Records), "end", newest.End, "took", o.now.Sub(began))
 	return 1, nil
 }
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -74,8 +74,6 @@
 	// IsExact means that the earlier owner is known to have kept the place of each
 	// task before it ordered the start.
 	IsExact bool
-	// Ends are ends of jobs that earlier owners announced and may not have kept.
-	Ends []work.JobEnd
 	// IsOver means that the earlier owner is known to have stopped: it renews no
 	// lease any more.
 	IsOver bool
@@ -97,9 +95,7 @@
 	// HasOutage reports whether most nodes are linked to this one and none reaches
 	// the store. Then no other node can become owner, and this one goes on.
 	HasOutage func() bool
-	// Announce tells the other nodes that jobs are over, before that is kept.
-	Announce func(ends []work.JobEnd)
-	NodeZone string
+	NodeZone  string
 	// StopTime is the longest that a worker takes to stop a task.
 	StopTime time.Duration
 	// Heartbeat is the time between two heartbeats of a worker; 0 when not known.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -210,7 +210,7 @@
 }
 
 // runAhead finds out whether the store is slow or out, and whether tasks are
-// started and ends told without waiting for it.
+// started without waiting for it.
 func (o *Owner) runAhead() {
 	isSlow := o.isStoreOut || o.writing != nil && o.now.Sub(o.writingAt) > slowAppend || o.now.Sub(o.confirmedAt) > overdueBeat
 	hasUnkept := o.engine.HasUnkept()
@@ -238,9 +238,6 @@
 	isTrusted := o.isTrusted()
 	o.isTrustedNow.Store(isTrusted)
 	o.engine.SetTrusted(isTrusted)
-	if ends := o.engine.Ends(); len(ends) > 0 {
-		o.options.Announce(ends)
-	}
 	o.engine.Decide()
 	for _, a := range o.engine.Actions() {
 		o.carryOut(a)
@@ -365,9 +362,6 @@
 	return a.count, err
 }
 
-// TakeEnds takes ends of jobs that an earlier owner announced.
-func (o *Owner) TakeEnds(ends []work.JobEnd) { o.put(endsEvent{ends}) }
-
 // SetQueues puts a configuration in force, unless a later one is.
 func (o *Owner) SetQueues(version uint64, queues []order.Queue) {
 	o.mu.Lock()
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -11,6 +11,7 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/await"
 	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store"
@@ -20,6 +21,12 @@
 
 // claimed claims the shard and returns an owner that runs.
 func claimed(t *testing.T, log store.Log, workers *fakeWorkers) *owner.Owner {
+	t.Helper()
+	return claimedWith(t, log, workers, nil)
+}
+
+// claimedWith is claimed with a taker of log lines.
+func claimedWith(t *testing.T, log *fakestore.Log, workers *fakeWorkers, logged func(events.Event, ...any)) *owner.Owner {
 	t.Helper()
 	earlier, at, err := owner.ReadRecord(t.Context(), log)
 	if err != nil {
@@ -35,7 +42,7 @@
 	o := owner.New(owner.Options{
 		Claim: owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: true}, Store: log, Workers: workers, List: oneWorker{},
 		Lanes: noLanes{}, Clock: clock.Real{}, Metrics: noFigures{}, HasOutage: func() bool { return false }, Strongest: func() float64 { return 1 },
-		Announce: func([]work.JobEnd) {},
+		Log: logged,
 	})
 	o.SetQueues(1, []order.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
 	done := make(chan error, 1)
--- a/internal/owner/still_test.go
+++ b/internal/owner/still_test.go
@@ -46,7 +46,6 @@
 	o.Owner = owner.New(owner.Options{
 		Claim: owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: true}, Store: log, Workers: newFakeWorkers(), List: oneWorker{},
 		Lanes: noLanes{}, Clock: o.clock, Metrics: noFigures{}, HasOutage: func() bool { return false }, Strongest: func() float64 { return 1 },
-		Announce: func([]work.JobEnd) {},
 		Log: func(e events.Event, keysAndValues ...any) {
 			if e == events.JobEnded {
 				o.over <- keysAndValues[1].(work.JobID)
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -71,13 +71,6 @@
 	p.Done[i/8] |= 1 << (i % 8)
 }
 
-// JobEnd is the end of a job.
-type JobEnd struct {
-	Job JobID
-	// State is a final one.
-	State JobState
-}
-
 // Progress is what must last of a job beside its Spec.
 type Progress struct {
 	State JobState
