internal/integration: let the soak play blackouts

Change: a blackout (the store busy or silent for 1.5 to 4 s; one to four workers that drain in it and leave within a second; SIGKILL to all nodes at once between the outage's middle and 0.5 s after it) is one in six faults of seeds from 800 on; others may begin before it is over. Callers ask random nodes for all accepted jobs every 40 ms, and the oracle fails at a start, or another final state, after a job was shown as over.

--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -4,6 +4,7 @@
 package integration_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -27,16 +28,24 @@
 // 1: a listing asked for before a start took the attempt for missing.
 // 322: a question about workers that failed was not asked again in an idle cell.
 // 328: a SIGHUP right after the start ended a node.
-var soakSeeds = []uint64{1, 322, 328}
+// 802, 807: tasks ran again after their job was told to have succeeded while the
+// store was out; a worker had left with the end, and all nodes had lost power.
+// From blackoutSeeds on seeds play blackouts too; the earlier ones play what they did.
+var soakSeeds = []uint64{1, 322, 328, 802, 807}
 
 // soak is a cell under random faults: signals to nodes, proxies between nodes, to
 // the store and to workers, clocks that differ, and a store that misbehaves.
 type soak struct {
 	*siteCell
 	rng *rand.Rand
+	// hasBlackouts means that outages of the store with workers that leave and a loss
+	// of all nodes are among the faults.
+	hasBlackouts bool
 
 	mu      sync.Mutex
 	proxies map[string]*toxiproxy.Proxy
+	// asked are accepted jobs that were not shown as over yet.
+	asked []string
 	// later are the ends of faults, by when they are due.
 	later []soakEnd
 	// refused are jobs of which each answer said that they were not taken.
@@ -51,6 +60,16 @@
 // maxClockShift is how far, in ms, the time of day of a node may be off.
 const maxClockShift = 3000
 
+// blackoutSeeds is the first seed that plays blackouts: of earlier ones the course
+// of faults is left as it was when they failed.
+const blackoutSeeds = 800
+
+// blackoutShare is one in how many faults is a blackout, where the seed has them.
+const blackoutShare = 6
+
+// askPause is the time between two rounds in which callers ask for their jobs.
+const askPause = 40 * time.Millisecond
+
 type soakEnd struct {
 	at  time.Time
 	end func()
@@ -80,6 +99,7 @@
 
 func runSoak(t *testing.T, seed uint64, length time.Duration) {
 	s := &soak{rng: rand.New(rand.NewPCG(seed, 2)), proxies: map[string]*toxiproxy.Proxy{}, restarting: map[*site.Node]bool{}, version: 1, born: 100}
+	s.hasBlackouts = seed >= blackoutSeeds
 	s.siteCell = newSiteCell(t, 3, site.Options{Workers: 6, HasAdvice: seed%2 == 0, Via: s.via})
 	lasting := small(2, 0)
 	lasting.Perpetual = true
@@ -90,6 +110,7 @@
 			t.Logf("actions:\n%s", strings.Join(s.actions, "\n"))
 		}
 	})
+	s.startAsking(seed)
 	s.play(length)
 	s.heal()
 	s.awaitAll()
@@ -147,6 +168,10 @@
 		defer close(done)
 		if id, status := s.submit(node, "", small(1+s.rng.IntN(3), float64(100+s.rng.IntN(900))), second); status == http.StatusServiceUnavailable {
 			s.refused = append(s.refused, id)
+		} else if status == http.StatusOK {
+			s.mu.Lock()
+			s.asked = append(s.asked, id)
+			s.mu.Unlock()
 		}
 	}()
 	// A paused node answers when it goes on; one end of a fault may be what it
@@ -161,6 +186,48 @@
 	}
 }
 
+// startAsking lets callers ask for their jobs all the time. The oracle notes what
+// they are shown, so that a start after a job was shown as over is found.
+func (s *soak) startAsking(seed uint64) {
+	done := make(chan struct{})
+	go s.runAsking(s.t.Context(), rand.New(rand.NewPCG(seed, 3)), done)
+	s.t.Cleanup(func() { <-done })
+}
+
+func (s *soak) runAsking(ctx context.Context, rng *rand.Rand, done chan<- struct{}) {
+	defer close(done)
+	ticker := time.NewTicker(askPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		s.mu.Lock()
+		ids := slices.Clone(s.asked)
+		s.mu.Unlock()
+		over := map[string]bool{}
+		for _, id := range ids {
+			over[id] = s.ask(ctx, s.nodes[rng.IntN(len(s.nodes))], id)
+		}
+		s.mu.Lock()
+		s.asked = slices.DeleteFunc(s.asked, func(id string) bool { return over[id] })
+		s.mu.Unlock()
+	}
+}
+
+// askTimeout is the patience of a caller that asks: a node that is paused or cut off
+// does not hold up the questions to others.
+const askTimeout = 100 * time.Millisecond
+
+// ask asks one node for a job and reports whether it is shown as over.
+func (s *soak) ask(ctx context.Context, n *site.Node, id string) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	return isFinal(s.stateAt(ctx, n, id))
+}
+
 // until ends a fault after a while.
 func (s *soak) until(d time.Duration, end func()) {
 	s.later = append(s.later, soakEnd{time.Now().Add(d), end})
@@ -202,7 +269,10 @@
 
 // heal ends all faults.
 func (s *soak) heal() {
-	s.endFaults(time.Now().Add(time.Hour))
+	// The end of one may be the begin of the next.
+	for len(s.later) > 0 {
+		s.endFaults(time.Now().Add(time.Hour))
+	}
 	s.startEnded()
 	s.Store.SetMode(site.StoreUp)
 	s.awaitReady(s.nodes...)
@@ -216,6 +286,10 @@
 func (s *soak) fault() {
 	node := s.nodes[s.rng.IntN(len(s.nodes))]
 	lasts := time.Duration(300+s.rng.IntN(4000)) * time.Millisecond
+	if s.hasBlackouts && s.rng.IntN(blackoutShare) == 0 {
+		s.blackout()
+		return
+	}
 	switch s.rng.IntN(10) {
 	case 0:
 		s.restart(node, syscall.SIGKILL, lasts/2)
@@ -250,6 +324,51 @@
 	}
 }
 
+// blackout plays an outage of the store in which workers drain and leave and, at any
+// moment of it or just after, all nodes lose power at once. Others may begin before
+// it is over.
+func (s *soak) blackout() {
+	mode := []site.StoreMode{site.StoreBusy, site.StoreSilent}[s.rng.IntN(2)]
+	lasts := s.between(1500*time.Millisecond, 4*time.Second)
+	s.note("blackout: store %s for %v", mode, lasts)
+	s.Store.SetMode(mode)
+	s.until(lasts, func() { s.Store.SetMode(site.StoreUp) })
+	for range 1 + s.rng.IntN(4) {
+		drains := s.between(0, lasts)
+		leaves := drains + s.between(0, time.Second)
+		s.until(drains, func() {
+			w := s.liveWorker()
+			s.note("blackout: a worker drains, and leaves %v later", leaves-drains)
+			w.Drain()
+			s.until(leaves-drains, func() { s.replaceWorker(w) })
+		})
+	}
+	s.until(s.between(lasts/2, lasts+500*time.Millisecond), func() {
+		s.note("blackout: all nodes lose power")
+		back := s.between(300*time.Millisecond, 1500*time.Millisecond)
+		for _, n := range s.nodes {
+			s.restart(n, syscall.SIGKILL, back)
+		}
+	})
+}
+
+// between returns a random time of at least a and less than b.
+func (s *soak) between(a, b time.Duration) time.Duration {
+	return a + time.Duration(s.rng.Int64N(int64(b-a)))
+}
+
+// replaceWorker ends a worker, unless it has ended meanwhile; another takes its place.
+func (s *soak) replaceWorker(w *site.Worker) {
+	if w.IsDead() {
+		return
+	}
+	w.Crash()
+	s.born++
+	if _, err := s.AddWorker(s.born); err != nil {
+		s.t.Error(err)
+	}
+}
+
 // restart ends a node's process, if it runs, and starts it again.
 func (s *soak) restart(n *site.Node, sig syscall.Signal, after time.Duration) {
 	s.note("%v to %s, back after %v", sig, n.Name, after)
@@ -291,11 +410,7 @@
 // crashWorker ends a worker's life; another worker takes its place.
 func (s *soak) crashWorker() {
 	s.note("a worker crashes")
-	s.liveWorker().Crash()
-	s.born++
-	if _, err := s.AddWorker(s.born); err != nil {
-		s.t.Error(err)
-	}
+	s.replaceWorker(s.liveWorker())
 }
 
 // toxic harms a random proxy: delays it, resets it, or silences one direction.
