internal/standin/site: give each test run addresses that no other has

Cause: nodes got addresses by the process ID modulo 250. A soak and a trial that ran beside it failed with nodes that ended by themselves and jobs that never ran. Two runs that were made to share the number on a scratch copy fail in the same way (tasks that were "never handed in", "its tasks run: not within 40s"). Change: a process holds one of 250 slots by listening at an address of it; the kernel frees it with the process. An older run without slots beside a new one can still meet it.

--- a/internal/standin/site/node.go
+++ b/internal/standin/site/node.go
@@ -6,13 +6,16 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -63,16 +66,52 @@
 // nodes counts the nodes of this process.
 var nodes atomic.Uint32
 
-// nextAddr returns an address of loopback that no other node of this process has,
-// and hardly one of another process.
-func nextAddr() string {
+const (
+	// slots is how many processes may have nodes on this machine, each with addresses
+	// of its own: 127.2 to 127.251.
+	slots = 250
+	// slotPort is where a process holds its slot as long as it lives.
+	slotPort = 7700
+)
+
+// slot is the slot of this process.
+var slot = sync.OnceValues(claimSlot)
+
+// slotOf is a slot that is held by a listener: the kernel gives it up with the
+// process, whatever ends that.
+type slotOf struct {
+	number   int
+	listener net.Listener
+}
+
+// claimSlot takes a slot that no other process has.
+func claimSlot() (*slotOf, error) {
+	for i := range slots {
+		n := (os.Getpid() + i) % slots
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", 2+n, slotPort)); err == nil {
+			return &slotOf{n, l}, nil
+		}
+	}
+	return nil, errors.New("site: all slots for addresses are taken")
+}
+
+// nextAddr returns an address of loopback that no other node has, in this process
+// or in another.
+func nextAddr() (string, error) {
+	s, err := slot()
+	if err != nil {
+		return "", err
+	}
 	n := nodes.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%250, n/200, 2+n%200)
+	return fmt.Sprintf("127.%d.%d.%d", 2+s.number, n/200, 2+n%200), nil
 }
 
 // NewNode writes a settings file in dir and starts binary with it.
 func (s *Site) NewNode(binary, dir string, i int) (*Node, error) {
-	ip := nextAddr()
+	ip, err := nextAddr()
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{
 		Name: "node-" + strconv.Itoa(i), Callers: fmt.Sprintf("%s:%d", ip, callersPort), ready: fmt.Sprintf("%s:%d", ip, readyPort),
 		binary: binary, file: filepath.Join(dir, fmt.Sprintf("node-%d.yaml", i)), log: filepath.Join(dir, fmt.Sprintf("node-%d.log", i)),
