--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -28,7 +28,10 @@
 		n.mu.Lock()
 		version := n.configVersion
 		n.mu.Unlock()
+		began := n.options.Clock.Now()
 		data, err := n.options.Config.Wait(n.ctx, version)
+		took := n.options.Clock.Now().Sub(began)
+		n.noteRead(fromStore, err, took)
 		n.mu.Lock()
 		n.isTurnedAway = err != nil
 		n.mu.Unlock()
@@ -37,13 +40,56 @@
 			continue
 		}
 		if data != nil {
-			n.takeConfig(data, "store")
+			n.takeConfig(data, fromStore, len(data), took)
 		}
 	}
 }
 
-// takeConfig puts a configuration in force unless a later one is.
-func (n *Node) takeConfig(data []byte, from string) {
+// configSource is where a configuration is read.
+type configSource string
+
+const (
+	fromStore configSource = "store"
+	fromPeer  configSource = "peer"
+)
+
+// unread tells of the reads of a configuration that have failed since one
+// succeeded.
+type unread struct {
+	since time.Time
+	tries int
+}
+
+// noteRead tells when reads from a source begin to fail and when they succeed
+// again, not each try. Each source has one reader at a time.
+func (n *Node) noteRead(from configSource, err error, took time.Duration) {
+	if n.ctx.Err() != nil {
+		return
+	}
+	now := n.options.Clock.Now()
+	n.mu.Lock()
+	u, version := n.unread[from], n.configVersion
+	isFirst := err != nil && u == nil
+	switch {
+	case isFirst:
+		n.unread[from] = &unread{now, 1}
+	case err != nil:
+		u.tries++
+	default:
+		delete(n.unread, from)
+	}
+	n.mu.Unlock()
+	switch {
+	case isFirst:
+		n.options.Log(events.ConfigUnread, "from", from, "version", version, "took", took, "err", err)
+	case err == nil && u != nil:
+		n.options.Log(events.ConfigReadAgain, "from", from, "version", version, "tries", u.tries, "since", now.Sub(u.since))
+	}
+}
+
+// takeConfig puts a configuration in force unless a later one is. It came in so
+// many bytes, in the time took, which has the wait for a change.
+func (n *Node) takeConfig(data []byte, from configSource, came int, took time.Duration) {
 	c, err := n.options.Config.Parse(data)
 	if err != nil {
 		n.options.Log(events.ConfigBad, "from", from, "err", err)
@@ -56,7 +102,7 @@
 	}
 	c.Apply()
 	n.config, n.configVersion, n.queues = data, c.Version, c.Queues
-	n.options.Log(events.ConfigInForce, "version", c.Version, "from", from, "queues", len(c.Queues))
+	n.options.Log(events.ConfigInForce, "version", c.Version, "from", from, "queues", len(c.Queues), "bytes", came, "took", took)
 	if n.owner != nil {
 		n.owner.SetQueues(c.Version, c.Queues)
 	}
@@ -98,9 +144,12 @@
 	ctx, cancel := context.WithTimeout(n.ctx, fetchTimeout)
 	defer cancel()
 	m := configMessage{}
+	began := n.options.Clock.Now()
 	err := from.Call(ctx, kindConfig, empty{}, &m)
+	took := n.options.Clock.Now().Sub(began)
+	n.noteRead(fromPeer, err, took)
 	if err == nil && m.Data != nil {
-		n.takeConfig(m.Data, "peer")
+		n.takeConfig(m.Data, fromPeer, len(m.Data), took)
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -108,7 +108,9 @@
 	behind      *link.Conn
 	behindSince time.Time
 	isFetching  bool
-	isLeaving   bool
+	// unread has the sources that cannot be read now.
+	unread    map[configSource]*unread
+	isLeaving bool
 	// isTurnedAway means that the store did not answer this node's last read.
 	isTurnedAway bool
 	// isYielding means that this owner hands over to a faster node, yieldedAt is
@@ -145,7 +147,7 @@
 	n := &Node{
 		options: options, listener: l, ctx: ctx, cancel: cancel, startedAt: options.Clock.Now(),
 		log: options.NewStore(options.Direct), peers: newPeers(options.Clock), takeOver: make(chan struct{}, 1),
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), unread: map[configSource]*unread{},
 	}
 	n.detour = detour.New(options.Direct, n.peers, options.Clock)
 	n.wg.Add(5)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -72,6 +72,8 @@
 	VMListFailed     = add(310, "list of VMs does not answer", LevelWarning)
 	ConfigInForce    = add(320, "document in force", LevelInfo)
 	ConfigBad        = add(321, "document in the log cannot be read", LevelError)
+	ConfigUnread     = add(322, "configuration is not read", LevelWarning)
+	ConfigReadAgain  = add(323, "configuration is read again", LevelInfo)
 
 	TaskPlaced       = add(400, "task placed", LevelInfo)
 	TaskRouted       = add(401, "task sent to a rack", LevelInfo)
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -26,7 +26,7 @@
 }
 
 // claimedWith is claimed with a taker of log lines.
-func claimedWith(t *testing.T, log *fakestore.Log, workers *fakeWorkers, logged func(events.Event, ...any)) *owner.Owner {
+func claimedWith(t *testing.T, log store.Log, workers *fakeWorkers, logged func(events.Event, ...any)) *owner.Owner {
 	t.Helper()
 	earlier, at, err := owner.ReadRecord(t.Context(), log)
 	if err != nil {
