--- a/internal/clock/service.go
+++ b/internal/clock/service.go
@@ -37,6 +37,9 @@
 // After returns a timer's channel.
 func (Real) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
+// AfterFunc calls f in a goroutine of its own after d.
+func (Real) AfterFunc(d time.Duration, f func()) (stop func() bool) { return time.AfterFunc(d, f).Stop }
+
 // Shifted is the machine's clock with another time of day, for tests of nodes
 // whose clocks differ.
 type Shifted struct {
@@ -60,6 +63,8 @@
 	due    time.Time
 	period time.Duration
 	ch     chan time.Time
+	// call is called in place of a tick; nil for a channel.
+	call func()
 }
 
 // NewFake returns a fake clock at an arbitrary fixed time.
@@ -85,15 +90,44 @@
 	return ch
 }
 
-// Advance moves the time forward by d and feeds the channels that are due.
+// AfterFunc has Advance call f once.
+func (f *Fake) AfterFunc(d time.Duration, call func()) (stop func() bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := f.next
+	f.next++
+	f.subs[id] = &fakeSub{due: f.now.Add(d), call: call}
+	return func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		_, ok := f.subs[id]
+		delete(f.subs, id)
+		return ok
+	}
+}
+
+// Advance moves the time forward by d, feeds the channels and calls the functions
+// that are due.
 func (f *Fake) Advance(d time.Duration) {
+	for _, call := range f.advance(d) {
+		call()
+	}
+}
+
+func (f *Fake) advance(d time.Duration) []func() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.now = f.now.Add(d)
+	calls := []func(){}
 	for id, s := range f.subs {
 		if s.due.After(f.now) {
 			continue
 		}
+		if s.call != nil {
+			calls = append(calls, s.call)
+			delete(f.subs, id)
+			continue
+		}
 		select {
 		case s.ch <- f.now:
 		default:
@@ -104,6 +138,7 @@
 		}
 		s.due = f.now.Add(s.period)
 	}
+	return calls
 }
 
 func (f *Fake) add(d, period time.Duration) (<-chan time.Time, func()) {
