internal/link: let a long frame take the time that its pieces need

Cause: a frame had 2 s to leave, whatever its size, and its reader the fixed time of its call; fetches of 820 KB by 27 peers ended with "link: closed", and all calls of the link with them. Change: frames leave in pieces of 16 KB with 2 s each. Bytes of a long frame that come or leave are progress for the calls that wait on that link: each has its bytes in the frame, or behind it. A call tells its peer how long it lasts by progress.Left.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -12,12 +12,14 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/codec"
 	"github.com/leverdyke/leverdyke/internal/frame"
+	"github.com/leverdyke/leverdyke/internal/progress"
 	"github.com/leverdyke/leverdyke/internal/ring"
 )
 
@@ -42,9 +44,11 @@
 const (
 	// outboundFrames is how many frames may wait; a peer that does not read is cut.
 	outboundFrames = 4096
-	// writeTimeout is how long a write may take: a peer in the same region reads
-	// within milliseconds.
+	// writeTimeout is how long writePiece may take to leave: a peer in the same
+	// region reads within milliseconds, and 10 Mbit/s take 13 ms. A long frame takes
+	// as long as its pieces do.
 	writeTimeout = 2 * time.Second
+	writePiece   = 16 << 10
 	// maxCalls is how many calls of a peer may be in progress.
 	maxCalls = 2048
 	// keepAlive finds a machine that lost its power, besides the beats.
@@ -82,7 +86,13 @@
 
 	mu      sync.Mutex
 	nextID  uint64
-	waiting map[uint64]chan *message
+	waiting map[uint64]waiter
+}
+
+// waiter is a call that waits for its reply.
+type waiter struct {
+	ctx   context.Context
+	reply chan *message
 }
 
 // NewConn takes over an open connection.
@@ -90,7 +100,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	conn := &Conn{
 		conn: c, handler: h, out: ring.NewRing[*message](outboundFrames), ctx: ctx, cancel: cancel,
-		slots: make(chan struct{}, maxCalls), waiting: map[uint64]chan *message{},
+		slots: make(chan struct{}, maxCalls), waiting: map[uint64]waiter{},
 	}
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 3})
@@ -137,9 +147,9 @@
 	if err != nil {
 		return err
 	}
-	id, ch := c.expect()
+	id, ch := c.expect(ctx)
 	defer c.forget(id)
-	if !c.send(&message{ID: id, Kind: kind, Body: body, Patience: patience(ctx)}) {
+	if !c.send(&message{ID: id, Kind: kind, Body: body, Patience: patienceOf(ctx)}) {
 		return ErrClosed
 	}
 	select {
@@ -155,21 +165,21 @@
 	}
 }
 
-// patience returns how long ctx still lasts; 0 when it has no end.
-func patience(ctx context.Context) time.Duration {
-	end, ok := ctx.Deadline()
+// patienceOf returns how long ctx still lasts; 0 when it has no end.
+func patienceOf(ctx context.Context) time.Duration {
+	left, ok := progress.Left(ctx)
 	if !ok {
 		return 0
 	}
-	return max(time.Until(end), time.Nanosecond)
+	return max(left, time.Nanosecond)
 }
 
-func (c *Conn) expect() (uint64, chan *message) {
+func (c *Conn) expect(ctx context.Context) (uint64, chan *message) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nextID++
 	ch := make(chan *message, 1)
-	c.waiting[c.nextID] = ch
+	c.waiting[c.nextID] = waiter{ctx, ch}
 	return c.nextID, ch
 }
 
@@ -203,14 +213,28 @@
 			if buf, err = c.gather(buf[:0], m); err != nil {
 				return
 			}
-			_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-			if _, err = c.conn.Write(buf); err != nil {
+			if err := c.write(buf); err != nil {
 				return
 			}
 		}
 	}
 }
 
+// write sends bytes for as long as they leave. Calls that wait have their bytes in
+// a long frame, or behind it.
+func (c *Conn) write(buf []byte) error {
+	for piece := range slices.Chunk(buf, writePiece) {
+		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := c.conn.Write(piece); err != nil {
+			return err
+		}
+		if len(buf) > len(piece) {
+			c.noteMoved(len(piece))
+		}
+	}
+	return nil
+}
+
 // gatherBytes is about how much one write carries.
 const gatherBytes = 64 << 10
 
@@ -231,8 +255,10 @@
 // runReads takes what comes until the connection is closed.
 func (c *Conn) runReads() {
 	defer c.Close()
-	r := bufio.NewReaderSize(c.conn, 8<<10)
+	from := &meter{conn: c}
+	r := bufio.NewReaderSize(from, 8<<10)
 	for {
+		from.reads = 0
 		m := &message{}
 		if _, err := frame.Read(r, m); err != nil {
 			return
@@ -242,14 +268,42 @@
 	}
 }
 
+// meter reads a connection and tells the calls that wait when a long frame comes:
+// the reply to each is in it, or waits behind it.
+type meter struct {
+	conn *Conn
+	// reads counts those of one frame.
+	reads int
+}
+
+// longFrame is how many reads a frame takes that does not come at once.
+const longFrame = 2
+
+// Read reads, and notes that bytes of a long frame came.
+func (m *meter) Read(b []byte) (int, error) {
+	n, err := m.conn.conn.Read(b)
+	if m.reads++; m.reads > longFrame && n > 0 {
+		m.conn.noteMoved(n)
+	}
+	return n, err
+}
+
+func (c *Conn) noteMoved(bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, w := range c.waiting {
+		progress.Moved(w.ctx, bytes)
+	}
+}
+
 func (c *Conn) take(m *message) {
 	switch {
 	case m.IsReply:
 		c.mu.Lock()
-		ch := c.waiting[m.ID]
+		w, ok := c.waiting[m.ID]
 		c.mu.Unlock()
-		if ch != nil {
-			ch <- m
+		if ok {
+			w.reply <- m
 		}
 	case m.ID == 0:
 		c.handler.HandleNotice(c, m.Kind, m.Body)
@@ -267,7 +321,7 @@
 	defer func() { <-c.slots }()
 	ctx := c.ctx
 	if m.Patience > 0 {
-		bounded, cancel := context.WithTimeout(ctx, m.Patience)
+		bounded, cancel := progress.With(ctx, m.Patience)
 		defer cancel()
 		ctx = bounded
 	}
--- a/internal/link/conn_test.go
+++ b/internal/link/conn_test.go
@@ -7,11 +7,17 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/await"
+	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/codec"
 	"github.com/leverdyke/leverdyke/internal/link"
+	"github.com/leverdyke/leverdyke/internal/progress"
 )
 
 // handler answers a call with what it got, or fails, and passes notices on.
@@ -27,6 +33,8 @@
 		return nil, err
 	}
 	switch kind {
+	case "long":
+		return strings.Repeat(text, longText), nil
 	case "fail":
 		return nil, errors.New("no " + text)
 	case "block":
@@ -45,6 +53,9 @@
 	}
 }
 
+// longText is how often a long reply repeats what was asked.
+const longText = 200 << 10
+
 func newPair(t *testing.T) (*link.Conn, *link.Conn, *handler) {
 	t.Helper()
 	a, b := net.Pipe()
@@ -122,3 +133,93 @@
 	<-h.blocked
 	<-h.released
 }
+
+// piecewise lets what is written pass in pieces, each followed by a word.
+type piecewise struct {
+	net.Conn
+	size  int
+	after func(n int)
+}
+
+func (p *piecewise) Write(b []byte) (int, error) {
+	written := 0
+	for piece := range slices.Chunk(b, p.size) {
+		n, err := p.Conn.Write(piece)
+		if written += n; err != nil {
+			return written, err
+		}
+		p.after(written)
+	}
+	return written, nil
+}
+
+// A page of 1 MB that came through a peer over a link of 10 Mbit/s took longer
+// than its reader waited.
+func TestALongReplyGoesOnWhileBytesCome(t *testing.T) {
+	const first = time.Second
+	c := clock.NewFake()
+	ctx, cancel := progress.WithClock(t.Context(), c, first)
+	defer cancel()
+	near, far := net.Pipe()
+	moved := int64(0)
+	slow := &piecewise{Conn: far, size: 4 << 10}
+	slow.after = func(n int) {
+		if n <= 4*slow.size {
+			// A frame counts as long from here on.
+			return
+		}
+		await.True(t, "bytes come", func() bool { return progress.Bytes(ctx) > moved })
+		moved = progress.Bytes(ctx)
+		c.Advance(progress.Stall - 1)
+	}
+	left, right := link.NewConn(near, &handler{}), link.NewConn(slow, &handler{})
+	t.Cleanup(left.Close)
+	t.Cleanup(right.Close)
+	got := ""
+	if err := left.Call(ctx, "long", "x", &got); err != nil || len(got) != longText {
+		t.Errorf("got: %d bytes, %v, want: %d", len(got), err, longText)
+	}
+}
+
+// deadlines notes the most bytes that were written under one deadline.
+type deadlines struct {
+	net.Conn
+	mu          sync.Mutex
+	since, most int
+}
+
+func (d *deadlines) SetWriteDeadline(at time.Time) error {
+	d.mu.Lock()
+	d.since = 0
+	d.mu.Unlock()
+	return d.Conn.SetWriteDeadline(at)
+}
+
+func (d *deadlines) Write(b []byte) (int, error) {
+	d.mu.Lock()
+	d.since += len(b)
+	d.most = max(d.most, d.since)
+	d.mu.Unlock()
+	return d.Conn.Write(b)
+}
+
+// Links on which 820 KB went to 27 nodes at once were closed: no frame was allowed
+// more than 2 s, whatever its size.
+func TestALongFrameHasTheTimeThatItsPiecesNeed(t *testing.T) {
+	near, far := net.Pipe()
+	d := &deadlines{Conn: far}
+	left, right := link.NewConn(near, &handler{}), link.NewConn(d, &handler{})
+	t.Cleanup(left.Close)
+	t.Cleanup(right.Close)
+	got := ""
+	if err := left.Call(t.Context(), "long", "x", &got); err != nil {
+		t.Fatal(err)
+	}
+	// 10 Mbit/s carry 2.5 MB in the 2 s of a deadline; a hundredth must suffice.
+	const want = 25 << 10
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.most > want {
+		t.Errorf("bytes under one deadline: got: %d, want: %d at most", d.most, want)
+	}
+}
