internal/detour: do not ask again for an answer that comes

Cause: the same class: 0.7 s bounded a request over all ways, and a page of 1 MB, which takes 0.9 s at 10 Mbit/s, was asked for through one and then all peers meanwhile, over the same link. Change: the 0.7 s count until bytes move; while they do, no other way is tried. Result: on the code before, TestAnAnswerThatComesIsNotAskedForAgain is served by the peer, beside the direct way; it passes now.

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/progress"
 )
 
 // Request is an HTTP request as it goes to the service.
@@ -66,7 +67,8 @@
 }
 
 const (
-	// tryTimeout bounds a request over all ways: a slow store takes 0.4 s.
+	// tryTimeout bounds a request over all ways until bytes of it move: a slow store
+	// takes 0.4 s.
 	tryTimeout = 700 * time.Millisecond
 	// directPause is how long the direct way is left alone after it failed.
 	directPause = 800 * time.Millisecond
@@ -132,9 +134,10 @@
 }
 
 // Do sends the request directly, and through peers when that fails or takes
-// longer than usual. The first answer of a service that took it counts.
+// longer than usual while nothing moves: the same bytes through a peer would only
+// fill the link of this node. The first answer of a service that took it counts.
 func (d *Detour) Do(ctx context.Context, r *Request) (*Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout+r.Wait)
+	ctx, cancel := progress.With(ctx, tryTimeout+r.Wait)
 	defer cancel()
 	return newSearch(ctx, d, r).run()
 }
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -8,11 +8,14 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/await"
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/detour"
+	"github.com/leverdyke/leverdyke/internal/progress"
 )
 
 // way answers each request alike and counts them.
@@ -242,3 +245,62 @@
 		t.Errorf("direct calls: got: %d, want: 3", got)
 	}
 }
+
+// movingWay has a byte of its answer come whenever it is told, until it is told
+// that the answer is complete.
+type movingWay struct {
+	calls                 atomic.Int64
+	step, moved, complete chan struct{}
+}
+
+func (w *movingWay) Do(ctx context.Context, _ *detour.Request) (*detour.Response, error) {
+	w.calls.Add(1)
+	for {
+		select {
+		case <-w.complete:
+			return &detour.Response{Status: 200}, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-w.step:
+			progress.Moved(ctx, 1)
+			w.moved <- struct{}{}
+		}
+	}
+}
+
+// countingClock counts the timers that were set.
+type countingClock struct {
+	*clock.Fake
+	timers atomic.Int64
+}
+
+func (c *countingClock) After(d time.Duration) <-chan time.Time {
+	defer c.timers.Add(1)
+	return c.Fake.After(d)
+}
+
+// A page of 1 MB that came over a link of 10 Mbit/s was asked for again and again
+// through peers, over the same link.
+func TestAnAnswerThatComesIsNotAskedForAgain(t *testing.T) {
+	c := &countingClock{Fake: clock.NewFake()}
+	direct := &movingWay{step: make(chan struct{}), moved: make(chan struct{}), complete: make(chan struct{})}
+	peers := &onePeer{way: way{status: 200}, isLinked: true}
+	done := doSoon(t, detour.New(direct, peers, c))
+	for i := range 20 {
+		await.True(t, "it is waited", func() bool { return c.timers.Load() == int64(i+1) })
+		select {
+		case direct.step <- struct{}{}:
+			<-direct.moved
+		case err := <-done:
+			t.Fatalf("got: %v from another way, want: to wait for the direct one", err)
+		}
+		c.Advance(2 * longWait)
+	}
+	close(direct.complete)
+	if err := <-done; err != nil {
+		t.Errorf("got: %v, want: an answer", err)
+	}
+	if got := direct.calls.Load(); got != 1 || peers.way.calls != 0 {
+		t.Errorf("calls: got: %d and %d by the peer, want: 1 and none", got, peers.way.calls)
+	}
+}
--- a/internal/detour/search.go
+++ b/internal/detour/search.go
@@ -7,6 +7,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"github.com/leverdyke/leverdyke/internal/progress"
 )
 
 // direct is the name of the way that goes through no peer.
@@ -44,6 +46,8 @@
 	// open counts the tries that are not over, openDirect those of the direct way.
 	open, openDirect int
 	failed           []*try
+	// moved is how many bytes had moved when ways were tried last.
+	moved int64
 }
 
 // maxTries bounds the tries of one request: each way once, and the direct way
@@ -71,7 +75,9 @@
 			if len(s.stages) == 0 {
 				pause = againPause
 			}
-			s.next()
+			if !s.hasMoved() {
+				s.next()
+			}
 			timer = s.detour.clock.After(pause)
 		}
 	}
@@ -79,6 +85,14 @@
 	return verdict(s.failed)
 }
 
+// hasMoved reports whether bytes of the request or of an answer have moved since
+// it was asked last.
+func (s *search) hasMoved() bool {
+	before := s.moved
+	s.moved = progress.Bytes(s.ctx)
+	return s.moved > before
+}
+
 // take notes how a try ended and reports whether it was served. A direct way that
 // is still without an answer then has been overtaken by a peer that began later.
 func (s *search) take(t *try) bool {
