internal/owner: let a large state take the time that it needs

A weak node (10 Mbit/s) could read 1.9 MB at the most before it began anew, for ever. Change: these tries are bounded by progress; 1.5 s count while nothing moves. Result: on the code before, TestAWeakNodeTakesOverALargeState does not load in 30 s; it passes now.

--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -67,7 +67,7 @@
 // the owner is stopped.
 func (o *Owner) retry(what string, do func(ctx context.Context) error) error {
 	for {
-		ctx, cancel := o.bound(writeTimeout)
+		ctx, cancel := o.boundStore()
 		err := do(ctx)
 		cancel()
 		switch {
@@ -156,7 +156,7 @@
 func (o *Owner) append(records []store.Record, sequence uint64, mayRefuse bool) (uint64, bool) {
 	isSent := false
 	for tries := 0; ; tries++ {
-		ctx, cancel := o.bound(writeTimeout)
+		ctx, cancel := o.boundStore()
 		began := o.options.Clock.Now()
 		_, err := o.options.Store.Append(ctx, &store.Append{Topic: TopicJobs, Records: records, Writer: o.writer(sequence)})
 		cancel()
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -130,7 +130,8 @@
 	startTimeout = 400 * time.Millisecond
 	// stopTimeout bounds an order to stop, which is sent again.
 	stopTimeout = 500 * time.Millisecond
-	// writeTimeout bounds one try to append: a slow store takes 0.4 s.
+	// writeTimeout bounds one try to append or to read, as long as nothing moves: a
+	// slow store takes 0.4 s.
 	writeTimeout = 1500 * time.Millisecond
 	// writeRetry is the pause before an append is tried again.
 	writeRetry = 100 * time.Millisecond
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -9,6 +9,7 @@
 
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/progress"
 )
 
 // carryOut starts what the engine wants done; the outcome comes as an event.
@@ -28,6 +29,12 @@
 	}
 }
 
+// boundStore bounds a try at the store by its progress: a large read or append may
+// take as long as it moves.
+func (o *Owner) boundStore() (context.Context, context.CancelFunc) {
+	return progress.With(o.ctx, writeTimeout)
+}
+
 func (o *Owner) bound(d time.Duration) (context.Context, context.CancelFunc) {
 	return context.WithTimeout(o.ctx, d)
 }
@@ -88,7 +95,7 @@
 	isOut := false
 	certainAt := time.Time{}
 	for o.ctx.Err() == nil {
-		ctx, cancel := o.bound(writeTimeout)
+		ctx, cancel := o.boundStore()
 		list, err := o.options.List.Workers(ctx)
 		cancel()
 		now := o.options.Clock.Now()
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/await"
@@ -205,3 +206,45 @@
 	default:
 	}
 }
+
+// slowLink is a store behind a link over which each request for the jobs takes an
+// hour, all the time moving: a context that ends sooner cuts it.
+type slowLink struct{ store.Log }
+
+func (s slowLink) cut(ctx context.Context, topic string) error {
+	if end, ok := ctx.Deadline(); ok && topic == owner.TopicJobs && time.Until(end) < time.Hour {
+		return &store.Error{Failure: store.Unknown, Err: context.DeadlineExceeded}
+	}
+	return nil
+}
+
+func (s slowLink) ReadNewest(ctx context.Context, topic string) (*store.Newest, error) {
+	if err := s.cut(ctx, topic); err != nil {
+		return nil, err
+	}
+	return s.Log.ReadNewest(ctx, topic)
+}
+
+func (s slowLink) Append(ctx context.Context, a *store.Append) (uint64, error) {
+	if err := s.cut(ctx, a.Topic); err != nil {
+		return 0, err
+	}
+	return s.Log.Append(ctx, a)
+}
+
+// A node with a link of 10 Mbit/s could not read a state of over 1.9 MB within the
+// 1.5 s that it allowed itself, and began anew for ever.
+func TestAWeakNodeTakesOverALargeState(t *testing.T) {
+	log := fakestore.NewLog()
+	workers := newFakeWorkers()
+	first := claimed(t, log, workers)
+	if err := first.Submit(t.Context(), job("j1")); err != nil {
+		t.Fatal(err)
+	}
+	awaitState(t, first, "j1", work.JobSucceeded)
+	second := claimed(t, slowLink{log}, workers)
+	awaitState(t, second, "j1", work.JobSucceeded)
+	if err := second.Submit(t.Context(), job("j2")); err != nil {
+		t.Errorf("an append over the slow link: got: %v, want: kept", err)
+	}
+}
