internal/detour: take a full store as no answer for other ways

Change: 507 counts like 503 and 429: another way is tried, and an open one leaves the outcome open. Result: the row "reset here, full there" of TestDo fails before (got 507 as the answer), passes now.

--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -36,8 +36,13 @@
 }
 
 // isServed reports whether the service took the request; otherwise it did nothing.
+// A refusal says nothing of the same request on another way.
 func (r *Response) isServed() bool {
-	return r.Status != http.StatusServiceUnavailable && r.Status != http.StatusTooManyRequests
+	switch r.Status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusInsufficientStorage:
+		return false
+	}
+	return true
 }
 
 // UnsentError means that the request never left: nothing was done.
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -69,6 +69,8 @@
 		"reset, the peer is served":    {way{err: errReset}, way{status: 200}, 200, false},
 		"busy for both":                {way{status: 503}, way{status: 503}, 503, false},
 		"reset here, busy there":       {way{err: errReset}, way{status: 503}, 0, true},
+		"full for both":                {way{status: 507}, way{status: 507}, 507, false},
+		"reset here, full there":       {way{err: errReset}, way{status: 507}, 0, true},
 		"busy here, reset there":       {way{status: 503}, way{err: errReset}, 0, true},
 		"never sent here, busy there":  {way{err: unsent}, way{status: 503}, 503, false},
 		"never sent by either":         {way{err: unsent}, way{err: unsent}, 0, false},
