internal/cell: let a call to claim name the owner that has stopped

Change: the call carries the epoch, and a node acts on it only while it follows the owner of that epoch.

--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -4,6 +4,7 @@
 package cell
 
 import (
+	"context"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/link"
@@ -46,6 +47,12 @@
 	return n.behind != nil
 }
 
+// TakeClaim takes the call of an owner that has stopped.
+func (n *Node) TakeClaim(ctx context.Context, epoch uint64) error {
+	_, err := n.takeClaim(ctx, epoch)
+	return err
+}
+
 // Stay follows an owner over a link until the node turns to another.
 func (n *Node) Stay(conn *link.Conn, r *owner.Record) { n.stay(conn, r) }
 
--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -39,9 +39,11 @@
 			return
 		case <-conn.Done():
 			return
-		case <-n.takeOver:
-			n.claimAfter(r)
-			return
+		case epoch := <-n.takeOver:
+			if epoch == r.Epoch {
+				n.claimAfter(r)
+				return
+			}
 		case found := <-asked:
 			asked = nil
 			switch found.word {
--- a/internal/cell/handover.go
+++ b/internal/cell/handover.go
@@ -95,7 +95,7 @@
 func (n *Node) askToClaim(ctx context.Context, epoch uint64, p *peer) error {
 	ctx, cancel := context.WithTimeout(ctx, claimTime)
 	defer cancel()
-	err := p.conn.Call(ctx, kindClaim, empty{}, &empty{})
+	err := p.conn.Call(ctx, kindClaim, claimCall{epoch}, &empty{})
 	n.options.Log(events.HandedOver, "epoch", epoch, "to", p.hello.Name, "err", err)
 	return err
 }
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -28,7 +28,7 @@
 	kindAlive link.Kind = "alive"
 	// kindConfig asks for the configuration in force: empty, configMessage.
 	kindConfig link.Kind = "config"
-	// kindClaim asks a follower to become the owner: empty, empty.
+	// kindClaim asks a follower to become the owner: claimCall, empty.
 	kindClaim link.Kind = "claim"
 	// kindSubmit hands in a job: work.Spec, answer.
 	kindSubmit link.Kind = "submit"
@@ -88,6 +88,10 @@
 }
 
 // configMessage is the configuration in force at a node.
+// claimCall names the epoch of the owner that has stopped: a call that comes late
+// must not end a later one.
+type claimCall struct{ Epoch uint64 }
+
 type configMessage struct {
 	Version uint64
 	// Packed is compressed; it is empty before the first.
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -85,8 +85,9 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	startedAt time.Time
-	// takeOver asks the seeker to claim at once.
-	takeOver chan struct{}
+	// takeOver asks the seeker to claim at once after the owner of that epoch, which
+	// has stopped.
+	takeOver chan uint64
 
 	mu sync.Mutex
 	// owner is set while this node is the owner.
@@ -148,7 +149,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &Node{
 		options: options, listener: l, ctx: ctx, cancel: cancel, startedAt: options.Clock.Now(),
-		log: options.NewStore(options.Direct), peers: newPeers(options.Clock), takeOver: make(chan struct{}, 1),
+		log: options.NewStore(options.Direct), peers: newPeers(options.Clock), takeOver: make(chan uint64, 1),
 		changed: make(chan struct{}), unread: map[configSource]*unread{},
 	}
 	n.detour = detour.New(options.Direct, n.peers, options.Clock)
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -25,7 +25,11 @@
 	case kindHello:
 		return n.takeHello(from, body)
 	case kindClaim:
-		return n.takeClaim(ctx)
+		c := claimCall{}
+		if err := codec.Unmarshal(body, &c); err != nil {
+			return nil, err
+		}
+		return n.takeClaim(ctx, c.Epoch)
 	case kindConfig:
 		return n.configInForce(), nil
 	case kindAdvise:
@@ -119,10 +123,16 @@
 	return w, nil
 }
 
-// takeClaim makes the seeker claim the shard, and answers once this node owns it.
-func (n *Node) takeClaim(ctx context.Context) (any, error) {
+// takeClaim makes the seeker claim the shard after the owner of that epoch, and
+// answers once this node owns it.
+func (n *Node) takeClaim(ctx context.Context, epoch uint64) (any, error) {
+	select {
+	case <-n.takeOver:
+		// An earlier call that nobody took up.
+	default:
+	}
 	select {
-	case n.takeOver <- struct{}{}:
+	case n.takeOver <- epoch:
 	default:
 	}
 	ticks, stop := n.options.Clock.Subscribe(5 * time.Millisecond)
