--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -41,3 +41,6 @@
 
 // MayRunAhead reports whether the owner may run ahead of the store.
 func (a *AheadGate) MayRunAhead(now time.Time) bool { return a.g.mayRunAhead(now) }
+
+// EncodeBatch returns the records of a batch in parts that fit one append each.
+var EncodeBatch = encodeBatch
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -66,6 +66,11 @@
 		last := len(parts) - 1
 		parts[last] = append(parts[last], store.Record{Key: key, Value: value})
 	}
+	// First, as a job that is forgotten may be handed in again in the same batch.
+	for _, id := range b.Forgotten {
+		add(specPrefix+string(id), nil)
+		add(progressPrefix+string(id), nil)
+	}
 	for _, spec := range b.Specs {
 		data, err := codec.Marshal(spec)
 		if err != nil {
@@ -84,10 +89,6 @@
 			add(specPrefix+string(id), nil)
 		}
 	}
-	for _, id := range b.Forgotten {
-		add(specPrefix+string(id), nil)
-		add(progressPrefix+string(id), nil)
-	}
 	return parts, nil
 }
 
