--- a/internal/link/conn_test.go
+++ b/internal/link/conn_test.go
@@ -158,7 +158,7 @@
 func TestALongReplyGoesOnWhileBytesCome(t *testing.T) {
 	const first = time.Second
 	c := clock.NewFake()
-	ctx, cancel := progress.WithClock(t.Context(), c, first)
+	ctx, cancel := progress.WithClock(t.Context(), c, first, progress.Stall)
 	defer cancel()
 	near, far := net.Pipe()
 	moved := int64(0)
--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -34,14 +34,16 @@
 // bound is a context that ends when nothing has moved for too long.
 type bound struct {
 	context.Context
-	cancel  context.CancelCauseFunc
-	clock   Clock
-	began   time.Time
-	parent  *bound
-	first   time.Duration
-	stall   time.Duration
-	moved   atomic.Int64
-	movedAt atomic.Int64
+	cancel context.CancelCauseFunc
+	clock  Clock
+	began  time.Time
+	// parent is the next bound outwards; what moves here moves there.
+	parent *bound
+	// first counts from began, stall from the last byte.
+	first, stall time.Duration
+	// moved counts bytes; movedAt is when the last moved, in nanoseconds after
+	// began, 0 before the first.
+	moved, movedAt atomic.Int64
 
 	mu sync.Mutex
 	// stop prevents the next check; nil when the context was over from the start.
@@ -72,13 +74,18 @@
 // call of Moved with it or a context made of it, whichever is later. What else
 // ends the parent ends it too.
 func With(parent context.Context, first time.Duration) (context.Context, context.CancelFunc) {
-	return WithClock(parent, clock.Real{}, first)
+	return WithClock(parent, clock.Real{}, first, Stall)
 }
 
-// WithClock is With by another clock.
-func WithClock(parent context.Context, c Clock, first time.Duration) (context.Context, context.CancelFunc) {
+// WithStall is With by another bound than Stall, for what has stalled before.
+func WithStall(parent context.Context, first, stall time.Duration) (context.Context, context.CancelFunc) {
+	return WithClock(parent, clock.Real{}, first, stall)
+}
+
+// WithClock is WithStall by another clock.
+func WithClock(parent context.Context, c Clock, first, stall time.Duration) (context.Context, context.CancelFunc) {
 	inner, cancel := context.WithCancelCause(parent)
-	b := &bound{Context: inner, cancel: cancel, clock: c, began: c.Now(), first: first, stall: Stall, parent: of(parent)}
+	b := &bound{Context: inner, cancel: cancel, clock: c, began: c.Now(), first: first, stall: stall, parent: of(parent)}
 	b.arm(first)
 	return b, b.end
 }
--- a/internal/progress/progress_test.go
+++ b/internal/progress/progress_test.go
@@ -17,7 +17,7 @@
 
 func TestNothingMovesForTheFirstTime(t *testing.T) {
 	c := clock.NewFake()
-	ctx, cancel := progress.WithClock(t.Context(), c, first)
+	ctx, cancel := progress.WithClock(t.Context(), c, first, progress.Stall)
 	defer cancel()
 	c.Advance(first - 1)
 	if err := ctx.Err(); err != nil {
@@ -31,11 +31,11 @@
 
 func TestWhatMovesGoesOn(t *testing.T) {
 	c := clock.NewFake()
-	outer, cancelOuter := progress.WithClock(t.Context(), c, first)
+	outer, cancelOuter := progress.WithClock(t.Context(), c, first, progress.Stall)
 	defer cancelOuter()
 	middle, cancelMiddle := context.WithCancel(outer)
 	defer cancelMiddle()
-	inner, cancelInner := progress.WithClock(middle, c, first)
+	inner, cancelInner := progress.WithClock(middle, c, first, progress.Stall)
 	defer cancelInner()
 	for range 100 {
 		progress.Moved(inner, 10)
@@ -59,7 +59,7 @@
 func TestACancellationEndsWhatMoves(t *testing.T) {
 	c := clock.NewFake()
 	parent, cancelParent := context.WithCancel(t.Context())
-	ctx, cancel := progress.WithClock(parent, c, first)
+	ctx, cancel := progress.WithClock(parent, c, first, progress.Stall)
 	defer cancel()
 	progress.Moved(ctx, 1)
 	cancelParent()
@@ -73,9 +73,9 @@
 	if _, ok := progress.Left(t.Context()); ok {
 		t.Error("unbounded: got: an end, want: none")
 	}
-	outer, cancelOuter := progress.WithClock(t.Context(), c, first)
+	outer, cancelOuter := progress.WithClock(t.Context(), c, first, progress.Stall)
 	defer cancelOuter()
-	inner, cancelInner := progress.WithClock(outer, c, time.Hour)
+	inner, cancelInner := progress.WithClock(outer, c, time.Hour, progress.Stall)
 	defer cancelInner()
 	c.Advance(time.Second)
 	if got, ok := progress.Left(inner); !ok || got != time.Second {
@@ -92,9 +92,26 @@
 func TestAParentMayBeOver(t *testing.T) {
 	parent, cancelParent := context.WithCancel(t.Context())
 	cancelParent()
-	ctx, cancel := progress.WithClock(parent, clock.NewFake(), first)
+	ctx, cancel := progress.WithClock(parent, clock.NewFake(), first, progress.Stall)
 	if err := ctx.Err(); !errors.Is(err, context.Canceled) {
 		t.Errorf("got: %v, want: %v", err, context.Canceled)
 	}
 	cancel()
 }
+
+func TestAStallMayBeLonger(t *testing.T) {
+	const stall = 4 * progress.Stall
+	c := clock.NewFake()
+	ctx, cancel := progress.WithClock(t.Context(), c, first, stall)
+	defer cancel()
+	c.Advance(first / 2)
+	progress.Moved(ctx, 1)
+	c.Advance(stall - 1)
+	if err := ctx.Err(); err != nil {
+		t.Errorf("just before: got: %v, want: none", err)
+	}
+	c.Advance(1)
+	if err := ctx.Err(); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("just after: got: %v, want: %v", err, context.DeadlineExceeded)
+	}
+}
