--- a/internal/link/conn_test.go
+++ b/internal/link/conn_test.go
@@ -134,6 +134,53 @@
 	<-h.released
 }
 
+// reader is a peer that reads something large for its caller.
+type reader struct {
+	// moved is closed once the first byte has come, gone once the caller has given up.
+	moved, gone chan struct{}
+	// left is how long the peer would go on after the next byte.
+	left chan time.Duration
+}
+
+func (r *reader) HandleCall(ctx context.Context, _ *link.Conn, _ link.Kind, _ []byte) (any, error) {
+	progress.Moved(ctx, 1)
+	close(r.moved)
+	<-r.gone
+	progress.Moved(ctx, 1)
+	left, _ := progress.Left(ctx)
+	r.left <- left
+	return nil, ctx.Err()
+}
+
+func (*reader) HandleNotice(*link.Conn, link.Kind, []byte) {}
+
+// A peer that read 1 MB from the store for a node that had given up went on to the
+// end, held a connection to the store meanwhile, and sent the whole over the link of
+// that node, which had asked six others for it again.
+func TestAPeerThatReadsGivesUpWithItsCaller(t *testing.T) {
+	const first = 50 * time.Millisecond
+	near, far := net.Pipe()
+	r := &reader{moved: make(chan struct{}), gone: make(chan struct{}), left: make(chan time.Duration, 1)}
+	left, right := link.NewConn(near, &handler{}), link.NewConn(far, r)
+	t.Cleanup(left.Close)
+	t.Cleanup(right.Close)
+	c := clock.NewFake()
+	ctx, cancel := progress.WithClock(t.Context(), c, first)
+	defer cancel()
+	go func() {
+		<-r.moved
+		c.Advance(first + progress.Stall)
+	}()
+	got := ""
+	if err := left.Call(ctx, "read", "x", &got); err == nil {
+		t.Errorf("got: %q, want: an error", got)
+	}
+	close(r.gone)
+	if got := <-r.left; got > first {
+		t.Errorf("the peer goes on: got: %v, want: %v at most", got, first)
+	}
+}
+
 // piecewise lets what is written pass in pieces, each followed by a word.
 type piecewise struct {
 	net.Conn
