--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -87,11 +87,11 @@
 	IsTurnedAway bool
 }
 
-// configMessage is the configuration in force at a node.
 // claimCall names the epoch of the owner that has stopped: a call that comes late
 // must not end a later one.
 type claimCall struct{ Epoch uint64 }
 
+// configMessage is the configuration in force at a node.
 type configMessage struct {
 	Version uint64
 	// Packed is compressed; it is empty before the first.
