--- a/internal/owner/ahead.go
+++ b/internal/owner/ahead.go
@@ -21,9 +21,9 @@
 )
 
 // aheadGate decides when an owner may run ahead of the store: start tasks before
-// their places are kept. The next owner must be able to know it. So either the owner's newest record in the store has
-// a mark, or its newest record without one is older than PlainAge. Not safe for
-// concurrent use.
+// their places are kept. The next owner must be able to know it. So either the
+// owner's newest record in the store has a mark, or its newest record without one
+// is older than PlainAge. Not safe for concurrent use.
 type aheadGate struct {
 	slowUntil time.Time
 	// wantsMark means that the next record gets the mark.
