--- a/internal/link/conn_test.go
+++ b/internal/link/conn_test.go
@@ -165,7 +165,7 @@
 	t.Cleanup(left.Close)
 	t.Cleanup(right.Close)
 	c := clock.NewFake()
-	ctx, cancel := progress.WithClock(t.Context(), c, first)
+	ctx, cancel := progress.WithClock(t.Context(), c, first, progress.Stall)
 	defer cancel()
 	go func() {
 		<-r.moved
