--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -321,7 +321,8 @@
 	defer func() { <-c.slots }()
 	ctx := c.ctx
 	if m.Patience > 0 {
-		bounded, cancel := progress.With(ctx, m.Patience)
+		// Not by progress: the caller does not hear of it before the reply begins.
+		bounded, cancel := context.WithTimeout(ctx, m.Patience)
 		defer cancel()
 		ctx = bounded
 	}
