internal/owner, internal/dispatch: answer for withdrawn jobs as for others

Change: such a job counts as shown once it is kept; a question carries when it came; the submission is refused with its batch. Result: TestAWithdrawnJobIsShownOnlyOnceItIsKept fails without the first, passes with it; the two others were read, not shown by a test.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -132,7 +132,7 @@
 func (e *Engine) AddJob(spec *work.Spec) bool {
 	if j, ok := e.jobs[spec.ID]; ok {
 		if j.state == work.JobWithdrawn {
-			j.state = work.JobCancelled
+			j.state, j.isShown = work.JobCancelled, false
 			e.touch(j)
 			e.batchNow().isUrgent = true
 		}
--- a/internal/dispatch/refused_test.go
+++ b/internal/dispatch/refused_test.go
@@ -44,3 +44,23 @@
 		t.Error("its cancelling: got: settled, want: not yet kept")
 	}
 }
+
+// A job handed in after its cancelling, which was kept as that of an unknown job, was
+// shown as cancelled before the store had it: a loss of all memory took that back.
+func TestAWithdrawnJobIsShownOnlyOnceItIsKept(t *testing.T) {
+	e := dispatch.NewEngine(dispatch.Options{})
+	e.Advance(clock.NewFake().Now())
+	e.Cancel("a")
+	e.Committed(e.TakeBatch())
+	if state, ok := e.State("a"); ok || !e.IsSettledCancel("a") {
+		t.Errorf("cancelled before it came: got: %v, %v, want: settled, and no such job", state, ok)
+	}
+	e.AddJob(&work.Spec{ID: "a", Queue: "q", Steps: []work.Step{step(1, 0)}})
+	if state, _ := e.State("a"); state.IsFinal() || e.IsSettledCancel("a") || e.IsKept("a") {
+		t.Errorf("handed in, not kept: got: %v, settled: %v, want: not yet", state, e.IsSettledCancel("a"))
+	}
+	e.Committed(e.TakeBatch())
+	if state, _ := e.State("a"); state != work.JobCancelled || !e.IsKept("a") {
+		t.Errorf("kept: got: %v, want: %v", state, work.JobCancelled)
+	}
+}
--- a/internal/owner/cancel_test.go
+++ b/internal/owner/cancel_test.go
@@ -61,6 +61,12 @@
 // the job ran on.
 func TestAnOwnerThatWasReplacedAcknowledgesNoCancel(t *testing.T) {
 	first, cut, second := replaced(t)
+	// While it is cut off it cannot know, and says nothing.
+	ctx, cancel := context.WithTimeout(t.Context(), 2*tick)
+	defer cancel()
+	if _, err := first.Cancel(ctx, "a"); err == nil {
+		t.Error("cancelling at the earlier owner, cut off: got: acknowledged, want: an error")
+	}
 	answered := make(chan error, 1)
 	go func() {
 		_, err := first.Cancel(t.Context(), "a")
@@ -78,6 +84,11 @@
 // As with cancellings: that there is no such job is for the owner to say.
 func TestAnOwnerThatWasReplacedDeniesNoJob(t *testing.T) {
 	first, cut, _ := replaced(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*tick)
+	defer cancel()
+	if _, _, err := first.State(ctx, "a"); err == nil {
+		t.Error("state at the earlier owner, cut off: got: no such job, want: an error")
+	}
 	answered := make(chan error, 1)
 	go func() {
 		_, _, err := first.State(t.Context(), "a")
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -88,8 +88,10 @@
 }
 
 type stateEvent struct {
-	id    work.JobID
-	reply chan stateAnswer
+	id work.JobID
+	// askedAt is when the question came to this node.
+	askedAt time.Time
+	reply   chan stateAnswer
 }
 
 func (ev stateEvent) apply(o *Owner) {
@@ -98,30 +100,24 @@
 	case !o.isTrusted() || !isKnown && o.isStalled():
 		ev.reply <- stateAnswer{err: leverdyke.NotRun("this node may not be the owner of the jobs", retryAfter)}
 	case !isKnown:
-		o.denials = append(o.denials, denial{ev, o.now})
+		o.denials = append(o.denials, ev)
 	default:
 		ev.reply <- stateAnswer{state: state, isKnown: true}
 	}
 }
 
-// denial is a question for a job that is not known here. A later owner may have the
-// job, so that it is only answered when this node was the owner after askedAt, by the
-// store's word.
-type denial struct {
-	question stateEvent
-	askedAt  time.Time
-}
-
-// answerDenials answers the questions from before confirmedAt.
+// answerDenials answers the questions from before confirmedAt. A later owner may have
+// a job that is not known here, so that it is only denied when this node was the owner
+// after the question came, by the store's word.
 func (o *Owner) answerDenials() {
 	waiting := o.denials[:0]
-	for _, d := range o.denials {
-		if d.askedAt.After(o.confirmedAt) {
-			waiting = append(waiting, d)
+	for _, ev := range o.denials {
+		if ev.askedAt.After(o.confirmedAt) {
+			waiting = append(waiting, ev)
 			continue
 		}
-		state, isKnown := o.engine.State(d.question.id)
-		d.question.reply <- stateAnswer{state: state, isKnown: isKnown}
+		state, isKnown := o.engine.State(ev.id)
+		ev.reply <- stateAnswer{state: state, isKnown: isKnown}
 	}
 	o.denials = waiting
 }
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -223,6 +223,12 @@
 		for _, spec := range b.Specs {
 			o.answer(o.submits, spec.ID, leverdyke.NotRun("the store does not take new jobs", outRetry))
 		}
+		for id := range b.Progress {
+			if !o.engine.IsKept(id) {
+				// It was withdrawn before it was handed in, and never runs.
+				o.answer(o.submits, id, leverdyke.NotRun("the store does not take new jobs", outRetry))
+			}
+		}
 		o.refuseNew("the store does not take new jobs")
 		return
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -67,7 +67,7 @@
 	cancels     map[work.JobID][]chan error
 	// denials are questions for jobs that are not known here, until the store confirms
 	// that this node still is the owner.
-	denials    []denial
+	denials    []stateEvent
 	orders     int
 	totalsAt   time.Time
 	handOver   chan bool
@@ -290,8 +290,8 @@
 			delete(waiting, id)
 		}
 	}
-	for _, d := range o.denials {
-		d.question.reply <- stateAnswer{err: errGone()}
+	for _, ev := range o.denials {
+		ev.reply <- stateAnswer{err: errGone()}
 	}
 	o.denials = nil
 }
@@ -345,7 +345,7 @@
 // State returns what a caller is told of a job; false when there is none.
 func (o *Owner) State(ctx context.Context, id work.JobID) (work.JobState, bool, error) {
 	ch := make(chan stateAnswer, 1)
-	a, err := ask(ctx, o, stateEvent{id, ch}, ch)
+	a, err := ask(ctx, o, stateEvent{id, o.options.Clock.Now(), ch}, ch)
 	if err == nil {
 		err = a.err
 	}
