--- a/internal/integration/links_test.go
+++ b/internal/integration/links_test.go
@@ -115,7 +115,7 @@
 func newRegions(t *testing.T) (c *cell, logs map[string]*toxiproxy.Proxy) {
 	t.Helper()
 	logs = map[string]*toxiproxy.Proxy{}
-	c = &cell{t: t, links: map[[2]int]*toxiproxy.Proxy{}}
+	c = &cell{t: t, name: t.Name(), links: map[[2]int]*toxiproxy.Proxy{}}
 	var err error
 	c.Cell, err = standin.NewCell(standin.NewCellOptions{
 		Binary: binary, Dir: t.TempDir(), Nodes: 4, Settings: "lease: 7s\nsync: 500ms\nappends_per_second: 20\n",
@@ -161,11 +161,7 @@
 	t.Parallel()
 	c, logs := newRegions(t)
 	ctx := context.Background()
-	for _, d := range [][2]string{{"office/head", "waiting: 0.8\npacking: 0.2\n"}, {"team/t", "office: head\nquota: {milli_cpu: 90000, memory_mib: 190000, slots: 48}\n"}} {
-		if _, err := c.Client().Publish(ctx, d[0], &operator.PublishRequest{Body: d[1], Author: "test"}); err != nil {
-			t.Fatal(err)
-		}
-	}
+	c.publishTeam()
 	for _, region := range []string{"r1", "r2"} {
 		c.submit(region, "team: t\nregion: "+region+"\nkind: service\ntasks: 2\neach: {milli_cpu: 100, memory_mib: 10}\nservice: s-"+region+"\nrequest: {milli_cpu: 10, memory_mib: 1}\n")
 		if !standin.Await(patience, func() bool { return runsIn(c, region) == 2 }) {
@@ -227,3 +223,35 @@
 		}
 	}
 }
+
+// publishTeam publishes the office and the team that the tests' jobs are of.
+func (c *cell) publishTeam() {
+	c.t.Helper()
+	for _, d := range [][2]string{{"office/head", "waiting: 0.8\npacking: 0.2\n"}, {"team/t", "office: head\nquota: {milli_cpu: 90000, memory_mib: 190000, slots: 48}\n"}} {
+		if _, err := c.Client().Publish(context.Background(), d[0], &operator.PublishRequest{Body: d[1], Author: "test"}); err != nil {
+			c.t.Fatal(err)
+		}
+	}
+}
+
+// A node that reads the log late left a job that it had not read yet out of a
+// cancelling, and said that all was done: the job ran on.
+func TestACancelAtANodeThatLagsIsNotLeftOut(t *testing.T) {
+	t.Parallel()
+	c, logs := newRegions(t)
+	c.publishTeam()
+	near := operator.NewClient([]string{c.Nodes[0].Operators.String()}, patience, nil)
+	late := operator.NewClient([]string{c.Nodes[1].Operators.String()}, patience, nil)
+	c.toxic(logs["r2"], "latency", "downstream", `{"latency":2000}`)
+	body := "team: t\nregion: r1\nkind: service\ntasks: 2\neach: {milli_cpu: 100, memory_mib: 10}\nservice: s-r1\nrequest: {milli_cpu: 10, memory_mib: 1}\n"
+	if _, err := near.Submit(t.Context(), &operator.SubmitRequest{ID: "a", File: "a", Body: body}); err != nil {
+		t.Fatal(err)
+	}
+	out, err := late.Cancel(t.Context(), []string{"a", "unknown"})
+	if err != nil || out.Cancelled != 1 {
+		t.Fatalf("got: %v, %v, want: one cancelled", out, err)
+	}
+	if j, err := near.Job(t.Context(), "a"); err != nil || !j.IsCancelled {
+		t.Errorf("the job: got: %v, %v, want: cancelled", j, err)
+	}
+}
