internal/entry: let the log say which jobs a cancelling meets

Change: every job named is cancelled through the log; those that the log does not know are left out of the count, as before.

--- a/internal/entry/operators.go
+++ b/internal/entry/operators.go
@@ -124,25 +124,25 @@
 	if len(ids) > maxCancelWave {
 		return 0, &document.FieldError{File: "ids", Problem: fmt.Sprintf("%d are too many", len(ids)), Allowed: fmt.Sprint(maxCancelWave)}
 	}
-	known := ask(n, func(c *core.Core) []state.Record {
-		records := []state.Record{}
-		for _, id := range ids {
-			if c.State().Jobs[id] != nil {
-				records = append(records, state.Record{Cancel: &state.Cancel{Job: id}})
-			}
-		}
-		return records
-	})
-	errs, err := n.append(ctx, known)
+	// Which jobs there are is for the log to say: this node may not have read all of
+	// it yet.
+	records := make([]state.Record, 0, len(ids))
+	for _, id := range ids {
+		records = append(records, state.Record{Cancel: &state.Cancel{Job: id}})
+	}
+	errs, err := n.append(ctx, records)
 	if err != nil {
 		return 0, err
 	}
 	cancelled := 0
 	for _, err := range errs {
-		if err != nil {
+		switch {
+		case errors.Is(err, state.ErrUnknown):
+		case err != nil:
 			return cancelled, notTaken(err)
+		default:
+			cancelled++
 		}
-		cancelled++
 	}
 	return cancelled, nil
 }
