internal/integration, internal/standin/relay: silence open connections in the soak; a fault it found, failing

Change: a relay before each proxy that can silence what is open, to the store, between nodes, to workers or all, from seed 900 on. Traced by its nodes' logs: the store is out and the owner runs ahead without a mark; all nodes are killed and come back with other clocks (2 to 3 s); the next owner finds the record young by its own clock, takes all places as kept (no LD0468), and starts what had ended.

--- a/internal/cell/seek_test.go
+++ b/internal/cell/seek_test.go
@@ -20,7 +20,7 @@
 		want   bool
 	}{
 		"none":        {nil, true},
-		"young":       {&owner.Record{Epoch: 7, SentAt: clk.Now().Add(-800 * time.Millisecond)}, true},
+		"no beat":     {&owner.Record{Epoch: 7, SentAt: clk.Now().Add(-800 * time.Millisecond)}, false},
 		"old":         {&owner.Record{Epoch: 7, SentAt: clk.Now().Add(-1000 * time.Millisecond)}, false},
 		"marked":      {&owner.Record{Epoch: 7, SentAt: clk.Now(), IsUnlogged: true}, false},
 		"clock ahead": {&owner.Record{Epoch: 7, SentAt: clk.Now().Add(2 * time.Second)}, false},
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/Shopify/toxiproxy"
 
+	"github.com/leverdyke/leverdyke/internal/standin/relay"
 	"github.com/leverdyke/leverdyke/internal/standin/site"
 )
 
@@ -31,7 +32,17 @@
 // 802, 807: tasks ran again after their job was told to have succeeded while the
 // store was out; a worker had left with the end, and all nodes had lost power.
 // From blackoutSeeds on seeds play blackouts too; the earlier ones play what they did.
-var soakSeeds = []uint64{1, 322, 328, 802, 807}
+// From silenceSeeds on open connections go silent for good, too.
+// 909: a fresh node whose clock was set back took an owner that had run ahead of the
+// store as exact, after all nodes had lost their memory in an outage.
+var soakSeeds = []uint64{1, 322, 328, 802, 807, 909}
+
+const (
+	// silenceSeeds is the first seed that plays silences, silenceShare the share of
+	// these among its faults: one in so many.
+	silenceSeeds = 900
+	silenceShare = 8
+)
 
 // soak is a cell under random faults: signals to nodes, proxies between nodes, to
 // the store and to workers, clocks that differ, and a store that misbehaves.
@@ -41,9 +52,13 @@
 	// hasBlackouts means that outages of the store with workers that leave and a loss
 	// of all nodes are among the faults.
 	hasBlackouts bool
+	// hasSilences means that open connections go silent, while new ones work.
+	hasSilences bool
 
 	mu      sync.Mutex
 	proxies map[string]*toxiproxy.Proxy
+	// relays are before the proxies where connections may go silent.
+	relays map[string]*relay.Relay
 	// asked are accepted jobs that were not shown as over yet.
 	asked []string
 	// later are the ends of faults, by when they are due.
@@ -98,9 +113,10 @@
 }
 
 func runSoak(t *testing.T, seed uint64, length time.Duration) {
-	s := &soak{rng: rand.New(rand.NewPCG(seed, 2)), proxies: map[string]*toxiproxy.Proxy{}, restarting: map[*site.Node]bool{}, version: 1, born: 100}
-	s.hasBlackouts = seed >= blackoutSeeds
+	s := &soak{rng: rand.New(rand.NewPCG(seed, 2)), proxies: map[string]*toxiproxy.Proxy{}, relays: map[string]*relay.Relay{}, restarting: map[*site.Node]bool{}, version: 1, born: 100}
+	s.hasBlackouts, s.hasSilences = seed >= blackoutSeeds, seed >= silenceSeeds
 	s.siteCell = newSiteCell(t, 3, site.Options{Workers: 6, HasAdvice: seed%2 == 0, Via: s.via})
+	t.Cleanup(s.closeRelays)
 	lasting := small(2, 0)
 	lasting.Perpetual = true
 	lastingID := s.mustSubmit(lasting)
@@ -135,7 +151,37 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.proxies[name] = p
-	return via.String(), nil
+	if !s.hasSilences {
+		return via.String(), nil
+	}
+	r, err := relay.NewRelay(via)
+	if err != nil {
+		return "", err
+	}
+	s.relays[name] = r
+	return r.Addr().String(), nil
+}
+
+func (s *soak) closeRelays() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.relays {
+		r.Close()
+	}
+}
+
+// silence makes all open connections of a kind, or of all kinds, silent for good: to
+// the store, between nodes, to workers. New ones work.
+func (s *soak) silence() {
+	kind := []string{"-store", "-link", "i-", ""}[s.rng.IntN(4)]
+	s.note("open connections of %q go silent", kind)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, r := range s.relays {
+		if strings.Contains(name, kind) {
+			r.Silence()
+		}
+	}
 }
 
 // play hands in jobs and injects faults until the time is over.
@@ -290,6 +336,10 @@
 		s.blackout()
 		return
 	}
+	if s.hasSilences && s.rng.IntN(silenceShare) == 0 {
+		s.silence()
+		return
+	}
 	switch s.rng.IntN(10) {
 	case 0:
 		s.restart(node, syscall.SIGKILL, lasts/2)
