internal/link: keep what meters long frames in a file of its own

Cause: conn.go held calls, frames and the noting of progress together, longFrame had neither unit nor source, and meter was the name of another type in platform/direct.go too. Change: long.go has waiter, noteMoved, the write in pieces and the reader, which is now frameMeter; longFrame is shortFrameReads, whose comment tells what is counted and where the 2 comes from. The value and what is noted stay.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,11 +43,6 @@
 const (
 	// outboundFrames is how many frames may wait; a peer that does not read is cut.
 	outboundFrames = 4096
-	// writeTimeout is how long writePiece may take to leave: a peer in the same
-	// region reads within milliseconds, and 10 Mbit/s take 13 ms. A long frame takes
-	// as long as its pieces do.
-	writeTimeout = 2 * time.Second
-	writePiece   = 16 << 10
 	// maxCalls is how many calls of a peer may be in progress.
 	maxCalls = 2048
 	// keepAlive finds a machine that lost its power, besides the beats.
@@ -89,12 +83,6 @@
 	waiting map[uint64]waiter
 }
 
-// waiter is a call that waits for its reply.
-type waiter struct {
-	ctx   context.Context
-	reply chan *message
-}
-
 // NewConn takes over an open connection.
 func NewConn(c net.Conn, h Handler) *Conn {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -220,21 +208,6 @@
 	}
 }
 
-// write sends bytes for as long as they leave. Calls that wait have their bytes in
-// a long frame, or behind it.
-func (c *Conn) write(buf []byte) error {
-	for piece := range slices.Chunk(buf, writePiece) {
-		_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := c.conn.Write(piece); err != nil {
-			return err
-		}
-		if len(buf) > len(piece) {
-			c.noteMoved(len(piece))
-		}
-	}
-	return nil
-}
-
 // gatherBytes is about how much one write carries.
 const gatherBytes = 64 << 10
 
@@ -255,10 +228,10 @@
 // runReads takes what comes until the connection is closed.
 func (c *Conn) runReads() {
 	defer c.Close()
-	from := &meter{conn: c}
+	from := &frameMeter{conn: c}
 	r := bufio.NewReaderSize(from, 8<<10)
 	for {
-		from.reads = 0
+		from.begin()
 		m := &message{}
 		if _, err := frame.Read(r, m); err != nil {
 			return
@@ -268,34 +241,6 @@
 	}
 }
 
-// meter reads a connection and tells the calls that wait when a long frame comes:
-// the reply to each is in it, or waits behind it.
-type meter struct {
-	conn *Conn
-	// reads counts those of one frame.
-	reads int
-}
-
-// longFrame is how many reads a frame takes that does not come at once.
-const longFrame = 2
-
-// Read reads, and notes that bytes of a long frame came.
-func (m *meter) Read(b []byte) (int, error) {
-	n, err := m.conn.conn.Read(b)
-	if m.reads++; m.reads > longFrame && n > 0 {
-		m.conn.noteMoved(n)
-	}
-	return n, err
-}
-
-func (c *Conn) noteMoved(bytes int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, w := range c.waiting {
-		progress.Moved(w.ctx, bytes)
-	}
-}
-
 func (c *Conn) take(m *message) {
 	switch {
 	case m.IsReply:
