internal/cell: split the following of an owner into steps

Cause: stay had some 50 lines, with a switch in a select in a loop, and changed its link on the way. Change: type following holds the owner's record, the link and the question to the store; step, takeOver, heed, relink and askIfSilent do one thing each, in the order of before. Result: make lint passes, and go test -race of the package passes.

--- a/internal/cell/follow.go
+++ b/internal/cell/follow.go
@@ -21,59 +21,100 @@
 // one: a stalled owner does not answer it either.
 const relinkTimeout = 250 * time.Millisecond
 
+// following is the time for which a node follows an owner. One goroutine uses it.
+type following struct {
+	node *Node
+	// record is the owner's, as it was when the following began.
+	record *owner.Record
+	// conn is the link to the owner; another takes its place when it is dead.
+	conn *link.Conn
+	// asked brings the store's word on a silent owner; nil while nobody asks.
+	asked chan ownerState
+}
+
 // stay passes requests on over the link while the owner's beats come.
 func (n *Node) stay(conn *link.Conn, r *owner.Record) {
+	f := &following{node: n, record: r, conn: conn}
 	n.setOwnerLink(conn)
 	n.options.Log(events.OwnerFollowed, "owner", r.Node, "epoch", r.Epoch)
 	n.sendAlive()
-	defer func() { conn.Close() }()
+	defer func() { f.conn.Close() }()
 	defer n.setOwnerLink(nil)
 	ticks, stop := n.options.Clock.Subscribe(seekPause)
 	defer stop()
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
-	var asked chan ownerState
-	for {
-		select {
-		case <-n.ctx.Done():
-			return
-		case <-conn.Done():
-			return
-		case epoch := <-n.takeOver:
-			if epoch == r.Epoch {
-				n.claimAfter(r)
-				return
-			}
-		case found := <-asked:
-			asked = nil
-			switch found.word {
-			case ownerReplaced:
-				return
-			case ownerRelinked:
-				n.options.Log(events.OwnerFollowed, "owner", r.Node, "epoch", r.Epoch, "silent", n.silence())
-				conn.Close()
-				conn = found.conn
-				n.setOwnerLink(conn)
-				n.sendAlive()
-			case ownerDead:
-				conn.Close()
-				n.setOwnerLink(nil)
-				n.claim(found.record, found.end, false)
-				return
-			case ownerLives:
-			}
-		case <-ticks:
-		}
-		if n.silence() > linkSilence {
-			return
-		}
-		if asked == nil && n.isOwnerSilent() {
-			n.options.Log(events.PeerSuspected, "peer", r.Node, "epoch", r.Epoch, "silent", n.silence())
-			asked = make(chan ownerState)
-			n.wg.Add(1)
-			go n.runQuestion(ctx, r, asked)
-		}
+	for f.step(ticks) && n.silence() <= linkSilence {
+		f.askIfSilent(ctx)
+	}
+}
+
+// step waits until something happens, and reports whether the owner is still
+// followed after it.
+func (f *following) step(ticks <-chan time.Time) bool {
+	select {
+	case <-f.node.ctx.Done():
+		return false
+	case <-f.conn.Done():
+		return false
+	case epoch := <-f.node.takeOver:
+		return !f.takeOver(epoch)
+	case found := <-f.asked:
+		f.asked = nil
+		return f.heed(found)
+	case <-ticks:
+		return true
+	}
+}
+
+// takeOver claims the shard when it is this owner that has stopped; calls to take
+// over from an earlier one come late.
+func (f *following) takeOver(epoch uint64) bool {
+	if epoch != f.record.Epoch {
+		return false
+	}
+	f.node.claimAfter(f.record)
+	return true
+}
+
+// heed does what the store's word asks for, and reports whether the owner is still
+// followed.
+func (f *following) heed(found ownerState) bool {
+	switch found.word {
+	case ownerReplaced:
+		return false
+	case ownerDead:
+		f.conn.Close()
+		f.node.setOwnerLink(nil)
+		f.node.claim(found.record, found.end, false)
+		return false
+	case ownerRelinked:
+		f.relink(found.conn)
+	case ownerLives:
+	}
+	return true
+}
+
+// relink goes on over a new link.
+func (f *following) relink(conn *link.Conn) {
+	n := f.node
+	n.options.Log(events.OwnerFollowed, "owner", f.record.Node, "epoch", f.record.Epoch, "silent", n.silence())
+	f.conn.Close()
+	f.conn = conn
+	n.setOwnerLink(conn)
+	n.sendAlive()
+}
+
+// askIfSilent begins to ask the store about an owner that is silent; ctx ends that.
+func (f *following) askIfSilent(ctx context.Context) {
+	n := f.node
+	if f.asked != nil || !n.isOwnerSilent() {
+		return
 	}
+	n.options.Log(events.PeerSuspected, "peer", f.record.Node, "epoch", f.record.Epoch, "silent", n.silence())
+	f.asked = make(chan ownerState)
+	n.wg.Add(1)
+	go n.runQuestion(ctx, f.record, f.asked)
 }
 
 func (n *Node) setOwnerLink(c *link.Conn) {
