internal/owner: split the append and what follows a write

Change: type appending holds the records, the sequence number and whether a try may have been done; try, judge and takeSequence are its steps. noteKept and noteRefused are the two outcomes of a batch; pause is the wait, also in retry, runBeats and runList. Each answer, number and pause is as before.

--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -79,10 +79,7 @@
 			return fmt.Errorf("owner: %s: %w", what, err)
 		}
 		o.options.Log(events.StoreFailed, "what", what, "err", err)
-		select {
-		case <-o.ctx.Done():
-		case <-o.options.Clock.After(writeRetry):
-		}
+		o.pause(writeRetry)
 	}
 }
 
@@ -154,43 +151,96 @@
 // next sequence number. Where mayRefuse is set it reports false when the store
 // says that nothing was done.
 func (o *Owner) append(records []store.Record, sequence uint64, mayRefuse bool) (uint64, bool) {
-	isSent := false
+	a := &appending{owner: o, records: records, sequence: sequence, mayRefuse: mayRefuse}
 	for tries := 0; ; tries++ {
-		ctx, cancel := o.boundStore()
-		began := o.options.Clock.Now()
-		_, err := o.options.Store.Append(ctx, &store.Append{Topic: TopicJobs, Records: records, Writer: o.writer(sequence)})
-		cancel()
-		o.options.Metrics.Appended(appendOutcome(err), o.options.Clock.Now().Sub(began))
+		err := a.try()
 		if err == nil {
-			return sequence + 1, true
+			return a.sequence + 1, true
 		}
 		if o.ctx.Err() != nil {
-			return sequence, false
+			return a.sequence, false
 		}
-		o.options.Log(events.StoreFailed, "what", "append", "records", len(records), "sequence", sequence, "try", tries, "err", err)
-		switch store.FailureOf(err) {
-		case store.Fenced:
-			o.options.Log(events.ShardDropped, "epoch", o.Epoch(), "why", "the store has a later owner's records")
-			o.cancel()
-			return sequence, false
-		case store.Sequence:
-			if e := (&store.Error{}); errors.As(err, &e) && e.Want != sequence && (!isSent || e.Want > sequence) {
-				sequence = e.Want
-				continue
-			}
-		case store.NotDone:
-			if mayRefuse && !isSent {
-				return sequence, false
-			}
-		case store.Unknown, store.Moved, store.Gone:
-			isSent = true
-			o.put(storeOutEvent{})
+		o.options.Log(events.StoreFailed, "what", "append", "records", len(records), "sequence", a.sequence, "try", tries, "err", err)
+		next := a.judge(err)
+		if next == tryNever || next == tryLater && !o.pause(writeRetry) {
+			return a.sequence, false
 		}
-		select {
-		case <-o.ctx.Done():
-			return sequence, false
-		case <-o.options.Clock.After(writeRetry):
+	}
+}
+
+// appending is the append of some records, repeated until its fate is known.
+type appending struct {
+	owner   *Owner
+	records []store.Record
+	// sequence is the number of the append; the store may want another.
+	sequence uint64
+	// mayRefuse lets it end when the store says that nothing was done.
+	mayRefuse bool
+	// isSent is set once the fate of a try is open: it may have been done.
+	isSent bool
+}
+
+// try sends the append once.
+func (a *appending) try() error {
+	o := a.owner
+	ctx, cancel := o.boundStore()
+	defer cancel()
+	began := o.options.Clock.Now()
+	_, err := o.options.Store.Append(ctx, &store.Append{Topic: TopicJobs, Records: a.records, Writer: o.writer(a.sequence)})
+	o.options.Metrics.Appended(appendOutcome(err), o.options.Clock.Now().Sub(began))
+	return err
+}
+
+// nextTry is when an append that failed is tried again.
+type nextTry string
+
+const (
+	tryNow   nextTry = "now"
+	tryLater nextTry = "later"
+	tryNever nextTry = "never"
+)
+
+// judge tells by the error of a try how to go on.
+func (a *appending) judge(err error) nextTry {
+	o := a.owner
+	switch store.FailureOf(err) {
+	case store.Fenced:
+		o.options.Log(events.ShardDropped, "epoch", o.Epoch(), "why", "the store has a later owner's records")
+		o.cancel()
+		return tryNever
+	case store.Sequence:
+		if a.takeSequence(err) {
+			return tryNow
 		}
+	case store.NotDone:
+		if a.mayRefuse && !a.isSent {
+			return tryNever
+		}
+	case store.Unknown, store.Moved, store.Gone:
+		a.isSent = true
+		o.put(storeOutEvent{})
+	}
+	return tryLater
+}
+
+// takeSequence takes the number that the store wants, and reports whether it is
+// another one. After a try that may have been done it never goes back.
+func (a *appending) takeSequence(err error) bool {
+	e := &store.Error{}
+	if !errors.As(err, &e) || e.Want == a.sequence || a.isSent && e.Want < a.sequence {
+		return false
+	}
+	a.sequence = e.Want
+	return true
+}
+
+// pause waits, and reports false when the owner ended meanwhile.
+func (o *Owner) pause(d time.Duration) bool {
+	select {
+	case <-o.ctx.Done():
+		return false
+	case <-o.options.Clock.After(d):
+		return true
 	}
 }
 
@@ -215,24 +265,16 @@
 
 func (ev writtenEvent) apply(o *Owner) {
 	o.writing = nil
-	b := ev.write.batch
-	if !ev.isKept {
-		o.isStoreOut = true
-		o.writeAfter = o.now.Add(writeRetry)
-		o.engine.Refused(b)
-		for _, spec := range b.Specs {
-			o.answer(o.submits, spec.ID, leverdyke.NotRun("the store does not take new jobs", outRetry))
-		}
-		for id := range b.Progress {
-			if !o.engine.IsKept(id) {
-				// It was withdrawn before it was handed in, and never runs.
-				o.answer(o.submits, id, leverdyke.NotRun("the store does not take new jobs", outRetry))
-			}
-		}
-		o.refuseNew("the store does not take new jobs")
-		return
+	o.isStoreOut = !ev.isKept
+	if ev.isKept {
+		o.noteKept(ev.write.batch)
+	} else {
+		o.noteRefused(ev.write.batch)
 	}
-	o.isStoreOut = false
+}
+
+// noteKept answers for what the store has kept.
+func (o *Owner) noteKept(b *dispatch.Batch) {
 	o.engine.Committed(b)
 	for _, spec := range b.Specs {
 		o.answer(o.submits, spec.ID, nil)
@@ -247,15 +289,30 @@
 	}
 }
 
+// noteRefused refuses the jobs of a batch that the store refused, and those that
+// would be in the next. All else of the batch is sent again.
+func (o *Owner) noteRefused(b *dispatch.Batch) {
+	const why = "the store does not take new jobs"
+	o.writeAfter = o.now.Add(writeRetry)
+	o.engine.Refused(b)
+	for _, spec := range b.Specs {
+		o.answer(o.submits, spec.ID, leverdyke.NotRun(why, outRetry))
+	}
+	for id := range b.Progress {
+		if !o.engine.IsKept(id) {
+			// It was withdrawn before it was handed in, and never runs.
+			o.answer(o.submits, id, leverdyke.NotRun(why, outRetry))
+		}
+	}
+	o.refuseNew(why)
+}
+
 // runBeats writes down every so often that this node is the owner.
 func (o *Owner) runBeats() {
 	defer o.wg.Done()
 	for o.ctx.Err() == nil {
 		o.sendBeat()
-		select {
-		case <-o.ctx.Done():
-		case <-o.options.Clock.After(BeatPeriod):
-		}
+		o.pause(BeatPeriod)
 	}
 }
 
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -113,9 +113,6 @@
 			}
 			o.put(workersEvent{list, !now.Before(certainAt)})
 		}
-		select {
-		case <-o.ctx.Done():
-		case <-o.options.Clock.After(listPeriod):
-		}
+		o.pause(listPeriod)
 	}
 }
