internal/cell: call the failed reads of a configuration failedReads

Cause: the type unread read as a state of a configuration; it counts failed reads of one source since the last that succeeded. Change: type and field are failedReads, the local variable failed. Keys and values of the log lines stay.

--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -55,9 +55,9 @@
 	fromPeer  configSource = "peer"
 )
 
-// unread tells of the reads of a configuration that have failed since one
-// succeeded.
-type unread struct {
+// failedReads are the reads of a configuration from one source that have failed
+// since one succeeded.
+type failedReads struct {
 	since time.Time
 	tries int
 }
@@ -70,22 +70,22 @@
 	}
 	now := n.options.Clock.Now()
 	n.mu.Lock()
-	u, version := n.unread[from], n.configVersion
-	isFirst := err != nil && u == nil
+	failed, version := n.failedReads[from], n.configVersion
+	isFirst := err != nil && failed == nil
 	switch {
 	case isFirst:
-		n.unread[from] = &unread{now, 1}
+		n.failedReads[from] = &failedReads{now, 1}
 	case err != nil:
-		u.tries++
+		failed.tries++
 	default:
-		delete(n.unread, from)
+		delete(n.failedReads, from)
 	}
 	n.mu.Unlock()
 	switch {
 	case isFirst:
 		n.options.Log(events.ConfigUnread, "from", from, "version", version, "took", took, "err", err)
-	case err == nil && u != nil:
-		n.options.Log(events.ConfigReadAgain, "from", from, "version", version, "tries", u.tries, "since", now.Sub(u.since))
+	case err == nil && failed != nil:
+		n.options.Log(events.ConfigReadAgain, "from", from, "version", version, "tries", failed.tries, "since", now.Sub(failed.since))
 	}
 }
 
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -111,9 +111,9 @@
 	behind      *link.Conn
 	behindSince time.Time
 	isFetching  bool
-	// unread has the sources that cannot be read now.
-	unread    map[configSource]*unread
-	isLeaving bool
+	// failedReads has the sources of the configuration that cannot be read now.
+	failedReads map[configSource]*failedReads
+	isLeaving   bool
 	// isTurnedAway means that the store did not answer this node's last read.
 	isTurnedAway bool
 	// isYielding means that this owner hands over to a faster node, yieldedAt is
@@ -150,7 +150,7 @@
 	n := &Node{
 		options: options, listener: l, ctx: ctx, cancel: cancel, startedAt: options.Clock.Now(),
 		log: options.NewStore(options.Direct), peers: newPeers(options.Clock), takeOver: make(chan uint64, 1),
-		changed: make(chan struct{}), unread: map[configSource]*unread{},
+		changed: make(chan struct{}), failedReads: map[configSource]*failedReads{},
 	}
 	n.detour = detour.New(options.Direct, n.peers, options.Clock)
 	n.wg.Add(5)
