internal/progress: say who bounds and who notes

Cause: the package comment did not tell who calls what; bound named a context, Moved read as a question, and Left did not say of what. Change: the comment has an example of caller and transport; bound is boundedContext, of is innermost, Moved is Note, whose comment tells what 0 bytes mean, Left is TimeLeft. Tests call the new names, and their assertions stay.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -264,7 +264,7 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-w.step:
-			progress.Moved(ctx, 1)
+			progress.Note(ctx, 1)
 			w.moved <- struct{}{}
 		}
 	}
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -155,7 +155,7 @@
 
 // patienceOf returns how long ctx still lasts; 0 when it has no end.
 func patienceOf(ctx context.Context) time.Duration {
-	left, ok := progress.Left(ctx)
+	left, ok := progress.TimeLeft(ctx)
 	if !ok {
 		return 0
 	}
--- a/internal/link/conn_test.go
+++ b/internal/link/conn_test.go
@@ -143,11 +143,11 @@
 }
 
 func (r *reader) HandleCall(ctx context.Context, _ *link.Conn, _ link.Kind, _ []byte) (any, error) {
-	progress.Moved(ctx, 1)
+	progress.Note(ctx, 1)
 	close(r.moved)
 	<-r.gone
-	progress.Moved(ctx, 1)
-	left, _ := progress.Left(ctx)
+	progress.Note(ctx, 1)
+	left, _ := progress.TimeLeft(ctx)
 	r.left <- left
 	return nil, ctx.Err()
 }
--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -3,7 +3,23 @@
 
 // Package progress bounds exchanges by their progress, not by their total time:
 // an answer may take as long as its size needs on a weak link, as long as bytes
-// come.
+// come (decision 0016).
+//
+// Who wants an answer bounds its context, and who reads or writes the bytes notes
+// them in that context:
+//
+//	// The caller: 700 ms until the first byte, then Stall from byte to byte.
+//	ctx, cancel := progress.With(ctx, 700*time.Millisecond)
+//	defer cancel()
+//	answer, err := ask(ctx)
+//
+//	// The transport below ask, after each read:
+//	n, err := conn.Read(buf)
+//	if n > 0 {
+//		progress.Note(ctx, n)
+//	}
+//
+// Who passes the request on to another node tells it TimeLeft.
 package progress
 
 import (
@@ -31,14 +47,14 @@
 	AfterFunc(d time.Duration, f func()) (stop func() bool)
 }
 
-// bound is a context that ends when nothing has moved for too long.
-type bound struct {
+// boundedContext is a context that ends when nothing has moved for too long.
+type boundedContext struct {
 	context.Context
 	cancel context.CancelCauseFunc
 	clock  Clock
 	began  time.Time
-	// parent is the next bound outwards; what moves here moves there.
-	parent *bound
+	// parent is the next such context outwards; what moves here moves there.
+	parent *boundedContext
 	// first counts from began, stall from the last byte.
 	first, stall time.Duration
 	// moved counts bytes; movedAt is when the last moved, in nanoseconds after
@@ -50,11 +66,11 @@
 	stop func() bool
 }
 
-type boundKey struct{}
+type contextKey struct{}
 
-// Value returns the bound itself under its own key.
-func (b *bound) Value(key any) any {
-	if key == (boundKey{}) {
+// Value returns the context itself under its own key.
+func (b *boundedContext) Value(key any) any {
+	if key == (contextKey{}) {
 		return b
 	}
 	return b.Context.Value(key)
@@ -62,7 +78,7 @@
 
 // Err returns why the context is over: context.DeadlineExceeded when nothing
 // moved in time.
-func (b *bound) Err() error {
+func (b *boundedContext) Err() error {
 	err := b.Context.Err()
 	if err != nil && errors.Is(context.Cause(b.Context), context.DeadlineExceeded) {
 		return context.DeadlineExceeded
@@ -71,7 +87,7 @@
 }
 
 // With returns a context that is over first after now, or Stall after the last
-// call of Moved with it or a context made of it, whichever is later. What else
+// call of Note with it or a context made of it, whichever is later. What else
 // ends the parent ends it too.
 func With(parent context.Context, first time.Duration) (context.Context, context.CancelFunc) {
 	return WithClock(parent, clock.Real{}, first, Stall)
@@ -85,17 +101,19 @@
 // WithClock is WithStall by another clock.
 func WithClock(parent context.Context, c Clock, first, stall time.Duration) (context.Context, context.CancelFunc) {
 	inner, cancel := context.WithCancelCause(parent)
-	b := &bound{Context: inner, cancel: cancel, clock: c, began: c.Now(), first: first, stall: stall, parent: of(parent)}
+	b := &boundedContext{Context: inner, cancel: cancel, clock: c, began: c.Now(), first: first, stall: stall, parent: innermost(parent)}
 	b.arm(first)
 	return b, b.end
 }
 
-func of(ctx context.Context) *bound {
-	b, _ := ctx.Value(boundKey{}).(*bound)
+// innermost returns the innermost context bounded by progress that ctx is made of,
+// or nil.
+func innermost(ctx context.Context) *boundedContext {
+	b, _ := ctx.Value(contextKey{}).(*boundedContext)
 	return b
 }
 
-func (b *bound) arm(d time.Duration) {
+func (b *boundedContext) arm(d time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.Context.Err() == nil {
@@ -104,7 +122,7 @@
 }
 
 // check ends the context if nothing has moved, or looks again when that is due.
-func (b *bound) check() {
+func (b *boundedContext) check() {
 	if left := b.left(); left > 0 {
 		b.arm(left)
 		return
@@ -113,7 +131,7 @@
 }
 
 // left returns how long the context lasts if nothing moves any more.
-func (b *bound) left() time.Duration {
+func (b *boundedContext) left() time.Duration {
 	passed := b.clock.Now().Sub(b.began)
 	left := b.first - passed
 	if at := b.movedAt.Load(); at > 0 {
@@ -122,7 +140,7 @@
 	return left
 }
 
-func (b *bound) end() {
+func (b *boundedContext) end() {
 	b.cancel(nil)
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -131,10 +149,11 @@
 	}
 }
 
-// Moved notes that so many bytes of an exchange came or went. It does nothing
-// with a context that is not bounded by progress.
-func Moved(ctx context.Context, bytes int) {
-	for b := of(ctx); b != nil; b = b.parent {
+// Note notes that so many bytes of an exchange came or went; 0 notes that its answer
+// has begun, and gives more time too. It does nothing with a context that is not
+// bounded by progress.
+func Note(ctx context.Context, bytes int) {
+	for b := innermost(ctx); b != nil; b = b.parent {
 		// Never 0, which means that nothing has moved.
 		b.movedAt.Store(max(int64(b.clock.Now().Sub(b.began)), 1))
 		b.moved.Add(int64(bytes))
@@ -143,15 +162,15 @@
 
 // Bytes returns how many bytes have moved under the innermost bound of ctx.
 func Bytes(ctx context.Context) int64 {
-	if b := of(ctx); b != nil {
+	if b := innermost(ctx); b != nil {
 		return b.moved.Load()
 	}
 	return 0
 }
 
-// Left returns how long ctx lasts if nothing moves any more, for a request that
+// TimeLeft returns how long ctx lasts if nothing moves any more, for a request that
 // is passed on to another node. It reports false when it has no end.
-func Left(ctx context.Context) (time.Duration, bool) {
+func TimeLeft(ctx context.Context) (time.Duration, bool) {
 	left, isBounded := time.Duration(0), false
 	note := func(d time.Duration) {
 		if !isBounded || d < left {
@@ -161,7 +180,7 @@
 	if end, ok := ctx.Deadline(); ok {
 		note(time.Until(end))
 	}
-	for b := of(ctx); b != nil; b = b.parent {
+	for b := innermost(ctx); b != nil; b = b.parent {
 		note(b.left())
 	}
 	return left, isBounded
--- a/internal/progress/progress_test.go
+++ b/internal/progress/progress_test.go
@@ -38,7 +38,7 @@
 	inner, cancelInner := progress.WithClock(middle, c, first, progress.Stall)
 	defer cancelInner()
 	for range 100 {
-		progress.Moved(inner, 10)
+		progress.Note(inner, 10)
 		c.Advance(progress.Stall - 1)
 	}
 	if inner.Err() != nil || outer.Err() != nil {
@@ -61,7 +61,7 @@
 	parent, cancelParent := context.WithCancel(t.Context())
 	ctx, cancel := progress.WithClock(parent, c, first, progress.Stall)
 	defer cancel()
-	progress.Moved(ctx, 1)
+	progress.Note(ctx, 1)
 	cancelParent()
 	if err := ctx.Err(); !errors.Is(err, context.Canceled) {
 		t.Errorf("got: %v, want: %v", err, context.Canceled)
@@ -70,7 +70,7 @@
 
 func TestLeftIsTheLeast(t *testing.T) {
 	c := clock.NewFake()
-	if _, ok := progress.Left(t.Context()); ok {
+	if _, ok := progress.TimeLeft(t.Context()); ok {
 		t.Error("unbounded: got: an end, want: none")
 	}
 	outer, cancelOuter := progress.WithClock(t.Context(), c, first, progress.Stall)
@@ -78,12 +78,12 @@
 	inner, cancelInner := progress.WithClock(outer, c, time.Hour, progress.Stall)
 	defer cancelInner()
 	c.Advance(time.Second)
-	if got, ok := progress.Left(inner); !ok || got != time.Second {
+	if got, ok := progress.TimeLeft(inner); !ok || got != time.Second {
 		t.Errorf("got: %v, %v, want: %v", got, ok, time.Second)
 	}
 	c.Advance(time.Second - 1)
-	progress.Moved(inner, 1)
-	if got, _ := progress.Left(inner); got != progress.Stall {
+	progress.Note(inner, 1)
+	if got, _ := progress.TimeLeft(inner); got != progress.Stall {
 		t.Errorf("after a byte: got: %v, want: %v", got, progress.Stall)
 	}
 }
@@ -105,7 +105,7 @@
 	ctx, cancel := progress.WithClock(t.Context(), c, first, stall)
 	defer cancel()
 	c.Advance(first / 2)
-	progress.Moved(ctx, 1)
+	progress.Note(ctx, 1)
 	c.Advance(stall - 1)
 	if err := ctx.Err(); err != nil {
 		t.Errorf("just before: got: %v, want: none", err)
