--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -28,6 +28,14 @@
 
 // claimedWith is claimed with a taker of log lines.
 func claimedWith(t *testing.T, log store.Log, workers *fakeWorkers, logged func(events.Event, ...any)) *owner.Owner {
+	t.Helper()
+	o := claimedBy(t, log, workers, clock.Real{}, logged)
+	await.True(t, "the jobs are read", o.IsLoaded)
+	return o
+}
+
+// claimedBy is claimedWith by another clock. The jobs may not be read yet.
+func claimedBy(t *testing.T, log store.Log, workers *fakeWorkers, clk clock.Service, logged func(events.Event, ...any)) *owner.Owner {
 	t.Helper()
 	earlier, at, err := owner.ReadRecord(t.Context(), log)
 	if err != nil {
@@ -42,7 +50,7 @@
 	}
 	o := owner.New(owner.Options{
 		Claim: owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: true}, Store: log, Workers: workers, List: oneWorker{},
-		Lanes: noLanes{}, Clock: clock.Real{}, Metrics: noFigures{}, HasOutage: func() bool { return false }, Strongest: func() float64 { return 1 },
+		Lanes: noLanes{}, Clock: clk, Metrics: noFigures{}, HasOutage: func() bool { return false }, Strongest: func() float64 { return 1 },
 		Log: logged,
 	})
 	o.SetQueues(1, []order.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
@@ -52,7 +60,6 @@
 		o.Stop()
 		<-done
 	})
-	await.True(t, "the jobs are read", o.IsLoaded)
 	return o
 }
 
--- a/internal/owner/still_test.go
+++ b/internal/owner/still_test.go
@@ -13,7 +13,6 @@
 	"github.com/leverdyke/leverdyke/internal/await"
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/events"
-	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/store/fakestore"
@@ -31,33 +30,11 @@
 
 func claimedStill(t *testing.T, log *fakestore.Log) *stillOwner {
 	t.Helper()
-	earlier, at, err := owner.ReadRecord(t.Context(), log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if earlier != nil {
-		at++
-	}
-	r := owner.Record{Node: "n", Life: "l", Epoch: at + 1}
-	if _, err := owner.AppendRecord(t.Context(), log, &r, at); err != nil {
-		t.Fatal(err)
-	}
 	o := &stillOwner{clock: clock.NewFake(), over: make(chan work.JobID, 8)}
-	o.Owner = owner.New(owner.Options{
-		Claim: owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: true}, Store: log, Workers: newFakeWorkers(), List: oneWorker{},
-		Lanes: noLanes{}, Clock: o.clock, Metrics: noFigures{}, HasOutage: func() bool { return false }, Strongest: func() float64 { return 1 },
-		Log: func(e events.Event, keysAndValues ...any) {
-			if e == events.JobEnded {
-				o.over <- keysAndValues[1].(work.JobID)
-			}
-		},
-	})
-	o.SetQueues(1, []order.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
-	done := make(chan error, 1)
-	go func() { done <- o.Run(context.WithoutCancel(t.Context())) }()
-	t.Cleanup(func() {
-		o.Stop()
-		<-done
+	o.Owner = claimedBy(t, log, newFakeWorkers(), o.clock, func(e events.Event, keysAndValues ...any) {
+		if e == events.JobEnded {
+			o.over <- keysAndValues[1].(work.JobID)
+		}
 	})
 	await.True(t, "the first beat is kept and the jobs are read", func() bool {
 		beat, _ := o.LastRecord()
