internal/cell, internal/owner: tell the age of an owner's record without two clocks

Cause: whether an earlier owner may have run ahead of the store was told by the age of its last record, by the clocks of two processes. Change: beats carry the age of the owner's last record without a mark; a claimer needs both ages to be young, its own clock's and the time of day's, and relies on nothing if it has heard no beat of that owner.

--- a/internal/cell/export_test.go
+++ b/internal/cell/export_test.go
@@ -70,6 +70,13 @@
 	return n.owner != nil && n.owner.IsUnlogged()
 }
 
+// HearBeat takes a beat of an owner that tells of its last record without a mark.
+func (n *Node) HearBeat(epoch, plain uint64, plainAge time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.watch.hear(n.options.Clock.Now(), beat{Epoch: epoch, PlainRecord: plain, PlainAge: plainAge})
+}
+
 // IsExact reports whether an owner with that record has kept the place of each
 // task, as far as this node knows.
 func (n *Node) IsExact(r *owner.Record) bool { return n.isExact(r) }
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -71,6 +71,10 @@
 	// long ago it was kept.
 	Record    uint64
 	RecordAge time.Duration
+	// PlainRecord is the number of the owner's last record without a mark, on its way to
+	// the store or there, PlainAge how long ago it was sent; see owner.PlainAge.
+	PlainRecord uint64
+	PlainAge    time.Duration
 	// ConfigVersion is that of the configuration in force at the owner.
 	ConfigVersion uint64
 	// IsUnlogged means that the owner has started tasks whose places the store does
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -122,24 +122,29 @@
 }
 
 const (
-	// exactAge is the age of an owner's record, by the time of day, up to which that
-	// owner has not run ahead of the store without a mark in it; clocks of nodes
-	// differ by less than what is left to owner.PlainAge.
+	// exactAge is the age of an owner's record up to which that owner has not run ahead
+	// of the store without a mark in it. What is left to owner.PlainAge is for clocks
+	// of nodes that differ, and for a beat's way.
 	exactAge = owner.PlainAge - clockSlack
 	// clockSlack is how far clocks of nodes that are alike may differ.
 	clockSlack = 300 * time.Millisecond
 )
 
 // isExact reports whether an earlier owner has kept the place of each task that
-// it started, by its last record and by its beats.
+// it started. Its last record must have no mark and be young, by its beats on this
+// node's clock and by the time of day: a beat may have been held up on its way, and
+// the time of day may have been set. A node that heard no beat cannot tell.
 func (n *Node) isExact(earlier *owner.Record) bool {
 	if earlier == nil {
 		return true
 	}
-	age := earlier.Age(n.options.Clock.Now())
+	now := n.options.Clock.Now()
+	age := earlier.Age(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !earlier.IsUnlogged && age < exactAge && age > -clockSlack && n.unloggedEpoch != earlier.Epoch
+	heard, isHeard := n.watch.plainAge(now, earlier)
+	isYoung := isHeard && heard < exactAge && age < exactAge && age > -clockSlack
+	return isYoung && !earlier.IsUnlogged && n.unloggedEpoch != earlier.Epoch
 }
 
 // claimDelay is how long a weak node leaves the shard to stronger ones, by the
--- a/internal/cell/seek_test.go
+++ b/internal/cell/seek_test.go
@@ -15,17 +15,34 @@
 func TestAnOwnerThatMayHaveRunAheadIsNotReliedOn(t *testing.T) {
 	clk := &steppedClock{}
 	n := newNodeWith(t, fakestore.NewLog(), "n0", "1", clk)
+	if !n.IsExact(nil) {
+		t.Error("no earlier owner: got: not exact, want: exact")
+	}
+	const ms = time.Millisecond
+	type heard struct {
+		epoch, plain uint64
+		age          time.Duration
+	}
 	for name, tc := range map[string]struct {
-		record *owner.Record
-		want   bool
+		heard    heard
+		age      time.Duration
+		isMarked bool
+		want     bool
 	}{
-		"none":        {nil, true},
-		"no beat":     {&owner.Record{Epoch: 7, SentAt: clk.Now().Add(-800 * time.Millisecond)}, false},
-		"old":         {&owner.Record{Epoch: 7, SentAt: clk.Now().Add(-1000 * time.Millisecond)}, false},
-		"marked":      {&owner.Record{Epoch: 7, SentAt: clk.Now(), IsUnlogged: true}, false},
-		"clock ahead": {&owner.Record{Epoch: 7, SentAt: clk.Now().Add(2 * time.Second)}, false},
+		"young":                   {heard{7, 4, 800 * ms}, 800 * ms, false, true},
+		"old":                     {heard{7, 4, 1000 * ms}, 1000 * ms, false, false},
+		"marked":                  {heard{7, 4, 0}, 0, true, false},
+		"clock ahead":             {heard{7, 4, 0}, -2 * time.Second, false, false},
+		"clock set back":          {heard{7, 4, 1500 * ms}, 100 * ms, false, false},
+		"a beat that was held up": {heard{7, 4, 0}, 1500 * ms, false, false},
+		"a record since the beat": {heard{7, 3, 1100 * ms}, 800 * ms, false, true},
+		"two since the beat, old": {heard{7, 2, 1600 * ms}, 800 * ms, false, false},
+		"no beat of this owner":   {heard{6, 4, 0}, 800 * ms, false, false},
+		"no beat at all":          {heard{}, 800 * ms, false, false},
 	} {
-		if got := n.IsExact(tc.record); got != tc.want {
+		n.HearBeat(tc.heard.epoch, tc.heard.plain, tc.heard.age)
+		r := &owner.Record{Epoch: 7, Beat: 4, SentAt: clk.Now().Add(-tc.age), IsUnlogged: tc.isMarked}
+		if got := n.IsExact(r); got != tc.want {
 			t.Errorf("%s: got: %v, want: %v", name, got, tc.want)
 		}
 	}
--- a/internal/cell/watch.go
+++ b/internal/cell/watch.go
@@ -36,6 +36,11 @@
 	// it was kept, both by the last beat; keptAt is zero before the first beat.
 	record uint64
 	keptAt time.Time
+	// epoch is the owner's, plain the number of its last record without a mark and
+	// plainAt when it sent that, all by the last beat; epoch is 0 before the first.
+	epoch   uint64
+	plain   uint64
+	plainAt time.Time
 }
 
 // follow begins to watch an owner to which a link has just been made.
@@ -45,6 +50,19 @@
 func (w *ownerWatch) hear(now time.Time, b beat) {
 	w.heardAt = now
 	w.record, w.keptAt = b.Record, now.Add(-b.RecordAge)
+	w.epoch, w.plain, w.plainAt = b.Epoch, b.PlainRecord, now.Add(-b.PlainAge)
+}
+
+// plainAge returns how old the owner's newest record is at most, which has no mark,
+// on this node's own clock. It reports false when no beat of that owner has come:
+// then only clocks of two processes could tell, and these may be set.
+func (w *ownerWatch) plainAge(now time.Time, newest *owner.Record) (time.Duration, bool) {
+	if w.epoch == 0 || w.epoch != newest.Epoch {
+		return 0, false
+	}
+	// Later records were sent a period apart at least.
+	later := time.Duration(max(newest.Beat, w.plain) - w.plain)
+	return now.Sub(w.plainAt) - later*owner.BeatPeriod, true
 }
 
 // isSilent reports whether beats have stayed away for too long.
--- a/internal/owner/ahead.go
+++ b/internal/owner/ahead.go
@@ -31,13 +31,15 @@
 	// isMarked means that the newest record in the store has the mark, and that none
 	// without it is on its way.
 	isMarked bool
-	// plainAt is when the last record without the mark was written.
+	// plain is the number of the last record without the mark, plainAt when it was
+	// written.
+	plain   uint64
 	plainAt time.Time
 }
 
-// newAheadGate begins with the record of a claim.
-func newAheadGate(r *Record) aheadGate {
-	return aheadGate{wantsMark: r.IsUnlogged, isMarked: r.IsUnlogged, plainAt: r.SentAt}
+// newAheadGate begins with the record of a claim, which was sent before now.
+func newAheadGate(r *Record, now time.Time) aheadGate {
+	return aheadGate{wantsMark: r.IsUnlogged, isMarked: r.IsUnlogged, plain: r.Beat, plainAt: now}
 }
 
 // noteSlow takes a sign that the store is slow or out.
@@ -56,10 +58,10 @@
 	return now.Before(g.slowUntil) && g.wantsMark && (g.isMarked || now.Sub(g.plainAt) > PlainAge)
 }
 
-// compose returns the mark of a record that is written now.
-func (g *aheadGate) compose(now time.Time) bool {
+// compose returns the mark of the record of that number, which is written now.
+func (g *aheadGate) compose(number uint64, now time.Time) bool {
 	if !g.wantsMark {
-		g.isMarked, g.plainAt = false, now
+		g.isMarked, g.plain, g.plainAt = false, number, now
 	}
 	return g.wantsMark
 }
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -19,7 +19,7 @@
 
 // NewAheadGate begins with a plain record.
 func NewAheadGate(sentAt time.Time) *AheadGate {
-	return &AheadGate{newAheadGate(&Record{SentAt: sentAt})}
+	return &AheadGate{newAheadGate(&Record{}, sentAt)}
 }
 
 // Slow takes a sign that the store is slow.
@@ -34,7 +34,7 @@
 }
 
 // Compose returns the mark of a record that is written now.
-func (a *AheadGate) Compose(now time.Time) bool { return a.g.compose(now) }
+func (a *AheadGate) Compose(now time.Time) bool { return a.g.compose(0, now) }
 
 // Kept says that a record is in the store.
 func (a *AheadGate) Kept(isMarked bool) { a.g.kept(isMarked) }
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -325,7 +325,7 @@
 	r.Strongest = o.options.Strongest()
 	r.Listed = int(o.listed.Load())
 	o.mu.Lock()
-	r.IsUnlogged = o.ahead.compose(sentAt)
+	r.IsUnlogged = o.ahead.compose(r.Beat, sentAt)
 	o.mu.Unlock()
 	at := o.offset + 1
 	offset, err := AppendRecord(o.ctx, o.options.Store, &r, at)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -93,7 +93,7 @@
 		writes: make(chan *write, 1), loaded: make(chan struct{}),
 		submits: map[work.JobID][]chan error{}, cancels: map[work.JobID][]chan error{},
 		offset: options.Claim.Offset, beat: options.Claim.Record.Beat, keptAt: options.Clock.Now(),
-		ahead: newAheadGate(&options.Claim.Record),
+		ahead: newAheadGate(&options.Claim.Record, options.Clock.Now()),
 	}
 }
 
@@ -232,6 +232,15 @@
 // IsUnlogged reports whether tasks may run in places that are not in the store.
 func (o *Owner) IsUnlogged() bool { return o.isUnlogged.Load() }
 
+// LastPlain returns the number of this owner's last record without a mark, and how
+// long ago it was sent.
+func (o *Owner) LastPlain() (uint64, time.Duration) {
+	now := o.options.Clock.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ahead.plain, now.Sub(o.ahead.plainAt)
+}
+
 // step decides on what has happened.
 func (o *Owner) step() {
 	o.takeQueues()
