internal/cell: silence links in tests by internal/standin/relay

Cause: the relay of one test stood twice since the soak has one. Change: the test uses the package's; what it asks is as it was.

--- a/internal/cell/node_test.go
+++ b/internal/cell/node_test.go
@@ -26,6 +26,7 @@
 	"github.com/leverdyke/leverdyke/internal/link"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/standin/relay"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/store/fakestore"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -369,106 +370,25 @@
 	})
 }
 
-// mute is a relay that can silence the connections that it has, for good, while
-// new ones work.
-type mute struct {
-	net.Listener
-	to string
-
-	mu    sync.Mutex
-	conns []net.Conn
-	after int
-	// dropped counts what was read of silenced connections.
-	dropped atomic.Int64
-}
-
-func newMute(t *testing.T) *mute {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	m := &mute{Listener: l}
-	t.Cleanup(m.close)
-	return m
-}
-
-func (m *mute) addr() netip.AddrPort { return netip.MustParseAddrPort(m.Addr().String()) }
-
-func (m *mute) run() {
-	for {
-		near, err := m.Accept()
-		if err != nil {
-			return
-		}
-		far, err := net.Dial("tcp", m.to)
-		if err != nil {
-			_ = near.Close()
-			continue
-		}
-		m.mu.Lock()
-		i := len(m.conns)
-		m.conns = append(m.conns, near, far)
-		m.mu.Unlock()
-		go m.runCopy(near, far, i)
-		go m.runCopy(far, near, i)
-	}
-}
-
-// runCopy passes bytes on until the connection is silenced; then it drops them.
-func (m *mute) runCopy(from, to net.Conn, i int) {
-	buf := make([]byte, 4<<10)
-	for {
-		n, err := from.Read(buf)
-		if err != nil {
-			_ = to.Close()
-			return
-		}
-		if m.isSilenced(i) {
-			m.dropped.Add(1)
-			continue
-		}
-		_, _ = to.Write(buf[:n])
-	}
-}
-
-func (m *mute) isSilenced(i int) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return i < m.after
-}
-
-func (m *mute) silence() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.after = len(m.conns)
-}
-
-func (m *mute) close() {
-	_ = m.Close()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, c := range m.conns {
-		_ = c.Close()
-	}
-}
-
 // Requests were refused for 0.9 s when the link to a living owner went silent
 // without a reset.
 func TestASilentLinkIsReplacedWhileTheOwnerLives(t *testing.T) {
 	log := fakestore.NewLog()
-	relay := newMute(t)
+	var way *relay.Relay
 	first := newNodeWith(t, log, "n0", "1", clock.Real{}, func(o *cell.Options) {
-		relay.to = o.LinkAddr.String()
-		o.AdvertiseAddr = relay.addr()
+		var err error
+		if way, err = relay.NewRelay(o.LinkAddr); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(way.Close)
+		o.AdvertiseAddr = way.Addr()
 	})
-	go relay.run()
 	first.submit(t, "a")
 	clk := &steppedClock{}
 	second := newNodeWith(t, log, "n1", "1", clk)
 	await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
-	relay.silence()
-	await.True(t, "beats are dropped", func() bool { return relay.dropped.Load() >= 3 })
+	way.Silence()
+	await.True(t, "beats are dropped", func() bool { return way.Dropped() >= 3 })
 	// Longer than three beats, shorter than the time after which a link is given up.
 	clk.ahead.Store(int64(800 * time.Millisecond))
 	served := make(chan error, 1)
