internal/cell: share the pair of nodes and the owner's check between tests

Cause: three tests began with the same owner and follower, and three checked the owner in the store alike. Change: newPair and wantOwner serve them; wantOwner fails without a record too, where the tests would have ended in a panic.

--- a/internal/cell/node_test.go
+++ b/internal/cell/node_test.go
@@ -223,12 +223,27 @@
 	}
 }
 
-func TestAnotherNodeGoesOnAfterTheOwnersEnd(t *testing.T) {
-	log := fakestore.NewLog()
-	first := newNode(t, log, "n0", "1")
+// newPair returns the owner of job "a" and a node that follows it.
+func newPair(t *testing.T, log *fakestore.Log) (first, second *testNode) {
+	t.Helper()
+	first = newNode(t, log, "n0", "1")
 	first.submit(t, "a")
-	second := newNode(t, log, "n1", "1")
+	second = newNode(t, log, "n1", "1")
 	await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
+	return first, second
+}
+
+// wantOwner checks which node owns the shard by the store's word.
+func wantOwner(t *testing.T, log *fakestore.Log, want string) {
+	t.Helper()
+	if r, _, err := owner.ReadRecord(t.Context(), log); err != nil || r == nil || r.Node != want {
+		t.Errorf("owner: got: %+v, %v, want: %s", r, err, want)
+	}
+}
+
+func TestAnotherNodeGoesOnAfterTheOwnersEnd(t *testing.T) {
+	log := fakestore.NewLog()
+	first, second := newPair(t, log)
 	first.Close()
 	await.True(t, "the job is known after the owner's end", func() bool { return second.knows(t, "a") })
 	second.submit(t, "b")
@@ -236,10 +251,7 @@
 
 func TestAPlannedStopLeavesNoGap(t *testing.T) {
 	log := fakestore.NewLog()
-	first := newNode(t, log, "n0", "1")
-	first.submit(t, "a")
-	second := newNode(t, log, "n1", "1")
-	await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
+	first, second := newPair(t, log)
 	first.Leave(t.Context())
 	second.submit(t, "b")
 	await.True(t, "the leaving node passes requests on", func() bool { return first.knows(t, "b") })
@@ -256,10 +268,7 @@
 		"end":          func(n *testNode) { n.Close() },
 	} {
 		log := fakestore.NewLog()
-		first := newNode(t, log, "n0", "1")
-		first.submit(t, "a")
-		second := newNode(t, log, "n1", "1")
-		await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
+		first, second := newPair(t, log)
 		ended := make(chan struct{})
 		go func() {
 			defer close(ended)
@@ -322,9 +331,7 @@
 	second.config.turnAway()
 	await.True(t, "the owner knows who is turned away", func() bool { return slices.Equal(first.Heirs(), []string{"n2"}) })
 	first.Leave(t.Context())
-	if r, _, err := owner.ReadRecord(t.Context(), log); err != nil || r.Node != "n2" {
-		t.Errorf("next owner: got: %v, %v, want: n2", r, err)
-	}
+	wantOwner(t, log, "n2")
 }
 
 // steppedClock shows the time that it was set to, and ticks as the machine's.
@@ -401,9 +408,7 @@
 			return false
 		}
 	})
-	if r, _, err := owner.ReadRecord(t.Context(), log); err != nil || r.Node != "n0" {
-		t.Errorf("owner: got: %v, %v, want: n0 still", r, err)
-	}
+	wantOwner(t, log, "n0")
 }
 
 func TestASlowOwnerHandsOver(t *testing.T) {
--- a/internal/cell/seek_test.go
+++ b/internal/cell/seek_test.go
@@ -63,9 +63,7 @@
 	if err := n1.TakeClaim(t.Context(), r.Epoch-1); err == nil {
 		t.Error("the call of an earlier owner: got: n1 owns the shard, want: an error")
 	}
-	if r, _, err := owner.ReadRecord(t.Context(), log); err != nil || r.Node != "n0" {
-		t.Errorf("the owner: got: %v, %v, want: n0", r, err)
-	}
+	wantOwner(t, log, "n0")
 	if err := n1.TakeClaim(t.Context(), r.Epoch); err != nil {
 		t.Errorf("the call of this owner: got: %v, want: n1 owns the shard", err)
 	}
