internal/detour: set the clock of two tests exactly once a step; internal/cell: name the memory of the smallest VM

Change: both tests that did so move the time once a step, after the search has set its timer; what they ask is as it was.

--- a/internal/cell/pack.go
+++ b/internal/cell/pack.go
@@ -13,7 +13,7 @@
 // maxConfigBytes bounds a configuration that a peer sent compressed, in bytes
 // unpacked. No node reads a larger one in the store, whose answers are bounded by
 // 16 MB (maxAnswerBytes in platform/direct.go); and what a frame holds can unpack to
-// more than the memory of a node, which has 160 MB in our smallest days (tools/days).
+// more than the memory of a node: 184 MB on the smallest VM of the grown offices.
 const maxConfigBytes = 16 << 20
 
 // pack compresses a configuration: its routes are alike, so that it crosses the
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -196,33 +196,28 @@
 	return done
 }
 
-// advanceUntil moves a fake clock on until the channel has something.
-func advanceUntil[T any](c *clock.Fake, ch <-chan T) T {
-	ticker := time.NewTicker(time.Millisecond)
-	defer ticker.Stop()
-	for {
-		select {
-		case v := <-ch:
-			return v
-		case <-ticker.C:
-			c.Advance(longWait)
-		}
-	}
+// passHedge waits until the direct way was asked and so many timers were set, and then
+// lets the time pass after which the next way is tried, once.
+func passHedge(t *testing.T, c *countingClock, direct *silentWay, timers int64) {
+	t.Helper()
+	<-direct.asked
+	await.True(t, "the search waits", func() bool { return c.timers.Load() == timers })
+	c.Advance(2 * longWait)
 }
 
 // An owner that the store had turned away in silence waited 0.7 s for it again
 // and again; its callers were refused meanwhile.
 func TestASilentWayIsOvertakenAndLeftAlone(t *testing.T) {
-	c := clock.NewFake()
+	c := &countingClock{Fake: clock.NewFake()}
 	direct, peers := newSilentWay(0), &onePeer{way: way{status: 200}, isLinked: true}
 	d := detour.New(direct, peers, c)
-	done := doSoon(t, d)
-	<-direct.asked
-	if err := advanceUntil(c, done); err != nil {
-		t.Errorf("got: %v, want: served by the peer", err)
-	}
-	if err := advanceUntil(c, doSoon(t, d)); err != nil {
-		t.Errorf("got: %v, want: served by the peer", err)
+	// Each search sets a timer at its begin and one when the first is over.
+	for _, timers := range []int64{1, 3} {
+		done := doSoon(t, d)
+		passHedge(t, c, direct, timers)
+		if err := <-done; err != nil {
+			t.Errorf("got: %v, want: served by the peer", err)
+		}
 	}
 	for range 5 {
 		if _, err := d.Do(t.Context(), &detour.Request{}); err != nil {
@@ -237,10 +232,13 @@
 // A service whose answer was lost says nothing more on that way; it answers the
 // same request when it comes again.
 func TestALostAnswerIsAskedForAgain(t *testing.T) {
-	c := clock.NewFake()
+	c := &countingClock{Fake: clock.NewFake()}
 	direct := newSilentWay(3)
 	d := detour.New(direct, &onePeer{}, c)
-	if err := advanceUntil(c, doSoon(t, d)); err != nil {
+	done := doSoon(t, d)
+	passHedge(t, c, direct, 1)
+	passHedge(t, c, direct, 2)
+	if err := <-done; err != nil {
 		t.Errorf("got: %v, want: served", err)
 	}
 	if got := direct.count(); got != 3 {
