--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -209,10 +209,11 @@
 	node := s.nodes[s.rng.IntN(len(s.nodes))]
 	second := small(1+s.rng.IntN(2), 100)
 	second.DependsOn = []int{0}
+	first := small(1+s.rng.IntN(3), float64(100+s.rng.IntN(900)))
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if id, status := s.submit(node, "", small(1+s.rng.IntN(3), float64(100+s.rng.IntN(900))), second); status == http.StatusServiceUnavailable {
+		if id, status := s.submit(node, "", first, second); status == http.StatusServiceUnavailable {
 			s.refused = append(s.refused, id)
 		} else if status == http.StatusOK {
 			s.mu.Lock()
