--- a/internal/progress/progress.go
+++ b/internal/progress/progress.go
@@ -93,12 +93,7 @@
 	return WithClock(parent, clock.Real{}, first, Stall)
 }
 
-// WithStall is With by another bound than Stall, for what has stalled before.
-func WithStall(parent context.Context, first, stall time.Duration) (context.Context, context.CancelFunc) {
-	return WithClock(parent, clock.Real{}, first, stall)
-}
-
-// WithClock is WithStall by another clock.
+// WithClock is With by another clock, and by another bound than Stall.
 func WithClock(parent context.Context, c Clock, first, stall time.Duration) (context.Context, context.CancelFunc) {
 	inner, cancel := context.WithCancelCause(parent)
 	b := &boundedContext{Context: inner, cancel: cancel, clock: c, began: c.Now(), first: first, stall: stall, parent: innermost(parent)}
