internal/dispatch: know who is permitted before there is room

Only workers with room at that moment were asked about. A call takes 0.15 to 0.6 s, and the room was gone, or had stood idle, when the answer came; then the next call was made. Change: workers without room are asked about too, after those with room and within half of the call's base time; tickets are renewed before they end.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -23,6 +23,9 @@
 	cheapCall = 40 * time.Millisecond
 	// maxAsked is the most workers that one call may name.
 	maxAsked = 100
+	// namesShare bounds the workers without room that a call names beside those that
+	// it needs: what naming them takes, as a part of the call's time without names.
+	namesShare = 0.5
 	// minAsked is the least that a call names, if there are so many.
 	minAsked = 6
 	// askRatio and askMargin are how long a call may take: so many times the time that
@@ -180,7 +183,8 @@
 	}
 }
 
-// candidate is a worker that could be asked about, with the tasks that fit now.
+// candidate is a worker that could be asked about, with the tasks that fit now. Where
+// none does, some would if the worker had nothing to do.
 type candidate struct {
 	id     order.WorkerID
 	fits   int
@@ -192,7 +196,7 @@
 // whomToAsk picks the workers that are likely to take the missing tasks. Those
 // known to be permitted come first; the more room the better.
 func (e *Engine) whomToAsk(s *step, policy *order.AdvicePolicy, missing int) []order.WorkerID {
-	found := e.candidates(s)
+	found := e.candidates(s, policy)
 	slices.SortFunc(found, func(a, b candidate) int {
 		if a.isGood != b.isGood {
 			if a.isGood {
@@ -219,6 +223,9 @@
 		if len(out) >= maxAsked || isEnough && !isCheap {
 			break
 		}
+		if c.fits == 0 && time.Duration(len(out))*policy.Each > time.Duration(namesShare*float64(policy.Base)) {
+			continue
+		}
 		out = append(out, c.id)
 		if c.isGood {
 			expected += float64(c.fits)
@@ -229,8 +236,13 @@
 	return out
 }
 
-func (e *Engine) candidates(s *step) []candidate {
+// candidates returns the workers of which it is not known that they may not run the
+// step, and whose ticket, if there is one, ends before the next could be there. Those
+// without room are among them: who is permitted is then known when there is room.
+func (e *Engine) candidates(s *step, policy *order.AdvicePolicy) []candidate {
 	found := []candidate{}
+	charge := s.spec.Charge()
+	renewAt := e.now.Add(policy.Base + askMargin)
 	pool := e.queues[s.job.spec.Queue].Service
 	needsSound := slices.ContainsFunc(s.tasks, func(t task) bool { return t.state == taskWaiting && e.isLastAttempt(s, &t) && len(t.failures) > 0 })
 	for id, w := range e.workers {
@@ -238,12 +250,10 @@
 		if isAsked && !isGood || !e.isUsable(w) || !e.mayRun(w, s, pool) || needsSound && !w.health.isSound(e.now) {
 			continue
 		}
-		if _, ok := s.advice.holds(id, e.now); ok {
+		if _, ok := s.advice.holds(id, renewAt); ok || !charge.FitsIn(w.Capacity) {
 			continue
 		}
-		if n := e.fits(w, s); n > 0 {
-			found = append(found, candidate{id, n, isGood, w.speed.isSuspect})
-		}
+		found = append(found, candidate{id, e.fits(w, s), isGood, w.speed.isSuspect})
 	}
 	return found
 }
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
@@ -51,6 +52,11 @@
 	runsAhead bool
 	// told is what callers know.
 	told map[work.JobID]work.JobState
+	// queues are the policies in force; mayRun tells which workers are permitted on a
+	// queue that asks, nil means all. endedAt has when callers could know of an end.
+	queues  []order.Queue
+	mayRun  func(order.WorkerID) bool
+	endedAt map[work.JobID]time.Duration
 }
 
 type letter struct {
@@ -65,6 +71,7 @@
 		specs: map[work.JobID]*work.Spec{}, progress: map[work.JobID]*work.Progress{},
 		done: map[work.TaskID]bool{}, failures: map[work.TaskID]int{},
 		held: map[order.WorkerID]int{}, told: map[work.JobID]work.JobState{},
+		queues: []order.Queue{testQueue}, endedAt: map[work.JobID]time.Duration{},
 	}
 	w.takeOver()
 	return w
@@ -79,7 +86,7 @@
 	isExact := !w.isInexact && (w.engine == nil || !w.engine.HasUnkept())
 	w.engine = dispatch.NewEngine(dispatch.Options{})
 	w.engine.Advance(w.clock.Now())
-	w.engine.SetQueues([]order.Queue{testQueue})
+	w.engine.SetQueues(w.queues)
 	for _, id := range w.order {
 		w.engine.RestoreJob(w.specs[id], w.progress[id])
 	}
@@ -193,10 +200,31 @@
 		w.orderStop(a)
 	case order.Hold:
 		w.orderHold(a)
-	case order.Pace, order.Advise:
+	case order.Advise:
+		w.advise(a)
+	case order.Pace:
 	}
 }
 
+// advise answers which workers are permitted, after the time that the policy tells.
+func (w *world) advise(a order.Advise) {
+	policy := w.queueOf(a.Step.Job).Advice
+	good := []order.Ticket{}
+	for _, id := range a.Workers {
+		if w.mayRun == nil || w.mayRun(id) {
+			good = append(good, order.Ticket{Worker: id, Text: "t"})
+		}
+	}
+	w.later(policy.Base+time.Duration(len(a.Workers))*policy.Each, func() {
+		w.engine.Advised(a.Lane, a.Step, a.Workers, good, policy.Valid, true)
+	})
+}
+
+func (w *world) queueOf(id work.JobID) *order.Queue {
+	i := slices.IndexFunc(w.queues, func(q order.Queue) bool { return q.Name == w.specs[id].Queue })
+	return &w.queues[i]
+}
+
 // isLost decides whether an answer is lost, and when the order is carried out.
 func (w *world) isLost() (bool, time.Duration) {
 	if w.rng.Float64() >= w.lostShare {
@@ -337,6 +365,9 @@
 		w.breaks("%s is told to be %s after %s", id, state, before)
 	}
 	if state.IsFinal() {
+		if w.told[id] == "" {
+			w.endedAt[id] = w.since()
+		}
 		w.told[id] = state
 	}
 }
@@ -346,13 +377,16 @@
 }
 
 // submit hands in a job of steps that follow each other.
-func (w *world) submit(id string, steps ...work.Step) {
+func (w *world) submit(id string, steps ...work.Step) { w.submitTo("q", id, steps...) }
+
+// submitTo hands it in to a queue.
+func (w *world) submitTo(queue, id string, steps ...work.Step) {
 	for i := range steps {
 		if i > 0 {
 			steps[i].After = []int{i - 1}
 		}
 	}
-	w.engine.AddJob(&work.Spec{ID: work.JobID(id), Queue: "q", Steps: steps})
+	w.engine.AddJob(&work.Spec{ID: work.JobID(id), Queue: queue, Steps: steps})
 }
 
 // crash ends a worker's life and begins another on the same machine.
