internal/owner: read jobs and workers while the earlier owner is rejected

The empty append that rejects the earlier owner, the reading of the jobs and that of the workers came one after the other, 0.36 s and more each. Change: all three go out at once. The jobs that were read count if the topic ends where it did when the earlier owner was rejected; otherwise they are read again. Two tests, of which the first fails on a copy without that check, the second without the change.

--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -28,17 +28,8 @@
 // the sequence number of the next append.
 func (o *Owner) load() (uint64, error) {
 	began := o.now
-	if err := o.retry("fence", func(ctx context.Context) error {
-		_, err := o.options.Store.Append(ctx, &store.Append{Topic: TopicJobs, Writer: o.writer(0)})
-		return err
-	}); err != nil {
-		return 0, err
-	}
-	newest := &store.Newest{}
-	if err := o.retry("read", func(ctx context.Context) (err error) {
-		newest, err = o.options.Store.ReadNewest(ctx, TopicJobs)
-		return err
-	}); err != nil {
+	newest, err := o.readFenced()
+	if err != nil {
 		return 0, err
 	}
 	o.tick()
@@ -59,6 +50,50 @@
 	return 1, nil
 }
 
+// readFenced reads the jobs as they are once no earlier owner can append any more. The
+// jobs are read while the store is told so: at an answer time of 0.36 s a new owner
+// knows the jobs 0.4 s sooner (1.05 s before, by the log of a takeover). What was read
+// counts if the topic has not grown between; else it is read again.
+func (o *Owner) readFenced() (*store.Newest, error) {
+	read := make(chan readAnswer, 1)
+	o.wg.Add(1)
+	go o.runRead(read)
+	end := uint64(0)
+	if err := o.retry("fence", func(ctx context.Context) (err error) {
+		end, err = o.options.Store.Append(ctx, &store.Append{Topic: TopicJobs, Writer: o.writer(0)})
+		return err
+	}); err != nil {
+		return nil, err
+	}
+	a := <-read
+	if a.err != nil || a.newest.End == end {
+		return a.newest, a.err
+	}
+	return o.readJobs()
+}
+
+// readAnswer is what came of reading the jobs.
+type readAnswer struct {
+	newest *store.Newest
+	err    error
+}
+
+// runRead reads the jobs once.
+func (o *Owner) runRead(answer chan<- readAnswer) {
+	defer o.wg.Done()
+	newest, err := o.readJobs()
+	answer <- readAnswer{newest, err}
+}
+
+func (o *Owner) readJobs() (*store.Newest, error) {
+	newest := &store.Newest{}
+	err := o.retry("read", func(ctx context.Context) (err error) {
+		newest, err = o.options.Store.ReadNewest(ctx, TopicJobs)
+		return err
+	})
+	return newest, err
+}
+
 func (o *Owner) writer(sequence uint64) *store.Writer {
 	return &store.Writer{Name: writerName, Epoch: o.Epoch(), Sequence: sequence}
 }
--- /dev/null
+++ b/internal/owner/load_test.go
@@ -0,0 +1,105 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package owner_test
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/store/fakestore"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// takeoverLog is a store at which the reading of the jobs and the rejection of the
+// earlier owner come in a set order.
+type takeoverLog struct {
+	store.Log
+	// isRead is closed when the jobs are read first.
+	isRead chan struct{}
+	once   sync.Once
+	// beforeFence is called after that and before the earlier owner is rejected.
+	beforeFence func()
+}
+
+func newTakeoverLog(log store.Log, beforeFence func()) *takeoverLog {
+	return &takeoverLog{Log: log, isRead: make(chan struct{}), beforeFence: beforeFence}
+}
+
+func (l *takeoverLog) ReadNewest(ctx context.Context, topic string) (*store.Newest, error) {
+	newest, err := l.Log.ReadNewest(ctx, topic)
+	if topic == owner.TopicJobs {
+		l.once.Do(func() { close(l.isRead) })
+	}
+	return newest, err
+}
+
+func (l *takeoverLog) Append(ctx context.Context, a *store.Append) (uint64, error) {
+	if a.Topic == owner.TopicJobs && len(a.Records) == 0 {
+		<-l.isRead
+		l.beforeFence()
+	}
+	return l.Log.Append(ctx, a)
+}
+
+// The jobs are read while the earlier owner can still append: what it kept meanwhile
+// must not be missed.
+func TestWhatTheEarlierOwnerKeptMeanwhileIsKnown(t *testing.T) {
+	kept := recordOf(t, "late")
+	log := fakestore.NewLog()
+	next := claimed(t, newTakeoverLog(log, sync.OnceFunc(func() {
+		if _, err := log.Append(t.Context(), &store.Append{Topic: owner.TopicJobs, Records: []store.Record{kept}}); err != nil {
+			t.Error(err)
+		}
+	})), newFakeWorkers())
+	awaitState(t, next, "late", work.JobSucceeded)
+}
+
+// recordOf returns the record of a job as an owner keeps it.
+func recordOf(t *testing.T, id string) store.Record {
+	t.Helper()
+	log, workers := fakestore.NewLog(), newFakeWorkers()
+	workers.gate = make(chan struct{})
+	defer close(workers.gate)
+	if err := claimed(t, log, workers).Submit(t.Context(), job(id)); err != nil {
+		t.Fatal(err)
+	}
+	newest, err := log.ReadNewest(t.Context(), owner.TopicJobs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	i := slices.IndexFunc(newest.Records, func(r store.Record) bool { return r.Key == "j/"+id })
+	if i < 0 {
+		t.Fatalf("record of %s: got: none, want: one", id)
+	}
+	return newest.Records[i]
+}
+
+// gatedList is asked for the list of workers before the jobs are read, or the store
+// does not go on.
+type gatedList struct {
+	oneWorker
+	asked func()
+}
+
+func (l gatedList) Workers(ctx context.Context) ([]order.Worker, error) {
+	l.asked()
+	return l.oneWorker.Workers(ctx)
+}
+
+// In a store that takes 0.36 s to answer, one read after the other took 3.7 s from an
+// owner's death to the next one's first start.
+func TestWorkersAreListedWhileTheJobsAreRead(t *testing.T) {
+	isListed := make(chan struct{})
+	log := newTakeoverLog(fakestore.NewLog(), func() { <-isListed })
+	o := claimedFrom(t, log, newFakeWorkers(), gatedList{asked: sync.OnceFunc(func() { close(isListed) })})
+	if err := o.Submit(t.Context(), job("a")); err != nil {
+		t.Fatal(err)
+	}
+	awaitState(t, o, "a", work.JobSucceeded)
+}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -131,17 +131,18 @@
 	o.tick()
 	o.confirmedAt = o.now
 	o.isTrustedNow.Store(true)
-	// Reading the jobs may take longer than others wait for a record.
-	o.wg.Add(1)
+	// Reading the jobs may take longer than others wait for a record. The list of
+	// workers is read meanwhile: in a slow store that takes as long as the jobs.
+	o.wg.Add(2)
 	go o.runBeats()
+	go o.runList()
 	sequence, err := o.load()
 	if err != nil {
 		return err
 	}
 	close(o.loaded)
-	o.wg.Add(2)
+	o.wg.Add(1)
 	go o.runWrites(sequence)
-	go o.runList()
 	o.loop()
 	return nil
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -34,8 +34,22 @@
 	return o
 }
 
+// claimedFrom is claimed with another list of workers.
+func claimedFrom(t *testing.T, log store.Log, workers *fakeWorkers, list owner.List) *owner.Owner {
+	t.Helper()
+	o := run(t, log, workers, list, clock.Real{}, nil)
+	await.True(t, "the jobs are read", o.IsLoaded)
+	return o
+}
+
 // claimedBy is claimedWith by another clock. The jobs may not be read yet.
 func claimedBy(t *testing.T, log store.Log, workers *fakeWorkers, clk clock.Service, logged func(events.Event, ...any)) *owner.Owner {
+	t.Helper()
+	return run(t, log, workers, oneWorker{}, clk, logged)
+}
+
+// run claims the shard and runs an owner until the test ends.
+func run(t *testing.T, log store.Log, workers *fakeWorkers, list owner.List, clk clock.Service, logged func(events.Event, ...any)) *owner.Owner {
 	t.Helper()
 	earlier, at, err := owner.ReadRecord(t.Context(), log)
 	if err != nil {
@@ -49,7 +63,7 @@
 		t.Fatal(err)
 	}
 	o := owner.New(owner.Options{
-		Claim: owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: true}, Store: log, Workers: workers, List: oneWorker{},
+		Claim: owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: true}, Store: log, Workers: workers, List: list,
 		Lanes: noLanes{}, Clock: clk, Metrics: noFigures{}, HasOutage: func() bool { return false }, Strongest: func() float64 { return 1 },
 		Log: logged,
 	})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -48,7 +48,8 @@
 
 // Log is the platform's store. Implementations are safe for concurrent use.
 type Log interface {
-	// Append adds records and returns the offset of the first.
+	// Append adds records and returns the offset of the first. Without records it
+	// only sets the writer's epoch, and returns the end of the topic.
 	Append(ctx context.Context, a *Append) (uint64, error)
 	// ReadNewest returns the newest records of a topic. Its pages are read one
 	// after the other, so that it is no snapshot while others append.
