internal/detour: ask a service that turned slow by fewer ways at once

Cause: the reading of the workers took 2.8 s at a store that answers in 0.36 s, and once did not end at all: after 40 ms to 0.4 s the same request went out through up to seven nodes, all of which read the same bytes at a rate that they share, and the whole was given up after 0.7 s. A new owner knew the answer time of before the trouble. Change: a longer answer counts for 0.7 of the usual time at once; the answers that the seeker gets count too; the next way is tried after 0.9 s at most in place of 0.4, and a request is given up after four usual answer times, 0.7 to 1.5 s. In a service that answers in some 5 ms nothing changes.

--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -74,6 +74,9 @@
 	began := n.options.Clock.Now()
 	r, at, err := owner.ReadRecord(n.ctx, n.log)
 	n.answerTime = n.options.Clock.Now().Sub(began)
+	if err == nil {
+		n.detour.Observe(n.answerTime)
+	}
 	return r, at, err
 }
 
--- a/internal/detour/detour.go
+++ b/internal/detour/detour.go
@@ -72,19 +72,23 @@
 }
 
 const (
-	// tryTimeout bounds a request over all ways until bytes of it move: a slow store
-	// takes 0.4 s.
-	tryTimeout = 700 * time.Millisecond
+	// shortestTimeout bounds a request over all ways until bytes of it move, or
+	// timeoutRatio usual answer times if these are longer, up to longestTimeout.
+	shortestTimeout = 700 * time.Millisecond
+	timeoutRatio    = 4
+	longestTimeout  = 1500 * time.Millisecond
 	// directPause is how long the direct way is left alone after it failed.
 	directPause = 800 * time.Millisecond
 	// sampleSize is how many peers are tried at once.
 	sampleSize = 6
 	// hedgeRatio is how many usual answer times a way may take until the next one
 	// is tried beside it, between shortestHedge, which a node that waits for its
-	// share of a processor takes, and longestHedge.
+	// share of a processor takes, and longestHedge. A slow service is slower still when
+	// it is asked by all ways at once: reading the list of workers took 2.8 s at an
+	// answer time of 0.36 s while ways were tried after 0.4 s.
 	hedgeRatio    = 4
 	shortestHedge = 40 * time.Millisecond
-	longestHedge  = 400 * time.Millisecond
+	longestHedge  = 900 * time.Millisecond
 	// againPause is the time between two tries of ways that were tried already: a
 	// service that comes back answers new requests only.
 	againPause = 200 * time.Millisecond
@@ -94,8 +98,10 @@
 	// slowestLink is the rate at which a request is expected to leave at least, in
 	// bytes a second.
 	slowestLink = 1 << 20
-	// answerWeight is the weight of a new answer in the usual answer time.
+	// answerWeight is the weight of a new answer in the usual answer time, slowerWeight
+	// that of one that took longer: a service that turns slow is noticed at once.
 	answerWeight = 0.2
+	slowerWeight = 0.7
 	// outageWindow is how long a failure of all ways counts, backWindow how long
 	// the outage counts after its end: the owner's next beat takes half a second.
 	outageWindow = 3 * time.Second
@@ -142,7 +148,7 @@
 // longer than usual while nothing moves: the same bytes through a peer would only
 // fill the link of this node. The first answer of a service that took it counts.
 func (d *Detour) Do(ctx context.Context, r *Request) (*Response, error) {
-	ctx, cancel := progress.With(ctx, tryTimeout+r.Wait)
+	ctx, cancel := progress.With(ctx, d.timeout()+r.Wait)
 	defer cancel()
 	return newSearch(ctx, d, r).run()
 }
@@ -193,10 +199,34 @@
 		d.lastPeer = t.way
 	}
 	if wait == 0 {
-		d.answerTime += time.Duration(answerWeight * float64(now.Sub(t.began)-d.answerTime))
+		d.learn(now.Sub(t.began))
 	}
 }
 
+// Observe takes how long the service took to answer a request that went around the
+// Detour.
+func (d *Detour) Observe(took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learn(took)
+}
+
+// learn takes an answer time. The caller holds mu.
+func (d *Detour) learn(took time.Duration) {
+	weight := answerWeight
+	if took > d.answerTime {
+		weight = slowerWeight
+	}
+	d.answerTime += time.Duration(weight * float64(took-d.answerTime))
+}
+
+// timeout returns how long nothing may move.
+func (d *Detour) timeout() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return min(max(timeoutRatio*d.answerTime, shortestTimeout), longestTimeout)
+}
+
 // noteOvertaken notes that a peer was sooner than the direct way.
 func (d *Detour) noteOvertaken() {
 	d.mu.Lock()
--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -304,3 +304,42 @@
 		t.Errorf("calls: got: %d and %d by the peer, want: 1 and none", got, peers.way.calls)
 	}
 }
+
+// waitClock notes for how long its timers were set.
+type waitClock struct {
+	*clock.Fake
+	waits chan time.Duration
+}
+
+func (c *waitClock) After(d time.Duration) <-chan time.Time {
+	c.waits <- d
+	return c.Fake.After(d)
+}
+
+// A service that had turned slow was asked by seven ways at once after 0.4 s, each time
+// anew, and became slower by that: a new owner had no list of workers for 2.8 s.
+func TestASlowServiceIsNotAskedByAllWaysAtOnce(t *testing.T) {
+	const ms = time.Millisecond
+	for _, c := range []struct {
+		what     string
+		answers  []time.Duration
+		earliest time.Duration
+	}{
+		{"nothing is known", nil, 40 * ms},
+		{"a usual service", []time.Duration{5 * ms, 5 * ms, 5 * ms}, 40 * ms},
+		{"one that has just turned slow", []time.Duration{5 * ms, 5 * ms, 364 * ms}, 900 * ms},
+		{"one that was slow a while ago", []time.Duration{364 * ms, 5 * ms, 5 * ms, 5 * ms, 5 * ms, 5 * ms, 5 * ms, 5 * ms, 5 * ms, 5 * ms, 5 * ms, 5 * ms, 5 * ms, 5 * ms}, 40 * ms},
+	} {
+		clk := &waitClock{Fake: clock.NewFake(), waits: make(chan time.Duration, 8)}
+		d := detour.New(&way{status: 200}, &onePeer{}, clk)
+		for _, took := range c.answers {
+			d.Observe(took)
+		}
+		if _, err := d.Do(t.Context(), &detour.Request{Method: http.MethodGet}); err != nil {
+			t.Fatal(err)
+		}
+		if got := <-clk.waits; got < c.earliest || c.earliest < 900*ms && got > 90*ms {
+			t.Errorf("%s: the next way is tried after: got: %v, want: %v", c.what, got, c.earliest)
+		}
+	}
+}
