internal/permit: take what is known of permissions out of the engine

Cause: internal/dispatch had 2,900 lines; who is asked about permissions, by which way and what was answered needs neither the engine nor a worker, and could only be tested through both. No decision changes.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -19,6 +19,7 @@
 	"github.com/leverdyke/leverdyke/internal/estimate"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/permit"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -76,7 +77,7 @@
 	// over has lives that are over while the platform's list still has them.
 	over   map[order.WorkerID]bool
 	queues map[string]order.Queue
-	lanes  []lane
+	lanes  permit.Lanes
 	// unsettled are workers on which an earlier owner may have started tasks that
 	// are not known yet, with these tasks.
 	unsettled map[order.WorkerID][]work.TaskID
@@ -205,7 +206,7 @@
 // Tick does what is due by time alone. It is called every 50 ms or so.
 func (e *Engine) Tick() {
 	e.noteStall()
-	e.expireLanes()
+	e.adviceLost(e.lanes.Expire(e.now))
 	e.tickInherited()
 	e.allAnswer = true
 	for _, w := range e.workers {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -9,6 +9,7 @@
 
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/permit"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -69,7 +70,8 @@
 	// doneRuns and doneTime are of the tasks that are done.
 	doneRuns int
 	doneTime time.Duration
-	advice   advice
+	// permit is what is known of the workers that may run it.
+	permit permit.Step
 	// gangFailures counts the attempts of a gang in which a member failed.
 	gangFailures map[uint64]bool
 }
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -62,7 +62,7 @@
 	e.options.Log(events.StartRefused, "task", a.id, "run", a.run, "worker", w.ID, "why", outcome)
 	switch outcome {
 	case order.StartNoTicket:
-		a.step.advice.forget(w.ID)
+		a.step.permit.Forget(w.ID)
 	case order.StartUnhealthy:
 		w.health.refused(e.now)
 	case order.StartNoRoom, order.StartRefused:
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -185,15 +185,11 @@
 			}
 		}
 	}
-	for id, t := range s.advice.tickets {
-		if !e.now.Before(t.expires) {
-			delete(s.advice.tickets, id)
-			continue
-		}
+	s.permit.Permitted(e.now, func(id order.WorkerID) {
 		if w := e.workers[id]; w != nil && q.Advice != nil && e.isUsable(w) && e.mayRun(w, s, q.Service) {
 			found = append(found, w)
 		}
-	}
+	})
 	e.found = found
 	return found
 }
@@ -381,7 +377,7 @@
 		return
 	}
 	q := e.queues[a.step.job.spec.Queue]
-	text, hasTicket := a.step.advice.holds(a.worker.ID, e.now)
+	text, hasTicket := a.step.permit.Holds(a.worker.ID, e.now)
 	if !e.isReachable(a.worker) || !e.isTrusted || e.isPaused || q.Advice != nil && !hasTicket {
 		e.release(a)
 		e.attemptOver(a)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -142,12 +143,12 @@
 			add(w)
 		}
 	}
-	for id, isGood := range s.advice.verdicts {
-		if isGood && q.Advice != nil {
+	s.permit.Good(func(id order.WorkerID) {
+		if q.Advice != nil {
 			add(e.workers[id])
 		}
-	}
-	slices.SortFunc(found, func(a, b reservable) int { return compareIDs(a.worker.ID, b.worker.ID) })
+	})
+	slices.SortFunc(found, func(a, b reservable) int { return cmp.Compare(a.worker.ID, b.worker.ID) })
 	models := make([]reserve.Worker, len(found))
 	for i := range found {
 		models[i] = e.modelOf(&found[i], s, q)
