internal/outlier: take the judging of workers out of the engine

Cause: health, speed and progress of workers stood in internal/dispatch, which has too many lines, and had no tests but through the engine. Change: they are a package with tests of their own; what needs the engine's attempts stays. isReachable stands beside isUsable. No decision changes.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -84,7 +84,7 @@
 	}
 	for id, w := range e.workers {
 		isGood, isKnown := s.permit.Verdict(id)
-		if isKnown && !isGood || !e.isUsable(w) || !e.mayRun(w, s, pool) || needsSound && !w.health.isSound(e.now) {
+		if isKnown && !isGood || !e.isUsable(w) || !e.mayRun(w, s, pool) || needsSound && !w.health.IsSound(e.now) {
 			continue
 		}
 		if _, ok := s.permit.Holds(id, renewAt); ok || !charge.FitsIn(w.Capacity) {
@@ -94,7 +94,7 @@
 		if fits == 0 && !e.has(MechanismAdviceAhead) {
 			continue
 		}
-		found = append(found, permit.Candidate{ID: id, Fits: fits, IsGood: isGood, IsSuspect: w.speed.isSuspect})
+		found = append(found, permit.Candidate{ID: id, Fits: fits, IsGood: isGood, IsSuspect: w.speed.IsSuspect})
 	}
 	return found
 }
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		w := e.choose(s, i, q, nil)
-		if w == nil || w.speed.isSlow(e.now) {
+		if w == nil || w.speed.IsSlow(e.now) {
 			return
 		}
 		e.options.Log(events.CopyStarted, "task", t.attempt.id, "run", t.run+1, "worker", w.ID, "beside", t.attempt.worker.ID)
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -139,8 +139,3 @@
 		}
 	}
 }
-
-// isReachable reports whether the worker takes orders, whatever its health.
-func (e *Engine) isReachable(w *worker) bool {
-	return w.isListed && !w.isGone && !w.IsDraining && !w.isSilent() && e.now.Sub(w.readAt) <= overdueAfter
-}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -117,7 +117,7 @@
 		return true
 	}
 	waited := e.now.Sub(t.failedAt)
-	if e.isLastAttempt(s, t) && !w.health.isSound(e.now) && waited < soundPatience {
+	if e.isLastAttempt(s, t) && !w.health.IsSound(e.now) && waited < soundPatience {
 		return false
 	}
 	failedHere := slices.ContainsFunc(t.failures, func(f work.Failure) bool { return f.Worker == string(w.ID) })
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -40,7 +40,7 @@
 	case order.StartDone:
 		a.startedAt, a.startedOn = at, e.now
 		if at > 0 && !a.hasSaved {
-			a.progress.take(at, 0, 0)
+			a.progress.Take(at, 0, 0)
 		}
 		if a.phase != phaseRunning {
 			a.phase = phaseRunning
@@ -64,9 +64,9 @@
 	case order.StartNoTicket:
 		a.step.permit.Forget(w.ID)
 	case order.StartUnhealthy:
-		w.health.refused(e.now)
+		w.health.Refused(e.now)
 	case order.StartNoRoom, order.StartRefused:
-		w.health.refused(e.now)
+		w.health.Refused(e.now)
 	case order.StartDone, order.StartFenced, order.StartUnknown, order.StartLifeOver:
 	}
 	e.release(a)
@@ -157,7 +157,7 @@
 		a.percent, a.percentAt = r.Percent, e.now
 	}
 	a.figure = r.Figure
-	a.progress.take(w.listedAt, r.Percent, e.expected(a.step))
+	a.progress.Take(w.listedAt, r.Percent, e.expected(a.step))
 	if a.step != nil {
 		a.step.job.hasBegun = true
 		if r.Saved != "" {
@@ -257,7 +257,7 @@
 
 func (e *Engine) endedDone(w *worker, s *step, end *order.End) {
 	e.counts.Done++
-	w.health.succeeded(e.now)
+	w.health.Succeeded(e.now)
 	if s.spec.IsLasting {
 		return
 	}
@@ -288,7 +288,7 @@
 		return
 	}
 	if e.has(MechanismHealth) {
-		w.health.failed(e.now, s.job)
+		w.health.Failed(e.now, s.job.spec.ID)
 	}
 	s.tasks[i].avoid, s.tasks[i].failedAt = w.ID, e.now
 	e.touch(s.job)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -130,7 +130,7 @@
 	if s.spec.MaxPerWorker > 0 {
 		n = min(n, s.spec.MaxPerWorker-w.countOf(s))
 	}
-	if w.health.onTrial {
+	if w.health.OnTrial {
 		n = min(n, 1-len(w.attempts))
 	}
 	return max(n, 0)
@@ -220,9 +220,9 @@
 		score = -score
 	}
 	switch {
-	case w.speed.isSlow(e.now):
+	case w.speed.IsSlow(e.now):
 		score -= weightSlow
-	case w.speed.isSuspect:
+	case w.speed.IsSuspect:
 		score -= weightSuspect
 	}
 	if t != nil && t.avoid == w.ID {
@@ -234,7 +234,7 @@
 	if w.Zone == e.options.NodeZone {
 		score += weightZone
 	}
-	score -= e.stake(s, t) * w.health.risk(e.now)
+	score -= e.stake(s, t) * w.health.Risk(e.now)
 	if s.spec.IsFiller || s.spec.TailTarget > 0 {
 		score -= weightShared * w.conflicts(s)
 	}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -8,6 +8,7 @@
 
 	"github.com/leverdyke/leverdyke/internal/estimate"
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/outlier"
 )
 
 // Limits by which attempts are judged from the progress that workers tell.
@@ -62,10 +63,10 @@
 		return
 	}
 	took := e.now.Sub(a.orderedAt)
-	a.worker.speed.ended(took, e.expected(s))
+	a.worker.speed.Ended(took, e.expected(s))
 	s.doneRuns++
 	s.doneTime += took
-	if s.spec.Estimate <= 0 || a.worker.speed.isSlow(e.now) {
+	if s.spec.Estimate <= 0 || a.worker.speed.IsSlow(e.now) {
 		return
 	}
 	e.durations(s).Learn(e.now, took, s.spec.Estimate)
@@ -91,12 +92,12 @@
 	if still >= e.stuckLimit(a) && a.pace == fullPace {
 		e.options.Log(events.AttemptStuck, "task", a.id, "run", a.run, "worker", a.worker.ID, "percent", a.percent, "for", still, "expected", e.expected(a.step))
 		if !a.step.spec.IsFiller {
-			a.worker.health.setAside(e.now)
+			a.worker.health.SetAside(e.now)
 		}
 		e.replace(a, "stands still")
 		return
 	}
-	if (a.worker.speed.isSlow(e.now) || e.isTrustedTime(a.step)) && e.isWorthReplacing(a) {
+	if (a.worker.speed.IsSlow(e.now) || e.isTrustedTime(a.step)) && e.isWorthReplacing(a) {
 		e.replace(a, "too slow")
 	}
 }
@@ -122,7 +123,7 @@
 		return false
 	}
 	expected, projected := e.expected(s), a.projected()
-	if expected <= 0 || float64(projected) < slowRatio*float64(expected) || s.tasks[a.id.Index].rescues >= maxRescues {
+	if expected <= 0 || float64(projected) < outlier.SlowRatio*float64(expected) || s.tasks[a.id.Index].rescues >= maxRescues {
 		return false
 	}
 	left := projected - e.now.Sub(a.orderedAt)
--- /dev/null
+++ b/internal/dispatch/usable.go
@@ -0,0 +1,22 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+// isUsable reports whether the worker may get something new.
+func (e *Engine) isUsable(w *worker) bool {
+	switch {
+	case !e.isReachable(w), len(w.foreign) > 0:
+		return false
+	case w.health.IsPaused(e.now):
+		return false
+	case w.health.OnTrial && len(w.attempts) > 0:
+		return false
+	}
+	return true
+}
+
+// isReachable reports whether the worker takes orders, whatever its health.
+func (e *Engine) isReachable(w *worker) bool {
+	return w.isListed && !w.isGone && !w.IsDraining && !w.isSilent() && e.now.Sub(w.readAt) <= overdueAfter
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -9,6 +9,7 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/outlier"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -43,7 +44,7 @@
 	// handled is the number of the last end that was taken in, confirmed that of
 	// the last one that is kept.
 	handled, confirmed uint64
-	health             health
+	health             outlier.Health
 	// isHeld means that a listing that waits is on its way since heldAt; looks counts
 	// those at once, lookedAt is when the last of these was asked for. wantsLook asks for
 	// another one when an answer is there or overdue.
@@ -56,7 +57,7 @@
 	// for at holdAt.
 	holdFailures int
 	holdAt       time.Time
-	speed        speed
+	speed        outlier.Speed
 }
 
 // phase is where an attempt is.
@@ -97,7 +98,7 @@
 	stopAckedAt order.WorkerTime
 	percent     int
 	percentAt   time.Time
-	progress    progress
+	progress    outlier.Progress
 	figure      int
 	pace        int
 	pacedAt     time.Time
--- a/internal/dispatch/health.go
+++ b/internal/outlier/health.go
@@ -1,7 +1,9 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-package dispatch
+// Package outlier finds workers that are sick or slow, by what became of their tasks.
+// It is pure.
+package outlier
 
 import (
 	"math"
@@ -24,16 +26,16 @@
 	refusedPause = 500 * time.Millisecond
 )
 
-// health is how a worker does by the outcomes of its attempts.
-type health struct {
+// Health is how a worker does by the outcomes of its attempts.
+type Health struct {
 	// inRow counts failures without a success since.
 	inRow   int
 	lastJob work.JobID
-	// pausedUntil is when it may be tried again; onTrial means that it gets one
+	// pausedUntil is when it may be tried again; OnTrial means that it gets one
 	// task at a time until one succeeds.
 	pausedUntil time.Time
 	pause       time.Duration
-	onTrial     bool
+	OnTrial     bool
 	// done and undone count tasks that ended well and that failed, less the longer
 	// ago; countedAt is as of when.
 	done, undone float64
@@ -61,7 +63,7 @@
 )
 
 // count forgets ends by how long ago they were.
-func (h *health) count(now time.Time) {
+func (h *Health) count(now time.Time) {
 	since := now.Sub(h.countedAt)
 	if since < countStep {
 		return
@@ -70,70 +72,65 @@
 	h.done, h.undone, h.countedAt = h.done*fade, h.undone*fade, now
 }
 
-// failedShare is the share of tasks that the worker fails, as far as is known.
-func (h *health) failedShare(now time.Time) float64 {
+// FailedShare is the share of tasks that the worker fails, as far as is known.
+func (h *Health) FailedShare(now time.Time) float64 {
 	h.count(now)
 	return (h.undone + usualShare*usualWeight) / (h.done + h.undone + usualWeight)
 }
 
-// risk is how likely the worker fails what it is given: about 0 for one that has
+// Risk is how likely the worker fails what it is given: about 0 for one that has
 // just done well, 1 and more for one that fails most.
-func (h *health) risk(now time.Time) float64 {
-	risk := shareWeight * max(h.failedShare(now)-2*usualShare, 0)
-	if h.onTrial {
+func (h *Health) Risk(now time.Time) float64 {
+	risk := shareWeight * max(h.FailedShare(now)-2*usualShare, 0)
+	if h.OnTrial {
 		risk++
 	}
 	return risk + unprovenRisk*math.Exp2(-h.done)
 }
 
-// isSound reports whether the worker has ended well what it had lately, but for what
+// IsSound reports whether the worker has ended well what it had lately, but for what
 // fails by its own fault.
-func (h *health) isSound(now time.Time) bool {
-	return h.inRow == 0 && !h.onTrial && h.failedShare(now) <= soundShare
+func (h *Health) IsSound(now time.Time) bool {
+	return h.inRow == 0 && !h.OnTrial && h.FailedShare(now) <= soundShare
 }
 
-func (h *health) succeeded(now time.Time) {
+// Succeeded takes that a task has ended well.
+func (h *Health) Succeeded(now time.Time) {
 	h.count(now)
 	h.done++
 	h.inRow = 0
-	h.onTrial = false
+	h.OnTrial = false
 	h.pause = 0
 }
 
-func (h *health) failed(now time.Time, j *job) {
+// Failed takes that a task of a job has failed.
+func (h *Health) Failed(now time.Time, job work.JobID) {
 	h.count(now)
 	h.undone++
-	if h.onTrial || h.lastJob != j.spec.ID {
+	if h.OnTrial || h.lastJob != job {
 		h.inRow++
 	}
-	h.lastJob = j.spec.ID
-	if h.inRow < suspectAfter && !h.onTrial {
+	h.lastJob = job
+	if h.inRow < suspectAfter && !h.OnTrial {
 		return
 	}
-	h.setAside(now)
+	h.SetAside(now)
 }
 
-func (h *health) setAside(now time.Time) {
+// SetAside keeps tasks off the worker for a while, longer each time, and then lets it
+// prove itself with one.
+func (h *Health) SetAside(now time.Time) {
 	h.pause = min(max(2*h.pause, firstPause), longestPause)
 	h.pausedUntil = now.Add(h.pause)
-	h.onTrial = true
+	h.OnTrial = true
 }
 
-func (h *health) refused(now time.Time) {
+// Refused takes that the worker says that it takes nothing.
+func (h *Health) Refused(now time.Time) {
 	if until := now.Add(refusedPause); until.After(h.pausedUntil) {
 		h.pausedUntil = until
 	}
 }
 
-// isUsable reports whether the worker may get something new.
-func (e *Engine) isUsable(w *worker) bool {
-	switch {
-	case !e.isReachable(w), len(w.foreign) > 0:
-		return false
-	case e.now.Before(w.health.pausedUntil):
-		return false
-	case w.health.onTrial && len(w.attempts) > 0:
-		return false
-	}
-	return true
-}
+// IsPaused reports whether the worker is to get nothing now.
+func (h *Health) IsPaused(now time.Time) bool { return now.Before(h.pausedUntil) }
