internal/dispatch: leave room that is kept to what is more urgent

Change: a step leaves to others only what is kept for steps as urgent or more. TestUrgentTasksTakeRoomThatIsKept fails on a copy without it. The test file of internal/permit is formatted.

--- a/internal/dispatch/lab_test.go
+++ b/internal/dispatch/lab_test.go
@@ -30,6 +30,8 @@
 		Name: "part", Service: "pool", Priority: 2, MaxAttempts: 3, Stretch: 4, Latency: 3 * time.Second,
 		Advice: &order.AdvicePolicy{Base: 140 * time.Millisecond, Each: 2 * time.Millisecond, Valid: 2 * time.Second},
 	}
+	// urgent is a queue that goes before both.
+	urgent      = order.Queue{Name: "urgent", Service: "pool", MaxAttempts: 3}
 	accelerated = leverdyke.Resources{MilliCPU: 64_000, MemoryMiB: 128_000, Accelerators: 8}
 )
 
@@ -46,7 +48,7 @@
 // newLab returns a world with such workers and ways to ask which are permitted.
 func newLab(workers int, without ...dispatch.Mechanism) *world {
 	w := newWorld(1)
-	w.queues, w.without, w.lanes = []order.Queue{whole, part}, without, []string{"a", "b", "c", "d", "e", "f"}
+	w.queues, w.without, w.lanes = []order.Queue{whole, part, urgent}, without, []string{"a", "b", "c", "d", "e", "f"}
 	w.takeOver()
 	w.addWorkers(workers, accelerated)
 	w.run(time.Second)
@@ -123,6 +125,27 @@
 	expectWhole(t, w)
 }
 
+// Room that is kept for others must not hold up what is more urgent, not even until it
+// is kept anew.
+func TestUrgentTasksTakeRoomThatIsKept(t *testing.T) {
+	w := newLab(1)
+	staying := partStep(3, time.Minute)
+	staying.KeepsProgress = false
+	w.submitTo("part", "p", staying)
+	w.run(time.Second)
+	w.submitTo("whole", "w", wholeStep(1, time.Minute))
+	w.run(2 * time.Second)
+	for i := range 5 {
+		before := w.engine.Counts().Starts
+		w.submitTo("urgent", fmt.Sprintf("u%d", i), partStep(1, time.Hour))
+		w.run(40 * time.Millisecond)
+		if got := w.engine.Counts().Starts - before; got != 1 {
+			t.Errorf("urgent task %d: got: %d starts in 40ms, want: 1", i, got)
+		}
+	}
+	expectWhole(t, w)
+}
+
 // With 40 large steps that wait, an owner of 98 workers worked out where room is kept for
 // them in each look, 1.2 ms of 500 looks a second, and answered nothing in time any more.
 func TestRoomIsNotKeptAnewInEachLook(t *testing.T) {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -83,21 +83,25 @@
 	if expected > 0 && !s.spec.IsLasting && !s.spec.IsFiller && e.now.Add(expected).Before(w.reservedAt) {
 		return free
 	}
-	return free.Sub(w.reservedFor(s))
+	return free.Sub(e.reservedBefore(w, s))
 }
 
-// reservation is room on a worker that is kept for tasks of a step.
+// reservation is room on a worker that is kept for tasks of a step, with the priority
+// of its queue.
 type reservation struct {
-	step *step
-	room leverdyke.Resources
+	step     *step
+	priority int
+	room     leverdyke.Resources
 }
 
-// reservedFor returns the room of the worker that is kept for others than the step.
-func (w *worker) reservedFor(s *step) leverdyke.Resources {
+// reservedBefore returns the room of the worker that the step must leave to others: not
+// to those that are less urgent.
+func (e *Engine) reservedBefore(w *worker, s *step) leverdyke.Resources {
+	priority := e.queues[s.job.spec.Queue].Priority
 	sum := leverdyke.Resources{}
 	for i := range w.reserved {
-		if w.reserved[i].step != s {
-			sum = sum.Add(w.reserved[i].room)
+		if r := &w.reserved[i]; r.step != s && r.priority <= priority {
+			sum = sum.Add(r.room)
 		}
 	}
 	return sum
@@ -122,7 +126,7 @@
 		if w.reservedAt.IsZero() {
 			e.reserved = append(e.reserved, w)
 		}
-		w.reserved = append(w.reserved, reservation{s, need})
+		w.reserved = append(w.reserved, reservation{s, q.Priority, need})
 		if readyAt := e.now.Add(p.ReadyIn); w.reservedAt.Before(readyAt) {
 			w.reservedAt = readyAt
 		}
@@ -184,7 +188,7 @@
 
 func (e *Engine) modelOf(g *reservable, s *step, q *order.Queue) reserve.Worker {
 	w := g.worker
-	m := reserve.Worker{Free: w.Capacity.Sub(w.used).Sub(w.reservedFor(s)), Most: len(s.tasks)}
+	m := reserve.Worker{Free: w.Capacity.Sub(w.used).Sub(e.reservedBefore(w, s)), Most: len(s.tasks)}
 	if s.spec.MaxPerWorker > 0 {
 		m.Most = min(m.Most, s.spec.MaxPerWorker-w.countOf(s))
 	}
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -34,15 +34,18 @@
 	}{
 		"those that are known first, then those with room": {
 			[]permit.Candidate{{ID: "a"}, {ID: "b", Fits: 1}, {ID: "c", IsGood: true}, {ID: "d", Fits: 3}},
-			costly, 1, []order.WorkerID{"c", "d", "b", "a"},
+			costly, 1,
+			[]order.WorkerID{"c", "d", "b", "a"},
 		},
 		"no more than are needed, where they are known": {
 			[]permit.Candidate{{ID: "a", Fits: 3, IsGood: true}, {ID: "b", Fits: 3, IsGood: true}, {ID: "c", Fits: 3, IsGood: true}},
-			costly, 2, []order.WorkerID{"a"},
+			costly, 2,
+			[]order.WorkerID{"a"},
 		},
 		"slow ones last": {
 			[]permit.Candidate{{ID: "a", Fits: 9, IsSuspect: true}, {ID: "b", Fits: 1}},
-			costly, 1, []order.WorkerID{"b", "a"},
+			costly, 1,
+			[]order.WorkerID{"b", "a"},
 		},
 	} {
 		if got := permit.Choose(c.found, c.policy, c.missing); !slices.Equal(got, c.want) {
