internal/permit: document what is exported

Cause: revive: AskMargin stood in a block without a comment of its own. Change: it has a declaration and a comment of its own.

--- a/internal/permit/lanes.go
+++ b/internal/permit/lanes.go
@@ -16,14 +16,15 @@
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
+// AskMargin is what the ways there and back take on a busy node.
+const AskMargin = 250 * time.Millisecond
+
 const (
 	// cheapCall is the time of a call up to which all workers are asked at once.
 	cheapCall = 40 * time.Millisecond
-	// askRatio and AskMargin are how long a call may take: so many times the time that
-	// the policy tells, as the lane may be busy with one that was given up, and what
-	// the ways there and back take on a busy node.
-	askRatio  = 2
-	AskMargin = 250 * time.Millisecond
+	// askRatio is how many times the time that the policy tells a call may take, besides
+	// AskMargin: the lane may be busy with one that was given up.
+	askRatio = 2
 	// laneMargin is how much later than that a call counts as lost that the owner of
 	// the lane has not given up.
 	laneMargin = 300 * time.Millisecond
