internal/integration, internal/standin/site: play a slow store with ends of nodes in the soak

Change: the stand-in's store has a mode in which it does and answers all after 0.36 s. From seed 1200 on one fault in six is such a store, in which one or two of three nodes are killed or stopped. Earlier seeds play what they did.

--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -35,7 +35,8 @@
 // From silenceSeeds on open connections go silent for good, too.
 // 909: a fresh node whose clock was set back took an owner that had run ahead of the
 // store as exact, after all nodes had lost their memory in an outage.
-var soakSeeds = []uint64{1, 322, 328, 802, 807, 909}
+// From slowSeeds on the store is slow while owners end; 1200 plays that in CI.
+var soakSeeds = []uint64{1, 322, 328, 802, 807, 909, 1200}
 
 const (
 	// silenceSeeds is the first seed that plays silences, silenceShare the share of
@@ -44,6 +45,13 @@
 	silenceShare = 8
 )
 
+const (
+	// slowSeeds is the first seed that plays a slow store with ends of nodes, slowShare
+	// the share of these among its faults: one in so many.
+	slowSeeds = 1200
+	slowShare = 6
+)
+
 // soak is a cell under random faults: signals to nodes, proxies between nodes, to
 // the store and to workers, clocks that differ, and a store that misbehaves.
 type soak struct {
@@ -54,6 +62,8 @@
 	hasBlackouts bool
 	// hasSilences means that open connections go silent, while new ones work.
 	hasSilences bool
+	// hasSlowStore means that nodes end while the store is slow.
+	hasSlowStore bool
 
 	mu      sync.Mutex
 	proxies map[string]*toxiproxy.Proxy
@@ -114,7 +124,7 @@
 
 func runSoak(t *testing.T, seed uint64, length time.Duration) {
 	s := &soak{rng: rand.New(rand.NewPCG(seed, 2)), proxies: map[string]*toxiproxy.Proxy{}, relays: map[string]*relay.Relay{}, restarting: map[*site.Node]bool{}, version: 1, born: 100}
-	s.hasBlackouts, s.hasSilences = seed >= blackoutSeeds, seed >= silenceSeeds
+	s.hasBlackouts, s.hasSilences, s.hasSlowStore = seed >= blackoutSeeds, seed >= silenceSeeds, seed >= slowSeeds
 	s.siteCell = newSiteCell(t, 3, site.Options{Workers: 6, HasAdvice: seed%2 == 0, Via: s.via})
 	t.Cleanup(s.closeRelays)
 	lasting := small(2, 0)
@@ -341,6 +351,10 @@
 		s.silence()
 		return
 	}
+	if s.hasSlowStore && s.rng.IntN(slowShare) == 0 {
+		s.slowStore(lasts)
+		return
+	}
 	switch s.rng.IntN(10) {
 	case 0:
 		s.restart(node, syscall.SIGKILL, lasts/2)
@@ -403,6 +417,19 @@
 	})
 }
 
+// slowStore plays a store that is slow while nodes are killed or stopped, one
+// or two of three nodes.
+func (s *soak) slowStore(lasts time.Duration) {
+	s.note("store slow for %v", lasts)
+	s.Store.SetMode(site.StoreSlow)
+	s.until(lasts, func() { s.Store.SetMode(site.StoreUp) })
+	for range 1 + s.rng.IntN(2) {
+		node := s.nodes[s.rng.IntN(len(s.nodes))]
+		sig := []syscall.Signal{syscall.SIGKILL, syscall.SIGTERM}[s.rng.IntN(2)]
+		s.until(s.between(0, lasts), func() { s.restart(node, sig, 500*time.Millisecond) })
+	}
+}
+
 // between returns a random time of at least a and less than b.
 func (s *soak) between(a, b time.Duration) time.Duration {
 	return a + time.Duration(s.rng.Int64N(int64(b-a)))
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -24,8 +24,13 @@
 	StoreBusy StoreMode = "busy"
 	// StoreSilent answers nothing.
 	StoreSilent StoreMode = "silent"
+	// StoreSlow does and answers all after slowAnswer.
+	StoreSlow StoreMode = "slow"
 )
 
+// slowAnswer is how long a slow store takes: some 90 times as long as usual.
+const slowAnswer = 360 * time.Millisecond
+
 // storeRecord is a record of a keyed topic.
 type storeRecord struct {
 	key    string
@@ -130,6 +135,8 @@
 	case StoreSilent:
 		s.waitGone(r)
 		return
+	case StoreSlow:
+		s.waitSlow()
 	case StoreUp:
 	}
 	switch r.URL.Path {
@@ -153,6 +160,14 @@
 	panic(http.ErrAbortHandler)
 }
 
+// waitSlow waits as long as a slow store does.
+func (s *Store) waitSlow() {
+	select {
+	case <-time.After(slowAnswer):
+	case <-s.closed:
+	}
+}
+
 func number(r *http.Request, name string) uint64 {
 	n, _ := strconv.ParseUint(r.URL.Query().Get(name), 10, 64)
 	return n
