internal/dispatch: no worker is kept for a last attempt that waits for another

That worker had failed something last, and permission for a last attempt was only asked for at workers that had not; the bound of 1.5 s on that wait stood in mayTry alone. Evacuation has no part in it. Change: one function says for how long a last attempt waits for a sound worker; no room is kept on workers that no task of the step may try now. Test: both jobs wait for ever before, and end within 3.5 s of the second failure now.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -77,7 +77,7 @@
 func (e *Engine) askable(s *step, policy *order.AdvicePolicy) []permit.Candidate {
 	found := []permit.Candidate{}
 	pool := e.queues[s.job.spec.Queue].Service
-	needsSound := slices.ContainsFunc(s.tasks, func(t task) bool { return t.state == taskWaiting && e.isLastAttempt(s, &t) && len(t.failures) > 0 })
+	needsSound := slices.ContainsFunc(s.tasks, func(t task) bool { return t.state == taskWaiting && e.needsSound(s, &t) })
 	charge := s.spec.Charge()
 	renewAt := e.now.Add(policy.Base + permit.AskMargin)
 	if !e.has(MechanismAdviceAhead) {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -116,12 +116,17 @@
 	if len(t.failures) == 0 || s.spec.IsLasting {
 		return true
 	}
-	waited := e.now.Sub(t.failedAt)
-	if e.isLastAttempt(s, t) && !w.health.IsSound(e.now) && waited < soundPatience {
+	if e.needsSound(s, t) && !w.health.IsSound(e.now) {
 		return false
 	}
 	failedHere := slices.ContainsFunc(t.failures, func(f work.Failure) bool { return f.Worker == string(w.ID) })
-	return !failedHere || waited >= otherPatience
+	return !failedHere || e.now.Sub(t.failedAt) >= otherPatience
+}
+
+// needsSound reports whether a task still waits for a worker that has failed nothing
+// lately, since the job fails with its next failure.
+func (e *Engine) needsSound(s *step, t *task) bool {
+	return len(t.failures) > 0 && e.isLastAttempt(s, t) && e.now.Sub(t.failedAt) < soundPatience
 }
 
 // isLastAttempt reports whether the job fails if the task fails once more.
--- a/internal/dispatch/lab_test.go
+++ b/internal/dispatch/lab_test.go
@@ -125,6 +125,28 @@
 	expectWhole(t, w)
 }
 
+// A task with one attempt left was only asked for at workers that had failed nothing since
+// their last success. The one that it may run on was empty and kept for it, so that
+// nothing else ran there and proved it sound: both waited for ever.
+func TestALastAttemptDoesNotKeepAWorkerForEver(t *testing.T) {
+	w := newLab(1)
+	w.failShare = 1
+	w.submitTo("whole", "w", wholeStep(1, 300*time.Millisecond))
+	for w.engine.Counts().Failed < 2 && w.since() < 20*time.Second {
+		w.run(tick)
+	}
+	failedAt := w.since()
+	w.failShare = 0
+	w.submitTo("part", "p", partStep(2, 300*time.Millisecond))
+	w.run(5 * time.Second)
+	for _, id := range []work.JobID{"w", "p"} {
+		if wait := w.endedAt[id] - failedAt; state(w, id) != work.JobSucceeded || wait > 3500*time.Millisecond {
+			t.Errorf("job %s: got: %s after %v, want: succeeded within 3.5s of the second failure", id, state(w, id), wait)
+		}
+	}
+	expectWhole(t, w)
+}
+
 // Room that is kept for others must not hold up what is more urgent, not even until it
 // is kept anew.
 func TestUrgentTasksTakeRoomThatIsKept(t *testing.T) {
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -159,12 +159,18 @@
 	occupants []*attempt
 }
 
+// mayTryAny reports whether a task of the step that waits may start on the worker now.
+// Room that none of them takes is left to others, which may prove the worker sound.
+func (e *Engine) mayTryAny(w *worker, s *step) bool {
+	return slices.ContainsFunc(s.tasks, func(t task) bool { return t.state == taskWaiting && e.mayTry(w, s, &t) })
+}
+
 // reservable returns the workers of which room can be kept for a step: those that are
 // known to be permitted, in the order of their IDs.
 func (e *Engine) reservable(s *step, q *order.Queue) ([]reservable, []reserve.Worker) {
 	found := []reservable{}
 	add := func(w *worker) {
-		if w != nil && e.isUsable(w) && e.mayRun(w, s, q.Service) {
+		if w != nil && e.isUsable(w) && e.mayRun(w, s, q.Service) && e.mayTryAny(w, s) {
 			found = append(found, reservable{worker: w})
 		}
 	}
