platform, internal/dispatch: an entry of another writer names no worker to use

Cause: every state but "draining" counted as ready, an unreadable entry under a known worker's key left the older one in use, entries without service, zone or capacity went through, and a record whose key could not be read kept the list from being read on for good.

A worker whose newest entry is bad gets nothing new; what it runs goes on and its leases are renewed where it was.

--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -45,6 +45,9 @@
 	entriesBackAt time.Time
 	// entries is how many workers the list has now; 0 before it is known to be whole.
 	entries int
+	// hasUnclear means that the list has entries of unknown workers that tell nothing. A
+	// worker writes its own again with each heartbeat.
+	hasUnclear bool
 	// lostUntil is when the leases are over of workers that went from the list before
 	// they told what they run.
 	lostUntil time.Time
@@ -68,7 +71,7 @@
 	if !e.now.Before(d.until) {
 		return true
 	}
-	isWhole := d.entries > 0 && (d.entries >= d.listed || !e.now.Before(d.entriesBackAt))
+	isWhole := d.entries > 0 && (d.entries >= d.listed && !d.hasUnclear || !e.now.Before(d.entriesBackAt))
 	if !isWhole || e.now.Before(d.lostUntil) {
 		return false
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -116,6 +116,7 @@
 // may lack workers that live: then none is taken as gone.
 func (e *Engine) SetWorkers(list []order.Worker, isCertain bool) {
 	seen := make(map[order.WorkerID]bool, len(list))
+	hasUnclear := false
 	for _, entry := range list {
 		if entry.IsRemoved {
 			e.entryRemoved(&entry, isCertain)
@@ -125,12 +126,13 @@
 		if !e.over[entry.ID] {
 			e.setWorker(entry)
 		}
+		hasUnclear = hasUnclear || entry.IsUnclear && e.workers[entry.ID] == nil
 	}
 	if !isCertain {
 		return
 	}
 	if e.inherited != nil {
-		e.inherited.entries = len(seen)
+		e.inherited.entries, e.inherited.hasUnclear = len(seen), hasUnclear
 	}
 	for id := range e.over {
 		if !seen[id] {
@@ -149,6 +151,9 @@
 
 func (e *Engine) setWorker(entry order.Worker) {
 	w := e.workers[entry.ID]
+	if w == nil && entry.IsUnclear && !e.mayRunOn(&entry) {
+		return
+	}
 	if w == nil {
 		w = &worker{Worker: entry, attempts: map[work.TaskID]*attempt{}, foreign: map[work.TaskID]uint64{}}
 		e.workers[entry.ID] = w
@@ -158,13 +163,19 @@
 	if entry.IsDraining && !w.IsDraining {
 		e.options.Log(events.WorkerLeaving, "worker", entry.ID, "attempts", len(w.attempts))
 	}
-	if w.isGone || w.IsDraining != entry.IsDraining {
+	if w.isGone || w.IsDraining != entry.IsDraining || w.IsUnclear != entry.IsUnclear {
 		e.isDirty = true
 	}
 	w.Worker = entry
 	w.isGone = false
 }
 
+// mayRunOn reports whether a worker of which only an unclear entry is known may run
+// tasks of an earlier owner, and can be asked.
+func (e *Engine) mayRunOn(entry *order.Worker) bool {
+	return len(e.unsettled[entry.ID]) > 0 && entry.Addr.IsValid()
+}
+
 const (
 	// heartbeatsMissed is how many heartbeats must stay away until the platform
 	// removes the entry of a silent worker.
--- a/internal/metrics/jobs.go
+++ b/internal/metrics/jobs.go
@@ -22,6 +22,7 @@
 	orders   metric.Float64Histogram
 	appends  metric.Float64Histogram
 	starts   metric.Float64Histogram
+	bad      metric.Int64Counter
 }
 
 // latencies are the bounds of the latency histograms, in seconds: from a fast
@@ -49,6 +50,10 @@
 			return nil, fmt.Errorf("metrics: %w", err)
 		}
 	}
+	j.bad, err = meter.Int64Counter("leverdyke.job.bad_records", metric.WithDescription("records of the platform's store that cannot be relied on, by topic"))
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
 	return j, nil
 }
 
@@ -81,6 +86,14 @@
 	j.appends.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
+// BadRecord notes a record of another writer.
+func (j *Jobs) BadRecord(topic string) {
+	if j == nil {
+		return
+	}
+	j.bad.Add(context.Background(), 1, metric.WithAttributes(attribute.String("topic", topic)))
+}
+
 // Gauge registers values that are read when they are scraped, by a label.
 func (j *Jobs) Gauge(name, label string, values func() map[string]float64) error {
 	return registerGauge(j.meter, name, label, values)
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -29,6 +29,10 @@
 	Capacity leverdyke.Resources
 	// IsDraining means that it is leaving: it finishes what it has.
 	IsDraining bool
+	// IsUnclear means that its newest entry may come from another writer: it gets
+	// nothing new, and what it runs goes on. The other fields are those of its last good
+	// entry; where there is none, all but ID and Addr are empty, Addr perhaps too.
+	IsUnclear bool
 	// HeartbeatAt is when a heartbeat of it was seen last; zero when none was.
 	HeartbeatAt time.Time
 	// IsRemoved means that its entry has been taken out of the list since the list
