--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -14,11 +14,14 @@
 
 // Marshal returns v as msgpack.
 func Marshal(v any) ([]byte, error) {
-	data, err := msgpack.Marshal(v)
-	if err != nil {
+	buf := bytes.Buffer{}
+	e := msgpack.NewEncoder(&buf)
+	// Whole numbers take nine bytes each otherwise.
+	e.UseCompactInts(true)
+	if err := e.Encode(v); err != nil {
 		return nil, fmt.Errorf("codec: %w", err)
 	}
-	return data, nil
+	return buf.Bytes(), nil
 }
 
 // MarshalCompact returns v as msgpack with structs as arrays, without the names
