internal/carrier, internal/owner, internal/cell: other nodes talk to workers for the owner

Cause: the owner of 1,100 workers spends its processor on talking to them: some 2,300 listings and 900 starts a second.

Change: above the workers that a tenth of its processor and link suffice for, the owner leaves orders and listings to other nodes, in batches; decision 0020. Payloads cross a link once.

Ruled out: more shards (decision 0020). The owner's decisions are not what binds.

--- /dev/null
+++ b/internal/carrier/payloads.go
@@ -0,0 +1,58 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package carrier
+
+import (
+	"github.com/cespare/xxhash/v2"
+)
+
+// A payload goes to a carrier once, with the first task of its job: it is most of an
+// order to start, and a job has up to 130 tasks. On 120 workers and links of 2 Mbit/s,
+// orders with a payload each took 0.10 MB/s of the owner's 0.25, and the 69 of one job
+// 0.4 s, which is longer than an order may stay without an answer.
+const (
+	// knownPayloads is how many payloads an owner takes a carrier to have, keptPayloads
+	// how many that has: more, so that it never lacks one that the owner counts on. A
+	// payload has 4,000 bytes at most.
+	knownPayloads = 1024
+	keptPayloads  = 2 * knownPayloads
+)
+
+// payloadKey names a payload.
+type payloadKey uint64
+
+func keyOf(payload string) payloadKey { return payloadKey(xxhash.Sum64String(payload)) }
+
+// recent is a map that forgets its oldest entry when it has more than it may.
+type recent[V any] struct {
+	most   int
+	values map[payloadKey]V
+	// order has the keys, the oldest at next when it is full.
+	order []payloadKey
+	next  int
+}
+
+func newRecent[V any](most int) *recent[V] {
+	return &recent[V]{most: most, values: map[payloadKey]V{}}
+}
+
+func (r *recent[V]) get(k payloadKey) (V, bool) {
+	v, ok := r.values[k]
+	return v, ok
+}
+
+// put adds an entry that is not there.
+func (r *recent[V]) put(k payloadKey, v V) {
+	if _, ok := r.values[k]; ok {
+		return
+	}
+	r.values[k] = v
+	if len(r.order) < r.most {
+		r.order = append(r.order, k)
+		return
+	}
+	delete(r.values, r.order[r.next])
+	r.order[r.next] = k
+	r.next = (r.next + 1) % r.most
+}
--- /dev/null
+++ b/internal/carrier/router_test.go
@@ -0,0 +1,273 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package carrier_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/carrier"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+const ms = time.Millisecond
+
+var begin = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// workersOf returns n workers, one zone after the other.
+func workersOf(n int, zones ...string) []order.Worker {
+	out := []order.Worker{}
+	for i := range n {
+		out = append(out, order.Worker{ID: order.WorkerID(fmt.Sprintf("w%04d", i)), Zone: zones[i%len(zones)]})
+	}
+	return out
+}
+
+// nodesOf returns n nodes that can carry for so many workers each.
+func nodesOf(prefix string, n, workers int, zones ...string) []carrier.Node {
+	out := []carrier.Node{}
+	for i := range n {
+		out = append(out, carrier.Node{Name: fmt.Sprintf("%s%03d", prefix, i), Zone: zones[i%len(zones)], Workers: workers, Link: uint64(i + 1)})
+	}
+	return out
+}
+
+// spread asks each worker for a listing and returns how many each node carries; "" is
+// the owner.
+func spread(r *carrier.Router, workers []order.Worker, now time.Time) map[string]int {
+	out := map[string]int{}
+	for i := range workers {
+		if !r.Add(order.Hold{Worker: workers[i].ID}, workers[i].ID, time.Second, now) {
+			out[""]++
+		}
+	}
+	for node, b := range r.Batches() {
+		out[node] = len(b.Orders)
+	}
+	return out
+}
+
+func TestAnOwnerTalksToAsManyWorkersAsItCan(t *testing.T) {
+	few, many := workersOf(50, "a"), workersOf(51, "a")
+	nodes := nodesOf("n", 3, 50, "a")
+	for name, tc := range map[string]struct {
+		own     int
+		workers []order.Worker
+		nodes   []carrier.Node
+		want    int
+	}{
+		"few":      {50, few, nodes, 50},
+		"many":     {50, many, nodes, 0},
+		"no nodes": {50, many, nil, 51},
+		"no bound": {0, many, nodes, 51},
+	} {
+		r := carrier.NewRouter(tc.own, 1)
+		r.SetWorkers(tc.workers)
+		r.SetNodes(tc.nodes, begin)
+		if got := spread(r, tc.workers, begin)[""]; got != tc.want {
+			t.Errorf("%s: workers that the owner talks to: got: %d, want: %d", name, got, tc.want)
+		}
+	}
+}
+
+// Fifteen strong nodes and many weak ones in five zones: the strong ones carry, each for
+// workers of its zone.
+func TestStrongNodesCarryForTheirZone(t *testing.T) {
+	zones := []string{"a", "b", "c", "d", "e"}
+	workers := workersOf(1100, zones...)
+	r := carrier.NewRouter(200, 1)
+	r.SetWorkers(workers)
+	r.SetNodes(append(nodesOf("strong", 15, 200, zones...), nodesOf("weak", 130, 48, zones...)...), begin)
+	for i := range workers {
+		r.Add(order.Hold{Worker: workers[i].ID}, workers[i].ID, time.Second, begin)
+	}
+	batches := r.Batches()
+	if len(batches) != 15 {
+		t.Errorf("carriers: got: %d, want: 15", len(batches))
+	}
+	zoneOf := map[order.WorkerID]string{}
+	for i := range workers {
+		zoneOf[workers[i].ID] = workers[i].Zone
+	}
+	for i, n := range nodesOf("strong", 15, 200, zones...) {
+		b := batches[n.Name]
+		if b == nil || len(b.Orders) < 45 || len(b.Orders) > 105 {
+			t.Fatalf("orders of carrier %d: got: %+v, want: about 73", i, b)
+		}
+		for _, o := range b.Orders {
+			if zoneOf[o.Hold.Worker] != n.Zone {
+				t.Errorf("%s: got: %s of zone %s, want: zone %s", n.Name, o.Hold.Worker, zoneOf[o.Hold.Worker], n.Zone)
+			}
+		}
+	}
+}
+
+func TestWeakNodesCarryWhereStrongOnesAreTooFew(t *testing.T) {
+	workers := workersOf(400, "a")
+	r := carrier.NewRouter(100, 1)
+	r.SetWorkers(workers)
+	r.SetNodes(append(nodesOf("strong", 1, 200, "a"), nodesOf("weak", 10, 30, "a")...), begin)
+	if got := len(spread(r, workers, begin)); got != 11 {
+		t.Errorf("carriers: got: %d, want: 11", got)
+	}
+}
+
+// When one carrier goes, only its workers get another one.
+func TestACarrierThatGoesMovesNoOthersWorkers(t *testing.T) {
+	workers, nodes := workersOf(300, "a"), nodesOf("n", 6, 100, "a")
+	r := carrier.NewRouter(50, 1)
+	r.SetWorkers(workers)
+	r.SetNodes(nodes, begin)
+	before := spread(r, workers, begin)
+	failed := r.SetNodes(nodes[1:], begin)
+	if len(failed) != before["n000"] {
+		t.Errorf("orders that come back: got: %d, want: %d", len(failed), before["n000"])
+	}
+	after := spread(r, workers, begin)
+	total := 0
+	for _, n := range nodes[1:] {
+		if after[n.Name] < before[n.Name] {
+			t.Errorf("%s: got: %d workers, want: at least the %d of before", n.Name, after[n.Name], before[n.Name])
+		}
+		total += after[n.Name]
+	}
+	if total != 300 {
+		t.Errorf("workers carried for: got: %d, want: 300", total)
+	}
+}
+
+// carried returns a router of one worker that a node carries for.
+func carried(t *testing.T, nodes ...carrier.Node) *carrier.Router {
+	t.Helper()
+	r := carrier.NewRouter(1, 7)
+	r.SetWorkers(workersOf(2, "a"))
+	r.SetNodes(nodes, begin)
+	r.Expire(begin)
+	return r
+}
+
+func TestAnOutcomeIsTakenOnce(t *testing.T) {
+	r := carried(t, nodesOf("n", 1, 10, "a")...)
+	start := order.Start{Worker: "w0000", Task: work.TaskID{Job: "j"}, Run: 1, Payload: "p"}
+	r.Add(start, start.Worker, time.Second, begin)
+	b := r.Batches()["n000"]
+	if b == nil || b.Fence != 7 || len(b.Orders) != 1 {
+		t.Fatalf("got: %+v, want: one order with the fence 7", b)
+	}
+	out := []carrier.Outcome{{ID: b.Orders[0].ID, Start: order.StartDone}, {ID: b.Orders[0].ID + 1, Start: order.StartDone}}
+	got := r.Answered(out, begin.Add(3*ms))
+	if len(got) != 1 || got[0].Action != start || got[0].Took != 3*ms {
+		t.Errorf("got: %+v, want: the order to start, after 3 ms", got)
+	}
+	if got := r.Answered(out, begin); len(got) != 0 {
+		t.Errorf("the same again: got: %+v, want: none", got)
+	}
+}
+
+// expire lets time pass in steps in which an owner that runs looks at what is overdue.
+func expire(r *carrier.Router, from, until time.Duration) []carrier.Failed {
+	out := []carrier.Failed{}
+	for d := from; d <= until; d += 100 * ms {
+		out = append(out, r.Expire(begin.Add(d))...)
+	}
+	return out
+}
+
+func TestACarrierThatDoesNotAnswerIsNotUsedForAWhile(t *testing.T) {
+	nodes := nodesOf("n", 1, 10, "a")
+	r := carried(t, nodes...)
+	r.Add(order.Hold{Worker: "w0000"}, "w0000", 500*ms, begin)
+	if got := expire(r, 0, 600*ms); len(got) != 0 {
+		t.Errorf("while an outcome may come: got: %v, want: none", got)
+	}
+	if got := expire(r, 700*ms, 700*ms); len(got) != 1 {
+		t.Errorf("overdue: got: %v, want: the listing", got)
+	}
+	if r.Add(order.Hold{Worker: "w0000"}, "w0000", 500*ms, begin.Add(700*ms)) {
+		t.Error("after that: got: carried, want: the owner itself")
+	}
+	r.SetNodes(nodes, begin.Add(800*ms))
+	if got := r.Carriers(); got != 0 {
+		t.Errorf("carriers 0.1 s later: got: %d, want: 0", got)
+	}
+	r.SetNodes(nodes, begin.Add(1800*ms))
+	if got := r.Carriers(); got != 1 {
+		t.Errorf("carriers 1.1 s later: got: %d, want: 1", got)
+	}
+}
+
+// An owner that was kept from running has outcomes that it has not taken in.
+func TestNothingIsOverdueForAnOwnerThatWasKeptFromRunning(t *testing.T) {
+	r := carried(t, nodesOf("n", 1, 10, "a")...)
+	r.Add(order.Hold{Worker: "w0000"}, "w0000", 500*ms, begin)
+	if got := r.Expire(begin.Add(5 * time.Second)); len(got) != 0 {
+		t.Errorf("first look after 5 s: got: %v, want: none", got)
+	}
+	if got := r.Expire(begin.Add(5100 * ms)); len(got) != 1 {
+		t.Errorf("next look: got: %v, want: the listing", got)
+	}
+}
+
+func TestACarrierThatReachesNoWorkerIsNotUsed(t *testing.T) {
+	nodes := nodesOf("n", 1, 10, "a")
+	r := carried(t, nodes...)
+	for range 6 {
+		r.Add(order.Hold{Worker: "w0000"}, "w0000", 500*ms, begin)
+		r.Answered([]carrier.Outcome{{ID: r.Batches()["n000"].Orders[0].ID, Hold: order.HoldSilent}}, begin)
+	}
+	r.SetNodes(nodes, begin.Add(100*ms))
+	if got := r.Carriers(); got != 0 {
+		t.Errorf("carriers: got: %d, want: 0", got)
+	}
+}
+
+// Most carriers late at once tell of the owner's own link or processor: to take them out
+// of use one after the other would leave all to the last ones.
+func TestCarriersThatAreLateTogetherStayInUse(t *testing.T) {
+	workers, nodes := workersOf(60, "a"), nodesOf("n", 6, 20, "a")
+	r := carrier.NewRouter(10, 1)
+	r.SetWorkers(workers)
+	r.SetNodes(nodes, begin)
+	r.Expire(begin)
+	spread(r, workers, begin)
+	if got := expire(r, 0, 1200*ms); len(got) != 0 {
+		t.Errorf("orders given up: got: %d, want: none yet", len(got))
+	}
+	if got := r.Carriers(); got != 6 {
+		t.Errorf("carriers: got: %d, want: 6", got)
+	}
+	if got := expire(r, 1300*ms, 5*time.Second); len(got) != 60 {
+		t.Errorf("orders given up in the end: got: %d, want: 60", len(got))
+	}
+}
+
+// A payload crosses a link once; a node that is linked anew knows none.
+func TestAPayloadIsSentOnceALink(t *testing.T) {
+	nodes := nodesOf("n", 1, 10, "a")
+	r := carried(t, nodes...)
+	send := func() *carrier.Batch {
+		for i := range 3 {
+			r.Add(order.Start{Worker: "w0000", Task: work.TaskID{Job: "j", Index: i}, Payload: "p"}, "w0000", time.Second, begin)
+		}
+		return r.Batches()["n000"]
+	}
+	for round, want := range []int{1, 0} {
+		b := send()
+		if len(b.Payloads) != want {
+			t.Errorf("payloads in batch %d: got: %q, want: %d", round, b.Payloads, want)
+		}
+		for _, o := range b.Orders {
+			if o.Start.Payload != "" || o.PayloadKey == 0 {
+				t.Errorf("an order of batch %d: got: %+v, want: only the key of its payload", round, o.Start)
+			}
+		}
+	}
+	nodes[0].Link = 99
+	r.SetNodes(nodes, begin)
+	if b := send(); len(b.Payloads) != 1 {
+		t.Errorf("payloads over a new link: got: %q, want: 1", b.Payloads)
+	}
+}
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -222,6 +222,9 @@
 }
 
 func (n *Node) sendAlive() {
+	if n.carrier != nil {
+		n.carrier.Tick()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.ownerLink != nil {
--- a/internal/cell/messages.go
+++ b/internal/cell/messages.go
@@ -40,6 +40,10 @@
 	kindAdvise link.Kind = "advise"
 	// kindStore sends a request to the store: detour.Request, storeReply.
 	kindStore link.Kind = "store"
+	// kindCarry is the owner's notification of orders to workers: carrier.Batch.
+	kindCarry link.Kind = "carry"
+	// kindCarried is the notification of what became of them: []carrier.Outcome.
+	kindCarried link.Kind = "carried"
 )
 
 type empty struct{}
@@ -55,6 +59,8 @@
 	Age time.Duration
 	// Strength is how many processors the node has.
 	Strength float64
+	// Workers is how many workers the node can talk to for the owner.
+	Workers int
 }
 
 // welcome is the answer to hello.
--- a/internal/cell/node.go
+++ b/internal/cell/node.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/carrier"
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/detour"
 	"github.com/leverdyke/leverdyke/internal/events"
@@ -43,7 +44,7 @@
 	Apply func()
 }
 
-// Options configures a Node. All fields are required.
+// Options configures a Node. All fields but Workers, Carries and Patience are required.
 type Options struct {
 	Name string
 	Zone string
@@ -68,6 +69,11 @@
 	Heartbeat time.Duration
 	// HolderPause is how long a former owner does not claim again.
 	HolderPause time.Duration
+	// Workers talks to workers for an owner that leaves them to this node; nil means that
+	// this node does not. Carries is how many workers it can talk to so, and how many it
+	// talks to itself as the owner; 0 means all.
+	Workers owner.Workers
+	Carries int
 	// Strength is how many processors the node has: the strongest should own.
 	Strength float64
 	// Patience is how long a request waits for the next owner; 0 means half a
@@ -127,6 +133,12 @@
 	// claimed has the epochs that this process has acted on.
 	claimed uint64
 	wg      sync.WaitGroup
+	// carrySession is that of carryLink, over which the owner left orders to this node.
+	carryLink    *link.Conn
+	carrySession *carrier.Session
+
+	// carrier talks to workers for the owner; nil where Options.Workers is.
+	carrier *carrier.Carrier
 
 	// last is the record of the owner that was read last; it belongs to the seeker.
 	last *owner.Record
@@ -152,6 +164,9 @@
 		log: options.NewStore(options.Direct), peers: newPeers(options.Clock), takeOver: make(chan uint64, 1),
 		changed: make(chan struct{}), failedReads: map[configSource]*failedReads{},
 	}
+	if options.Workers != nil {
+		n.carrier = carrier.New(options.Workers, options.Clock)
+	}
 	n.detour = detour.New(options.Direct, n.peers, options.Clock)
 	n.wg.Add(5)
 	go n.runListener()
@@ -176,6 +191,9 @@
 	}
 	n.mu.Unlock()
 	n.wg.Wait()
+	if n.options.Workers != nil {
+		n.options.Workers.Close()
+	}
 }
 
 func (n *Node) sleep(d time.Duration) {
--- a/internal/cell/node_test.go
+++ b/internal/cell/node_test.go
@@ -53,8 +53,8 @@
 
 func (idle) Pace(context.Context, uint64, *order.Pace) error { return nil }
 
-func (idle) Hold(context.Context, uint64, *order.Hold) (*order.Listing, owner.HoldOutcome) {
-	return nil, owner.HoldSilent
+func (idle) Hold(context.Context, uint64, *order.Hold) (*order.Listing, order.HoldOutcome) {
+	return nil, order.HoldSilent
 }
 
 func (idle) Workers(context.Context) ([]order.Worker, error) { return nil, nil }
--- a/internal/cell/peers.go
+++ b/internal/cell/peers.go
@@ -27,6 +27,8 @@
 type peer struct {
 	hello hello
 	conn  *link.Conn
+	// number tells the links of this node apart.
+	number uint64
 	// bornAt is when its process began.
 	bornAt    time.Time
 	heardAt   time.Time
@@ -44,6 +46,8 @@
 	// seen is when a peer was linked last, by name.
 	seen map[string]time.Time
 	next int
+	// links counts the links that were made.
+	links uint64
 }
 
 func newPeers(c clock.Service) *peers {
@@ -57,7 +61,8 @@
 	if old := p.byName[h.Name]; old != nil {
 		old.conn.Close()
 	}
-	p.byName[h.Name] = &peer{hello: h, conn: c, bornAt: now.Add(-h.Age), heardAt: now}
+	p.links++
+	p.byName[h.Name] = &peer{hello: h, conn: c, number: p.links, bornAt: now.Add(-h.Age), heardAt: now}
 	p.seen[h.Name] = now
 }
 
--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -182,6 +182,7 @@
 		Claim: c, Store: n.options.NewStore(n.detour), Workers: workers, List: list, Lanes: &lanes{n},
 		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasOutage: n.detour.HasOutage, NodeZone: n.options.Zone,
 		StopTime: n.options.StopTime, Heartbeat: n.options.Heartbeat, Strongest: n.strongestKnown,
+		Carriers: &carriers{n}, OwnWorkers: n.options.Carries,
 	})
 	n.mu.Lock()
 	n.claimed = c.Record.Epoch
@@ -275,10 +276,18 @@
 func (n *Node) hello() hello {
 	return hello{
 		Name: n.options.Name, Zone: n.options.Zone, Addr: n.options.AdvertiseAddr, Life: n.options.Life,
-		Age: n.options.Clock.Now().Sub(n.startedAt), Strength: n.options.Strength,
+		Age: n.options.Clock.Now().Sub(n.startedAt), Strength: n.options.Strength, Workers: n.carries(),
 	}
 }
 
+// carries returns how many workers this node can talk to for the owner.
+func (n *Node) carries() int {
+	if n.carrier == nil {
+		return 0
+	}
+	return n.options.Carries
+}
+
 // claimIfDead claims the shard from an owner that this node does not reach,
 // unless the store hears of it in time.
 func (n *Node) claimIfDead(r *owner.Record, at uint64, patience time.Duration) {
--- a/internal/cell/serve.go
+++ b/internal/cell/serve.go
@@ -193,6 +193,10 @@
 			n.notePeerVersion(from, a.ConfigVersion)
 			n.mu.Unlock()
 		}
+	case kindCarry:
+		n.takeCarry(from, body)
+	case kindCarried:
+		n.takeCarried(body)
 	default:
 		n.options.Log(events.BadFrame, "kind", kind)
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -69,6 +69,8 @@
 	DoubtOver        = add(468, "no task can run where nobody knows any more", LevelInfo)
 	Totals           = add(466, "totals of the owner", LevelInfo)
 	StartsUnlogged   = add(309, "owner runs ahead of the store, or no longer", LevelWarning)
+	CarriersChanged  = add(314, "number of nodes that carry for the owner changes", LevelInfo)
+	CarrierFailed    = add(315, "node does not carry orders", LevelWarning)
 	VMListFailed     = add(310, "list of VMs does not answer", LevelWarning)
 	ConfigInForce    = add(320, "document in force", LevelInfo)
 	ConfigBad        = add(321, "document in the log cannot be read", LevelError)
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -135,6 +135,18 @@
 	StartLifeOver StartOutcome = "life-over"
 )
 
+// HoldOutcome is what became of asking a worker for a listing.
+type HoldOutcome string
+
+// The outcomes.
+const (
+	HoldListed HoldOutcome = "listed"
+	// HoldSilent means that no usable answer came.
+	HoldSilent HoldOutcome = "silent"
+	// HoldLifeOver means that this life of the worker is over.
+	HoldLifeOver HoldOutcome = "life-over"
+)
+
 // Ticket permits a worker to run the tasks of one step.
 type Ticket struct {
 	Worker WorkerID
--- /dev/null
+++ b/internal/owner/carried_test.go
@@ -0,0 +1,137 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/leverdyke/leverdyke/internal/await"
+	"github.com/leverdyke/leverdyke/internal/carrier"
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store/fakestore"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// fakeCarriers is one node that carries for an owner, over a link that can be cut.
+type fakeCarriers struct {
+	mu    sync.Mutex
+	owner *owner.Owner
+	// session is what takes orders; carried counts them.
+	session *carrier.Session
+	carried int
+	// isSilent means that orders get lost, isUnlinked that none can be sent.
+	isSilent, isUnlinked bool
+}
+
+func newFakeCarriers(w *fakeWorkers) *fakeCarriers {
+	f := &fakeCarriers{}
+	f.session = carrier.New(w, clock.Real{}).NewSession(func(o []carrier.Outcome) {
+		f.mu.Lock()
+		to := f.owner
+		f.mu.Unlock()
+		to.Carried(o)
+	})
+	return f
+}
+
+func (*fakeCarriers) Usable() []carrier.Node {
+	return []carrier.Node{{Name: "c", Zone: "z", Link: 1, Workers: 10}}
+}
+
+func (f *fakeCarriers) Send(_ string, b *carrier.Batch) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.isUnlinked {
+		return false
+	}
+	f.carried += len(b.Orders)
+	if !f.isSilent {
+		f.session.Take(context.Background(), b)
+	}
+	return true
+}
+
+func (f *fakeCarriers) set(isSilent, isUnlinked bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.isSilent, f.isUnlinked = isSilent, isUnlinked
+}
+
+func (f *fakeCarriers) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.carried
+}
+
+// twoWorkers is a list of one more than the owner talks to itself: the second is only an
+// entry of a worker that does not answer.
+type twoWorkers struct{}
+
+func (twoWorkers) Workers(context.Context) ([]order.Worker, error) {
+	return []order.Worker{{ID: "w", Service: "pool"}, {ID: "other", Service: "elsewhere"}}, nil
+}
+
+// carriedOwner returns an owner that leaves its workers to a carrier.
+func carriedOwner(t *testing.T, workers *fakeWorkers) (*owner.Owner, *fakeCarriers) {
+	t.Helper()
+	f := newFakeCarriers(workers)
+	o := run(t, fakestore.NewLog(), workers, twoWorkers{}, clock.Real{}, nil, func(options *owner.Options) {
+		options.Carriers, options.OwnWorkers = f, 1
+	})
+	f.mu.Lock()
+	f.owner = o
+	f.mu.Unlock()
+	await.True(t, "the jobs are read", o.IsLoaded)
+	return o, f
+}
+
+func TestACarrierRunsJobsForTheOwner(t *testing.T) {
+	o, f := carriedOwner(t, newFakeWorkers())
+	for i := range 20 {
+		id := fmt.Sprintf("j%d", i)
+		if err := o.Submit(t.Context(), job(id)); err != nil {
+			t.Fatal(err)
+		}
+		awaitState(t, o, id, work.JobSucceeded)
+	}
+	if f.count() == 0 {
+		t.Error("orders carried: got: 0, want: some")
+	}
+}
+
+// Whatever becomes of the carrier, jobs are done, each task once.
+func TestJobsAreDoneWhenTheCarrierFails(t *testing.T) {
+	for name, fail := range map[string]func(f *fakeCarriers, on bool){
+		"silent":     func(f *fakeCarriers, on bool) { f.set(on, false) },
+		"not linked": func(f *fakeCarriers, on bool) { f.set(false, on) },
+	} {
+		workers := newFakeWorkers()
+		o, f := carriedOwner(t, workers)
+		await.True(t, "orders are carried", func() bool { return f.count() > 0 })
+		for i := range 6 {
+			fail(f, i%2 == 0)
+			id := fmt.Sprintf("j%d", i)
+			if err := o.Submit(t.Context(), job(id)); err != nil {
+				t.Fatal(err)
+			}
+			awaitState(t, o, id, work.JobSucceeded)
+		}
+		done := map[work.TaskID]int{}
+		workers.mu.Lock()
+		for _, e := range workers.ends {
+			done[e.Task]++
+		}
+		workers.mu.Unlock()
+		for id, n := range done {
+			if n > 1 {
+				t.Errorf("%s: task %v: got: %d runs, want: 1", name, id, n)
+			}
+		}
+	}
+}
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -76,6 +76,7 @@
 		}
 	}
 	o.listed.Store(listed)
+	o.router.SetWorkers(ev.list)
 	o.engine.SetWorkers(ev.list, ev.isCertain)
 }
 
@@ -103,16 +104,16 @@
 type holdEvent struct {
 	hold    order.Hold
 	listing *order.Listing
-	outcome HoldOutcome
+	outcome order.HoldOutcome
 }
 
 func (ev holdEvent) apply(o *Owner) {
 	switch ev.outcome {
-	case HoldListed:
+	case order.HoldListed:
 		o.engine.Listed(&ev.hold, ev.listing)
-	case HoldSilent:
+	case order.HoldSilent:
 		o.engine.HoldFailed(&ev.hold)
-	case HoldLifeOver:
+	case order.HoldLifeOver:
 		o.engine.LifeOver(ev.hold.Worker)
 	}
 }
--- a/internal/owner/fakes_test.go
+++ b/internal/owner/fakes_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/order"
-	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -73,7 +72,7 @@
 
 func (w *fakeWorkers) Pace(context.Context, uint64, *order.Pace) error { return nil }
 
-func (w *fakeWorkers) Hold(ctx context.Context, _ uint64, h *order.Hold) (*order.Listing, owner.HoldOutcome) {
+func (w *fakeWorkers) Hold(ctx context.Context, _ uint64, h *order.Hold) (*order.Listing, order.HoldOutcome) {
 	for {
 		w.mu.Lock()
 		l := &order.Listing{At: w.at()}
@@ -87,12 +86,12 @@
 		}
 		w.mu.Unlock()
 		if h.Wait == 0 || len(l.Finished) > 0 {
-			return l, owner.HoldListed
+			return l, order.HoldListed
 		}
 		select {
 		case <-w.told:
 		case <-ctx.Done():
-			return nil, owner.HoldSilent
+			return nil, order.HoldSilent
 		}
 	}
 }
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -17,18 +17,6 @@
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
-// HoldOutcome is what became of asking a worker for a listing.
-type HoldOutcome string
-
-// The outcomes.
-const (
-	HoldListed HoldOutcome = "listed"
-	// HoldSilent means that no usable answer came.
-	HoldSilent HoldOutcome = "silent"
-	// HoldLifeOver means that this life of the worker is over.
-	HoldLifeOver HoldOutcome = "life-over"
-)
-
 // Workers gives orders to workers. fence is the epoch of the owner: a worker
 // does nothing for a lower one than it has seen. Implementations are safe for
 // concurrent use.
@@ -36,7 +24,7 @@
 	Start(ctx context.Context, fence uint64, s *order.Start) (order.StartOutcome, order.WorkerTime)
 	// Stop returns the worker's clock, and false when no answer came.
 	Stop(ctx context.Context, fence uint64, s *order.Stop) (order.WorkerTime, bool)
-	Hold(ctx context.Context, fence uint64, h *order.Hold) (*order.Listing, HoldOutcome)
+	Hold(ctx context.Context, fence uint64, h *order.Hold) (*order.Listing, order.HoldOutcome)
 	Pace(ctx context.Context, fence uint64, p *order.Pace) error
 	// Close ends the connections that are kept for later orders. It is called when
 	// the ownership ends: a worker takes connections of a few nodes only.
@@ -79,15 +67,20 @@
 	IsOver bool
 }
 
-// Options configures an Owner. All but Log are required.
+// Options configures an Owner. All but Log, Carriers and OwnWorkers are required.
 type Options struct {
 	Claim   Claim
 	Store   store.Log
 	Workers Workers
 	List    List
 	Lanes   Lanes
-	Clock   clock.Service
-	Log     func(e events.Event, keysAndValues ...any)
+	// Carriers are the nodes that can talk to workers for this one; nil means none.
+	Carriers Carriers
+	// OwnWorkers is how many workers this node talks to itself where others can carry; 0
+	// means all.
+	OwnWorkers int
+	Clock      clock.Service
+	Log        func(e events.Event, keysAndValues ...any)
 	// Metrics takes figures.
 	Metrics Metrics
 	// Strongest returns the strength of the strongest node known.
@@ -125,11 +118,6 @@
 	listGrace = 2300 * time.Millisecond
 	// tickPeriod is the granularity of what is due by time alone.
 	tickPeriod = 20 * time.Millisecond
-	// startTimeout bounds an order, from before it waits for a connection. It must
-	// not leave this node long after the engine doubts it (0.2 s).
-	startTimeout = 400 * time.Millisecond
-	// stopTimeout bounds an order to stop, which is sent again.
-	stopTimeout = 500 * time.Millisecond
 	// writeTimeout bounds one try to append or to read, as long as nothing moves: a
 	// slow store takes 0.4 s.
 	writeTimeout = 1500 * time.Millisecond
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/carrier"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/progress"
@@ -14,9 +15,14 @@
 
 // carryOut starts what the engine wants done; the outcome comes as an event.
 func (o *Owner) carryOut(a order.Action) {
+	if _, ok := a.(order.Start); ok {
+		o.orders++
+	}
+	if o.carry(a) {
+		return
+	}
 	switch a := a.(type) {
 	case order.Start:
-		o.orders++
 		go o.runStart(a)
 	case order.Stop:
 		go o.runStop(a)
@@ -40,19 +46,24 @@
 }
 
 func (o *Owner) runStart(s order.Start) {
-	ctx, cancel := o.bound(startTimeout)
+	ctx, cancel := o.bound(carrier.StartTimeout)
 	defer cancel()
 	began := o.options.Clock.Now()
 	outcome, at := o.options.Workers.Start(ctx, o.Epoch(), &s)
-	o.options.Metrics.OrderAnswered("start", string(outcome), o.options.Clock.Now().Sub(began))
+	o.noteStart(&s, outcome, o.options.Clock.Now().Sub(began))
+	o.put(startEvent{s, outcome, at})
+}
+
+// noteStart notes the answer to an order to start.
+func (o *Owner) noteStart(s *order.Start, outcome order.StartOutcome, took time.Duration) {
+	o.options.Metrics.OrderAnswered("start", string(outcome), took)
 	if outcome == order.StartFenced {
 		o.options.Log(events.RackFenced, "worker", s.Worker, "epoch", o.Epoch())
 	}
-	o.put(startEvent{s, outcome, at})
 }
 
 func (o *Owner) runStop(s order.Stop) {
-	ctx, cancel := o.bound(stopTimeout)
+	ctx, cancel := o.bound(carrier.StopTimeout)
 	defer cancel()
 	began := o.options.Clock.Now()
 	at, ok := o.options.Workers.Stop(ctx, o.Epoch(), &s)
@@ -75,7 +86,7 @@
 }
 
 func (o *Owner) runPace(p order.Pace) {
-	ctx, cancel := o.bound(stopTimeout)
+	ctx, cancel := o.bound(carrier.StopTimeout)
 	defer cancel()
 	if err := o.options.Workers.Pace(ctx, o.Epoch(), &p); err != nil {
 		o.options.Log(events.PaceFailed, "task", p.Task, "run", p.Run, "worker", p.Worker, "percent", p.Percent, "err", err)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/carrier"
 	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
@@ -25,10 +26,12 @@
 type Owner struct {
 	options Options
 	engine  *dispatch.Engine
-	inbox   *ring.Ring[event]
-	ctx     context.Context
-	cancel  context.CancelFunc
-	wg      sync.WaitGroup
+	// router belongs to the loop.
+	router *carrier.Router
+	inbox  *ring.Ring[event]
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 	// writes takes what is to be kept; at most one is on its way.
 	writes chan *write
 	// loaded is closed when the jobs are read from the store.
@@ -74,6 +77,8 @@
 	handOver   chan bool
 	handOverAt time.Time
 	isAhead    bool
+	// nextCarriers is when to look again at which nodes can carry.
+	nextCarriers time.Time
 }
 
 // event is something that happened, for the loop.
@@ -90,7 +95,8 @@
 		engine: dispatch.NewEngine(dispatch.Options{
 			Log: options.Log, NodeZone: options.NodeZone, StopTime: options.StopTime, Heartbeat: options.Heartbeat,
 		}),
-		inbox: ring.NewRing[event](eventsBound), ctx: ctx, cancel: cancel,
+		router: carrier.NewRouter(options.OwnWorkers, options.Claim.Record.Epoch),
+		inbox:  ring.NewRing[event](eventsBound), ctx: ctx, cancel: cancel,
 		writes: make(chan *write, 1), loaded: make(chan struct{}),
 		submits: map[work.JobID][]chan error{}, cancels: map[work.JobID][]chan error{},
 		offset: options.Claim.Offset, beat: options.Claim.Record.Beat, keptAt: options.Clock.Now(),
@@ -176,6 +182,7 @@
 			o.drainInbox()
 			o.lag.tick(o.now, tickPeriod)
 			o.lagShare.Store(math.Float64bits(o.lag.share))
+			o.tickCarriers()
 			o.engine.Tick()
 			o.engine.SetLanes(o.options.Lanes.Names())
 			o.logTotals()
@@ -253,6 +260,7 @@
 	for _, a := range o.engine.Actions() {
 		o.carryOut(a)
 	}
+	o.sendCarried()
 	o.write()
 	o.finishHandOver()
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -49,7 +49,7 @@
 }
 
 // run claims the shard and runs an owner until the test ends.
-func run(t *testing.T, log store.Log, workers *fakeWorkers, list owner.List, clk clock.Service, logged func(events.Event, ...any)) *owner.Owner {
+func run(t *testing.T, log store.Log, workers *fakeWorkers, list owner.List, clk clock.Service, logged func(events.Event, ...any), change ...func(*owner.Options)) *owner.Owner {
 	t.Helper()
 	earlier, at, err := owner.ReadRecord(t.Context(), log)
 	if err != nil {
@@ -62,11 +62,15 @@
 	if _, err := owner.AppendRecord(t.Context(), log, &r, at); err != nil {
 		t.Fatal(err)
 	}
-	o := owner.New(owner.Options{
+	options := owner.Options{
 		Claim: owner.Claim{Record: r, Offset: at, Earlier: earlier, IsExact: true}, Store: log, Workers: workers, List: list,
 		Lanes: noLanes{}, Clock: clk, Metrics: noFigures{}, HasOutage: func() bool { return false }, Strongest: func() float64 { return 1 },
 		Log: logged,
-	})
+	}
+	for _, f := range change {
+		f(&options)
+	}
+	o := owner.New(options)
 	o.SetQueues(1, []order.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
 	done := make(chan error, 1)
 	go func() { done <- o.Run(context.WithoutCancel(t.Context())) }()
