internal/permit: order only the workers that can be named

Cause: of 1,100 workers up to 100 are named in a call; all were sorted, 90 times a second: 0.25 of the 1.08 s that the owner's loop took of a profile of 11 s (BenchmarkOwner).

Change: a heap keeps the best 200, which are sorted.

Result: BenchmarkChoose, 1,100 workers, one processor: 220 to 81 us.

--- /dev/null
+++ b/internal/permit/bench_test.go
@@ -0,0 +1,49 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package permit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/permit"
+)
+
+func candidatesOf(n int) []permit.Candidate {
+	rng := rand.New(rand.NewPCG(1, 1))
+	out := make([]permit.Candidate, n)
+	for i := range out {
+		out[i] = permit.Candidate{
+			ID: order.WorkerID(fmt.Sprintf("i-%010x", rng.Uint32())), Fits: rng.IntN(5),
+			IsGood: rng.IntN(20) == 0, IsSuspect: rng.IntN(20) == 0,
+		}
+	}
+	return out
+}
+
+// BenchmarkChoose is what choosing whom to ask about takes of 1,100 workers.
+func BenchmarkChoose(b *testing.B) {
+	all := candidatesOf(1100)
+	buf := make([]permit.Candidate, len(all))
+	for b.Loop() {
+		copy(buf, all)
+		permit.Choose(buf, cheap, 20)
+	}
+}
+
+// Who is asked about does not depend on the order in which the workers come.
+func TestChooseDoesNotDependOnTheOrder(t *testing.T) {
+	all := candidatesOf(1100)
+	want := permit.Choose(slices.Clone(all), cheap, 20)
+	rng := rand.New(rand.NewPCG(2, 2))
+	for range 20 {
+		rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		if got := permit.Choose(slices.Clone(all), cheap, 20); !slices.Equal(got, want) {
+			t.Fatalf("got: %v, want: %v", got, want)
+		}
+	}
+}
--- a/internal/permit/choose.go
+++ b/internal/permit/choose.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"slices"
 	"time"
 
@@ -19,6 +20,8 @@
 	enough = 1.2
 	// maxAsked is the most workers that one call may name.
 	maxAsked = 100
+	// considered is how many workers are looked at in order, some of which are not named.
+	considered = 2 * maxAsked
 	// minAsked is the least that a call names, if there are so many.
 	minAsked = 6
 	// namesShare bounds the workers without room that a call names beside those that
@@ -42,9 +45,7 @@
 // Choose picks the workers that are likely to take the missing tasks. Those known to
 // be permitted come first; the more room the better.
 func Choose(found []Candidate, policy *order.AdvicePolicy, missing int) []order.WorkerID {
-	slices.SortFunc(found, func(a, b Candidate) int {
-		return cmp.Or(first(a.IsGood, b.IsGood), first(b.IsSuspect, a.IsSuspect), cmp.Compare(b.Fits, a.Fits), cmp.Compare(a.ID, b.ID))
-	})
+	found = best(found, considered)
 	out := []order.WorkerID{}
 	expected := 0.0
 	longestNames := time.Duration(namesShare * float64(policy.Base))
@@ -66,13 +67,61 @@
 	return out
 }
 
-// first is negative when only a is set.
-func first(a, b bool) int {
+// compare is negative when a is to be asked about before b.
+func compare(a, b *Candidate) int {
 	switch {
-	case a == b:
-		return 0
-	case a:
+	case a.IsGood != b.IsGood:
+		return first(a.IsGood)
+	case a.IsSuspect != b.IsSuspect:
+		return first(b.IsSuspect)
+	case a.Fits != b.Fits:
+		return b.Fits - a.Fits
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
+
+// first is negative when the first of two is the one with the property.
+func first(isFirst bool) int {
+	if isFirst {
 		return -1
 	}
 	return 1
 }
+
+// best returns the n candidates to be asked about first, in order, and reorders found. Of
+// 1,100 workers only some hundred can be named: to sort all of them took a quarter of the
+// time of an owner's loop (BenchmarkChoose: 220 us with it, 81 without).
+func best(found []Candidate, n int) []Candidate {
+	if len(found) > n {
+		h := worstFirst(found[:n])
+		heap.Init(h)
+		for i := n; i < len(found); i++ {
+			if compare(&found[i], &h[0]) < 0 {
+				h[0], found[i] = found[i], h[0]
+				heap.Fix(h, 0)
+			}
+		}
+		found = found[:n]
+	}
+	slices.SortFunc(found, func(a, b Candidate) int { return compare(&a, &b) })
+	return found
+}
+
+// worstFirst is a heap of candidates with the last to be asked about on top. It keeps its
+// length.
+type worstFirst []Candidate
+
+// Len, Less and Swap are those of a heap.
+func (h worstFirst) Len() int { return len(h) }
+
+// Less puts the candidate on top that is asked about last.
+func (h worstFirst) Less(i, j int) bool { return compare(&h[i], &h[j]) > 0 }
+
+// Swap swaps two candidates.
+func (h worstFirst) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push is not used.
+func (worstFirst) Push(any) { panic("permit: the heap keeps its length") }
+
+// Pop is not used.
+func (worstFirst) Pop() any { panic("permit: the heap keeps its length") }
