internal/dispatch: ask for listings of many workers less often

Cause: a listing of each worker each 0.5 s, 2,200 a second at 1,100 workers, only tells of progress.

Change: 1,000 such listings a second at the most; each waits longer for an end, which is told at once as before.

--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -619,3 +619,32 @@
 		t.Errorf("listings asked for without an answer in 0.6 s: got: %d, want: at most 4", looks)
 	}
 }
+
+// Listings of many workers that only tell of progress are asked for less often: at
+// 0.5 s for each of 1,100 workers they were two of three messages of an owner.
+func TestListingsOfManyWorkersAreAskedForLessOften(t *testing.T) {
+	for workers, want := range map[int]time.Duration{48: 500 * time.Millisecond, 1100: 1100 * time.Millisecond, 5000: 2 * time.Second} {
+		c := clock.NewFake()
+		e := dispatch.NewEngine(dispatch.Options{})
+		e.Advance(c.Now())
+		e.SetTrusted(true)
+		e.SetQueues([]order.Queue{testQueue})
+		e.RestoreJob(&work.Spec{ID: "a", Queue: "q", Steps: []work.Step{step(1, time.Second)}}, nil)
+		list := []order.Worker{}
+		for i := range workers {
+			list = append(list, order.Worker{ID: order.WorkerID(fmt.Sprint(i)), Service: "pool", Capacity: room})
+		}
+		e.SetWorkers(list, true)
+		running := []order.Running{{Task: work.TaskID{Job: "a"}, Run: 1}}
+		for _, a := range e.Actions() {
+			if h := a.(order.Hold); h.Worker == "0" {
+				e.Listed(&h, &order.Listing{At: 1, Running: running})
+			}
+		}
+		for _, a := range e.Actions() {
+			if h, ok := a.(order.Hold); ok && h.Wait != want {
+				t.Errorf("%d workers: wait of a busy one: got: %v, want: %v", workers, h.Wait, want)
+			}
+		}
+	}
+}
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -16,6 +16,11 @@
 	// 2 s at most.
 	busyWait = 500 * time.Millisecond
 	idleWait = 2 * time.Second
+	// listingRate is how many listings a second are asked for only to hear of progress.
+	// With more workers each waits longer for an end, up to idleWait; ends are told at once
+	// in any case. With this and permit's choice of whom to ask, a task of 1,100 workers
+	// takes 273 us in place of 319 (BenchmarkOwner with one processor).
+	listingRate = 1000
 	// lossyWait is for a worker with tasks for lossyTime after an answer was lost: an
 	// end is not told while the engine waits for an answer that does not come.
 	lossyWait = 150 * time.Millisecond
@@ -65,7 +70,7 @@
 // answered or overdue: an answer may be lost.
 func (e *Engine) look(w *worker) {
 	if w.looks >= maxLooks || w.looks > 0 && e.now.Sub(w.lookedAt) < lookPatience {
-		w.wantsLook = true
+		w.wantsLook, w.isRestless = true, true
 		return
 	}
 	w.looks++
@@ -97,7 +102,7 @@
 	if hasServing && hasFiller {
 		return pacedWait
 	}
-	return busyWait
+	return min(max(busyWait, time.Duration(len(e.workers))*time.Second/listingRate), idleWait)
 }
 
 // isSilent reports whether the worker does not answer.
@@ -130,7 +135,7 @@
 		}
 		return
 	}
-	w.isHeld = false
+	w.isHeld, w.isRestless = false, true
 	if w.isSilent() {
 		return
 	}
