internal/carrier, internal/owner: a new owner waits 0.4 s for carriers; too few of them are not overloaded

Cause: a new owner asked all 1,100 workers itself before any follower had linked, over new connections; the first followers to link got all workers.

Change: listings wait for 0.4 s for links; nodes get workers by what they can carry, the owner the rest.

--- a/internal/carrier/plan.go
+++ b/internal/carrier/plan.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -32,6 +33,9 @@
 	byZone map[string][]Node
 	// isLocal has the zones whose nodes can carry for all workers of it.
 	isLocal map[string]bool
+	// share is the part of the workers that the nodes can carry for; the owner talks to the
+	// others.
+	share float64
 }
 
 // newPlan chooses carriers for workers, of which zones has the number in each zone:
@@ -61,6 +65,7 @@
 		p.nodes = append(p.nodes, n)
 		p.byZone[n.Zone] = append(p.byZone[n.Zone], n)
 	}
+	p.share = float64(room) / float64(max(workers, 1))
 	for zone, local := range p.byZone {
 		room := 0
 		for _, n := range local {
@@ -75,15 +80,25 @@
 // node comes or goes only the workers of that node get another one. A node of the
 // worker's zone is taken where those have room: bytes between zones have a price.
 func (p *plan) carrierOf(id order.WorkerID, zone string) string {
+	if p.share < 1 && fraction(string(id)) >= p.share {
+		return ""
+	}
 	nodes := p.nodes
 	if p.isLocal[zone] {
 		nodes = p.byZone[zone]
 	}
-	best, bestScore := "", uint64(0)
+	best, bestScore := "", 0.0
 	for i := range nodes {
-		if score := xxhash.Sum64String(nodes[i].Name + "|" + string(id)); best == "" || score > bestScore {
+		// A node that can carry twice as many gets twice as many.
+		score := -float64(nodes[i].Workers) / math.Log(fraction(nodes[i].Name+"|"+string(id)))
+		if best == "" || score > bestScore {
 			best, bestScore = nodes[i].Name, score
 		}
 	}
 	return best
 }
+
+// fraction maps a text to a number above 0 and below 1, evenly.
+func fraction(text string) float64 {
+	return (float64(xxhash.Sum64String(text)>>11) + 0.5) / (1 << 53)
+}
--- a/internal/carrier/router.go
+++ b/internal/carrier/router.go
@@ -155,6 +155,12 @@
 	return name
 }
 
+// LacksCarriers reports whether there are more workers than this node and the carriers
+// can talk to.
+func (r *Router) LacksCarriers() bool {
+	return r.own > 0 && len(r.zones) > r.own && r.plan.share < 1
+}
+
 // Carriers returns how many nodes carry now.
 func (r *Router) Carriers() int { return len(r.plan.nodes) }
 
--- a/internal/carrier/router_test.go
+++ b/internal/carrier/router_test.go
@@ -271,3 +271,18 @@
 		t.Errorf("payloads over a new link: got: %q, want: 1", b.Payloads)
 	}
 }
+
+// Carriers that are too few get as many workers as they can carry, strong ones more.
+func TestTooFewCarriersAreNotOverloaded(t *testing.T) {
+	workers := workersOf(1000, "a")
+	r := carrier.NewRouter(100, 1)
+	r.SetWorkers(workers)
+	r.SetNodes([]carrier.Node{{Name: "strong", Zone: "a", Workers: 200}, {Name: "weak", Zone: "a", Workers: 50}}, begin)
+	if !r.LacksCarriers() {
+		t.Error("lacks carriers: got: false, want: true")
+	}
+	got := spread(r, workers, begin)
+	if got["strong"] < 160 || got["strong"] > 240 || got["weak"] < 30 || got["weak"] > 70 {
+		t.Errorf("got: %v, want: about 200, 50 and the others by the owner", got)
+	}
+}
--- a/internal/owner/carried.go
+++ b/internal/owner/carried.go
@@ -24,6 +24,11 @@
 // overdue. A node that has ended is noticed at once, by its link.
 const carriersPause = 100 * time.Millisecond
 
+// linkPatience is how long a new owner waits for followers to link until it asks workers
+// itself that they could carry for: they link within some 0.1 s. Without it each change of
+// owner opens 1,100 connections, and the owner is busy for 0.3 s when it matters most.
+const linkPatience = 400 * time.Millisecond
+
 // tickCarriers takes which nodes can carry, and what they have not answered.
 func (o *Owner) tickCarriers() {
 	if o.options.Carriers == nil || o.now.Before(o.nextCarriers) {
@@ -33,11 +38,28 @@
 	before := o.router.Carriers()
 	o.takeFailed(o.router.SetNodes(o.options.Carriers.Usable(), o.now), "the node cannot carry any more")
 	o.takeFailed(o.router.Expire(o.now), "the node did not answer in time")
+	if !o.awaitsCarriers() {
+		o.askAwaiting()
+	}
 	if after := o.router.Carriers(); after != before {
 		o.options.Log(events.CarriersChanged, "epoch", o.Epoch(), "carriers", after, "before", before, "workers", o.listed.Load(), "own", o.options.OwnWorkers)
 	}
 }
 
+// awaitsCarriers reports whether listings wait for nodes that could ask for them.
+func (o *Owner) awaitsCarriers() bool {
+	return o.options.Carriers != nil && o.router.LacksCarriers() && o.now.Sub(o.beganAt) < linkPatience
+}
+
+// askAwaiting asks for the listings that have waited.
+func (o *Owner) askAwaiting() {
+	awaiting := o.awaiting
+	o.awaiting = nil
+	for _, h := range awaiting {
+		o.carryOut(h)
+	}
+}
+
 // carry leaves an action to a carrier. It reports false when there is none.
 func (o *Owner) carry(a order.Action) bool {
 	switch a := a.(type) {
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -18,6 +18,10 @@
 	if _, ok := a.(order.Start); ok {
 		o.orders++
 	}
+	if h, ok := a.(order.Hold); ok && o.awaitsCarriers() {
+		o.awaiting = append(o.awaiting, h)
+		return
+	}
 	if o.carry(a) {
 		return
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -79,6 +79,9 @@
 	isAhead    bool
 	// nextCarriers is when to look again at which nodes can carry.
 	nextCarriers time.Time
+	// beganAt is when the loop began; awaiting are listings that wait for carriers.
+	beganAt  time.Time
+	awaiting []order.Hold
 }
 
 // event is something that happened, for the loop.
@@ -164,6 +167,7 @@
 	ticks, stop := o.options.Clock.Subscribe(tickPeriod)
 	defer stop()
 	defer o.refuseWaiting()
+	o.beganAt = o.options.Clock.Now()
 	for {
 		select {
 		case <-o.ctx.Done():
