internal/estimate, internal/dispatch: bound orders to start by how long answers take

Cause: past its limit an owner collapses and stays there.

Change: how many orders may be without an answer follows their mean time, 16 to 96.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -125,6 +125,8 @@
 	tickedAt, stalledUntil time.Time
 	// answers tells how long workers take to answer an order to start.
 	answers estimate.Answers
+	// window bounds the orders to start that are not answered.
+	window estimate.Window
 	// lossyUntil is until when answers of workers may be lost.
 	lossyUntil time.Time
 	// estimates has, by queue, how good the callers' estimates are.
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -35,6 +35,7 @@
 	}
 	if a.phase == phaseOrdered && outcome != order.StartUnknown {
 		e.answers.Learn(e.now.Sub(a.orderedAt))
+		e.window.Answered(e.now.Sub(a.orderedAt), e.now)
 	}
 	switch outcome {
 	case order.StartDone:
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -352,11 +352,6 @@
 	}
 }
 
-// maxOrders is how many orders to start may be without an answer: so many that
-// the workers are never waited for, so few that a node with half a processor
-// answers each within some 20 ms.
-const maxOrders = 96
-
 // sendSoon orders a planned start when there are few enough without an answer.
 func (e *Engine) sendSoon(a *attempt) {
 	e.ready = append(e.ready, a)
@@ -364,7 +359,7 @@
 }
 
 func (e *Engine) sendReady() {
-	for len(e.ready) > 0 && e.unanswered < maxOrders {
+	for len(e.ready) > 0 && e.unanswered < e.window.Limit() {
 		a := e.ready[0]
 		e.ready = e.ready[1:]
 		e.send(a)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -333,6 +333,7 @@
 func (e *Engine) doubt(a *attempt) {
 	a.phase = phaseDoubtful
 	a.doubtAt = e.now
+	e.window.Answered(e.now.Sub(a.orderedAt), e.now)
 	e.counts.Doubtful++
 	e.options.Log(events.OrderDoubtful, "task", a.id, "run", a.run, "worker", a.worker.ID, "age", e.now.Sub(a.orderedAt))
 	e.wantCopy(a)
--- /dev/null
+++ b/internal/estimate/window.go
@@ -0,0 +1,56 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package estimate
+
+import "time"
+
+const (
+	// mostUnanswered is how many orders to start may be without an answer at the most: so
+	// many that workers are never waited for, so few that a node with half a processor
+	// answers each within some 20 ms. leastUnanswered keeps an owner going whose link or
+	// processor is much too small.
+	mostUnanswered  = 96
+	leastUnanswered = 16
+	// slowAnswer is the time of an answer from which orders wait for each other, on this
+	// node or its link: a worker answers within some 5 ms, a burst of orders over a link of
+	// 20 Mbit/s within 20 ms. quickAnswer is the time up to which more may be on their way.
+	slowAnswer  = 130 * time.Millisecond
+	quickAnswer = 90 * time.Millisecond
+	// windowPause is the time between two changes: as long as it takes to see the last one.
+	windowPause = 100 * time.Millisecond
+	// windowCut is what is left of the window at a cut, windowStep what it grows by.
+	windowCut  = 0.8
+	windowStep = 4
+	// windowWeight is the weight of a new answer in the mean.
+	windowWeight = 0.05
+)
+
+// Window bounds how many orders to start may be without an answer, by how long answers
+// take: an owner whose link or processor is too small gives fewer orders in place of late
+// ones, which would count as unanswered and make more work. One worker that is slow or
+// silent does not show in the mean. The zero value works.
+type Window struct {
+	mean      time.Duration
+	cut       int
+	changedAt time.Time
+}
+
+// Limit returns how many orders may be without an answer.
+func (w *Window) Limit() int { return mostUnanswered - w.cut }
+
+// Answered takes the time that an answer took; one that did not come counts with the time
+// for which it was waited.
+func (w *Window) Answered(took time.Duration, now time.Time) {
+	w.mean += time.Duration(windowWeight * float64(took-w.mean))
+	if now.Sub(w.changedAt) < windowPause {
+		return
+	}
+	switch limit := w.Limit(); {
+	case w.mean > slowAnswer:
+		limit = max(int(windowCut*float64(limit)), leastUnanswered)
+		w.cut, w.changedAt = mostUnanswered-limit, now
+	case w.mean < quickAnswer && w.cut > 0:
+		w.cut, w.changedAt = max(w.cut-windowStep, 0), now
+	}
+}
--- /dev/null
+++ b/internal/estimate/window_test.go
@@ -0,0 +1,94 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package estimate_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/estimate"
+)
+
+// link is one over which so many orders a second pass, in turn.
+type link struct {
+	perSecond float64
+	// busyUntil is when the last order has passed.
+	busyUntil time.Time
+}
+
+// send returns how long an order takes that is sent now.
+func (l *link) send(now time.Time) time.Duration {
+	if l.busyUntil.Before(now) {
+		l.busyUntil = now
+	}
+	l.busyUntil = l.busyUntil.Add(time.Duration(float64(time.Second) / l.perSecond))
+	return l.busyUntil.Sub(now) + 3*time.Millisecond
+}
+
+// Three times as many orders as a link carries: with a fixed number of 96 on their way
+// each takes 0.6 s, longer than an order may stay without an answer (0.2 s); with the
+// window nine tenths take less than that, and the link stays busy.
+func TestTheWindowKeepsOrdersInTimeOnALinkThatIsTooSmall(t *testing.T) {
+	w, l := &estimate.Window{}, &link{perSecond: 160}
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	begin := now
+	type answer struct {
+		at   time.Time
+		took time.Duration
+	}
+	onTheirWay, late, done := []answer{}, 0, 0
+	for now.Sub(begin) < 20*time.Second {
+		now = now.Add(time.Millisecond)
+		for len(onTheirWay) > 0 && !onTheirWay[0].at.After(now) {
+			a := onTheirWay[0]
+			onTheirWay = onTheirWay[1:]
+			w.Answered(a.took, now)
+			done++
+			if a.took > 200*time.Millisecond {
+				late++
+			}
+		}
+		for len(onTheirWay) < w.Limit() {
+			took := l.send(now)
+			onTheirWay = append(onTheirWay, answer{now.Add(took), took})
+		}
+	}
+	if float64(late) > 0.1*float64(done) {
+		t.Errorf("orders that took more than 0.2 s: got: %d of %d, want: at most a tenth", late, done)
+	}
+	if done < 3000 {
+		t.Errorf("orders in 20 s: got: %d, want: nearly the 3200 that the link carries", done)
+	}
+}
+
+func TestTheWindowIsOpenWhereAnswersAreQuick(t *testing.T) {
+	w := &estimate.Window{}
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	for i := range 1000 {
+		now = now.Add(time.Millisecond)
+		took := 4 * time.Millisecond
+		if i%12 == 0 {
+			// A worker that is silent.
+			took = 200 * time.Millisecond
+		}
+		w.Answered(took, now)
+	}
+	if got := w.Limit(); got != 96 {
+		t.Errorf("got: %d, want: 96", got)
+	}
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		w.Answered(300*time.Millisecond, now)
+	}
+	if got := w.Limit(); got != 16 {
+		t.Errorf("when all is slow: got: %d, want: 16", got)
+	}
+	for range 200 {
+		now = now.Add(50 * time.Millisecond)
+		w.Answered(4*time.Millisecond, now)
+	}
+	if got := w.Limit(); got != 96 {
+		t.Errorf("when all is quick again: got: %d, want: 96", got)
+	}
+}
