--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -36,7 +36,15 @@
 // 909: a fresh node whose clock was set back took an owner that had run ahead of the
 // store as exact, after all nodes had lost their memory in an outage.
 // From slowSeeds on the store is slow while owners end; 1200 plays that in CI.
-var soakSeeds = []uint64{1, 322, 328, 802, 807, 909, 1200}
+// From carrierSeeds on nodes talk to workers for the owner; 1500 plays that in CI.
+var soakSeeds = []uint64{1, 322, 328, 802, 807, 909, 1200, 1500}
+
+const (
+	// carrierSeeds is the first seed with nodes of carrierShare of a processor, which can
+	// talk to two workers each: the owner leaves its six to the others.
+	carrierSeeds = 1500
+	carrierShare = 0.008
+)
 
 const (
 	// silenceSeeds is the first seed that plays silences, silenceShare the share of
@@ -125,7 +133,11 @@
 func runSoak(t *testing.T, seed uint64, length time.Duration) {
 	s := &soak{rng: rand.New(rand.NewPCG(seed, 2)), proxies: map[string]*toxiproxy.Proxy{}, relays: map[string]*relay.Relay{}, restarting: map[*site.Node]bool{}, version: 1, born: 100}
 	s.hasBlackouts, s.hasSilences, s.hasSlowStore = seed >= blackoutSeeds, seed >= silenceSeeds, seed >= slowSeeds
-	s.siteCell = newSiteCell(t, 3, site.Options{Workers: 6, HasAdvice: seed%2 == 0, Via: s.via})
+	options := site.Options{Workers: 6, HasAdvice: seed%2 == 0, Via: s.via}
+	if seed >= carrierSeeds {
+		options.CPUShare = carrierShare
+	}
+	s.siteCell = newSiteCell(t, 3, options)
 	t.Cleanup(s.closeRelays)
 	lasting := small(2, 0)
 	lasting.Perpetual = true
--- a/internal/standin/site/node.go
+++ b/internal/standin/site/node.go
@@ -48,7 +48,7 @@
   front: %q
   ready: %q
 portRange: [%d, %d]
-limits: {cpuShare: 0.5, cores: 1, memoryMb: 200, maxFds: 1000, linkMbps: 1000.0}
+limits: {cpuShare: %g, cores: 1, memoryMb: 200, maxFds: 1000, linkMbps: 1000.0}
 bounds: {graceS: 6, stop_ms: 200, early_ms: 250, leaseMs: 3000}
 commands: "rpc"
 advice: %q
@@ -124,7 +124,7 @@
 	if n.advertised, err = s.via(n.Name+"-link", fmt.Sprintf("%s:%d", ip, linkPort)); err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf(settingsText, n.Name, ip, n.Callers, n.ready, linkPort, linkPort, s.AdviceAddr, storeAddr)
+	text := fmt.Sprintf(settingsText, n.Name, ip, n.Callers, n.ready, linkPort, linkPort, s.cpuShare(), s.AdviceAddr, storeAddr)
 	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("site: %w", err)
 	}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -37,6 +37,9 @@
 	Workers int
 	// MilliCPU and MemoryMiB are the room of each; 4,000 by default.
 	MilliCPU, MemoryMiB int64
+	// CPUShare is the part of a processor that the settings of each node name; 0.5 by
+	// default. It is told, not enforced.
+	CPUShare float64
 	// HasAdvice means that starts want tickets.
 	HasAdvice bool
 	// Via returns the address by which nodes reach a service or a worker, for a
@@ -44,6 +47,16 @@
 	Via func(name, addr string) (string, error)
 }
 
+// defaultCPUShare is that of an entry VM.
+const defaultCPUShare = 0.5
+
+func (s *Site) cpuShare() float64 {
+	if s.options.CPUShare > 0 {
+		return s.options.CPUShare
+	}
+	return defaultCPUShare
+}
+
 // Site is the whole stand-in.
 type Site struct {
 	Store   *Store
