--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -188,7 +188,12 @@
 // runAlive tells the owner that this node follows it.
 func (n *Node) runAlive() {
 	defer n.wg.Done()
-	n.every(alivePeriod, n.sendAlive)
+	n.every(alivePeriod, func() {
+		if n.carrier != nil {
+			n.carrier.Tick()
+		}
+		n.sendAlive()
+	})
 }
 
 // every does something again and again until the node is closed.
@@ -222,9 +227,6 @@
 }
 
 func (n *Node) sendAlive() {
-	if n.carrier != nil {
-		n.carrier.Tick()
-	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.ownerLink != nil {
