internal/dispatch, internal/owner: bound what looking at all that waits costs at 1,100 workers

Ruled out by trials: beats to followers, the collector, the list of workers (0.38, 0.39, 0.37 cores in place of 0.38).

Change: the owner rests 2 ms after a look of 0.1 ms and more, and looks again when that is over; steps that wait are kept in a list; the room of workers is looked at before what is known of permissions, and no more workers than three calls can name; nodes are looked at each 0.1 s in place of 0.02.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -71,7 +71,12 @@
 	e.do(order.Advise{Lane: lane, Step: s.id, Workers: asked, Patience: patience})
 }
 
-// askable returns the workers of which it is not known that they may not run the
+// enoughRoom is how many times as many workers with room as one call can name are looked
+// at: which of 1,100 these are is left to chance. A look at all of them takes 1 ms of an
+// owner that shares its processor with others, 90 times a second.
+const enoughRoom = 3
+
+// askable returns workers of which it is not known that they may not run the
 // step, and whose ticket, if there is one, ends before the next could be there. Those
 // without room are among them: who is permitted is then known when there is room.
 func (e *Engine) askable(s *step, policy *order.AdvicePolicy) []permit.Candidate {
@@ -83,19 +88,30 @@
 	if !e.has(MechanismAdviceAhead) {
 		renewAt = e.now
 	}
+	withRoom, withoutRoom := 0, 0
 	for id, w := range e.workers {
-		isGood, isKnown := s.permit.Verdict(id)
-		if isKnown && !isGood || !e.isUsable(w) || !e.mayRun(w, s, pool) || needsSound && !w.health.IsSound(e.now) {
+		if !e.isUsable(w) || !e.mayRun(w, s, pool) || needsSound && !w.health.IsSound(e.now) || !charge.FitsIn(w.Capacity) {
 			continue
 		}
-		if _, ok := s.permit.Holds(id, renewAt); ok || !charge.FitsIn(w.Capacity) {
+		fits := e.fits(w, s)
+		if fits == 0 && (withoutRoom >= permit.MaxAsked || !e.has(MechanismAdviceAhead)) {
 			continue
 		}
-		fits := e.fits(w, s)
-		if fits == 0 && !e.has(MechanismAdviceAhead) {
+		isGood, isKnown := s.permit.Verdict(id)
+		if isKnown && !isGood {
+			continue
+		}
+		if _, ok := s.permit.Holds(id, renewAt); ok {
 			continue
 		}
 		found = append(found, permit.Candidate{ID: id, Fits: fits, IsGood: isGood, IsSuspect: w.speed.IsSuspect})
+		if fits == 0 {
+			withoutRoom++
+			continue
+		}
+		if withRoom++; withRoom >= enoughRoom*permit.MaxAsked {
+			break
+		}
 	}
 	return found
 }
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -31,6 +31,7 @@
 	}
 	t.wantsCopy = true
 	s.copiesWanted++
+	e.enqueue(s)
 	e.isDirty = true
 	return true
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -72,7 +72,10 @@
 	now     time.Time
 	jobs    map[work.JobID]*job
 	// live are the jobs that are not over, in the order in which they came.
-	live    []*job
+	live []*job
+	// queue has the steps of kept jobs that are open and have tasks that wait, or want
+	// copies, and perhaps some that no longer do.
+	queue   []*step
 	workers map[order.WorkerID]*worker
 	// over has lives that are over while the platform's list still has them.
 	over   map[order.WorkerID]bool
@@ -268,6 +271,9 @@
 	}
 }
 
+// MustDecide reports whether something may be placed that could not be before.
+func (e *Engine) MustDecide() bool { return e.isDirty }
+
 // Decide places what can be placed. It is called after events, once for many.
 func (e *Engine) Decide() {
 	if !e.isDirty {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -63,6 +63,8 @@
 	tasks  []task
 	left   int
 	isOpen bool
+	// isQueued means that it is in Engine.queue.
+	isQueued bool
 	// waiting counts the tasks in the state waiting.
 	waiting int
 	openAt  time.Time
@@ -289,6 +291,7 @@
 		}
 		s.isOpen = true
 		s.openAt = e.now
+		e.enqueue(s)
 		e.isDirty = true
 	}
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -31,29 +31,32 @@
 	}
 }
 
-// stepsByTurn returns the steps with waiting tasks in the order of their turn.
-func (e *Engine) stepsByTurn() []*step {
-	open := []*step{}
-	for _, j := range e.live {
-		if j.state.IsFinal() || e.isBlocked(j) {
-			continue
-		}
-		for _, r := range j.rounds {
-			for _, s := range r.steps {
-				if s.isOpen && (s.waiting > 0 || s.copiesWanted > 0) {
-					open = append(open, s)
-				}
-			}
-		}
+// enqueue notes that a step has tasks that wait, or wants copies.
+func (e *Engine) enqueue(s *step) {
+	if !s.isQueued {
+		s.isQueued = true
+		e.queue = append(e.queue, s)
 	}
-	slices.SortStableFunc(open, func(a, b *step) int {
+}
+
+// stepsByTurn returns the steps with waiting tasks in the order of their turn. To find
+// them among 800 jobs took 0.16 ms of each look at 1,100 workers.
+func (e *Engine) stepsByTurn() []*step {
+	e.queue = slices.DeleteFunc(e.queue, func(s *step) bool {
+		s.isQueued = !s.job.state.IsFinal() && (s.waiting > 0 || s.copiesWanted > 0)
+		return !s.isQueued
+	})
+	slices.SortStableFunc(e.queue, func(a, b *step) int {
 		pa, pb := e.queues[a.job.spec.Queue].Priority, e.queues[b.job.spec.Queue].Priority
 		if pa != pb {
 			return cmp.Compare(pa, pb)
 		}
 		return a.openedFor().Compare(b.openedFor())
 	})
-	return open
+	if e.inherited == nil {
+		return e.queue
+	}
+	return slices.DeleteFunc(slices.Clone(e.queue), func(s *step) bool { return e.isBlocked(s.job) })
 }
 
 // openedFor is the time by which steps of one priority take turns.
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -410,4 +410,7 @@
 	a.step.dropCopyWish(t)
 	t.state = taskWaiting
 	a.step.waiting++
+	if a.step.isOpen {
+		e.enqueue(a.step)
+	}
 }
--- a/internal/owner/carried.go
+++ b/internal/owner/carried.go
@@ -20,21 +20,29 @@
 	Send(node string, b *carrier.Batch) bool
 }
 
-// carriersPause is the time between two looks at which nodes can carry, and at what is
-// overdue. A node that has ended is noticed at once, by its link.
-const carriersPause = 100 * time.Millisecond
+// nodesPause is the time between two looks at which nodes can carry and ask, and at what
+// is overdue.
+const nodesPause = 100 * time.Millisecond
 
 // linkPatience is how long a new owner waits for followers to link until it asks workers
 // itself that they could carry for: they link within some 0.1 s. Without it each change of
 // owner opens 1,100 connections, and the owner is busy for 0.3 s when it matters most.
 const linkPatience = 400 * time.Millisecond
 
-// tickCarriers takes which nodes can carry, and what they have not answered.
-func (o *Owner) tickCarriers() {
-	if o.options.Carriers == nil || o.now.Before(o.nextCarriers) {
+// tickNodes takes now and then what is due by the other nodes.
+func (o *Owner) tickNodes() {
+	if o.now.Before(o.nextNodes) {
 		return
 	}
-	o.nextCarriers = o.now.Add(carriersPause)
+	o.nextNodes = o.now.Add(nodesPause)
+	o.engine.SetLanes(o.options.Lanes.Names())
+	if o.options.Carriers != nil {
+		o.tickCarriers()
+	}
+}
+
+// tickCarriers takes which nodes can carry, and what they have not answered.
+func (o *Owner) tickCarriers() {
 	before := o.router.Carriers()
 	o.takeFailed(o.router.SetNodes(o.options.Carriers.Usable(), o.now), "the node cannot carry any more")
 	o.takeFailed(o.router.Expire(o.now), "the node did not answer in time")
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -67,8 +67,10 @@
 	offset      uint64
 	lag         lagMeter
 	rest        resting
-	submits     map[work.JobID][]chan error
-	cancels     map[work.JobID][]chan error
+	// restEnds fires when the owner may look again; nil while nothing waits for that.
+	restEnds <-chan time.Time
+	submits  map[work.JobID][]chan error
+	cancels  map[work.JobID][]chan error
 	// denials are questions for jobs that are not known here, until the store confirms
 	// that this node still is the owner.
 	denials    []stateEvent
@@ -77,8 +79,8 @@
 	handOver   chan bool
 	handOverAt time.Time
 	isAhead    bool
-	// nextCarriers is when to look again at which nodes can carry.
-	nextCarriers time.Time
+	// nextNodes is when to look again at the other nodes.
+	nextNodes time.Time
 	// beganAt is when the loop began; awaiting are listings that wait for carriers.
 	beganAt  time.Time
 	awaiting []order.Hold
@@ -180,15 +182,17 @@
 			o.tick()
 			ev.apply(o)
 			o.drainInbox()
+		case <-o.restEnds:
+			o.restEnds = nil
+			o.tick()
 		case <-ticks:
 			o.tick()
 			// What has come already is not overdue.
 			o.drainInbox()
 			o.lag.tick(o.now, tickPeriod)
 			o.lagShare.Store(math.Float64bits(o.lag.share))
-			o.tickCarriers()
+			o.tickNodes()
 			o.engine.Tick()
-			o.engine.SetLanes(o.options.Lanes.Names())
 			o.logTotals()
 		}
 		o.runAhead()
@@ -272,6 +276,9 @@
 // decide looks at all that waits, unless the owner rests.
 func (o *Owner) decide() {
 	if !o.rest.isOver(o.now) {
+		if o.restEnds == nil && o.engine.MustDecide() {
+			o.restEnds = o.options.Clock.After(o.rest.until.Sub(o.now))
+		}
 		return
 	}
 	began := o.options.Clock.Now()
--- a/internal/owner/rest.go
+++ b/internal/owner/rest.go
@@ -6,15 +6,19 @@
 import "time"
 
 const (
-	// longLook is the time that a look at all that waits takes from which the owner
-	// rests after it: at 98 workers with 280 steps that wait it takes 0.35 ms.
-	longLook = time.Millisecond
-	// restRatio is how many times as long as a long look the owner then only takes in
-	// what happens, up to longestRest, a tick. Answers that are not taken in count as
-	// missing after 0.2 s, and what is done about these makes more work: an owner that
-	// looked all the time took 2,600 orders of 25,500 as unanswered in 26 s.
-	restRatio   = 3
-	longestRest = tickPeriod
+	// costlyLook is the time that a look at all that waits takes from which the owner
+	// rests after it: at 98 workers with 280 steps that wait it takes 0.35 ms, where
+	// little waits 0.02.
+	costlyLook = 100 * time.Microsecond
+	// restRatio is how many times as long as such a look the owner then only takes in what
+	// happens, shortestRest at least and longestRest, a tick, at most. Answers that are not
+	// taken in count as missing after 0.2 s, and what is done about these makes more work: an
+	// owner that looked all the time took 2,600 orders of 25,500 as unanswered in 26 s. At
+	// 1,100 workers a look in a burst takes 0.2 ms, and 2,040 a second, one after each
+	// answer, took 0.42 of the owner's time; what waits loses 1 ms by a rest in the mean.
+	restRatio    = 3
+	shortestRest = 2 * time.Millisecond
+	longestRest  = tickPeriod
 )
 
 // resting keeps looks at all that waits from taking all of the owner's time. The zero
@@ -23,8 +27,8 @@
 
 // looked takes that a look has taken so long.
 func (r *resting) looked(took time.Duration, now time.Time) {
-	if took >= longLook {
-		r.until = now.Add(min(restRatio*took, longestRest))
+	if took >= costlyLook {
+		r.until = now.Add(min(max(restRatio*took, shortestRest), longestRest))
 	}
 }
 
--- a/internal/permit/choose.go
+++ b/internal/permit/choose.go
@@ -18,10 +18,10 @@
 	goodShare = 0.35
 	// enough is how many times the room that is needed a call should bring.
 	enough = 1.2
-	// maxAsked is the most workers that one call may name.
-	maxAsked = 100
+	// MaxAsked is the most workers that one call may name.
+	MaxAsked = 100
 	// considered is how many workers are looked at in order, some of which are not named.
-	considered = 2 * maxAsked
+	considered = 2 * MaxAsked
 	// minAsked is the least that a call names, if there are so many.
 	minAsked = 6
 	// namesShare bounds the workers without room that a call names beside those that
@@ -51,7 +51,7 @@
 	longestNames := time.Duration(namesShare * float64(policy.Base))
 	for _, c := range found {
 		isEnough := expected >= enough*float64(missing) && (len(out) >= minAsked || c.IsGood)
-		if len(out) >= maxAsked || isEnough && !isCheap(policy) {
+		if len(out) >= MaxAsked || isEnough && !isCheap(policy) {
 			break
 		}
 		if c.Fits == 0 && time.Duration(len(out))*policy.Each > longestNames {
