internal/dispatch, internal/owner: past its limit an owner looks at what waits in turn; a gang is ordered whole at a hand-over

With twice the load a gang of 17 was ordered in part when its owner handed over: starts that wait for their turn were dropped, and a member waited alone for 5 s (GANG).

Change: a look passes 64 steps of which nothing can be placed, the most urgent first, and 64 others in turn; rests are up to 0.1 s. An owner that hands over orders the rest of a gang that is under way first.

TestAGangIsOrderedWholeByAnOwnerThatHandsOver fails on the code before (96 of 120).

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -101,6 +101,8 @@
 	reservations int
 	reserved     []*worker
 	largest      map[string]leverdyke.Resources
+	// turns chooses at which of many steps that wait is looked.
+	turns turns
 	// found is the buffer of permitted.
 	found []*worker
 	// recheckAt is when to look again for workers for tasks that wait; zero when none
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -19,12 +19,17 @@
 		return
 	}
 	e.refreshReservations()
+	steps := e.stepsByTurn()
 	isWaiting := false
-	for _, s := range e.stepsByTurn() {
+	for _, i := range e.turns.next(len(steps)) {
+		s := steps[i]
+		before := s.waiting + s.copiesWanted
 		e.placeStep(s)
-		isWaiting = isWaiting || s.waiting > 0 || s.copiesWanted > 0
+		after := s.waiting + s.copiesWanted
+		e.turns.looked(after < before)
+		isWaiting = isWaiting || after > 0
 	}
-	if isWaiting {
+	if isWaiting || e.turns.hasLeft(len(steps)) {
 		// What they wait for may come without an event: a pause ends, a lane that did
 		// not answer is asked again.
 		e.recheckAt = e.now.Add(recheckPause)
@@ -376,7 +381,8 @@
 	}
 	q := e.queues[a.step.job.spec.Queue]
 	text, hasTicket := a.step.permit.Holds(a.worker.ID, e.now)
-	if !e.isReachable(a.worker) || !e.isTrusted || e.isPaused || q.Advice != nil && !hasTicket {
+	isHeldBack := e.isPaused && !e.isGangUnderWay(a)
+	if !e.isReachable(a.worker) || !e.isTrusted || isHeldBack || q.Advice != nil && !hasTicket {
 		e.release(a)
 		e.attemptOver(a)
 		return
@@ -393,6 +399,20 @@
 	})
 }
 
+// isGangUnderWay reports whether other members of the attempt's run of a gang are ordered:
+// they would wait for this one in vain.
+func (e *Engine) isGangUnderWay(a *attempt) bool {
+	if !a.step.spec.IsGang {
+		return false
+	}
+	return slices.ContainsFunc(a.step.tasks, func(t task) bool {
+		return t.attempt != nil && t.attempt.run == a.run && t.attempt.phase != phasePlanned
+	})
+}
+
+// HasReady reports whether starts whose places are kept wait for their turn.
+func (e *Engine) HasReady() bool { return len(e.ready) > 0 }
+
 // savedFor returns where a task goes on from. The members of a gang must all go
 // on from the same text.
 func (s *step) savedFor(i int) string {
--- /dev/null
+++ b/internal/dispatch/turns_test.go
@@ -0,0 +1,104 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// Three times as many jobs as workers can do: what waits is looked at in turn, what is
+// most urgent each time, and all of it is served in the end.
+func TestALoadThatIsTooMuchIsServedInTurn(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(4, room)
+	w.run(time.Second)
+	for i := range 400 {
+		w.submit(fmt.Sprintf("j%03d", i), step(2, 200*time.Millisecond))
+	}
+	w.run(2 * time.Second)
+	for i := range 24 {
+		if got := state(w, work.JobID(fmt.Sprintf("j%03d", i))); got == work.JobQueued {
+			t.Errorf("job %d, one of the first: got: %v, want: begun", i, got)
+		}
+	}
+	w.run(40 * time.Second)
+	for i := range 400 {
+		expectState(t, w, work.JobID(fmt.Sprintf("j%03d", i)), work.JobSucceeded)
+	}
+	expectWhole(t, w)
+}
+
+// A small task behind many large ones that find no room is found in its turn.
+func TestASmallTaskBehindManyLargeOnesIsStarted(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(4, room)
+	w.run(time.Second)
+	full := step(1, time.Hour)
+	full.Need.MilliCPU = 3000
+	for i := range 4 {
+		w.submit(fmt.Sprintf("full%d", i), full)
+	}
+	w.run(500 * time.Millisecond)
+	large := step(1, time.Second)
+	large.Need.MilliCPU = 2000
+	for i := range 300 {
+		w.submit(fmt.Sprintf("large%d", i), large)
+	}
+	w.submit("small", step(1, 100*time.Millisecond))
+	w.run(3 * time.Second)
+	expectState(t, w, "small", work.JobSucceeded)
+	expectWhole(t, w)
+}
+
+// An owner that hands over orders the rest of a gang of which members are ordered: these
+// would wait for the others in vain.
+func TestAGangIsOrderedWholeByAnOwnerThatHandsOver(t *testing.T) {
+	const members = 120
+	c := clock.NewFake()
+	e := dispatch.NewEngine(dispatch.Options{})
+	e.Advance(c.Now())
+	e.SetTrusted(true)
+	e.SetQueues([]order.Queue{testQueue})
+	list := []order.Worker{}
+	for i := range members {
+		list = append(list, order.Worker{ID: order.WorkerID(fmt.Sprint(i)), Service: "pool", Capacity: step(1, 0).Need})
+	}
+	e.SetWorkers(list, true)
+	for _, a := range e.Actions() {
+		h := a.(order.Hold)
+		e.Listed(&h, &order.Listing{At: 1})
+	}
+	gang := step(members, time.Second)
+	gang.IsGang = true
+	e.AddJob(&work.Spec{ID: "g", Queue: "q", Steps: []work.Step{gang}})
+	e.Committed(e.TakeBatch())
+	e.Decide()
+	e.Committed(e.TakeBatch())
+	started := 0
+	answer := func() {
+		for _, a := range e.Actions() {
+			if s, ok := a.(order.Start); ok {
+				started++
+				e.StartAnswered(s.Worker, s.Task, s.Run, order.StartDone, 2)
+			}
+		}
+	}
+	e.SetPaused(true)
+	if !e.HasReady() {
+		t.Fatalf("members that wait for their turn: got: none, want: some of %d", members)
+	}
+	for range members {
+		answer()
+	}
+	if started != members || e.HasReady() {
+		t.Errorf("members ordered: got: %d, want: %d", started, members)
+	}
+}
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -147,7 +147,7 @@
 	if o.handOver == nil {
 		return
 	}
-	isSettled := o.orders == 0 && o.writing == nil && len(o.submits) == 0 && len(o.cancels) == 0
+	isSettled := o.orders == 0 && !o.engine.HasReady() && o.writing == nil && len(o.submits) == 0 && len(o.cancels) == 0
 	if !isSettled && o.now.Sub(o.handOverAt) < handOverBound {
 		return
 	}
--- a/internal/owner/rest.go
+++ b/internal/owner/rest.go
@@ -11,14 +11,14 @@
 	// little waits 0.02.
 	costlyLook = 100 * time.Microsecond
 	// restRatio is how many times as long as such a look the owner then only takes in what
-	// happens, shortestRest at least and longestRest, a tick, at most. Answers that are not
+	// happens, shortestRest at least and longestRest at most. Answers that are not
 	// taken in count as missing after 0.2 s, and what is done about these makes more work: an
 	// owner that looked all the time took 2,600 orders of 25,500 as unanswered in 26 s. At
 	// 1,100 workers a look in a burst takes 0.2 ms, and 2,040 a second, one after each
 	// answer, took 0.42 of the owner's time; what waits loses 1 ms by a rest in the mean.
 	restRatio    = 3
 	shortestRest = 2 * time.Millisecond
-	longestRest  = tickPeriod
+	longestRest  = 100 * time.Millisecond
 )
 
 // resting keeps looks at all that waits from taking all of the owner's time. The zero
