internal/dispatch: a gang of which a member is not ordered is given up

Change: with the dropped member the others of its run are given up; those that run are stopped.

Result: TestAGangOfWhichAMemberIsNotOrderedIsGivenUp fails on the code before (two of three left).

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -19,6 +19,7 @@
 		return
 	}
 	e.refreshReservations()
+	e.asksLeft = maxAsks
 	steps := e.stepsByTurn()
 	isWaiting := false
 	for _, i := range e.turns.next(len(steps)) {
@@ -383,8 +384,7 @@
 	text, hasTicket := a.step.permit.Holds(a.worker.ID, e.now)
 	isHeldBack := e.isPaused && !e.isGangUnderWay(a)
 	if !e.isReachable(a.worker) || !e.isTrusted || isHeldBack || q.Advice != nil && !hasTicket {
-		e.release(a)
-		e.attemptOver(a)
+		e.dropPlanned(a, "a member was not ordered")
 		return
 	}
 	a.phase, a.orderedAt = phaseOrdered, e.now
@@ -399,6 +399,16 @@
 	})
 }
 
+// dropPlanned gives up an attempt that was not ordered. The other members of its run of a
+// gang would wait for it in vain, up to gang time: they are given up, too.
+func (e *Engine) dropPlanned(a *attempt, why string) {
+	e.release(a)
+	e.attemptOver(a)
+	if a.step != nil && a.step.spec.IsGang {
+		e.stopGang(a.step, a.run, why)
+	}
+}
+
 // isGangUnderWay reports whether other members of the attempt's run of a gang are ordered:
 // they would wait for this one in vain.
 func (e *Engine) isGangUnderWay(a *attempt) bool {
--- a/internal/dispatch/turns_test.go
+++ b/internal/dispatch/turns_test.go
@@ -102,3 +102,43 @@
 		t.Errorf("members ordered: got: %d, want: %d", started, members)
 	}
 }
+
+// A member of a gang that cannot be ordered any more takes the others with it: they would
+// wait for it until their gang time is over.
+func TestAGangOfWhichAMemberIsNotOrderedIsGivenUp(t *testing.T) {
+	c := clock.NewFake()
+	e := dispatch.NewEngine(dispatch.Options{})
+	e.Advance(c.Now())
+	e.SetTrusted(true)
+	e.SetQueues([]order.Queue{testQueue})
+	list := []order.Worker{}
+	for i := range 3 {
+		list = append(list, order.Worker{ID: order.WorkerID(fmt.Sprint(i)), Service: "pool", Capacity: step(1, 0).Need})
+	}
+	e.SetWorkers(list, true)
+	for _, a := range e.Actions() {
+		h := a.(order.Hold)
+		e.Listed(&h, &order.Listing{At: 1})
+	}
+	gang := step(3, time.Second)
+	gang.IsGang = true
+	e.AddJob(&work.Spec{ID: "g", Queue: "q", Steps: []work.Step{gang}})
+	e.Committed(e.TakeBatch())
+	e.Decide()
+	b := e.TakeBatch()
+	list[1].IsDraining = true
+	e.SetWorkers(list, true)
+	e.Committed(b)
+	ordered := map[order.WorkerID]bool{}
+	for _, a := range e.Actions() {
+		switch a := a.(type) {
+		case order.Start:
+			ordered[a.Worker] = true
+		case order.Stop:
+			delete(ordered, a.Worker)
+		}
+	}
+	if len(ordered) > 0 {
+		t.Errorf("members that wait for one that was not ordered: got: %v, want: none", ordered)
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -358,8 +358,7 @@
 		return
 	}
 	if a.phase == phasePlanned {
-		e.release(a)
-		e.attemptOver(a)
+		e.dropPlanned(a, why)
 		return
 	}
 	a.isStopping = true
