--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOBIN := $(CURDIR)/.tools
 export GOBIN
 
-.PHONY: build test known-red quickstart lint tools soak bench slopes compare measure
+.PHONY: build test known-red quickstart lint tools soak bench compare measure
 
 build:
 	go build -o bin/ ./cmd/... ./tools/...
@@ -49,10 +49,6 @@
 		go test -run '^$$' -fuzz "^$${f#*:}$$" -fuzztime 30s ./internal/$${f%%:*} || exit 1; done
 	go test -count=2 -timeout 10m ./internal/integration
 
-# Measures a node's control at several sizes; about four minutes.
-slopes: build
-	bin/slopes -bin bin -docs docs
-
 # Prints how the policies do against baselines.
 compare:
 	go test -count=1 -v -run Compare ./internal/compare ./internal/rack
