internal/owner, internal/carrier, internal/dispatch: one interface of workers; nothing that nobody calls

Cause: reading the change again: owner.Workers repeated the four methods of carrier.Workers, Router.Pending had no caller, and turns.hasLeft took a number that it did not need.

Change: owner.Workers is carrier.Workers with Close; the other two are gone. Behaviour stays.

--- a/internal/carrier/carrier.go
+++ b/internal/carrier/carrier.go
@@ -12,9 +12,11 @@
 	"github.com/leverdyke/leverdyke/internal/order"
 )
 
-// Workers gives orders to workers. Implementations are safe for concurrent use.
+// Workers gives orders to workers. fence is the epoch of the owner: a worker does nothing
+// for a lower one than it has seen. Implementations are safe for concurrent use.
 type Workers interface {
 	Start(ctx context.Context, fence uint64, s *order.Start) (order.StartOutcome, order.WorkerTime)
+	// Stop returns the worker's clock, and false when no answer came.
 	Stop(ctx context.Context, fence uint64, s *order.Stop) (order.WorkerTime, bool)
 	Hold(ctx context.Context, fence uint64, h *order.Hold) (*order.Listing, order.HoldOutcome)
 	Pace(ctx context.Context, fence uint64, p *order.Pace) error
--- a/internal/carrier/router.go
+++ b/internal/carrier/router.go
@@ -164,9 +164,6 @@
 // Carriers returns how many nodes carry now.
 func (r *Router) Carriers() int { return len(r.plan.nodes) }
 
-// Pending returns how many orders are with carriers.
-func (r *Router) Pending() int { return len(r.pending) }
-
 // Add puts an action into the batch of a carrier, whose outcome may take as long as
 // bound. It reports false when the owner is to carry it out itself.
 func (r *Router) Add(a order.Action, worker order.WorkerID, bound time.Duration, now time.Time) bool {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -30,7 +30,7 @@
 		e.turns.looked(after < before)
 		isWaiting = isWaiting || after > 0
 	}
-	if isWaiting || e.turns.hasLeft(len(steps)) {
+	if isWaiting || e.turns.hasLeft() {
 		// What they wait for may come without an event: a pause ends, a lane that did
 		// not answer is asked again.
 		e.recheckAt = e.now.Add(recheckPause)
--- a/internal/dispatch/turns.go
+++ b/internal/dispatch/turns.go
@@ -63,5 +63,5 @@
 	}
 }
 
-// hasLeft reports whether the last look left out any of n steps.
-func (t *turns) hasLeft(n int) bool { return n > 0 && t.left > 0 }
+// hasLeft reports whether the last look left out any step.
+func (t *turns) hasLeft() bool { return t.left > 0 }
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -10,6 +10,7 @@
 	"context"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/carrier"
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
@@ -17,15 +18,10 @@
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
-// Workers gives orders to workers. fence is the epoch of the owner: a worker
-// does nothing for a lower one than it has seen. Implementations are safe for
-// concurrent use.
+// Workers gives orders to workers, as carriers do. Implementations are safe for concurrent
+// use.
 type Workers interface {
-	Start(ctx context.Context, fence uint64, s *order.Start) (order.StartOutcome, order.WorkerTime)
-	// Stop returns the worker's clock, and false when no answer came.
-	Stop(ctx context.Context, fence uint64, s *order.Stop) (order.WorkerTime, bool)
-	Hold(ctx context.Context, fence uint64, h *order.Hold) (*order.Listing, order.HoldOutcome)
-	Pace(ctx context.Context, fence uint64, p *order.Pace) error
+	carrier.Workers
 	// Close ends the connections that are kept for later orders. It is called when
 	// the ownership ends: a worker takes connections of a few nodes only.
 	Close()
