internal/dispatch: the log tells which attempts end with a worker

Cause: where a worker's life is over the log had the number of attempts that ended with it. Whether one task crashes its workers, or many end by chance, could not be told, so that the hypotheses of the incident stood side by side.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -234,7 +234,7 @@
 		return
 	}
 	e.options.Log(events.WorkerLifeOver, "worker", id, "attempts", len(w.attempts))
-	e.lapseAll(w)
+	e.lapseAll(w, cutByLife)
 	w.isGone = true
 	e.dropIfEmpty(w)
 }
@@ -293,7 +293,7 @@
 	}
 	if !w.readAt.IsZero() && e.now.After(w.lapsesAt()) {
 		e.options.Log(events.WorkerLost, "worker", w.ID, "attempts", len(w.attempts), "silent", e.now.Sub(w.readAt))
-		e.lapseAll(w)
+		e.lapseAll(w, cutByTime)
 		return
 	}
 	for _, a := range w.attempts {
@@ -342,8 +342,15 @@
 	e.look(a.worker)
 }
 
+// Why all attempts on a worker are over.
+const (
+	cutByLife = "life over"
+	cutByTime = "leases lapsed"
+)
+
 // lapseAll takes all attempts of a worker as over.
-func (e *Engine) lapseAll(w *worker) {
+func (e *Engine) lapseAll(w *worker, why string) {
+	e.logCut(w, why)
 	for _, a := range w.attempts {
 		e.counts.Lapsed++
 		e.release(a)
@@ -354,6 +361,22 @@
 	e.isDirty = true
 }
 
+// maxCutLogged bounds the lines on attempts that end with one worker: that is about as
+// many as it has, and a whole rack that goes writes some hundred lines.
+const maxCutLogged = 20
+
+// logCut tells which attempts end with their worker, and how long they are known to have
+// been on it.
+func (e *Engine) logCut(w *worker, why string) {
+	n := 0
+	for _, a := range w.attempts {
+		if n++; n > maxCutLogged {
+			return
+		}
+		e.options.Log(events.AttemptCut, "task", a.id, "run", a.run, "worker", w.ID, "why", why, "phase", a.phase, "ran", max(w.readAt.Sub(a.orderedAt), 0))
+	}
+}
+
 // stop orders an attempt to stop, once.
 func (e *Engine) stop(a *attempt, why string) {
 	if a.isStopping {
