internal/dispatch, internal/integration: failing tests of tasks that crash workers

Change: no logic. The model of dispatch and the stand-in play such tasks: the worker crashes 10 ms after the start and is back under a new name; both watch that a task under which three workers have crashed is started fewer than three times more.

--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -63,6 +63,8 @@
 	lanes   []string
 	// writes counts how often each job was written; nil counts nothing.
 	writes map[work.JobID]int
+	// crashes has the tasks that crash their workers; nil when there are none.
+	crashes *crashes
 }
 
 type letter struct {
@@ -329,6 +331,7 @@
 // began checks a start against the promises.
 func (w *world) began(m *modelWorker, id work.TaskID, _ *modelRun) {
 	w.starts++
+	w.noteCrashing(m, id)
 	for other, o := range w.workers {
 		if o != m && !o.isDead && o.running[id] != nil {
 			w.breaks("%s runs on %s and on %s", id, other, m.entry.ID)
--- /dev/null
+++ b/internal/standin/site/machine.go
@@ -0,0 +1,91 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package site
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// How a worker crashes under a task, and comes back.
+const (
+	// crashAfter is the time from the start of a task that crashes its worker to the crash.
+	crashAfter = 10 * time.Millisecond
+	// backAfter is the time from a crash to the next life, unlistedAfter that to the end of
+	// the entry of the one before: three entries that stay away.
+	backAfter     = 700 * time.Millisecond
+	unlistedAfter = 3 * beatPeriod
+)
+
+// machine is where one worker lives after the other, at one address. It is safe for
+// concurrent use.
+type machine struct {
+	site             *Site
+	name, rack, addr string
+
+	mu sync.Mutex
+	// life is the worker that lives, or the last one that did; lives counts them.
+	life  *Worker
+	lives int
+}
+
+// bear begins a life.
+func (m *machine) bear(id string) *Worker {
+	w := &Worker{
+		site: m.site, id: id, rack: m.rack, addr: m.addr, machine: m, started: time.Now(),
+		running: map[string]*taskRun{}, barred: map[string]uint64{}, next: 1, changed: make(chan struct{}),
+	}
+	m.mu.Lock()
+	m.life = w
+	m.lives++
+	m.mu.Unlock()
+	m.site.mu.Lock()
+	m.site.workers = append(m.site.workers, w)
+	m.site.mu.Unlock()
+	w.beat()
+	return w
+}
+
+// ServeHTTP passes orders to the life that is.
+func (m *machine) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	m.mu.Lock()
+	life := m.life
+	m.mu.Unlock()
+	life.ServeHTTP(rw, r)
+}
+
+// nextID returns the name of the next life. It ends in the digit of the first one, by
+// which the stand-in permits workers.
+func (m *machine) nextID() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return fmt.Sprintf("i-%d-%s", m.lives, m.name[len("m-i-"):])
+}
+
+// crashesWorker reports whether a task crashes each worker that starts it: the first one
+// of a step that does.
+func crashesWorker(task string, need *stepNeed) bool {
+	return need.crashes && strings.HasSuffix(task, ".0")
+}
+
+// crashUnder ends the worker's life under a task that still runs, and begins the next one
+// of its machine some time later.
+func (w *Worker) crashUnder(task string, r *taskRun) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isDead || w.running[task] != r {
+		return
+	}
+	for other, run := range w.running {
+		if crashesWorker(other, &run.step) {
+			w.site.oracle.crashed(other)
+		}
+	}
+	w.die()
+	time.AfterFunc(backAfter, func() { w.machine.bear(w.machine.nextID()) })
+	time.AfterFunc(unlistedAfter, w.unlist)
+}
--- a/internal/standin/site/oracle.go
+++ b/internal/standin/site/oracle.go
@@ -24,10 +24,20 @@
 	// told has, by job, the final state that a caller was shown: it holds for good.
 	told   map[string]string
 	broken []string
+	// crashes counts, by task, the workers that crashed under it, and again its starts since
+	// there were crashesAllowed.
+	crashes, again map[string]int
 }
 
+// A task under which crashesAllowed workers have crashed is started fewer than moreStarts
+// times more.
+const (
+	crashesAllowed = 3
+	moreStarts     = 3
+)
+
 func newOracle() *Oracle {
-	return &Oracle{places: map[string][]string{}, good: map[string][]*goodEnd{}, jobs: map[string]bool{}, told: map[string]string{}}
+	return &Oracle{places: map[string][]string{}, good: map[string][]*goodEnd{}, jobs: map[string]bool{}, told: map[string]string{}, crashes: map[string]int{}, again: map[string]int{}}
 }
 
 // began notes a start; the worker's lock is held.
@@ -43,6 +53,11 @@
 	if on := o.places[task]; len(on) > 0 {
 		o.broken = append(o.broken, fmt.Sprintf("%s starts on %s while it runs on %v", task, w.id, on))
 	}
+	if o.crashes[task] >= crashesAllowed {
+		if o.again[task]++; o.again[task] >= moreStarts {
+			o.broken = append(o.broken, fmt.Sprintf("%s starts %d times more after %d workers have crashed under it", task, o.again[task], crashesAllowed))
+		}
+	}
 	for _, e := range o.good[task] {
 		e.startedOn = append(e.startedOn, w.id)
 		o.judge(task, e)
@@ -58,6 +73,20 @@
 	}
 }
 
+// crashed notes that a worker crashed under a task that crashes workers.
+func (o *Oracle) crashed(task string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.crashes[task]++
+}
+
+// crashesUnder returns how many workers crashed under a task.
+func (o *Oracle) crashesUnder(task string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.crashes[task]
+}
+
 func (o *Oracle) ended(task, worker string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -81,6 +81,9 @@
 	lasts    bool
 	// fails makes the task fail, when the job's text is "fail".
 	fails bool
+	// crashes makes the first task of the step crash each worker that starts it, when the
+	// job's text is "crash".
+	crashes bool
 }
 
 // New starts a stand-in on loopback.
@@ -127,24 +130,18 @@
 	return l.Addr().String(), nil
 }
 
-// AddWorker starts a worker.
+// AddWorker starts a worker on a machine of its own.
 func (s *Site) AddWorker(i int) (*Worker, error) {
-	w := &Worker{
-		site: s, id: "i-" + strconv.Itoa(i), rack: "r" + strconv.Itoa(i/2), started: time.Now(),
-		running: map[string]*taskRun{}, barred: map[string]uint64{}, next: 1, changed: make(chan struct{}),
-	}
-	addr, err := s.serve(w)
+	id := "i-" + strconv.Itoa(i)
+	m := &machine{site: s, name: "m-" + id, rack: "r" + strconv.Itoa(i/2)}
+	addr, err := s.serve(m)
 	if err != nil {
 		return nil, err
 	}
-	if w.addr, err = s.via(w.id, addr); err != nil {
+	if m.addr, err = s.via(id, addr); err != nil {
 		return nil, err
 	}
-	s.mu.Lock()
-	s.workers = append(s.workers, w)
-	s.mu.Unlock()
-	w.beat()
-	return w, nil
+	return m.bear(id), nil
 }
 
 // via returns the address by which nodes reach what listens at addr.
@@ -229,7 +226,7 @@
 	needs := []stepNeed{}
 	for _, step := range job.Steps {
 		needs = append(needs, stepNeed{
-			step.CPU, step.MemMb, time.Duration(step.EstimatedMs * float64(time.Millisecond)), step.Perpetual, job.Spec == "fail",
+			step.CPU, step.MemMb, time.Duration(step.EstimatedMs * float64(time.Millisecond)), step.Perpetual, job.Spec == "fail", job.Spec == "crash",
 		})
 	}
 	s.mu.Lock()
@@ -256,6 +253,9 @@
 // Broken returns the promises that were seen broken.
 func (s *Site) Broken() []string { return s.oracle.list() }
 
+// CrashesUnder returns how many workers crashed under a task.
+func (s *Site) CrashesUnder(task string) int { return s.oracle.crashesUnder(task) }
+
 // HasRun reports whether any task of a job ever began.
 func (s *Site) HasRun(job string) bool { return s.oracle.hasRun(job) }
 
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -37,6 +37,8 @@
 	id   string
 	rack string
 	addr string
+	// machine is what the worker is a life of.
+	machine *machine
 
 	mu        sync.Mutex
 	started   time.Time
@@ -117,7 +119,7 @@
 		return
 	}
 	data, err := json.Marshal(map[string]any{
-		"service": serviceName, "address": w.addr, "zone": "zone-1", "state": state, "machine": "m-" + w.id,
+		"service": serviceName, "address": w.addr, "zone": "zone-1", "state": state, "machine": w.machine.name,
 		"capacity": map[string]any{"cpu": w.site.options.MilliCPU, "memMb": w.site.options.MemoryMiB},
 		"labels":   []string{"a", w.rack},
 	})
@@ -130,6 +132,13 @@
 // Crash ends the worker's life: nothing of it runs any more, and it is silent.
 func (w *Worker) Crash() {
 	w.mu.Lock()
+	w.die()
+	w.mu.Unlock()
+	w.unlist()
+}
+
+// die ends all that runs; the caller holds the lock.
+func (w *Worker) die() {
 	w.isDead = true
 	for task, r := range w.running {
 		r.timer.Stop()
@@ -138,10 +147,11 @@
 	}
 	close(w.changed)
 	w.changed = make(chan struct{})
-	w.mu.Unlock()
-	w.site.Store.Put("keyed.servers", w.id, nil)
 }
 
+// unlist takes the worker's entry out of the store.
+func (w *Worker) unlist() { w.site.Store.Put("keyed.servers", w.id, nil) }
+
 type orderBody struct {
 	Task         string `json:"task"`
 	Run          uint64 `json:"run"`
@@ -277,6 +287,9 @@
 	w.running[b.Task] = r
 	w.starts++
 	w.site.oracle.began(b.Task, w)
+	if crashesWorker(b.Task, &need) {
+		time.AfterFunc(crashAfter, func() { w.crashUnder(b.Task, r) })
+	}
 	takes := need.takes
 	if need.lasts {
 		takes = time.Hour
