internal/crash, internal/dispatch: give up tasks that crash their workers

Cause: an end of a worker's life counted against no task. Where it was over, all attempts on it counted as lapsed, their tasks waited again, and nothing bounded the starts of one that had caused it. Copies beside silent workers doubled the crashes. Class: a fault that its victim cannot report was counted by nobody.

Change: each crash is noted for all tasks on the worker and kept with their jobs; package crash (pure) judges. A task that had just started on two workers of different machines that crashed, and was the only such one on the second, is given up, its job shown as failed; four crashes of any kind are enough, so that the bound holds whatever a new owner does not know. Tasks under which a worker has crashed start apart from each other, on the emptiest worker, without copies. Workers that leave as planned do not count, and those that were only cut off are taken off the count when they are heard again.

New tests play crashes late and early, workers that come back late, owners that end at each crash, lost answers, outages of the store, gangs, cuts and lasting tasks: the bound holds and no job beside is given up.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -182,6 +182,7 @@
 		if !s.spec.IsLasting {
 			p.Failures = append(p.Failures, t.failures...)
 		}
+		p.Crashes = append(p.Crashes, t.crashes...)
 		if t.saved != "" {
 			if p.Saved == nil {
 				p.Saved = map[int]string{}
--- a/internal/dispatch/candidates.go
+++ b/internal/dispatch/candidates.go
@@ -41,12 +41,12 @@
 	}
 	w := c.workers[0]
 	t := &s.tasks[i]
-	if t.avoid != w.ID && len(t.failures) == 0 && w.attempts[s.taskID(i)] == nil {
+	if t.avoid != w.ID && !isChoosy(t) && w.attempts[s.taskID(i)] == nil {
 		c.taken = true
 		return w
 	}
-	// The best is one to avoid for this task, or the task has failed before: all are
-	// looked at for it alone.
+	// The best is one to avoid for this task, or not each worker suits it: all are looked
+	// at for it alone.
 	c.taken = false
 	return e.choose(s, i, q, nil)
 }
--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -26,6 +26,10 @@
 		return false
 	}
 	t := &s.tasks[a.id.Index]
+	if len(t.crashes) > 0 {
+		// The copy might take another worker with it.
+		return false
+	}
 	if t.attempt != a || t.copy != nil || t.wantsCopy || t.state != taskPlaced {
 		return true
 	}
--- /dev/null
+++ b/internal/dispatch/crash.go
@@ -0,0 +1,226 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/crash"
+	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// Tasks that crash their workers: what is on a worker when its life ends is noted for each
+// task, kept with its job, and judged by package crash. A worker that dies tells no end, so
+// that nothing else would ever bound the starts of such a task: one was started 63 times in
+// 110 s, and each time all that ran beside it was lost.
+
+// cutOff is a worker of which nothing was heard until its leases were over: it may have
+// crashed, or only be cut off.
+type cutOff struct {
+	machine string
+	// tasks are those under which that counts as a crash.
+	tasks []work.TaskID
+	since time.Time
+}
+
+// keepCutOff is how long it is kept in mind which tasks were on a worker that may have
+// crashed: workers are back some seconds after a crash, and cuts last for seconds.
+const keepCutOff = time.Minute
+
+// isSuspect reports whether a task may be one that crashes its workers: one did, or the
+// one that has just been told to start it is silent.
+func isSuspect(t *task) bool {
+	if crash.IsSuspect(t.crashes) {
+		return true
+	}
+	a := t.attempt
+	return a != nil && a.worker.isSilent() && a.ran() < crash.FreshTime
+}
+
+// isChoosy reports whether a worker that suits other tasks of the step may not suit this
+// one.
+func isChoosy(t *task) bool { return len(t.failures) > 0 || isSuspect(t) }
+
+// hasCrashed reports whether a worker on that machine has crashed under the task.
+func hasCrashed(t *task, machine string) bool {
+	return machine != "" && slices.ContainsFunc(t.crashes, func(c work.Crash) bool { return c.Machine == machine })
+}
+
+// hasSuspect reports whether the worker has just been given a task, of another step or no
+// gang, that may crash it: if two such tasks were there, a crash would not tell which of
+// them it was.
+func (w *worker) hasSuspect(s *step, now time.Time) bool {
+	for _, a := range w.attempts {
+		if a.step == nil || a.step == s && s.spec.IsGang || !isSuspect(&a.step.tasks[a.id.Index]) {
+			continue
+		}
+		if w.holdFailures > 0 || now.Sub(a.orderedAt) < crash.SeparateTime {
+			return true
+		}
+	}
+	return false
+}
+
+// ran returns how long the worker is known to have had the attempt. Of one that an earlier
+// owner started that is not known, but it was there to be listed.
+func (a *attempt) ran() time.Duration {
+	ran := max(a.worker.readAt.Sub(a.orderedAt), 0)
+	if a.isAdopted {
+		return ran + crash.FreshTime
+	}
+	return ran
+}
+
+// mayHaveRun reports whether the order to start has left the engine.
+func (a *attempt) mayHaveRun() bool {
+	return a.phase != phasePlanned && (a.isHandedOut || a.isAdopted)
+}
+
+// noteCrashes notes for all tasks on a worker that it crashed under them, unless it ended
+// as planned. isKnown is false when it may only be cut off. It returns these tasks.
+func (e *Engine) noteCrashes(w *worker, isKnown bool) []work.TaskID {
+	if w.IsDraining || w.hasLeft || w.isLeaving {
+		return nil
+	}
+	tasks := []work.TaskID{}
+	for id, a := range w.attempts {
+		if a.step == nil || !a.mayHaveRun() {
+			continue
+		}
+		e.noteCrash(a.step, work.Crash{
+			Index: id.Index, Worker: string(w.ID), Machine: w.Machine, Run: a.run, Ran: a.ran(), IsKnown: isKnown,
+		})
+		tasks = append(tasks, id)
+	}
+	if !isKnown && len(tasks) > 0 {
+		e.cutOff[w.ID] = &cutOff{w.Machine, tasks, e.now}
+	}
+	return tasks
+}
+
+func (e *Engine) noteCrash(s *step, c work.Crash) {
+	t := &s.tasks[c.Index]
+	if t.state == taskDone || s.job.state.IsFinal() {
+		return
+	}
+	t.crashes = crash.Note(t.crashes, c, s.spec.IsLasting)
+	e.touch(s.job)
+}
+
+// noteInheritedCrash notes that a worker on which an earlier owner may have started tasks
+// is over. How long it had them is not known.
+func (e *Engine) noteInheritedCrash(id order.WorkerID, tasks []work.TaskID, isKnown bool) {
+	w := e.workers[id]
+	if w != nil && (w.IsDraining || w.hasLeft || w.isLeaving) {
+		return
+	}
+	machine := ""
+	if w != nil {
+		machine = w.Machine
+	}
+	for _, task := range tasks {
+		if s, t := e.find(task); t != nil {
+			e.noteCrash(s, work.Crash{Index: task.Index, Worker: string(id), Machine: machine, Run: t.run, Ran: crash.FreshTime, IsKnown: isKnown})
+		}
+	}
+	if !isKnown {
+		e.cutOff[id] = &cutOff{machine, tasks, e.now}
+	}
+	e.judgeCrash(id, tasks)
+}
+
+// restoreCrash takes a crash that an earlier owner has noted.
+func (e *Engine) restoreCrash(s *step, c work.Crash) {
+	s.tasks[c.Index].crashes = append(s.tasks[c.Index].crashes, c)
+	if c.IsKnown {
+		return
+	}
+	id := order.WorkerID(c.Worker)
+	if e.cutOff[id] == nil {
+		e.cutOff[id] = &cutOff{machine: c.Machine, since: e.now}
+	}
+	e.cutOff[id].tasks = append(e.cutOff[id].tasks, s.taskID(c.Index))
+}
+
+// judgeCrash gives up the jobs of tasks that crash workers, of those on one that crashed.
+func (e *Engine) judgeCrash(id order.WorkerID, tasks []work.TaskID) {
+	steps := []*step{}
+	suspects := []crash.Suspect{}
+	for _, task := range tasks {
+		s, t := e.find(task)
+		if s == nil || s.job.state.IsFinal() || !isLastCrash(t, id) {
+			continue
+		}
+		if s.spec.IsGang {
+			task.Index = 0
+		}
+		steps = append(steps, s)
+		suspects = append(suspects, crash.Suspect{Unit: task, Crashes: t.crashes})
+	}
+	for _, i := range crash.Guilty(suspects) {
+		crashes := suspects[i].Crashes
+		e.options.Log(events.TaskCrashes, "task", suspects[i].Unit, "worker", id, "crashes", len(crashes), "ran", crashes[len(crashes)-1].Ran, "beside", len(suspects)-1)
+		e.endJob(steps[i].job, work.JobFailed, "workers crash under a task")
+	}
+}
+
+func isLastCrash(t *task, id order.WorkerID) bool {
+	return len(t.crashes) > 0 && t.crashes[len(t.crashes)-1].Worker == string(id)
+}
+
+// crashKnown says that the machine has begun a life: the one before it, which may only have
+// been cut off, is over.
+func (e *Engine) crashKnown(machine string) {
+	for id, c := range e.cutOff {
+		if c.machine != machine {
+			continue
+		}
+		delete(e.cutOff, id)
+		for _, task := range c.tasks {
+			if _, t := e.find(task); t != nil {
+				t.confirmCrash(id)
+			}
+		}
+		e.judgeCrash(id, c.tasks)
+	}
+}
+
+// confirmCrash makes a crash that may have been a cut a known one, and the last one.
+func (t *task) confirmCrash(id order.WorkerID) {
+	i := slices.IndexFunc(t.crashes, func(c work.Crash) bool { return c.Worker == string(id) })
+	if i < 0 {
+		return
+	}
+	c := t.crashes[i]
+	c.IsKnown = true
+	t.crashes = append(slices.Delete(t.crashes, i, i+1), c)
+}
+
+// forgiveCrash says that a worker that was silent until its leases were over lives: it had
+// only been cut off.
+func (e *Engine) forgiveCrash(id order.WorkerID) {
+	c := e.cutOff[id]
+	if c == nil {
+		return
+	}
+	delete(e.cutOff, id)
+	for _, task := range c.tasks {
+		if s, t := e.find(task); t != nil {
+			t.crashes = slices.DeleteFunc(t.crashes, func(c work.Crash) bool { return c.Worker == string(id) })
+			e.touch(s.job)
+		}
+	}
+}
+
+// forgetCutOff forgets workers that were cut off long ago.
+func (e *Engine) forgetCutOff() {
+	for id, c := range e.cutOff {
+		if e.now.Sub(c.since) > keepCutOff {
+			delete(e.cutOff, id)
+		}
+	}
+}
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -4,9 +4,11 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -35,3 +37,179 @@
 	}
 	expectWhole(t, w)
 }
+
+// playCrashing plays one task that crashes its workers beside a load that is not to suffer
+// for it, with a trouble at each crash. It returns the world 60 s later.
+func playCrashing(seed uint64, prepare func(*world), atCrash func(w *world, n int)) *world {
+	w := newWorld(seed)
+	w.addWorkers(12, room)
+	w.run(time.Second)
+	w.crashingTask(work.TaskID{Job: "bad"})
+	prepare(w)
+	w.submit("bad", step(4, max(800*time.Millisecond, w.crashes.after+200*time.Millisecond)))
+	seen := 0
+	for w.since() < 60*time.Second {
+		if n := int(w.since() / time.Second); n < 20 && w.since()%(500*time.Millisecond) == 0 {
+			w.submit(fmt.Sprintf("good%v", w.since()), step(6, 800*time.Millisecond))
+		}
+		w.run(tick)
+		if w.crashes.workers > seen {
+			seen = w.crashes.workers
+			atCrash(w, seen)
+		}
+	}
+	return w
+}
+
+func expectOnlyGivenUp(t *testing.T, w *world, bad work.JobID) {
+	t.Helper()
+	for _, id := range w.order {
+		if id != bad {
+			expectState(t, w, id, work.JobSucceeded)
+		}
+	}
+	expectState(t, w, bad, work.JobFailed)
+	expectWhole(t, w)
+}
+
+// The bound holds whatever the task's time to the crash, the workers' time to come back,
+// and the trouble of owners and of the store meanwhile; and no job beside is given up.
+func TestTheBoundOfCrashesHoldsInTroubles(t *testing.T) {
+	nothing := func(*world) {}
+	after := func(d time.Duration) func(*world) { return func(w *world) { w.crashes.after = d } }
+	late := func(w *world) { w.crashes.backAfter, w.crashes.unlistedAfter = 9*time.Second, 4500*time.Millisecond }
+	takeOverIn := func(d time.Duration) func(*world, int) {
+		return func(w *world, n int) {
+			if n > 6 {
+				return
+			}
+			w.run(d)
+			w.takeOver()
+		}
+	}
+	for name, c := range map[string]struct {
+		prepare func(*world)
+		atCrash func(*world, int)
+	}{
+		"calm":                              {nothing, func(*world, int) {}},
+		"crash after half a second":         {after(500 * time.Millisecond), func(*world, int) {}},
+		"crash near the end of the task":    {after(790 * time.Millisecond), func(*world, int) {}},
+		"crash after some seconds":          {after(3 * time.Second), func(*world, int) {}},
+		"workers are back late":             {late, func(*world, int) {}},
+		"owner ends with each crash":        {nothing, takeOverIn(0)},
+		"owner ends just after each crash":  {nothing, takeOverIn(50 * time.Millisecond)},
+		"owner ends before workers return":  {nothing, takeOverIn(2 * time.Second)},
+		"owner ends as workers return":      {nothing, takeOverIn(3100 * time.Millisecond)},
+		"owner ends, workers are back late": {late, takeOverIn(time.Second)},
+		"answers are lost":                  {func(w *world) { w.lostShare = 0.1 }, func(*world, int) {}},
+		"store is out from the first crash": {func(w *world) { w.runsAhead = true }, func(w *world, n int) { w.isOut = n < 5 }},
+		"store is out, then the owner ends": {func(w *world) { w.runsAhead = true }, func(w *world, n int) {
+			w.isOut = n < 3
+			if n == 2 {
+				w.takeOver()
+			}
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(6) {
+				w := playCrashing(seed, c.prepare, c.atCrash)
+				if w.isOut {
+					w.isOut = false
+					w.run(20 * time.Second)
+				}
+				expectOnlyGivenUp(t, w, "bad")
+			}
+		})
+	}
+}
+
+// Tasks beside one that crashes its workers are not given up for it: with two workers in
+// use, most of what runs is beside it each time.
+func TestATaskBesideOneThatCrashesWorkersIsNotGivenUp(t *testing.T) {
+	for seed := range uint64(10) {
+		w := newWorld(seed)
+		w.addWorkers(4, leverdyke.Resources{MilliCPU: 16_000, MemoryMiB: 64_000})
+		w.run(time.Second)
+		w.crashing(func(id work.TaskID) bool { return id.Job == "bad1" || id.Job == "bad2" })
+		for i := range 8 {
+			w.submit(fmt.Sprintf("good%d", i), step(4, 3*time.Second))
+		}
+		lasting := step(6, time.Hour)
+		lasting.IsLasting = true
+		w.submit("lasting", lasting)
+		w.submit("bad1", step(1, time.Second))
+		w.submit("bad2", step(1, time.Second))
+		w.run(60 * time.Second)
+		for i := range 8 {
+			expectState(t, w, work.JobID(fmt.Sprintf("good%d", i)), work.JobSucceeded)
+		}
+		expectState(t, w, "lasting", work.JobRunning)
+		expectState(t, w, "bad1", work.JobFailed)
+		expectState(t, w, "bad2", work.JobFailed)
+		if w.crashes.workers > 6 {
+			t.Errorf("seed %d: workers that crashed under two tasks: got: %d, want: at most 6", seed, w.crashes.workers)
+		}
+		expectWhole(t, w)
+	}
+}
+
+// The members of a gang start together: one of them that crashes its worker is found, and
+// those beside it are its own.
+func TestAGangWithATaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(8, room)
+	w.run(time.Second)
+	w.crashingTask(work.TaskID{Job: "bad", Index: 1})
+	gang := step(6, time.Second)
+	gang.IsGang = true
+	w.submit("bad", gang)
+	w.submit("good", step(10, time.Second))
+	w.run(40 * time.Second)
+	expectOnlyGivenUp(t, w, "bad")
+}
+
+// A worker that is cut off until its leases are over has not crashed: what ran there is
+// not held against its tasks.
+func TestACutIsNoCrash(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(3, room)
+	w.run(time.Second)
+	lasting := step(1, time.Hour)
+	lasting.IsLasting = true
+	w.submit("a", lasting)
+	w.run(200 * time.Millisecond)
+	for range 6 {
+		m := w.workerOf(work.TaskID{Job: "a"})
+		if m == nil {
+			t.Fatal("the task does not run")
+		}
+		m.isCut = true
+		w.run(8 * time.Second)
+		m.isCut = false
+		w.run(2 * time.Second)
+	}
+	expectState(t, w, "a", work.JobRunning)
+	expectWhole(t, w)
+}
+
+// A lasting task sees many crashes of others' doing in a day.
+func TestALastingTaskOutlivesManyCrashes(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(3, room)
+	w.run(time.Second)
+	lasting := step(1, time.Hour)
+	lasting.IsLasting = true
+	w.submit("a", lasting)
+	w.run(200 * time.Millisecond)
+	for i := range 6 {
+		w.run(12 * time.Second)
+		m := w.workerOf(work.TaskID{Job: "a"})
+		if m == nil {
+			t.Fatal("the task does not run")
+		}
+		w.crash(m.entry.ID, fmt.Sprintf("next%d", i))
+		w.run(2 * time.Second)
+	}
+	expectState(t, w, "a", work.JobRunning)
+	expectWhole(t, w)
+}
--- a/internal/dispatch/crash_world_test.go
+++ b/internal/dispatch/crash_world_test.go
@@ -76,10 +76,25 @@
 	m.isDead, m.running = true, map[work.TaskID]*modelRun{}
 	w.lingering = append(w.lingering, old)
 	next := fmt.Sprintf("%s.%d", old.Machine, c.workers)
+	w.breakGangs(id)
 	w.orderLater(c.backAfter, func() { w.bear(next, m) })
 	w.orderLater(c.unlistedAfter, func() { w.unlist(old.ID) })
 }
 
+// breakGangs ends the other members of a gang of which one is gone.
+func (w *world) breakGangs(id work.TaskID) {
+	if !w.specs[id.Job].Steps[id.Step].IsGang {
+		return
+	}
+	for _, m := range w.workers {
+		for other, r := range m.running {
+			if other.Of() == id.Of() {
+				m.end(other, r, order.EndBroken)
+			}
+		}
+	}
+}
+
 // bear begins the next life on the machine of a worker that crashed.
 func (w *world) bear(id string, m *modelWorker) {
 	born := newModelWorker(id, m.entry.Capacity, -w.since(), m.drift)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -84,6 +84,8 @@
 	// unsettled are workers on which an earlier owner may have started tasks that
 	// are not known yet, with these tasks.
 	unsettled map[order.WorkerID][]work.TaskID
+	// cutOff has workers that may have crashed, or only be cut off.
+	cutOff map[order.WorkerID]*cutOff
 	// inheritedUntil is when all leases that the earlier owner gave are over.
 	inheritedUntil time.Time
 	// inherited is set while any task may run anywhere by an earlier owner's order.
@@ -156,7 +158,7 @@
 	}
 	return &Engine{
 		options: options, jobs: map[work.JobID]*job{}, workers: map[order.WorkerID]*worker{},
-		queues: map[string]order.Queue{}, over: map[order.WorkerID]bool{}, largest: map[string]leverdyke.Resources{}, estimates: map[string]*estimate.Durations{}, unsettled: map[order.WorkerID][]work.TaskID{},
+		queues: map[string]order.Queue{}, over: map[order.WorkerID]bool{}, largest: map[string]leverdyke.Resources{}, estimates: map[string]*estimate.Durations{}, unsettled: map[order.WorkerID][]work.TaskID{}, cutOff: map[order.WorkerID]*cutOff{},
 	}
 }
 
@@ -269,6 +271,7 @@
 		}
 	}
 	e.live = slices.DeleteFunc(e.live, func(j *job) bool { return j.state.IsFinal() && j.attempts == 0 })
+	e.forgetCutOff()
 	for id, j := range e.jobs {
 		if j.state.IsFinal() && j.isShown && e.now.Sub(j.endedAt) > keepFinal && j.attempts == 0 {
 			delete(e.jobs, id)
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -110,6 +110,9 @@
 			t.heldBy = slices.DeleteFunc(t.heldBy, func(w order.WorkerID) bool { return w == id })
 		}
 	}
+	if why != settledByListing {
+		e.noteInheritedCrash(id, tasks, why == settledByLife)
+	}
 	e.isDirty = true
 	if why != settledByListing {
 		e.options.Log(events.InheritedSettled, "worker", id, "tasks", len(tasks), "why", why)
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -85,7 +85,9 @@
 	// run is the highest run of the task that is known.
 	run      uint64
 	failures []work.Failure
-	saved    string
+	// crashes are the workers that crashed under it.
+	crashes []work.Crash
+	saved   string
 	// avoid is where the task failed or hung last.
 	avoid order.WorkerID
 	// heldBy are workers on which an earlier owner may have started it.
@@ -114,8 +116,12 @@
 	recheckPause = 100 * time.Millisecond
 )
 
-// mayTry reports whether a task that has failed may start on the worker now.
+// mayTry reports whether a task that has failed, or may crash its workers, may start on
+// the worker now.
 func (e *Engine) mayTry(w *worker, s *step, t *task) bool {
+	if isSuspect(t) && w.hasSuspect(s, e.now) {
+		return false
+	}
 	if len(t.failures) == 0 || s.spec.IsLasting {
 		return true
 	}
@@ -217,6 +223,11 @@
 			s.addFailure(f)
 		}
 	}
+	for _, c := range p.Crashes {
+		if c.Index >= 0 && c.Index < len(s.tasks) {
+			e.restoreCrash(s, c)
+		}
+	}
 	for i, text := range p.Saved {
 		if i >= 0 && i < len(s.tasks) {
 			s.tasks[i].saved = text
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -132,6 +132,7 @@
 	}
 	e.settleMissing(w, l, running, askedOn)
 	if !w.isListed {
+		e.forgiveCrash(w.ID)
 		e.endEarlierLives(w)
 		w.isListed = true
 		e.isDirty = true
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -93,7 +93,7 @@
 			candidates = e.newCandidates(s, &q)
 		}
 		w := candidates.take(e, s, i, &q)
-		if w == nil && len(t.failures) > 0 {
+		if w == nil && isChoosy(t) {
 			// Only this task may have no worker that suits it.
 			continue
 		}
@@ -225,7 +225,7 @@
 // any task of the step.
 func (e *Engine) score(w *worker, s *step, t *task) float64 {
 	score := w.fullness()
-	if s.spec.IsLasting || s.spec.IsFiller {
+	if s.spec.IsLasting || s.spec.IsFiller || t != nil && isSuspect(t) {
 		score = -score
 	}
 	switch {
@@ -234,7 +234,7 @@
 	case w.speed.IsSuspect:
 		score -= weightSuspect
 	}
-	if t != nil && t.avoid == w.ID {
+	if t != nil && (t.avoid == w.ID || hasCrashed(t, w.Machine)) {
 		score -= weightAvoid
 	}
 	if s.spec.DataRack != "" && w.Rack != s.spec.DataRack {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -32,6 +32,8 @@
 	// isGone means that the platform's list no longer has it; hasLeft that it was
 	// removed because the worker has ended as planned.
 	isGone, hasLeft bool
+	// isLeaving means that the list lost it while it answered: it ends as planned.
+	isLeaving bool
 	// readAt is when its clock was last read, readTime what it showed.
 	readAt   time.Time
 	readTime order.WorkerTime
@@ -148,6 +150,7 @@
 	for id, w := range e.workers {
 		if !seen[id] && !w.isGone {
 			w.isGone = true
+			w.isLeaving = w.holdFailures == 0
 			e.lost(w)
 			e.options.Log(events.WorkerUnlisted, "worker", id, "attempts", len(w.attempts), "silent", e.now.Sub(w.readAt))
 			e.dropIfEmpty(w)
@@ -173,7 +176,7 @@
 		e.isDirty = true
 	}
 	w.Worker = entry
-	w.isGone = false
+	w.isGone, w.isLeaving = false, false
 }
 
 // mayRunOn reports whether a worker of which only an unclear entry is known may run
@@ -223,6 +226,7 @@
 			e.LifeOver(id)
 		}
 	}
+	e.crashKnown(w.Machine)
 }
 
 // LifeOver says that a worker's life is over: nothing of it runs any more.
@@ -234,7 +238,9 @@
 		return
 	}
 	e.options.Log(events.WorkerLifeOver, "worker", id, "attempts", len(w.attempts))
+	under := e.noteCrashes(w, true)
 	e.lapseAll(w, cutByLife)
+	e.judgeCrash(id, under)
 	w.isGone = true
 	e.dropIfEmpty(w)
 }
@@ -293,7 +299,9 @@
 	}
 	if !w.readAt.IsZero() && e.now.After(w.lapsesAt()) {
 		e.options.Log(events.WorkerLost, "worker", w.ID, "attempts", len(w.attempts), "silent", e.now.Sub(w.readAt))
+		under := e.noteCrashes(w, false)
 		e.lapseAll(w, cutByTime)
+		e.judgeCrash(w.ID, under)
 		return
 	}
 	for _, a := range w.attempts {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -114,6 +114,7 @@
 	AdviceFailed   = add(457, "nobody told which workers may run a step", LevelWarning)
 	WorkerUnlisted = add(460, "worker is no longer in the list", LevelInfo)
 	WorkerLifeOver = add(461, "worker's life is over", LevelInfo)
+	TaskCrashes    = add(472, "task crashes its workers and is given up", LevelWarning)
 	AttemptCut     = add(471, "attempt ended with its worker", LevelInfo)
 	WorkerLeft     = add(467, "worker has left as planned", LevelInfo)
 	Inherited      = add(462, "all that an earlier owner started is known", LevelInfo)
--- a/internal/work/progress.go
+++ b/internal/work/progress.go
@@ -3,6 +3,8 @@
 
 package work
 
+import "time"
+
 // JobState is what a caller is told of a job.
 type JobState string
 
@@ -53,12 +55,30 @@
 	Run    uint64
 }
 
+// Crash is a worker that crashed, or went silent for good, under an attempt of a task.
+type Crash struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Index  int
+	Worker string
+	// Machine is what the worker was a life of; empty when that is not known.
+	Machine string
+	Run     uint64
+	// Ran is how long the worker is known to have had the attempt.
+	Ran time.Duration
+	// IsKnown means that the worker is known to have crashed. Otherwise it may only have
+	// been cut off until its leases were over.
+	IsKnown bool
+}
+
 // StepProgress is what is known of a step.
 type StepProgress struct {
 	// Done has a bit for each task that has ended well.
 	Done []byte
 	// Failures are the attempts that failed.
 	Failures []Failure
+	// Crashes are the workers that crashed under tasks.
+	Crashes []Crash `msgpack:",omitempty"`
 	// Places is where tasks may run.
 	Places []Place
 	// Saved is where tasks can go on from, by their index.
