internal/dispatch: nothing starts on a worker whose room has shrunk under it

Cause: a worker's room may shrink while it runs. A place is worked out before its order leaves; where the store is slow or out that is seconds, and nothing looked at the room again. A task that needs none of the dimension that is overfull started in any case.

Change: an order does not leave, and nothing is placed, while what the worker has been given is over its room; a room that grows is looked at at once. LD0473 tells of changes.

The model counts a start against the room of one second before.

--- a/internal/dispatch/crash_world_test.go
+++ b/internal/dispatch/crash_world_test.go
@@ -77,8 +77,8 @@
 	w.crashAndReturn(m)
 }
 
-// crashSome crashes workers that live, by no task's doing.
-func (w *world) crashSome(n int) {
+// living returns the workers that live, in the order of their IDs.
+func (w *world) living() []order.WorkerID {
 	ids := []order.WorkerID{}
 	for id, m := range w.workers {
 		if !m.isDead {
@@ -86,6 +86,12 @@
 		}
 	}
 	slices.Sort(ids)
+	return ids
+}
+
+// crashSome crashes workers that live, by no task's doing.
+func (w *world) crashSome(n int) {
+	ids := w.living()
 	w.rng.Shuffle(len(ids), func(i, k int) { ids[i], ids[k] = ids[k], ids[i] })
 	for _, id := range ids[:min(n, len(ids))] {
 		w.crashAndReturn(w.workers[id])
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -128,6 +128,9 @@
 
 // fits returns how many tasks of the step the worker could take now.
 func (e *Engine) fits(w *worker, s *step) int {
+	if w.isOverfull() {
+		return 0
+	}
 	n := len(s.tasks)
 	charge := s.spec.Charge()
 	if charge.MilliCPU > 0 || charge.MemoryMiB > 0 || charge.Accelerators > 0 {
@@ -145,6 +148,15 @@
 	return max(n, 0)
 }
 
+// isOverfull reports whether what the worker has been given takes more than it has: its
+// room may shrink after a place was worked out and before the order leaves, which is
+// seconds where a place waits for the store.
+func (w *worker) isOverfull() bool {
+	used := w.used
+	used.Slots = 0
+	return !used.FitsIn(w.Capacity)
+}
+
 func (w *worker) countOf(s *step) int {
 	n := 0
 	for _, a := range w.attempts {
@@ -385,7 +397,7 @@
 	q := e.queues[a.step.job.spec.Queue]
 	text, hasTicket := a.step.permit.Holds(a.worker.ID, e.now)
 	isHeldBack := e.isPaused && !e.isGangUnderWay(a)
-	if !e.isReachable(a.worker) || !e.isTrusted || isHeldBack || q.Advice != nil && !hasTicket {
+	if !e.isReachable(a.worker) || !e.isTrusted || isHeldBack || q.Advice != nil && !hasTicket || a.worker.isOverfull() {
 		e.dropPlanned(a, "a member was not ordered")
 		return
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -175,6 +175,10 @@
 	if entry.IsDraining && !w.IsDraining {
 		e.options.Log(events.WorkerLeaving, "worker", entry.ID, "attempts", len(w.attempts))
 	}
+	if w.Capacity != entry.Capacity && !entry.IsUnclear {
+		e.isDirty = true
+		e.options.Log(events.WorkerResized, "worker", entry.ID, "from", w.Capacity, "to", entry.Capacity, "used", w.used)
+	}
 	if w.isGone || w.IsDraining != entry.IsDraining || w.IsUnclear != entry.IsUnclear {
 		e.isDirty = true
 	}
--- a/internal/dispatch/worker_model_test.go
+++ b/internal/dispatch/worker_model_test.go
@@ -45,6 +45,8 @@
 	isDead    bool
 	// refuses means that its machine refuses connections while the worker is dead.
 	refuses bool
+	// resized are the changes of its room.
+	resized []resizing
 }
 
 func (r *modelRun) percent(now time.Time) int {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -115,6 +115,7 @@
 	WorkerUnlisted = add(460, "worker is no longer in the list", LevelInfo)
 	WorkerLifeOver = add(461, "worker's life is over", LevelInfo)
 	TaskCrashes    = add(472, "task crashes its workers and is given up", LevelWarning)
+	WorkerResized  = add(473, "room of a worker changes", LevelInfo)
 	AttemptCut     = add(471, "attempt ended with its worker", LevelInfo)
 	WorkerLeft     = add(467, "worker has left as planned", LevelInfo)
 	Inherited      = add(462, "all that an earlier owner started is known", LevelInfo)
