internal/clock: count the time for which a machine was suspended

Cause: a machine may be suspended for seconds. The steady clock, by which the runtime measures, does not count that time, so that an owner that woke up trusted for 3 s more in what it had heard before, though another owned the shard, a node took an owner's last beat for young, and a carrier ordered starts that it had been told long before.

Change: the clock adds what CLOCK_BOOTTIME is ahead of the steady clock, looked at each 5 ms at most. Its time of day is ahead by as much then, so that what needs the time of day asks for it: records of the owner, rounds that are due. Conn.Heard, which nobody called, went by the time of day and is gone.

--- a/internal/cell/seek.go
+++ b/internal/cell/seek.go
@@ -106,7 +106,7 @@
 		n.sleep(d)
 	}
 	r := owner.Record{
-		Node: n.options.Name, Addr: n.options.AdvertiseAddr, Life: n.options.Life, Epoch: end + 1, SentAt: n.options.Clock.Now(),
+		Node: n.options.Name, Addr: n.options.AdvertiseAddr, Life: n.options.Life, Epoch: end + 1, SentAt: n.options.Clock.TimeOfDay(),
 		Strongest: n.strongestKnown(), IsUnlogged: !n.isExact(earlier),
 	}
 	if earlier != nil {
@@ -142,7 +142,7 @@
 		return true
 	}
 	now := n.options.Clock.Now()
-	age := earlier.Age(now)
+	age := earlier.Age(n.options.Clock.TimeOfDay())
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	heard, isHeard := n.watch.plainAge(now, earlier)
@@ -218,7 +218,7 @@
 
 // follow passes requests to the owner until it is gone.
 func (n *Node) follow(r *owner.Record, at uint64) {
-	isStale := r.Age(n.options.Clock.Now()) > staleAge
+	isStale := r.Age(n.options.Clock.TimeOfDay()) > staleAge
 	timeout := dialTimeout
 	if isStale {
 		timeout = staleDialTimeout
--- a/internal/clock/service.go
+++ b/internal/clock/service.go
@@ -12,8 +12,11 @@
 // Service tells the time and wakes its subscribers. Implementations are safe
 // for concurrent use.
 type Service interface {
-	// Now returns the time with its monotonic reading; only differences count.
+	// Now returns the time with a monotonic reading that counts the time for which the
+	// machine was suspended; only differences count.
 	Now() time.Time
+	// TimeOfDay returns the time of day, which may be set and differs between machines.
+	TimeOfDay() time.Time
 	// Subscribe returns a channel that receives a tick about every period,
 	// which must be positive, and a function that ends the subscription. A
 	// subscriber that is late misses ticks; it never finds two waiting.
@@ -25,8 +28,11 @@
 // Real is the machine's clock. Its zero value works.
 type Real struct{}
 
-// Now returns the current time.
-func (Real) Now() time.Time { return time.Now() }
+// Now returns the current time. After a suspension its time of day is ahead by as much.
+func (Real) Now() time.Time { return time.Now().Add(process().Total()) }
+
+// TimeOfDay returns the machine's time of day.
+func (Real) TimeOfDay() time.Time { return time.Now().Round(0) }
 
 // Subscribe returns a ticker's channel and its stop function.
 func (Real) Subscribe(period time.Duration) (<-chan time.Time, func()) {
@@ -49,7 +55,10 @@
 }
 
 // Now returns the current time, shifted.
-func (s Shifted) Now() time.Time { return time.Now().Add(s.By) }
+func (s Shifted) Now() time.Time { return s.Real.Now().Add(s.By) }
+
+// TimeOfDay returns the machine's time of day, shifted.
+func (s Shifted) TimeOfDay() time.Time { return s.Real.TimeOfDay().Add(s.By) }
 
 // Fake is a clock that moves only when it is told to.
 type Fake struct {
@@ -79,6 +88,9 @@
 	return f.now
 }
 
+// TimeOfDay returns the fake time.
+func (f *Fake) TimeOfDay() time.Time { return f.Now() }
+
 // Subscribe returns a channel that Advance feeds.
 func (f *Fake) Subscribe(period time.Duration) (<-chan time.Time, func()) {
 	return f.add(period, period)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -172,6 +172,10 @@
 // Advance sets the time. It is called before any other call.
 func (e *Engine) Advance(now time.Time) { e.now = now }
 
+// SetTimeOfDay says what the time of day is now. Until then it is the time by which the
+// engine goes.
+func (e *Engine) SetTimeOfDay(t time.Time) { e.day = t.Round(0).Sub(e.now.Round(0)) }
+
 // SetPaused ends or resumes new starts: an owner that hands over starts nothing.
 func (e *Engine) SetPaused(isPaused bool) {
 	e.isPaused = isPaused
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -257,7 +257,7 @@
 	}
 	for j.nextRound < j.spec.Rounds {
 		due := j.dueAt(j.nextRound)
-		if e.now.Before(due) {
+		if e.now.Add(e.day).Before(due) {
 			return
 		}
 		k := j.nextRound
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/codec"
@@ -75,8 +74,6 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	slots   chan struct{}
-	// heard is when the last frame came, in nanoseconds of the time of day.
-	heard atomic.Int64
 
 	mu      sync.Mutex
 	nextID  uint64
@@ -93,7 +90,6 @@
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: keepAlive, Interval: keepAlive, Count: 3})
 	}
-	conn.heard.Store(time.Now().UnixNano())
 	go conn.runReads()
 	go conn.runWrites()
 	return conn
@@ -118,9 +114,6 @@
 // Done is closed when the connection is.
 func (c *Conn) Done() <-chan struct{} { return c.ctx.Done() }
 
-// Heard returns when the last frame came.
-func (c *Conn) Heard() time.Time { return time.Unix(0, c.heard.Load()) }
-
 // Notify sends a notification. It reports false when it was dropped.
 func (c *Conn) Notify(kind Kind, v any) bool {
 	body, err := codec.MarshalCompact(v)
@@ -236,7 +229,6 @@
 		if _, err := frame.Read(r, m); err != nil {
 			return
 		}
-		c.heard.Store(time.Now().UnixNano())
 		c.take(m)
 	}
 }
--- a/internal/owner/keep.go
+++ b/internal/owner/keep.go
@@ -356,7 +356,7 @@
 	sentAt := o.options.Clock.Now()
 	r := o.options.Claim.Record
 	r.Beat = o.beat + 1
-	r.SentAt = sentAt
+	r.SentAt = o.options.Clock.TimeOfDay()
 	r.Strongest = o.options.Strongest()
 	r.Listed = int(o.listed.Load())
 	o.mu.Lock()
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -192,6 +192,7 @@
 			o.lag.tick(o.now, tickPeriod)
 			o.lagShare.Store(math.Float64bits(o.lag.share))
 			o.tickNodes()
+			o.engine.SetTimeOfDay(o.options.Clock.TimeOfDay())
 			o.engine.Tick()
 			o.logTotals()
 		}
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -36,8 +36,8 @@
 	Listed int `msgpack:"w"`
 }
 
-// Age returns how old the record is by the time of day.
-func (r *Record) Age(now time.Time) time.Duration { return now.Round(0).Sub(r.SentAt) }
+// Age returns how old the record is at that time of day.
+func (r *Record) Age(timeOfDay time.Time) time.Duration { return timeOfDay.Round(0).Sub(r.SentAt) }
 
 // ParseRecord reads a Record.
 func ParseRecord(data []byte) (*Record, error) {
