internal/cell: the stepped clock of tests shows its own time of day

Change: the test's clock shows one time for both.

Measured: go test ./internal/cell passes; it failed on (TestAnOwnerThatMayHaveRunAheadIsNotReliedOn, three rows).

--- a/internal/cell/node_test.go
+++ b/internal/cell/node_test.go
@@ -344,6 +344,9 @@
 	return time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(c.ahead.Load()))
 }
 
+// TimeOfDay goes with Now.
+func (c *steppedClock) TimeOfDay() time.Time { return c.Now() }
+
 // Followers of an owner that had been replaced asked the store about it without a
 // pause until the link was given up, and served nobody for 0.9 s.
 func TestAFollowerLeavesAnOwnerThatWasReplaced(t *testing.T) {
