internal/home: a task that is lost with its worker again and again is given up

A task that crashes its worker was asked for anew in the same moment, without end.

Change: losses are counted for each task. From the third on it waits as after a failure, and a batch whose task is lost as often as its budget allows fails; a service goes on, every other minute in the end.

--- a/internal/home/job.go
+++ b/internal/home/job.go
@@ -46,7 +46,9 @@
 	// sentAt is when the ask was last sent; notBefore when to try again.
 	sentAt, notBefore time.Time
 	failures          int
-	holdID            uint64
+	// losses counts the attempts that were lost with their worker.
+	losses int
+	holdID uint64
 	// isIntended means that the log has the intent to start it, which may be
 	// acted on once, by the home that wrote it.
 	isIntended bool
--- /dev/null
+++ b/internal/home/loss_test.go
@@ -0,0 +1,61 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package home_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/home"
+	"github.com/leverdyke/leverdyke/internal/node"
+	"github.com/leverdyke/leverdyke/internal/state"
+	"github.com/leverdyke/leverdyke/internal/worker"
+)
+
+// loseAll loses each attempt of the job's task with its worker as soon as it is asked for,
+// for an hour at most, and returns how many there were.
+func loseAll(h *home.Home) int {
+	n := 0
+	for now := begin; now.Before(begin.Add(time.Hour)); now = now.Add(100 * time.Millisecond) {
+		h.Tick(now)
+		for _, m := range h.Take().ToRack {
+			if m.Message.Ask == nil {
+				continue
+			}
+			for _, item := range m.Message.Ask.Items {
+				n++
+				lost := node.NewsItem{Key: item.Task.Key, State: worker.StateStopped, Worker: "w1", IsLost: true}
+				h.OnNews(now, &node.News{Home: homeID, Rack: m.Rack, RackEpoch: rackEpoch, Items: []node.NewsItem{lost}})
+			}
+		}
+	}
+	return n
+}
+
+// A task that crashes its worker was started on the next one at once, for ever: a worker
+// that dies tells no failure, and only those counted.
+func TestATaskThatIsLostWithEachWorkerIsGivenUp(t *testing.T) {
+	for kind, want := range map[leverdyke.Kind]struct{ least, most int }{
+		leverdyke.KindBatch: {10, 10},
+		// A service is never given up; it starts every other minute in the end.
+		leverdyke.KindService: {20, 60},
+	} {
+		h := home.NewHome(begin, homeID, homeEpoch, openPolicies{}, home.NewHomeOptions{})
+		infos := []home.RackInfo{}
+		for _, id := range racks {
+			infos = append(infos, home.RackInfo{ID: id, Epoch: rackEpoch})
+		}
+		h.SetRacks(begin, infos)
+		for _, id := range racks {
+			h.OnRoom(roomOf(id))
+			h.OnNews(begin, whole(id))
+		}
+		spec := jobSpec(kind)
+		h.AddJob(begin, spec.ID, &state.Job{Spec: spec, Number: 1, Marks: make([]state.Mark, spec.Tasks)}, true)
+		if got := loseAll(h); got < want.least || got > want.most {
+			t.Errorf("%s: starts in an hour: got: %d, want: %d to %d", kind, got, want.least, want.most)
+		}
+	}
+}
--- a/internal/home/news.go
+++ b/internal/home/news.go
@@ -190,7 +190,10 @@
 		h.final(j, i, leverdyke.TaskUnknown, &item.Key, 0, "")
 		return false
 	}
-	// Stopped, checkpointed or lost: it runs again, and nobody is to blame.
+	if item.IsLost && item.Worker != "" {
+		return h.onLoss(now, j, i, item)
+	}
+	// Stopped or checkpointed: it runs again, and nobody is to blame.
 	t.notBefore = now
 	h.setPhase(j, i, phaseWaiting)
 	h.requeue(j)
@@ -232,6 +235,29 @@
 	return true
 }
 
+// freeLosses is how many times a task that was lost with its worker starts again at once.
+const freeLosses = 2
+
+// onLoss takes that an attempt was lost with its worker. It may be what crashed the worker,
+// which tells no end: without a bound such a task takes one worker after the other, for
+// ever. The budget is that of failures, for each task: most losses have another cause.
+func (h *Home) onLoss(now time.Time, j *job, i int, item *node.NewsItem) bool {
+	t := &j.tasks[i]
+	t.losses++
+	t.notBefore = now
+	if t.losses > freeLosses {
+		t.notBefore = now.Add(backoff(item.Key.Task, t.losses-freeLosses))
+	}
+	h.setPhase(j, i, phaseWaiting)
+	if t.losses >= h.budget(j) && j.spec.Kind != leverdyke.KindService {
+		h.failJob(j, fmt.Sprintf("a task was lost with its worker %d times, which is its budget", t.losses))
+		return true
+	}
+	h.requeue(j)
+	h.brokenBy(j, item.Key)
+	return true
+}
+
 func (h *Home) budget(j *job) int {
 	if j.spec.MaxFailures > 0 {
 		return j.spec.MaxFailures
