internal/dispatch: a suspect is not tried on the machine that it has just crashed

Traced: the neighbours of the first crash were tried on all other workers, so that the next life of the machine that the task had just crashed was the only one left; a second crash there proves nothing more.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -64,6 +64,10 @@
 	if !isSuspect(t) {
 		return true
 	}
+	if hasCrashed(t, w.Machine) && e.now.Sub(t.crashedAt) < otherPatience {
+		// A second crash there would prove nothing more.
+		return false
+	}
 	isTurn := len(t.crashes) < crash.SoloAfter || !e.now.Before(e.soloUntil)
 	return isTurn && w.isQuiet(e.now) && e.now.Sub(w.triedAt) >= crash.SoonTime
 }
@@ -177,7 +181,7 @@
 	if t.state == taskDone || s.job.state.IsFinal() {
 		return
 	}
-	t.crashes = crash.Note(t.crashes, c, s.spec.IsLasting)
+	t.crashes, t.crashedAt = crash.Note(t.crashes, c, s.spec.IsLasting), e.now
 	e.touch(s.job)
 }
 
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -301,3 +301,27 @@
 	w.run(60 * time.Second)
 	return w
 }
+
+// With a worker on each of the others' trials, the one that a suspect had just crashed was
+// the only one left to try it on again, which proved nothing and cost another life.
+func TestASuspectIsNotTriedOnTheMachineThatItCrashed(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(2, room)
+	w.run(time.Second)
+	bad := work.TaskID{Job: "bad"}
+	w.crashingTask(bad)
+	w.crashes.backAfter = 500 * time.Millisecond
+	w.submit("bad", step(1, time.Second))
+	machines := map[string]int{}
+	for w.since() < 10*time.Second {
+		w.run(tick)
+		if m := w.workerOf(bad); m != nil && w.crashes.under[bad] < 2 {
+			machines[m.entry.Machine]++
+		}
+	}
+	if len(machines) != 2 {
+		t.Errorf("machines of the first two trials: got: %v, want: 2", machines)
+	}
+	expectState(t, w, "bad", work.JobFailed)
+	expectWhole(t, w)
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -87,9 +87,10 @@
 	// run is the highest run of the task that is known.
 	run      uint64
 	failures []work.Failure
-	// crashes are the workers that crashed under it.
-	crashes []work.Crash
-	saved   string
+	// crashes are the workers that crashed under it, crashedAt is when that was known last.
+	crashes   []work.Crash
+	crashedAt time.Time
+	saved     string
 	// avoid is where the task failed or hung last.
 	avoid order.WorkerID
 	// heldBy are workers on which an earlier owner may have started it.
