internal/dispatch: a suspect waits for its own place to be kept, not for a fast store

Cause: while the owner ran ahead of the store, a task against which a crash tells did not start.

Change: its start leaves when its place, which is written together with what is known against it, is kept; all else starts ahead of the store as before.

Measured: TestASuspectDoesNotWaitForASlowStoreToBeFast; all tests of internal/dispatch pass.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -54,13 +54,8 @@
 // has just started, of which a crash could be the doing.
 func (w *worker) isQuiet(now time.Time) bool { return now.Sub(w.orderedAt) >= crash.TrialTime }
 
-// mayTryNow reports whether a task that may crash the worker can be tried there now. While
-// the store does not keep what this owner knows, a task against which anything tells waits:
-// the next owner would start it as if nothing had happened.
+// mayTryNow reports whether a task that may crash the worker can be tried there now.
 func (e *Engine) mayTryNow(w *worker, t *task) bool {
-	if e.isUnlogged && crash.Tells(t.crashes) {
-		return false
-	}
 	if !isSuspect(t) {
 		return true
 	}
@@ -72,6 +67,13 @@
 	return isTurn && w.isQuiet(e.now) && e.now.Sub(w.triedAt) >= crash.SoonTime
 }
 
+// mayStartUnkept reports whether an attempt may be ordered before its place is in the store.
+// A task against which anything tells waits for that, also where the store is slow or out:
+// the next owner would start it as if nothing had happened.
+func (e *Engine) mayStartUnkept(a *attempt) bool {
+	return e.isUnlogged && !crash.Tells(a.step.tasks[a.id.Index].crashes)
+}
+
 // noteTrial keeps other tasks off a worker for a while that is told to start one that may
 // crash it.
 func (e *Engine) noteTrial(a *attempt) {
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -199,6 +199,22 @@
 	expectWhole(t, w)
 }
 
+// A task against which a crash tells waited until the owner no longer ran ahead of the store,
+// also where that was slow for the rest of the day and kept all the same.
+func TestASuspectDoesNotWaitForASlowStoreToBeFast(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(4, room)
+	w.run(time.Second)
+	w.crashing(func(work.TaskID) bool { return false })
+	w.submit("a", step(1, time.Second))
+	w.run(100 * time.Millisecond)
+	w.isSlow = true
+	w.crashAndReturn(w.workerOf(work.TaskID{Job: "a"}))
+	w.run(8 * time.Second)
+	expectState(t, w, "a", work.JobSucceeded)
+	expectWhole(t, w)
+}
+
 // A lasting task sees many crashes of others' doing in a day.
 func TestALastingTaskOutlivesManyCrashes(t *testing.T) {
 	w := newWorld(1)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -204,7 +204,7 @@
 	}
 	for _, w := range e.workers {
 		for _, a := range w.attempts {
-			if a.phase == phasePlanned {
+			if a.phase == phasePlanned && e.mayStartUnkept(a) {
 				e.sendSoon(a)
 			}
 		}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -342,7 +342,7 @@
 	t.run = max(t.run, run)
 	e.keepPlace(a)
 	e.hurry(s.job)
-	if e.isUnlogged {
+	if e.mayStartUnkept(a) {
 		e.sendSoon(a)
 	}
 	return a
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -32,6 +32,8 @@
 	order    []work.JobID
 	progress map[work.JobID]*work.Progress
 	isOut    bool
+	// isSlow means that the owner runs ahead of a store that keeps all the same.
+	isSlow bool
 
 	// lostShare of the answers do not come; lateShare of those orders are carried
 	// out up to 12 s later.
@@ -175,7 +177,7 @@
 		l.deliver()
 	}
 	w.engine.SetWorkers(w.list(), true)
-	w.engine.SetUnlogged(w.isOut && w.runsAhead)
+	w.engine.SetUnlogged(w.isOut && w.runsAhead || w.isSlow)
 	w.engine.Tick()
 	w.engine.Decide()
 	for _, a := range w.engine.Actions() {
