--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -24,12 +24,12 @@
 const (
 	// FreshTime is the longest that a task may have been on its worker for one crash more to
 	// prove it guilty, as far as the worker's answers tell. Such tasks were seen to crash
-	// workers 10 ms after their start, and a worker starts some four tasks a second: one that
-	// crashes by chance has started one other in this time, not ten.
+	// workers 10 ms after their start. A busy worker starts some four tasks a second, so that
+	// one which crashes by chance puts about one task under suspicion.
 	FreshTime = 300 * time.Millisecond
 	// SoonTime is the longest for a crash to count where several must agree, and the time from
 	// one trial to the next on a worker: in a cell of six workers, tasks that were tried right
-	// after each other were given up for the next one's crash (soak seeds 1606, 1609).
+	// after each other were given up for the next one's crash.
 	SoonTime = time.Second
 	// TrialTime is for how long nothing else starts beside a task that may crash its worker.
 	TrialTime = FreshTime
