internal/dispatch: a line tells of tasks that last of which nothing runs

The waits of a queue are summed up, so that one task that stays away for nine seconds does not show among hundreds that wait a moment, and no line told how many workers with room get nothing. LD0479 names the task, where the owner takes it to be, what it waits for, its crash notes, and why each worker with room does not get it. No decision changes.

The model can now have workers that fail all that they start, and tasks that last which fail.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -94,6 +94,8 @@
 	// admitted is the buffer of withinLimits, heldLogAt when what is held back is told next.
 	admitted  []*step
 	heldLogAt time.Time
+	// awayLogAt is when it is told next of which tasks that last nothing runs.
+	awayLogAt time.Time
 	lanes     permit.Lanes
 	// claims has the room that calls for permission are likely to use.
 	claims permit.Claims
@@ -311,6 +313,7 @@
 	}
 	e.live = slices.DeleteFunc(e.live, func(j *job) bool { return j.state.IsFinal() && j.attempts == 0 })
 	e.forgetCutOff()
+	e.logAway()
 	e.strays.Forget(e.now)
 	for id, j := range e.jobs {
 		if j.state.IsFinal() && j.isShown && e.now.Sub(j.endedAt) > keepFinal && j.attempts == 0 {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -115,8 +115,8 @@
 	unwanted []*attempt
 	// rescues counts attempts that were stopped as too slow.
 	rescues int
-	// failedAt is when an attempt failed last.
-	failedAt time.Time
+	// failedAt is when an attempt failed last, ranAt when one that ran was over last.
+	failedAt, ranAt time.Time
 	// preemptions counts attempts that made way for a gang.
 	preemptions int
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -147,6 +147,15 @@
 
 // fitsBeside returns how many tasks of the step the worker could take if others took so much.
 func (e *Engine) fitsBeside(w *worker, s *step, others leverdyke.Resources) int {
+	n := e.roomBeside(w, s, others)
+	if w.health.OnTrial {
+		n = min(n, 1-w.attempts.Len())
+	}
+	return max(n, 0)
+}
+
+// roomBeside is fitsBeside whatever the health of the worker.
+func (e *Engine) roomBeside(w *worker, s *step, others leverdyke.Resources) int {
 	if w.isOverfull() {
 		return 0
 	}
@@ -161,9 +170,6 @@
 	if s.spec.MaxPerWorker > 0 {
 		n = min(n, s.spec.MaxPerWorker-w.countOf(s))
 	}
-	if w.health.OnTrial {
-		n = min(n, 1-w.attempts.Len())
-	}
 	return max(n, 0)
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -451,6 +451,9 @@
 	if a.step != nil {
 		a.step.job.attempts--
 		a.step.job.idleAt = e.now
+		if a.phase == phaseRunning {
+			a.step.tasks[a.id.Index].ranAt = e.now
+		}
 		e.releaseCustomer(a.step)
 	}
 	e.isDirty = true
--- a/internal/dispatch/worker_model_test.go
+++ b/internal/dispatch/worker_model_test.go
@@ -59,6 +59,8 @@
 	listedFrom time.Time
 	// refuses means that its machine refuses connections while the worker is dead.
 	refuses bool
+	// isSick means that it fails all that it starts, sickTime after the start.
+	isSick bool
 	// resized are the changes of its room.
 	resized []resizing
 }
@@ -120,6 +122,9 @@
 	return true
 }
 
+// sickTime is how long a run takes on a worker that fails all.
+const sickTime = 100 * time.Millisecond
+
 // maxLease is the longest lease that a worker takes.
 const maxLease = order.WorkerTime(10 * time.Second)
 
--- a/internal/dispatch/world_test.go
+++ b/internal/dispatch/world_test.go
@@ -14,6 +14,7 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -49,6 +50,9 @@
 	// out up to 12 s later.
 	lostShare, lateShare float64
 	failShare            float64
+	// lastingFailShare of the runs of tasks that last fail, at some time up to lastingFailTime.
+	lastingFailShare float64
+	lastingFailTime  time.Duration
 	// lateHoldShare of the questions for a listing that get no answer reach the worker up to
 	// 12 s later.
 	lateHoldShare float64
@@ -83,6 +87,8 @@
 	// permitted.
 	without []dispatch.Mechanism
 	lanes   []string
+	// log takes the lines of the engine's log; nil drops them.
+	log func(e events.Event, keysAndValues ...any)
 	// writes counts how often each job was written; nil counts nothing.
 	writes map[work.JobID]int
 	// crashes has the tasks that crash their workers; nil when there are none.
@@ -149,7 +155,7 @@
 	}
 	w.writing = nil
 	isExact := !w.isInexact && (w.engine == nil || !w.engine.HasUnkept())
-	w.engine = dispatch.NewEngine(dispatch.Options{Without: w.without, StopTime: modelStopTime})
+	w.engine = dispatch.NewEngine(dispatch.Options{Without: w.without, StopTime: modelStopTime, Log: w.log})
 	w.engine.Advance(w.clock.Now())
 	w.engine.SetQueues(w.queues)
 	w.engine.SetCustomers(w.customers)
@@ -352,7 +358,7 @@
 		if m.isCut || m.isDead {
 			return
 		}
-		r.beganAt, r.endsAt = w.clock.Now(), w.clock.Now().Add(spec.Estimate)
+		r.beganAt, r.endsAt = w.clock.Now(), w.clock.Now().Add(w.runTime(m, r, &spec))
 		outcome, began := m.start(order.Token(fence, s.Generation), &s, r, w.since())
 		w.isLateOrder = delay >= shrinkGrace
 		if began {
@@ -369,6 +375,19 @@
 	}
 }
 
+// runTime returns how long a run takes on a worker until it ends by itself.
+func (w *world) runTime(m *modelWorker, r *modelRun, spec *work.Step) time.Duration {
+	switch {
+	case m.isSick:
+		r.fails = true
+		return sickTime
+	case r.lasts && w.lastingFailShare > 0 && w.rng.Float64() < w.lastingFailShare:
+		r.fails = true
+		return time.Duration(w.rng.Int64N(int64(w.lastingFailTime)))
+	}
+	return spec.Estimate
+}
+
 func (w *world) orderStop(s order.Stop) {
 	m, fence := w.named(s.Worker), w.fence
 	lost, delay := w.isLost()
