internal/dispatch: two tests that show how a task that lasts stays away

Callers would see a lasting task with nothing running, with room for it, for as long as the tests play (6 and 9 s).

A worker that was set aside is tried again once nothing runs on it; a task that lasts never ends, so that the worker gets nothing more.

A call for permission names workers that are known to be permitted before those with room, and stops when a few of them are named: where 14 of 15 tasks of a step that allows one a worker run, each call names three of these 14, for ever.

--- /dev/null
+++ b/internal/dispatch/lasting_test.go
@@ -0,0 +1,67 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// lastingStep is a step of tasks that last.
+func lastingStep(count int) work.Step {
+	s := step(count, time.Hour)
+	s.IsLasting = true
+	return s
+}
+
+// A worker beside whose tasks others had failed got nothing more for as long as any of them lasted.
+func TestAWorkerThatWasSetAsideIsTriedBesideATaskThatLasts(t *testing.T) {
+	for name, failing := range map[string]work.Step{"short tasks": step(1, time.Second), "a task that lasts": lastingStep(1)} {
+		w := newWorld(1)
+		w.addWorkers(1, room)
+		w.submit("stays", lastingStep(1))
+		w.run(time.Second)
+		w.workers["w00"].isSick = true
+		w.submit("a", failing)
+		w.submit("b", failing)
+		w.run(time.Second)
+		w.workers["w00"].isSick = false
+		w.submit("late", lastingStep(1))
+		w.run(6 * time.Second)
+		if got := w.running("late"); got != 1 {
+			t.Errorf("beside %s that failed: tasks that run 6 s after the worker is well: got: %d, want: 1", name, got)
+		}
+	}
+}
+
+// Calls for permission named the workers on which tasks of the step ran already, and no others.
+func TestATaskIsAskedForWhereThereIsRoomNotWhereItsStepRuns(t *testing.T) {
+	o := newOffice(1, 100)
+	o.idle(time.Second)
+	s := work.Step{Count: 15, Need: longStepNeed, Estimate: time.Hour, IsLasting: true, MaxPerWorker: 1, MayMiss: -1}
+	asked := map[order.WorkerID]bool{}
+	o.onAdvise = func(a order.Advise) {
+		for _, id := range a.Workers {
+			asked[id] = true
+		}
+	}
+	o.submitTo("lasting", "a", s)
+	o.idle(4 * time.Second)
+	if got := o.running("a"); got != s.Count || len(asked) == o.size {
+		t.Fatalf("got: %d tasks that run, %d workers asked about, want: %d, and fewer than %d", got, len(asked), s.Count, o.size)
+	}
+	for id := range asked {
+		if m := o.named(id); len(m.running) == 0 {
+			m.entry.IsDraining = true
+		}
+	}
+	o.crash(o.workerOf(work.TaskID{Job: "a", Index: 3}).entry.ID, "again")
+	o.idle(9 * time.Second)
+	if got := o.running("a"); got != s.Count {
+		t.Errorf("tasks that run 9 s after one was lost: got: %d, want: %d", got, s.Count)
+	}
+}
