internal/outlier, internal/dispatch: a worker is tried again beside tasks that last

Cause: a worker that is set aside after failures in a row is tried again with one task at a time until one ends well. It counted as on trial with whatever was there, and a task that lasts never ends: the worker got nothing more for as long as one lasted there, and the trial itself could not go well with a task that lasts.

Evidence: TestAWorkerThatWasSetAsideIsTriedBesideATaskThatLasts, red before: none of two tasks ran 6 s after the worker was well again, beside short tasks and beside tasks that last.

Why this works: a trial is now what was ordered from its beginning on, so that what was there before neither blocks it nor counts; a task that lasts and is at work for a second has passed it. Without the second half the test fails as well.

--- a/internal/dispatch/lasting_test.go
+++ b/internal/dispatch/lasting_test.go
@@ -22,7 +22,7 @@
 func TestAWorkerThatWasSetAsideIsTriedBesideATaskThatLasts(t *testing.T) {
 	for name, failing := range map[string]work.Step{"short tasks": step(1, time.Second), "a task that lasts": lastingStep(1)} {
 		w := newWorld(1)
-		w.addWorkers(1, room)
+		w.addWorkers(1, room.Times(2))
 		w.submit("stays", lastingStep(1))
 		w.run(time.Second)
 		w.workers["w00"].isSick = true
@@ -30,10 +30,10 @@
 		w.submit("b", failing)
 		w.run(time.Second)
 		w.workers["w00"].isSick = false
-		w.submit("late", lastingStep(1))
+		w.submit("late", lastingStep(2))
 		w.run(6 * time.Second)
-		if got := w.running("late"); got != 1 {
-			t.Errorf("beside %s that failed: tasks that run 6 s after the worker is well: got: %d, want: 1", name, got)
+		if got := w.running("late"); got != 2 {
+			t.Errorf("beside %s that failed: tasks that run 6 s after the worker is well: got: %d, want: 2", name, got)
 		}
 	}
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -149,7 +149,7 @@
 func (e *Engine) fitsBeside(w *worker, s *step, others leverdyke.Resources) int {
 	n := e.roomBeside(w, s, others)
 	if w.health.OnTrial {
-		n = min(n, 1-w.attempts.Len())
+		n = min(n, 1-w.trials())
 	}
 	return max(n, 0)
 }
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -20,8 +20,10 @@
 	stuckShare = 0.15
 	// stuckFiller is for tasks that only get what others leave.
 	stuckFiller = 8 * time.Second
-	// stuckLasting is for a lasting task that does not get to work.
-	stuckLasting = 4 * time.Second
+	// stuckLasting is for a lasting task that does not get to work, and provenLasting how long one
+	// is at work until the trial of its worker has gone well.
+	stuckLasting  = 4 * time.Second
+	provenLasting = time.Second
 	// nearlyDone is the percent from which a task may take its time: it is longer
 	// than the worker thought. stuckEnd is how long.
 	nearlyDone = 98
@@ -81,6 +83,16 @@
 	return e.estimates[queue]
 }
 
+// checkTrial ends the trial of a worker when a task that lasts is at work there: it has no good
+// end.
+func (e *Engine) checkTrial(a *attempt) {
+	health := &a.worker.health
+	isAtWork := a.phase == phaseRunning && !a.isStopping && a.step != nil && a.step.spec.IsLasting && a.percent >= 100
+	if isAtWork && health.IsTrial(a.orderedAt) && a.worker.session.ListedAt().Sub(a.percentAt) >= provenLasting {
+		health.Passed()
+	}
+}
+
 // checkProgress gives a task another chance elsewhere when its attempt stands
 // still, or goes on so slowly that another one would be done sooner.
 func (e *Engine) checkProgress(a *attempt) {
--- a/internal/dispatch/usable.go
+++ b/internal/dispatch/usable.go
@@ -10,7 +10,7 @@
 		return false
 	case w.health.IsPaused(e.now), e.now.Before(w.trialUntil):
 		return false
-	case w.health.OnTrial && w.attempts.Len() > 0:
+	case w.health.OnTrial && w.trials() > 0:
 		return false
 	}
 	return true
@@ -20,3 +20,14 @@
 func (e *Engine) isReachable(w *worker) bool {
 	return w.session.IsListed() && !w.isGone && !w.IsDraining && !w.IsUnclear && !w.session.IsSilent() && e.now.Sub(w.session.HeardAt()) <= overdueAfter
 }
+
+// trials returns how many attempts the worker is on trial with.
+func (w *worker) trials() int {
+	n := 0
+	for _, a := range w.attempts.All() {
+		if w.health.IsTrial(a.orderedAt) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -340,6 +340,7 @@
 	if a.isStopping && a.stopAckedAt > 0 && a.phase == phaseDoubtful {
 		e.look(a.worker)
 	}
+	e.checkTrial(a)
 	e.checkProgress(a)
 }
 
--- a/internal/outlier/health.go
+++ b/internal/outlier/health.go
@@ -32,8 +32,9 @@
 	inRow   int
 	lastJob work.JobID
 	// pausedUntil is when it may be tried again; OnTrial means that it gets one
-	// task at a time until one succeeds.
+	// task at a time from trialFrom on until one succeeds.
 	pausedUntil time.Time
+	trialFrom   time.Time
 	pause       time.Duration
 	OnTrial     bool
 	// done and undone count tasks that ended well and that failed, less the longer
@@ -98,6 +99,11 @@
 func (h *Health) Succeeded(now time.Time) {
 	h.count(now)
 	h.done++
+	h.Passed()
+}
+
+// Passed notes that the trial of the worker, if it is on trial, went well.
+func (h *Health) Passed() {
 	h.inRow = 0
 	h.OnTrial = false
 	h.pause = 0
@@ -122,7 +128,13 @@
 func (h *Health) SetAside(now time.Time) {
 	h.pause = min(max(2*h.pause, firstPause), longestPause)
 	h.pausedUntil = now.Add(h.pause)
-	h.OnTrial = true
+	h.trialFrom, h.OnTrial = h.pausedUntil, true
+}
+
+// IsTrial reports whether the worker is on trial with what was ordered then. What was there before
+// may last for good, and tells nothing.
+func (h *Health) IsTrial(orderedAt time.Time) bool {
+	return h.OnTrial && !orderedAt.Before(h.trialFrom)
 }
 
 // Refused takes that the worker says that it takes nothing.
