internal/permit, internal/dispatch: permission is asked for where there is room

Cause: a call for permission named workers known to be permitted before all others, with room or not, and stopped after a few of them. Where a step allows one task a worker these are the workers on which its other tasks run; those never have room, and each call named them again.

Why this works: workers with room come first, those known to be permitted before others among them. Workers without room are only named where something may end there: tasks that last do not.

Checks changed: a case of TestChoose had the order that was the fault; it now has the new one with one candidate more, and a second case guards it.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/permit"
@@ -88,7 +89,8 @@
 
 // askable returns workers of which it is not known that they may not run the
 // step, and whose ticket, if there is one, ends before the next could be there. Those
-// without room are among them: who is permitted is then known when there is room.
+// without room are among them where some may become free: who is permitted is then known when
+// there is room.
 func (e *Engine) askable(s *step, policy *order.AdvicePolicy) []permit.Candidate {
 	found := []permit.Candidate{}
 	pool := e.queues[s.job.spec.Queue].Service
@@ -106,7 +108,7 @@
 			continue
 		}
 		fits := e.fitsBeside(w, s, e.claims.On(id))
-		if fits == 0 && (withoutRoom >= permit.MaxAsked || !e.has(MechanismAdviceAhead)) {
+		if fits == 0 && (withoutRoom >= permit.MaxAsked || !e.has(MechanismAdviceAhead) || !mayFree(w, s)) {
 			continue
 		}
 		isGood, isKnown := s.permit.Verdict(id)
@@ -127,3 +129,24 @@
 	}
 	return found
 }
+
+// mayFree reports whether a task of the step would find room on the worker if all ended there that
+// does not last.
+func mayFree(w *worker, s *step) bool {
+	staying, ofStep := leverdyke.Resources{}, 0
+	for _, a := range w.attempts.All() {
+		if a.step == nil || !a.step.spec.IsLasting || a.isStopping {
+			continue
+		}
+		staying = staying.Add(a.charge)
+		if a.step == s {
+			ofStep++
+		}
+	}
+	if s.spec.MaxPerWorker > 0 && ofStep >= s.spec.MaxPerWorker {
+		return false
+	}
+	free, charge := w.Capacity.Sub(staying), s.spec.Charge()
+	free.Slots, charge.Slots = 0, 0
+	return charge.FitsIn(free)
+}
--- a/internal/dispatch/office_test.go
+++ b/internal/dispatch/office_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"hash/fnv"
 	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -236,20 +237,32 @@
 
 const testSize = 70
 
+// playBursts plays playBurst with so many seeds at once.
+func playBursts(seeds int, without ...dispatch.Mechanism) []*office {
+	offices := make([]*office, seeds)
+	var wg sync.WaitGroup
+	for i := range offices {
+		wg.Go(func() {
+			offices[i] = newOffice(uint64(i), testSize, without...)
+			playBurst(offices[i])
+		})
+	}
+	wg.Wait()
+	return offices
+}
+
 // In the order of arrival a burst makes all long jobs late that come after it. What can be done
 // in time goes first, and what is late ends all the same.
 func TestWhatCanBeDoneInTimeGoesFirst(t *testing.T) {
 	t.Parallel()
-	const seeds = 4
+	const seeds = 16
+	offices, before := playBursts(seeds), playBursts(seeds, dispatch.MechanismUrgency)
 	long, longByAge, short, shortByAge := 0.0, 0.0, 0.0, 0.0
-	for seed := range uint64(seeds) {
-		o, before := newOffice(seed, testSize), newOffice(seed, testSize, dispatch.MechanismUrgency)
-		playBurst(o)
-		playBurst(before)
+	for i, o := range offices {
 		long += o.inTime("long") / seeds
 		short += o.inTime("short") / seeds
-		longByAge += before.inTime("long") / seeds
-		shortByAge += before.inTime("short") / seeds
+		longByAge += before[i].inTime("long") / seeds
+		shortByAge += before[i].inTime("short") / seeds
 		for id := range o.jobs {
 			if o.told[id] != work.JobSucceeded {
 				t.Errorf("%s: got: %q at the end, want: %s", id, o.told[id], work.JobSucceeded)
--- a/internal/permit/choose.go
+++ b/internal/permit/choose.go
@@ -39,8 +39,8 @@
 	IsSuspect bool
 }
 
-// Choose picks the workers that are likely to take the missing tasks. Those known to
-// be permitted come first; the more room the better.
+// Choose picks the workers that are likely to take the missing tasks. Those with room come
+// before those where some may become free, and among either those known to be permitted.
 func Choose(found []Candidate, policy *order.AdvicePolicy, missing int) []order.WorkerID {
 	found = best(found, considered)
 	out := []order.WorkerID{}
@@ -68,6 +68,8 @@
 // compare is negative when a is to be asked about before b.
 func compare(a, b *Candidate) int {
 	switch {
+	case a.Fits == 0 != (b.Fits == 0):
+		return first(a.Fits > 0)
 	case a.IsGood != b.IsGood:
 		return first(a.IsGood)
 	case a.IsSuspect != b.IsSuspect:
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -32,10 +32,15 @@
 		missing int
 		want    []order.WorkerID
 	}{
-		"those that are known first, then those with room": {
-			[]permit.Candidate{{ID: "a"}, {ID: "b", Fits: 1}, {ID: "c", IsGood: true}, {ID: "d", Fits: 3}},
+		"those with room first, then those that are known": {
+			[]permit.Candidate{{ID: "a"}, {ID: "b", Fits: 1}, {ID: "c", IsGood: true}, {ID: "d", Fits: 3}, {ID: "e", Fits: 1, IsGood: true}},
+			costly, 9,
+			[]order.WorkerID{"e", "d", "b", "c", "a"},
+		},
+		"those with room that are not known before those without that are": {
+			[]permit.Candidate{{ID: "a", IsGood: true}, {ID: "b", IsGood: true}, {ID: "c", IsGood: true}, {ID: "d", Fits: 1}},
 			costly, 1,
-			[]order.WorkerID{"c", "d", "b", "a"},
+			[]order.WorkerID{"d", "a", "b", "c"},
 		},
 		"no more than are needed, where they are known": {
 			[]permit.Candidate{{ID: "a", Fits: 3, IsGood: true}, {ID: "b", Fits: 3, IsGood: true}, {ID: "c", Fits: 3, IsGood: true}},
