internal/outlier, internal/dispatch: what stands still is tried on workers that are set aside

Cause: the pause of a worker that is set aside doubles up to 12 s while trials fail, and goes on when the worker is well again. A task that may run on few workers, of which only such ones have room, waits for the whole of it; callers take it as lost after 9 s.

Why this works: a task that lasts and has been away for 2.2 s, or a job of which nothing runs while there is room, may end the pause after the 3 s that the first one has. It becomes the trial of the worker; others wait for its outcome. Any other worker is preferred.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -104,7 +104,7 @@
 	defer func() { e.askFrom = (e.askFrom + looked) % max(e.workers.Len(), 1) }()
 	for id, w := range e.workers.AllFrom(e.askFrom) {
 		looked++
-		if !e.isUsable(w) || !e.mayRun(w, s, pool) || needsSound && !w.health.IsSound(e.now) || !charge.FitsIn(w.Capacity) {
+		if !e.isUsable(w, s) || !e.mayRun(w, s, pool) || needsSound && !w.health.IsSound(e.now) || !charge.FitsIn(w.Capacity) {
 			continue
 		}
 		fits := e.fitsBeside(w, s, e.claims.On(id))
@@ -118,7 +118,7 @@
 		if _, ok := s.permit.Holds(id, renewAt); ok {
 			continue
 		}
-		found = append(found, permit.Candidate{ID: id, Fits: fits, IsGood: isGood, IsSuspect: w.speed.IsSuspect})
+		found = append(found, permit.Candidate{ID: id, Fits: fits, IsGood: isGood, IsSuspect: w.speed.IsSuspect || w.health.IsPaused(e.now)})
 		if fits == 0 {
 			withoutRoom++
 			continue
--- a/internal/dispatch/away.go
+++ b/internal/dispatch/away.go
@@ -104,7 +104,7 @@
 		switch {
 		case isKnown && !isGood:
 			has.denied++
-		case !e.isUsable(w):
+		case !e.isUsable(w, s):
 			has.setAside++
 		case q.Advice != nil && !isKnown:
 			has.unasked++
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -81,6 +81,8 @@
 	// waiting counts the tasks in the state waiting.
 	waiting int
 	openAt  time.Time
+	// mayTryEarly is Engine.mayTryEarly when it was looked at last.
+	mayTryEarly bool
 	// waitsFor is what its tasks waited for when it was looked at last.
 	waitsFor waits.Reason
 	// copiesWanted counts the tasks that want a copy.
--- a/internal/dispatch/lasting_test.go
+++ b/internal/dispatch/lasting_test.go
@@ -65,3 +65,24 @@
 		t.Errorf("tasks that run 9 s after one was lost: got: %d, want: %d", got, s.Count)
 	}
 }
+
+// A worker that had failed all for a while got nothing for up to 12 s after it was well again.
+func TestNothingStandsStillForALongPauseOfTheOnlyWorker(t *testing.T) {
+	for name, late := range map[string]work.Step{"a task that lasts": lastingStep(1), "a short task": step(1, 10*time.Second)} {
+		for sick := 20 * time.Second; sick < 32*time.Second; sick += time.Second {
+			w := newWorld(1)
+			w.addWorkers(1, room.Times(2))
+			w.run(time.Second)
+			w.workers["w00"].isSick = true
+			w.submit("a", lastingStep(1))
+			w.submit("b", lastingStep(1))
+			w.run(sick)
+			w.workers["w00"].isSick = false
+			w.submit("late", late)
+			w.run(7 * time.Second)
+			if got := w.running("late"); got != 1 {
+				t.Errorf("%s, 7 s after the worker was well, sick for %v: got: %d that run, want: 1", name, sick, got)
+			}
+		}
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -81,6 +81,7 @@
 	if !ok {
 		return
 	}
+	s.mayTryEarly = e.mayTryEarly(s, q.Service)
 	e.startTasks(s, &q)
 	if s.waiting > 0 {
 		s.waitsFor = e.whyWaiting(s, &q)
@@ -226,13 +227,13 @@
 	found := e.found[:0]
 	if q.Advice == nil {
 		for _, w := range e.workers.All() {
-			if e.isUsable(w) && e.mayRun(w, s, q.Service) {
+			if e.isUsable(w, s) && e.mayRun(w, s, q.Service) {
 				found = append(found, w)
 			}
 		}
 	}
 	s.permit.Permitted(e.now, func(id order.WorkerID) {
-		if w := e.workers.Get(id); w != nil && q.Advice != nil && e.isUsable(w) && e.mayRun(w, s, q.Service) {
+		if w := e.workers.Get(id); w != nil && q.Advice != nil && e.isUsable(w, s) && e.mayRun(w, s, q.Service) {
 			found = append(found, w)
 		}
 	})
@@ -243,6 +244,7 @@
 // Weights of a placement's score, in parts of a worker's room. What makes a task
 // slower or likely to fail outweighs packing.
 const (
+	weightAside   = 8.0
 	weightAvoid   = 4.0
 	weightSlow    = 3.0
 	weightSuspect = 1.5
@@ -271,6 +273,9 @@
 	case w.speed.IsSuspect:
 		score -= weightSuspect
 	}
+	if w.health.IsPaused(e.now) {
+		score -= weightAside
+	}
 	if t != nil && (t.avoid == w.ID || hasCrashed(t, w.Machine)) {
 		score -= weightAvoid
 	}
@@ -362,6 +367,9 @@
 		id: s.taskID(i), step: s, run: run, worker: w, charge: s.spec.Charge(), phase: phasePlanned, orderedAt: e.now, pace: fullPace,
 	}
 	e.charge(a)
+	if w.health.IsPaused(e.now) {
+		w.health.BeginTrial(e.now)
+	}
 	w.orderedAt = e.now
 	e.noteTrial(a)
 	t.run = max(t.run, run)
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -168,7 +168,7 @@
 func (e *Engine) reservable(s *step, q *order.Queue) ([]reservable, []reserve.Worker) {
 	found := []reservable{}
 	add := func(w *worker) {
-		if w != nil && e.isUsable(w) && e.mayRun(w, s, q.Service) && e.mayTryAny(w, s) {
+		if w != nil && e.isUsable(w, s) && e.mayRun(w, s, q.Service) && e.mayTryAny(w, s) {
 			found = append(found, reservable{worker: w})
 		}
 	}
--- a/internal/dispatch/usable.go
+++ b/internal/dispatch/usable.go
@@ -3,19 +3,30 @@
 
 package dispatch
 
-// isUsable reports whether the worker may get something new.
-func (e *Engine) isUsable(w *worker) bool {
+import "slices"
+
+// isUsable reports whether the worker may get something new of the step.
+func (e *Engine) isUsable(w *worker, s *step) bool {
+	isEarly := s.mayTryEarly && w.health.MayTryEarly(e.now)
 	switch {
-	case !e.isReachable(w), len(w.foreign) > 0:
-		return false
-	case w.health.IsPaused(e.now), e.now.Before(w.trialUntil):
+	case !e.isReachable(w), len(w.foreign) > 0, e.now.Before(w.trialUntil):
 		return false
-	case w.health.OnTrial && w.trials() > 0:
+	case w.health.IsPaused(e.now) && !isEarly, w.health.OnTrial && w.trials() > 0:
 		return false
 	}
 	return true
 }
 
+// mayTryEarly reports whether tasks of the step may be tried on workers that are set aside before
+// their pause is over: nothing else has taken them.
+func (e *Engine) mayTryEarly(s *step, pool string) bool {
+	if !s.spec.IsLasting {
+		return e.isStarved(s, pool)
+	}
+	isAway := func(t task) bool { return t.state == taskWaiting && e.awayFor(s, &t) >= otherPatience }
+	return slices.ContainsFunc(s.tasks, isAway)
+}
+
 // isReachable reports whether the worker takes orders, whatever its health.
 func (e *Engine) isReachable(w *worker) bool {
 	return w.session.IsListed() && !w.isGone && !w.IsDraining && !w.IsUnclear && !w.session.IsSilent() && e.now.Sub(w.session.HeardAt()) <= overdueAfter
--- a/internal/outlier/health.go
+++ b/internal/outlier/health.go
@@ -35,8 +35,10 @@
 	// task at a time from trialFrom on until one succeeds.
 	pausedUntil time.Time
 	trialFrom   time.Time
-	pause       time.Duration
-	OnTrial     bool
+	// asideAt is when it was set aside last.
+	asideAt time.Time
+	pause   time.Duration
+	OnTrial bool
 	// done and undone count tasks that ended well and that failed, less the longer
 	// ago; countedAt is as of when.
 	done, undone float64
@@ -128,9 +130,19 @@
 func (h *Health) SetAside(now time.Time) {
 	h.pause = min(max(2*h.pause, firstPause), longestPause)
 	h.pausedUntil = now.Add(h.pause)
-	h.trialFrom, h.OnTrial = h.pausedUntil, true
+	h.asideAt, h.trialFrom, h.OnTrial = now, h.pausedUntil, true
 }
 
+// MayTryEarly reports whether a worker that is set aside may be tried before its pause is over by
+// what has nowhere else to go: the pause grows with each trial that fails, and the worker may be
+// well long before it ends.
+func (h *Health) MayTryEarly(now time.Time) bool {
+	return h.OnTrial && h.pausedUntil.Equal(h.trialFrom) && now.Sub(h.asideAt) >= firstPause
+}
+
+// BeginTrial ends the pause: the worker is on trial with what is ordered from now on.
+func (h *Health) BeginTrial(now time.Time) { h.pausedUntil, h.trialFrom = now, now }
+
 // IsTrial reports whether the worker is on trial with what was ordered then. What was there before
 // may last for good, and tells nothing.
 func (h *Health) IsTrial(orderedAt time.Time) bool {
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -38,6 +38,29 @@
 	}
 }
 
+func TestAWorkerIsTriedBeforeItsPauseIsOver(t *testing.T) {
+	h := outlier.Health{}
+	h.Refused(now)
+	if h.MayTryEarly(now) {
+		t.Error("a worker that takes nothing: got: tried early, want: not")
+	}
+	h.Failed(now, "a")
+	h.Failed(now, "b")
+	h.Failed(now, "c")
+	early := now.Add(3 * time.Second)
+	if !h.IsPaused(early) || h.MayTryEarly(early.Add(-time.Millisecond)) || !h.MayTryEarly(early) {
+		t.Error("a pause of 6 s: got: no early trial from 3 s on, want: one")
+	}
+	h.BeginTrial(early)
+	if h.IsPaused(early) || h.IsTrial(early.Add(-time.Millisecond)) || !h.IsTrial(early) {
+		t.Error("tried early: got: no trial, want: one with what is ordered from then on")
+	}
+	h.Passed()
+	if h.OnTrial || h.IsTrial(early) {
+		t.Error("passed: got: on trial, want: in use")
+	}
+}
+
 func TestRiskFollowsTheShareOfFailures(t *testing.T) {
 	good, bad := outlier.Health{}, outlier.Health{}
 	for range 10 {
