internal/dispatch: of tasks that last the one longest away goes first

What callers saw: the last tasks of a step that lasts stayed away for good while others of it ran, failed and ran again.

Cause: tasks of a step were started in the order of their numbers. Where more wait than find room, one that has just failed went before one that never ran, if its number was lower.

Evidence: TestOfTasksThatLastTheOneLongestAwayGoesFirst, red before: of six tasks on room for four the last two never ran in 30 s.

Why this works: among tasks that last the time since one ran decides. Others keep their order.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -140,8 +140,9 @@
 	rotation rotation.Rotation
 	// isLateTurn means that late steps go first in this look.
 	isLateTurn bool
-	// found is the buffer of permitted.
+	// found is the buffer of permitted, turns that of turnsOf.
 	found []*worker
+	turns []int
 	// recheckAt is when to look again for workers for tasks that wait; zero when none
 	// does.
 	recheckAt time.Time
--- a/internal/dispatch/lasting_test.go
+++ b/internal/dispatch/lasting_test.go
@@ -86,3 +86,26 @@
 		}
 	}
 }
+
+// Where a step has more tasks than find room, the last ones stayed away for good while others that
+// had failed were started again.
+func TestOfTasksThatLastTheOneLongestAwayGoesFirst(t *testing.T) {
+	w := newWorld(1)
+	w.addWorkers(1, room)
+	w.lastingFailShare, w.lastingFailTime = 1, time.Second
+	w.submit("a", lastingStep(6))
+	starts := map[int]int{}
+	for range 30 {
+		w.run(time.Second)
+		for _, m := range w.each() {
+			for id := range m.running {
+				starts[id.Index]++
+			}
+		}
+	}
+	for i := range 6 {
+		if starts[i] == 0 {
+			t.Errorf("task %d: got: never seen to run, want: as often as others: %v", i, starts)
+		}
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -97,7 +97,7 @@
 	placed := 0
 	mayStart := e.quotaRoom(s)
 	var candidates *candidates
-	for i := range s.tasks {
+	for _, i := range e.turnsOf(s) {
 		t := &s.tasks[i]
 		if t.state != taskWaiting || len(t.heldBy) > 0 {
 			continue
@@ -135,6 +135,20 @@
 	}
 }
 
+// turnsOf returns the indexes of the step's tasks in the order in which they are started. Tasks that
+// last come back for as long as their job does: the one that is away for longest goes first. The
+// slice is reused by the next call.
+func (e *Engine) turnsOf(s *step) []int {
+	e.turns = e.turns[:0]
+	for i := range s.tasks {
+		e.turns = append(e.turns, i)
+	}
+	if s.spec.IsLasting {
+		slices.SortStableFunc(e.turns, func(i, k int) int { return s.tasks[i].ranAt.Compare(s.tasks[k].ranAt) })
+	}
+	return e.turns
+}
+
 // mayRun reports whether the worker is one on which the step may run at all.
 func (e *Engine) mayRun(w *worker, s *step, pool string) bool {
 	if w.Service != pool {
