internal/crash, internal/dispatch: a suspected task comes back to busy workers

What callers saw: in a model, a task that lasts with nothing running for as long as short tasks kept coming, after a worker had once crashed under it.

Cause: a task that may crash its workers is tried where nothing was started in the last 0.3 s. Where work comes all the time there may be no such worker. And what is noted against a task goes with its good end, which a task that lasts does not have: it went only with a later crash.

Evidence: TestATaskThatLastsAndIsSuspectedComesBackToABusyWorker, red before: one worker, ten short tasks a second; nothing of the task ran 6 s after it had failed, whether it had run for 15 s since the crash or for 2 s.

Why this works: after 2.2 s the best worker with room is kept for the trial until it is quiet; and ten seconds on a worker clear a task that lasts, as they already did where the worker crashed after that.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -69,7 +69,7 @@
 
 // Note adds a crash to those under a task, once, and returns those that count.
 func Note(crashes []work.Crash, c work.Crash, isLasting bool) []work.Crash {
-	if isLasting && c.Ran > longestLasting {
+	if isLasting && HasOutlasted(c.Ran) {
 		return nil
 	}
 	isKnown := func(o work.Crash) bool { return o.Worker == c.Worker && o.Run == c.Run }
@@ -80,6 +80,10 @@
 	return crashes[max(len(crashes)-maxNotes, 0):]
 }
 
+// HasOutlasted reports whether a task that lasts has been on its worker for so long that it is none
+// that crashes workers.
+func HasOutlasted(ran time.Duration) bool { return ran > longestLasting }
+
 // IsSuspect reports whether a task may be one that crashes workers. One crash that tells
 // little does not make it so: hundreds of tasks would have to be tried apart.
 func IsSuspect(crashes []work.Crash) bool {
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -73,6 +73,47 @@
 	return e.isUnlogged && !crash.Tells(a.step.tasks[a.id.Index].crashes)
 }
 
+// clearOutlasted forgets the crashes under a task that lasts once it has run for long: it has no
+// good end that would do so.
+func (e *Engine) clearOutlasted(a *attempt) {
+	if a.step == nil || !a.step.spec.IsLasting || a.phase != phaseRunning {
+		return
+	}
+	t := &a.step.tasks[a.id.Index]
+	if len(t.crashes) > 0 && crash.HasOutlasted(a.ran()) {
+		t.crashes = nil
+		e.touch(a.step.job)
+	}
+}
+
+// keepQuiet keeps other steps off a worker for a moment, so that a task which may crash it can be
+// tried there: where work comes all the time no worker is ever quiet.
+func (e *Engine) keepQuiet(s *step, i int, q *order.Queue) {
+	t := &s.tasks[i]
+	if !isSuspect(t) || e.now.Sub(t.crashedAt) < otherPatience || e.awayFor(s, t) < otherPatience {
+		return
+	}
+	var best *worker
+	bestScore := 0.0
+	for _, w := range e.permitted(s, q) {
+		if w.keptFor == s && e.now.Before(w.keptUntil) {
+			return
+		}
+		if w.attempts.Get(s.taskID(i)) != nil || e.fits(w, s) == 0 || e.now.Sub(w.triedAt) < crash.SoonTime {
+			continue
+		}
+		if score := e.score(w, s, t); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	if best != nil {
+		best.keptFor, best.keptUntil = s, e.now.Add(keptTime)
+	}
+}
+
+// keptTime is how long a worker is kept for a trial: until it is quiet, and the next look.
+const keptTime = 2 * crash.TrialTime
+
 // noteTrial keeps other tasks off a worker for a while that is told to start one that may
 // crash it.
 func (e *Engine) noteTrial(a *attempt) {
--- a/internal/dispatch/lasting_test.go
+++ b/internal/dispatch/lasting_test.go
@@ -4,6 +4,7 @@
 package dispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -109,3 +110,34 @@
 		}
 	}
 }
+
+// A task that had once been on a worker that crashed waited for ever for one on which nothing had
+// just started.
+func TestATaskThatLastsAndIsSuspectedComesBackToABusyWorker(t *testing.T) {
+	for name, ran := range map[string]time.Duration{"it ran for long since": 15 * time.Second, "it did not": 2 * time.Second} {
+		w := newWorld(1)
+		w.crashing(func(work.TaskID) bool { return false })
+		w.addWorkers(1, room.Times(2))
+		w.run(time.Second)
+		w.submit("a", lastingStep(1))
+		for w.running("a") == 0 {
+			w.run(tick)
+		}
+		w.crashSome(1)
+		for w.running("a") == 0 && w.since() < 20*time.Second {
+			w.run(tick)
+		}
+		flow := func(d time.Duration) {
+			for range d / (100 * time.Millisecond) {
+				w.submit(fmt.Sprintf("short%v", w.since()), step(1, 200*time.Millisecond))
+				w.run(100 * time.Millisecond)
+			}
+		}
+		flow(ran)
+		w.workerOf(work.TaskID{Job: "a"}).fail(work.TaskID{Job: "a"})
+		flow(6 * time.Second)
+		if got := w.running("a"); got != 1 {
+			t.Errorf("%s: got: %d that run 6 s after it failed, want: 1", name, got)
+		}
+	}
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -111,6 +111,7 @@
 		w := candidates.take(e, s, i, q)
 		if w == nil && isChoosy(t) {
 			// Only this task may have no worker that suits it.
+			e.keepQuiet(s, i, q)
 			continue
 		}
 		if w == nil {
--- a/internal/dispatch/usable.go
+++ b/internal/dispatch/usable.go
@@ -11,6 +11,8 @@
 	switch {
 	case !e.isReachable(w), len(w.foreign) > 0, e.now.Before(w.trialUntil):
 		return false
+	case w.keptFor != s && e.now.Before(w.keptUntil):
+		return false
 	case w.health.IsPaused(e.now) && !isEarly, w.health.OnTrial && w.trials() > 0:
 		return false
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -50,6 +50,9 @@
 	// orderedAt is when a start was planned or ordered last, triedAt when that was of a task
 	// that may crash it; until trialUntil it gets nothing else.
 	orderedAt, triedAt, trialUntil time.Time
+	// keptFor is the step for which the worker is kept until keptUntil.
+	keptFor   *step
+	keptUntil time.Time
 }
 
 // phase is where an attempt is.
@@ -341,6 +344,7 @@
 		e.look(a.worker)
 	}
 	e.checkTrial(a)
+	e.clearOutlasted(a)
 	e.checkProgress(a)
 }
 
--- a/internal/dispatch/worker_model_test.go
+++ b/internal/dispatch/worker_model_test.go
@@ -96,6 +96,9 @@
 	m.next++
 }
 
+// fail ends a run as failed.
+func (m *modelWorker) fail(id work.TaskID) { m.end(id, m.running[id], order.EndFailed) }
+
 // step lets time pass on the worker.
 func (m *modelWorker) step(now time.Time, since time.Duration) {
 	m.now = now
