internal/health, internal/rack: a worker probed with a service is used again

What callers saw: with `leverdyked run`, a worker that had been set aside got nothing new for as long as the task ran that tried it again: for a service, for good.

A probe was over when its task ended, and a service does not end.

Why this works: a probe that has run for ten seconds has gone well; the rack looks for such with its other upkeep and tells that the worker is back.

--- a/internal/health/judge.go
+++ b/internal/health/judge.go
@@ -7,6 +7,7 @@
 package health
 
 import (
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/worker"
@@ -23,6 +24,8 @@
 	// badJobWorkers is on how many workers a job must fail to be at fault.
 	badJobWorkers = 2
 	maxBadJobs    = 512
+	// provenAfter is how long a probe runs until it has gone well: services never end.
+	provenAfter = 10 * time.Second
 )
 
 // Judge remembers what failed where, for the workers of one rack. It belongs to
@@ -41,8 +44,9 @@
 	asideUntil time.Time
 	// asideFor doubles with each failed probe.
 	asideFor time.Duration
-	// probe is the task that was let in to see; zero for none.
-	probe worker.Key
+	// probe is the task that was let in to see, at probedAt; zero for none.
+	probe    worker.Key
+	probedAt time.Time
 }
 
 // NewJudge returns a judge that has seen nothing.
@@ -63,10 +67,24 @@
 	if w == nil || w.asideUntil.IsZero() || now.Before(w.asideUntil) {
 		return false
 	}
-	w.probe = k
+	w.probe, w.probedAt = k, now
 	return true
 }
 
+// Proven takes the workers on which a probe has run for long as back in use, and returns them in
+// the order of their IDs.
+func (j *Judge) Proven(now time.Time) []worker.ID {
+	back := []worker.ID{}
+	for id, w := range j.workers {
+		if w.probe != (worker.Key{}) && now.Sub(w.probedAt) >= provenAfter {
+			back = append(back, id)
+			delete(j.workers, id)
+		}
+	}
+	slices.Sort(back)
+	return back
+}
+
 // Finding is what the end of an attempt says.
 type Finding struct {
 	// IsBlamed means that the worker is at fault, not the job.
--- a/internal/health/judge_test.go
+++ b/internal/health/judge_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -76,6 +77,23 @@
 	}
 }
 
+// A worker whose probe was a service got nothing else for as long as that ran.
+func TestAProbeThatRunsOnBringsItsWorkerBack(t *testing.T) {
+	j := health.NewJudge()
+	fail(j, begin, "w", 3)
+	probed := begin.Add(time.Minute)
+	j.Placed(probed, "w", key("service"))
+	if got := j.Proven(probed.Add(9 * time.Second)); len(got) > 0 || !j.IsSetAside(probed, "w") {
+		t.Errorf("after 9 s: got: %v back, want: none", got)
+	}
+	if got := j.Proven(probed.Add(10 * time.Second)); !slices.Equal(got, []worker.ID{"w"}) || j.IsSetAside(probed, "w") {
+		t.Errorf("after 10 s: got: %v back, want: w, in use", got)
+	}
+	if got := j.Proven(probed.Add(time.Hour)); len(got) > 0 {
+		t.Errorf("later: got: %v back, want: none", got)
+	}
+}
+
 func TestJobThatFailsOnTwoWorkersBlamesNone(t *testing.T) {
 	j := health.NewJudge()
 	for i := range 9 {
--- a/internal/rack/rack_test.go
+++ b/internal/rack/rack_test.go
@@ -310,6 +310,30 @@
 	}
 }
 
+// A worker that was probed with a service got nothing else for as long as the service ran.
+func TestAWorkerProbedWithAServiceIsUsedAgain(t *testing.T) {
+	b := newBench(t, 2, vm)
+	b.workers["w0"].SetFaults(native.WorkerFaults{IsFailingAll: true})
+	place := func(prefix string, n int, takes time.Duration) {
+		for i := range n {
+			task := b.task(fmt.Sprintf("%s-%d", prefix, i), small, leverdyke.ClassNormal)
+			task.RunTime = takes
+			b.ask(node.AskItem{Task: task, Waiting: 1})
+			b.run(1)
+		}
+	}
+	place("failing", 12, time.Second)
+	b.workers["w0"].SetFaults(native.WorkerFaults{})
+	early := b.workers["w0"].Starts()
+	b.run(60)
+	place("service", 8, time.Hour)
+	b.run(12)
+	place("more", 8, time.Hour)
+	if got := b.workers["w0"].Starts() - early; got < 3 {
+		t.Errorf("tasks on the worker since it was mended: got: %d, want: more than its probe", got)
+	}
+}
+
 // A worker that was out of reach while the home acknowledged the loss of its
 // attempt must forget the attempt all the same: to a later owner, its end would
 // be news.
--- a/internal/rack/reports.go
+++ b/internal/rack/reports.go
@@ -264,6 +264,10 @@
 // attempts a node it was two fifths of the node's processor time.
 func (r *Rack) upkeep(now time.Time) {
 	r.lapseWorkers(now)
+	for _, id := range r.health.Proven(now) {
+		r.event(EventWorkerBack, id, worker.Key{}, "")
+		r.isChanged = true
+	}
 	for _, id := range r.order {
 		r.retryOrders(now, r.vms[id])
 	}
