internal/dispatch: no task that lasts stays away in a model of troubles

A watch from outside over plays of an office in which tasks that last fail, workers fail all for some seconds or crash, and owners change: a task of which nothing has run for 9 s, though workers that may run it have had room for two such tasks for the last 3 s, is lost.

--- a/internal/dispatch/lasting_test.go
+++ b/internal/dispatch/lasting_test.go
@@ -141,3 +141,19 @@
 		}
 	}
 }
+
+// Whatever befalls workers and owners, no task that lasts stays away while workers that may run it
+// have room.
+func TestNoTaskThatLastsStaysAway(t *testing.T) {
+	t.Parallel()
+	for trouble, seeds := range map[lastingTrouble][]uint64{sickWorkers: {26, 86, 97}, crashedWorkers: {22, 97}, newOwners: {1}} {
+		for _, seed := range seeds {
+			t.Run(fmt.Sprintf("%s, seed %d", trouble, seed), func(t *testing.T) {
+				t.Parallel()
+				for id, away := range playLasting(seed, trouble).lost {
+					t.Errorf("%s: got: away for %v, want: less than %v", id, away, longestAway)
+				}
+			})
+		}
+	}
+}
