internal/permit, internal/dispatch: calls that serve nothing leave lanes to pools with room

What callers saw: jobs of one pool with nothing running while the pool was empty, as long as many steps waited for room in another pool.

Cause: a call for permission needs a lane, and each node has one. Steps that wait for room ask ahead, again each time a permission ends. Where enough of them wait, with calls that take long, they hold all lanes; the steps of less urgent queues get none, whatever room their own pool has.

Evidence: TestStepsThatWaitForRoomLeaveLanesToAnEmptyPool, red before: 60 gangs wait for a full pool, 8 lanes; none of 20 jobs on an empty pool had started after 15 s. Now the last is done after 2.07 s.

Why this works: when a step of a pool with room finds no lane, steps whose calls could start nothing use at most half of the lanes for a while.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -58,17 +58,35 @@
 // first: each looks at the workers, and an owner with too little processor would do nothing else.
 const maxAsks = 8
 
+// maxPutOffs bounds the steps that one look puts off without counting them as calls.
+const maxPutOffs = 16
+
 // askAdvice asks for the step, if it helps and a lane is free.
 func (e *Engine) askAdvice(s *step, policy *order.AdvicePolicy, missing int) {
 	if e.asksLeft <= 0 || !s.permit.MayAsk(e.now) {
 		return
 	}
+	hasRoomyPool := e.inUse[e.queues[s.job.spec.Queue].Service] < roomyShare
 	lane := e.lanes.Free(policy)
 	if lane == "" {
+		if hasRoomyPool {
+			e.lanesMissedAt = e.now
+		}
 		return
 	}
 	e.asksLeft--
-	asked := permit.Choose(e.askable(s, policy), policy, missing)
+	found := e.askable(s, policy)
+	isMissed := !e.lanesMissedAt.IsZero() && e.now.Sub(e.lanesMissedAt) < lanesMissedFor
+	if isMissed && !hasRoomyPool && !hasRoomNow(s, found) && !e.lanes.HasSpare() {
+		// Nothing could start on the answer, and what has room waits for a lane.
+		s.permit.PutOff(e.now)
+		if e.putOffsLeft > 0 {
+			e.putOffsLeft--
+			e.asksLeft++
+		}
+		return
+	}
+	asked := permit.Choose(found, policy, missing)
 	if len(asked) == 0 {
 		s.permit.NobodyToAsk(e.now)
 		return
@@ -82,6 +100,23 @@
 	e.do(order.Advise{Lane: lane, Step: s.id, Workers: asked, Patience: patience})
 }
 
+// lanesMissedFor is how long lanes are left to steps of a pool with room after one found none free.
+const lanesMissedFor = 300 * time.Millisecond
+
+// hasRoomNow reports whether the workers have room for a task of the step, or for all of a gang.
+func hasRoomNow(s *step, found []permit.Candidate) bool {
+	need := 1
+	if s.spec.IsGang {
+		need = len(s.tasks)
+	}
+	for i := range found {
+		if need -= found[i].Fits; need <= 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // enoughRoom is how many times as many workers with room as one call can name are looked
 // at: each look takes the next ones, as a look at hundreds of workers for each call takes too
 // much of the owner's time.
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -134,8 +134,11 @@
 	largest      map[string]leverdyke.Resources
 	// askFrom is how many workers the next look at whom to ask about passes over at first.
 	askFrom int
-	// asksLeft is how many calls for permission this look may still prepare.
-	asksLeft int
+	// lanesMissedAt is when a step of a pool with room found no free lane last.
+	lanesMissedAt time.Time
+	// asksLeft is how many calls for permission this look may still prepare, putOffsLeft how many
+	// steps it may put off besides.
+	asksLeft, putOffsLeft int
 	// rotation chooses at which of many steps that wait is looked.
 	rotation rotation.Rotation
 	// isLateTurn means that late steps go first in this look.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -20,7 +20,7 @@
 		return
 	}
 	e.refreshReservations()
-	e.asksLeft = maxAsks
+	e.asksLeft, e.putOffsLeft = maxAsks, maxPutOffs
 	e.noteDoubts()
 	waiting := e.stepsByTurn()
 	steps := e.withinLimits(waiting)
--- a/internal/permit/lanes.go
+++ b/internal/permit/lanes.go
@@ -96,6 +96,18 @@
 	return found
 }
 
+// HasSpare reports whether so many ways are free that a call may be made of which it is not known
+// that it serves anything now.
+func (l *Lanes) HasSpare() bool {
+	free := 0
+	for i := range l.lanes {
+		if l.lanes[i].busySince.IsZero() {
+			free++
+		}
+	}
+	return 2*free > len(l.lanes)
+}
+
 // Take notes that a call about so many workers is made by a way, and returns how long
 // it may take.
 func (l *Lanes) Take(name string, step work.StepID, policy *order.AdvicePolicy, workers int, now time.Time) time.Duration {
--- a/internal/permit/step.go
+++ b/internal/permit/step.go
@@ -17,6 +17,8 @@
 	// idlePause is the time after which it is looked again whether there is anybody to
 	// ask about: a look takes all workers, and jobs by the hundred may wait.
 	idlePause = 50 * time.Millisecond
+	// putOffPause is the time for which a step leaves the ways to those that have room.
+	putOffPause = 400 * time.Millisecond
 )
 
 // Step is what is known of the workers that may run a step. The zero value knows
@@ -47,6 +49,9 @@
 // NobodyToAsk notes that there is no worker to ask about for now.
 func (s *Step) NobodyToAsk(now time.Time) { s.retryAt = now.Add(idlePause) }
 
+// PutOff notes that the step leaves the ways to others for a while.
+func (s *Step) PutOff(now time.Time) { s.retryAt = now.Add(putOffPause) }
+
 // Lost notes that no answer will come.
 func (s *Step) Lost() { s.isAsking = false }
 
