--- a/internal/integration/site_test.go
+++ b/internal/integration/site_test.go
@@ -260,6 +260,20 @@
 	c.awaitState(id, "cancelled")
 }
 
+// A worker that had failed tasks that last got one of them again, and nothing more while that ran.
+func TestSiteLastingTasksComeBackToAWorkerThatFailedThem(t *testing.T) {
+	c := newSiteCell(t, 2, site.Options{Workers: 1})
+	c.Workers()[0].SetFailsLasting(true)
+	lasting := small(1, 0)
+	lasting.Perpetual = true
+	for range 3 {
+		c.mustSubmit(lasting)
+	}
+	c.await("all have failed", func() bool { return c.Workers()[0].Starts() >= 3 && c.running() == 0 })
+	c.Workers()[0].SetFailsLasting(false)
+	c.await("all lasting tasks run", func() bool { return c.running() == 3 })
+}
+
 func (c *siteCell) running() int {
 	n := 0
 	for _, w := range c.Workers() {
--- a/internal/integration/soak_faults_test.go
+++ b/internal/integration/soak_faults_test.go
@@ -49,6 +49,10 @@
 		s.holdUpOrders()
 		return
 	}
+	if s.hasSickWorkers && s.rng.IntN(sickShare) == 0 {
+		s.failLasting(lasts)
+		return
+	}
 	switch s.rng.IntN(10) {
 	case 0:
 		s.restart(node, syscall.SIGKILL, lasts/2)
@@ -149,6 +153,16 @@
 	s.until(s.between(0, 2*time.Second), func() { s.startAgain(w) })
 }
 
+// failLasting lets a worker fail the tasks that last which it runs, and all that it starts for a
+// while.
+func (s *soak) failLasting(lasts time.Duration) {
+	w := s.liveWorker()
+	s.note("worker %s fails tasks that last for %v", w.ID(), lasts)
+	w.SetFailsLasting(true)
+	w.FailLasting()
+	s.until(lasts, func() { w.SetFailsLasting(false) })
+}
+
 // slowStore plays a store that is slow while nodes are killed or stopped, one
 // or two of three nodes.
 func (s *soak) slowStore(lasts time.Duration) {
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -41,8 +41,9 @@
 // nodes lost power twice in outages of the store.
 // From restartSeeds on workers start again under their IDs; 1700 plays that in CI.
 // From customerSeeds on jobs are customers', whose keys and limits change; 1900 plays that in CI.
+// From sickSeeds on workers fail tasks that last; 2000 plays that in CI.
 // From lateSeeds on orders are held up for seconds; 1800 plays that in CI.
-var soakSeeds = []uint64{1, 322, 328, 802, 807, 909, 1200, 1500, 1600, 1646, 1700, 1800, 1900}
+var soakSeeds = []uint64{1, 322, 328, 802, 807, 909, 1200, 1500, 1600, 1646, 1700, 1800, 1900, 2000}
 
 const (
 	// carrierSeeds is the first seed with nodes of carrierShare of a processor, which can
@@ -88,6 +89,13 @@
 	lateShare = 5
 )
 
+const (
+	// sickSeeds is the first seed in which workers fail tasks that last, sickShare the share of these
+	// among its faults: one in so many.
+	sickSeeds = 2000
+	sickShare = 4
+)
+
 // soak is a cell under random faults: signals to nodes, proxies between nodes, to
 // the store and to workers, clocks that differ, and a store that misbehaves.
 type soak struct {
@@ -108,6 +116,8 @@
 	hasRestarts bool
 	// hasLateOrders means that workers carry out orders seconds later.
 	hasLateOrders bool
+	// hasSickWorkers means that workers fail tasks that last.
+	hasSickWorkers bool
 	// customers are those whose jobs are handed in; nil where the queue is public.
 	customers *soakCustomers
 
@@ -172,6 +182,7 @@
 	s := &soak{rng: rand.New(rand.NewPCG(seed, 2)), proxies: map[string]*toxiproxy.Proxy{}, relays: map[string]*relay.Relay{}, restarting: map[*site.Node]bool{}, version: 1, born: 100}
 	s.hasBlackouts, s.hasSilences, s.hasSlowStore = seed >= blackoutSeeds, seed >= silenceSeeds, seed >= slowSeeds
 	s.hasCrashes, s.hasRestarts, s.hasLateOrders = seed >= crashSeeds, seed >= restartSeeds, seed >= lateSeeds
+	s.hasSickWorkers = seed >= sickSeeds
 	options := site.Options{Workers: 6, MilliCPU: soakCPU, MemoryMiB: soakMemory, HasAdvice: seed%2 == 0, Via: s.via}
 	if seed >= carrierSeeds {
 		options.CPUShare = carrierShare
@@ -181,9 +192,7 @@
 		s.startCustomers()
 	}
 	t.Cleanup(s.closeRelays)
-	lasting := small(2, 0)
-	lasting.Perpetual = true
-	lastingID := s.mustSubmit(lasting)
+	lasting := s.handInLasting()
 	s.accepted = s.accepted[:0]
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -195,7 +204,7 @@
 	s.heal()
 	s.awaitAll()
 	s.awaitCrashing()
-	s.await("the lasting tasks run", func() bool { return s.state(lastingID) == "running" && s.running() == 2 })
+	s.await("the lasting tasks run", func() bool { return s.areRunning(lasting) && s.running() == lastingTasks*len(lasting) })
 	for _, id := range s.refused {
 		if s.HasRun(id) {
 			t.Errorf("job %s ran though each answer said that it was not taken", id)
@@ -203,6 +212,25 @@
 	}
 }
 
+// lastingTasks is how many tasks a job has that lasts.
+const lastingTasks = 2
+
+// handInLasting hands in the jobs that last: one, or several where workers fail them, which are set
+// aside when they fail those of several.
+func (s *soak) handInLasting() []string {
+	step := small(lastingTasks, 0)
+	step.Perpetual = true
+	ids := []string{s.mustSubmit(step)}
+	if s.hasSickWorkers {
+		ids = append(ids, s.mustSubmit(step), s.mustSubmit(step))
+	}
+	return ids
+}
+
+func (s *soak) areRunning(ids []string) bool {
+	return !slices.ContainsFunc(ids, func(id string) bool { return s.state(id) != "running" })
+}
+
 // via puts a proxy before a service or worker.
 func (s *soak) via(name, addr string) (string, error) {
 	upstream, err := netip.ParseAddrPort(addr)
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -61,6 +61,8 @@
 	isLeaving bool
 	// holds is how many listings were asked for, starts how many runs began.
 	holds, starts int
+	// failsLasting means that it fails the tasks that last which it starts, failAfter later.
+	failsLasting bool
 	// mute is how many of the next orders to start are carried out and not answered.
 	mute int
 	// room is what it has now, earlier what it had before and until when.
@@ -77,6 +79,27 @@
 	w.mute = n
 }
 
+// failAfter is how long a task that lasts runs on a worker that fails such tasks.
+const failAfter = 100 * time.Millisecond
+
+// SetFailsLasting says whether the worker fails the tasks that last which it starts from now on.
+func (w *Worker) SetFailsLasting(fails bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failsLasting = fails
+}
+
+// FailLasting ends the tasks that last on the worker as failed.
+func (w *Worker) FailLasting() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for task, r := range w.running {
+		if r.step.lasts {
+			w.end(task, r, "failed")
+		}
+	}
+}
+
 // HoldUpStarts makes the next n orders to start be carried out d later, and not answered.
 func (w *Worker) HoldUpStarts(n int, d time.Duration) {
 	w.machine.mu.Lock()
@@ -326,14 +349,18 @@
 		time.AfterFunc(crashAfter, func() { w.crashUnder(b.Task, r) })
 	}
 	takes := need.takes
-	if need.lasts {
+	fails := need.fails
+	switch {
+	case need.lasts && w.failsLasting:
+		takes, fails = failAfter, true
+	case need.lasts:
 		takes = time.Hour
 	}
 	r.timer = time.AfterFunc(takes, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		how := "done"
-		if need.fails {
+		if fails {
 			how = "failed"
 		}
 		w.end(b.Task, r, how)
