internal/crash, internal/dispatch: a longer run refutes earlier crashes under a task

Cause: what was noted against a task that lasts went only after ten seconds on one worker. Its task had been on three workers that crashed for other reasons within half a second of its starts, then ran for five seconds, and was lost with its owner and worker: that counted as the fourth crash, enough to give the job up.

Why this works: a task that crashes workers does so as long after each start. A run that lasts four times as long as one before a crash, and three seconds, refutes that crash.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -52,6 +52,10 @@
 	// crash to count. One that ran for longer does not crash its workers, and starts anew:
 	// tasks that run for days see many crashes of others' doing.
 	longestLasting = 10 * time.Second
+	// outlivedRatio and outlivedLeast are how much longer than until a crash a run must last to refute
+	// it: slow workers take several times as long.
+	outlivedRatio = 4
+	outlivedLeast = 3 * time.Second
 )
 
 // Suspect is a task that was on a worker when that crashed.
@@ -84,6 +88,16 @@
 // that crashes workers.
 func HasOutlasted(ran time.Duration) bool { return ran > longestLasting }
 
+// Outlived returns the crashes under a task that lasts which still tell against it when it has been on
+// a worker for so long. A task that crashes workers does so as long after each start: by then it would
+// have, also on a slow one.
+func Outlived(crashes []work.Crash, ran time.Duration) []work.Crash {
+	if HasOutlasted(ran) {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(crashes), func(c work.Crash) bool { return ran >= max(outlivedRatio*c.Ran, outlivedLeast) })
+}
+
 // IsSuspect reports whether a task may be one that crashes workers. One crash that tells
 // little does not make it so: hundreds of tasks would have to be tried apart.
 func IsSuspect(crashes []work.Crash) bool {
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -117,3 +117,20 @@
 		t.Errorf("a second after the start of a lasting task: got: %d, want: 1", len(got))
 	}
 }
+
+func TestALongerRunRefutesCrashes(t *testing.T) {
+	early, late := known(1, 500*time.Millisecond), known(2, 2*time.Second)
+	for name, c := range map[string]struct {
+		ran  time.Duration
+		want int
+	}{
+		"not much longer than any":      {2900 * time.Millisecond, 3},
+		"longer than the early ones":    {3 * time.Second, 1},
+		"longer than the late one, too": {8 * time.Second, 0},
+		"long enough for any":           {11 * time.Second, 0},
+	} {
+		if got := len(crash.Outlived([]work.Crash{early, late, inherited(3)}, c.ran)); got != c.want {
+			t.Errorf("%s: got: %d that tell against it, want: %d", name, got, c.want)
+		}
+	}
+}
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -73,15 +73,19 @@
 	return e.isUnlogged && !crash.Tells(a.step.tasks[a.id.Index].crashes)
 }
 
-// clearOutlasted forgets the crashes under a task that lasts once it has run for long: it has no
-// good end that would do so.
-func (e *Engine) clearOutlasted(a *attempt) {
+// clearOutlived forgets the crashes under a task that lasts which its run has outlived: it has no good
+// end that would do so.
+func (e *Engine) clearOutlived(a *attempt) {
 	if a.step == nil || !a.step.spec.IsLasting || a.phase != phaseRunning {
 		return
 	}
 	t := &a.step.tasks[a.id.Index]
-	if len(t.crashes) > 0 && crash.HasOutlasted(a.ran()) {
-		t.crashes = nil
+	if len(t.crashes) == 0 {
+		return
+	}
+	left := crash.Outlived(t.crashes, a.ran())
+	if len(left) < len(t.crashes) {
+		t.crashes = left
 		e.touch(a.step.job)
 	}
 }
--- a/internal/dispatch/lasting_test.go
+++ b/internal/dispatch/lasting_test.go
@@ -157,3 +157,31 @@
 		}
 	}
 }
+
+// Callers were shown a job as failed of which a task had been on crashed workers three times, had run
+// well since, and was on one more that was lost with its owner.
+func TestATaskThatRunsOnIsNotGivenUpForEarlierCrashes(t *testing.T) {
+	w := newWorld(1)
+	w.crashing(func(work.TaskID) bool { return false })
+	w.addWorkers(6, room)
+	w.run(time.Second)
+	w.submit("a", lastingStep(1))
+	task := work.TaskID{Job: "a"}
+	crashAfter := func(ran time.Duration) {
+		for w.workerOf(task) == nil && w.since() < time.Minute {
+			w.run(tick)
+		}
+		w.run(ran)
+		w.crashAndReturn(w.workerOf(task))
+	}
+	for range 3 {
+		crashAfter(500 * time.Millisecond)
+	}
+	crashAfter(5 * time.Second)
+	w.takeOver()
+	w.run(20 * time.Second)
+	expectState(t, w, "a", work.JobRunning)
+	if got := w.running("a"); got != 1 {
+		t.Errorf("tasks that run: got: %d, want: 1", got)
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -344,7 +344,7 @@
 		e.look(a.worker)
 	}
 	e.checkTrial(a)
-	e.clearOutlasted(a)
+	e.clearOutlived(a)
 	e.checkProgress(a)
 }
 
