internal/crash: a crash that an earlier owner left proves nothing more

Cause: after an owner that may have seen more crashes, one proof more is taken for granted. That was done at a crash of a worker on which the earlier owner may have started the task, which is no proof itself: two chance crashes and a worker that was lost with its owner were enough.

Why this works: what may be missing is only counted where the crash that is judged is a proof.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -66,8 +66,9 @@
 	// Crashes are those under the task; the last one is this worker's.
 	Crashes []work.Crash
 	// MayHaveMore means that an earlier owner may have seen crashes that nobody knows of: it
-	// had started tasks while the store was out. That counts as one proof more, but not beside
-	// crashes that tell less: after a loss of all nodes most of these are workers that left.
+	// had started tasks while the store was out. That counts as one proof more where the last crash
+	// is one, but not beside crashes that tell less: after a loss of all nodes most of these are
+	// workers that left.
 	MayHaveMore bool
 }
 
@@ -114,7 +115,7 @@
 	for i := range suspects {
 		s := &suspects[i]
 		more := 0
-		if s.MayHaveMore {
+		if s.MayHaveMore && isProof(&s.Crashes[len(s.Crashes)-1]) {
 			more = 1
 		}
 		isProven := proofsOf(s.Crashes)+more >= proofs && !hasRival(s, suspects)
--- a/internal/crash/crash_test.go
+++ b/internal/crash/crash_test.go
@@ -89,6 +89,7 @@
 		"four that were inherited":               {on(suspect("a", inherited(1), inherited(2), inherited(3), inherited(4))), []int{0}},
 		"two, and perhaps more":                  {on(crash.Suspect{Crashes: three[:2], MayHaveMore: true}), []int{0}},
 		"three that tell less, and perhaps more": {on(crash.Suspect{Crashes: []work.Crash{inherited(1), known(2, soon), inherited(3)}, MayHaveMore: true}), nil},
+		"two, then one that was inherited":       {on(crash.Suspect{Crashes: []work.Crash{known(1, soon), known(2, soon), inherited(3)}, MayHaveMore: true}), nil},
 		"one, and perhaps more":                  {on(crash.Suspect{Crashes: three[:1], MayHaveMore: true}), nil},
 		"four alone, alike":                      {on(suspect("a", known(1, 5*time.Second), known(2, 5200*time.Millisecond), known(3, 5*time.Second), known(4, 4900*time.Millisecond))), []int{0}},
 		"four alone, not alike":                  {on(suspect("a", known(1, 4*time.Second), known(2, 6*time.Second), known(3, 5*time.Second), known(4, 7*time.Second))), nil},
