internal/crash, internal/dispatch: tasks lost with many workers are not tried one by one

Cause: a task under which two workers have crashed, whatever else fell in the same moment, was tried while no other such one was, three a second in the whole cell. After two mass losses hundreds are such. And for each that waited for over 2.2 s a worker was kept, so that others had none either.

TestTasksThatWereOnManyLostWorkersAreNot- TriedOneByOne, red before: jobs still ran 9 s after two losses of ten of twenty workers.

Why this works: tasks are tried one by one only where two workers crashed alone under them, which mass losses do not show; and one worker is kept at a time.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -37,9 +37,9 @@
 	// many is how many crashes are enough that each tell less. Callers are promised fewer than
 	// three starts after the third; one is left for what a new owner does not know.
 	many = 4
-	// SoloAfter is the number of crashes from which tasks are tried one after the other, so
-	// that their workers do not crash in the same moment.
-	SoloAfter = 2
+	// soloAfter is the number of workers that must have crashed alone under tasks for these to be
+	// tried one after the other, so that their workers do not crash in the same moment.
+	soloAfter = 2
 	// likeTime is how far apart the times from a task's start to the crash may be for the
 	// crashes to be alike: a worker's listing, by which they are known, comes every 0.5 s.
 	likeTime = 600 * time.Millisecond
@@ -105,6 +105,10 @@
 	return proofsOf(crashes) > 0 || signsOf(crashes) > 1
 }
 
+// NeedsSolo reports whether a task is tried while no other such one is. Crashes of many workers at once
+// do not make it so: hundreds of tasks would wait for each other.
+func NeedsSolo(crashes []work.Crash) bool { return proofsOf(crashes) >= soloAfter }
+
 // Tells reports whether anything tells against a task.
 func Tells(crashes []work.Crash) bool { return signsOf(crashes) > 0 }
 
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -62,7 +62,7 @@
 		// A second crash there would prove nothing more.
 		return false
 	}
-	isTurn := len(t.crashes) < crash.SoloAfter || !e.now.Before(e.soloUntil)
+	isTurn := !crash.NeedsSolo(t.crashes) || !e.now.Before(e.soloUntil)
 	return isTurn && w.isQuiet(e.now) && e.now.Sub(w.triedAt) >= crash.SoonTime
 }
 
@@ -91,18 +91,15 @@
 }
 
 // keepQuiet keeps other steps off a worker for a moment, so that a task which may crash it can be
-// tried there: where work comes all the time no worker is ever quiet.
+// tried there: where work comes all the time no worker is ever quiet. One worker is kept at a time.
 func (e *Engine) keepQuiet(s *step, i int, q *order.Queue) {
 	t := &s.tasks[i]
-	if !isSuspect(t) || e.now.Sub(t.crashedAt) < otherPatience || e.awayFor(s, t) < otherPatience {
+	if e.now.Before(e.keptUntil) || !isSuspect(t) || e.now.Sub(t.crashedAt) < otherPatience || e.awayFor(s, t) < otherPatience {
 		return
 	}
 	var best *worker
 	bestScore := 0.0
 	for _, w := range e.permitted(s, q) {
-		if w.keptFor == s && e.now.Before(w.keptUntil) {
-			return
-		}
 		if w.attempts.Get(s.taskID(i)) != nil || e.fits(w, s) == 0 || e.now.Sub(w.triedAt) < crash.SoonTime {
 			continue
 		}
@@ -111,7 +108,8 @@
 		}
 	}
 	if best != nil {
-		best.keptFor, best.keptUntil = s, e.now.Add(keptTime)
+		e.keptUntil = e.now.Add(keptTime)
+		best.keptFor, best.keptUntil = s, e.keptUntil
 	}
 }
 
@@ -126,7 +124,7 @@
 		return
 	}
 	a.worker.triedAt, a.worker.trialUntil = e.now, e.now.Add(crash.TrialTime)
-	if len(t.crashes) >= crash.SoloAfter {
+	if crash.NeedsSolo(t.crashes) {
 		e.soloUntil = a.worker.trialUntil
 	}
 }
--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -342,3 +342,25 @@
 	expectState(t, w, "bad", work.JobFailed)
 	expectWhole(t, w)
 }
+
+// After two losses of half of the workers hundreds of tasks were tried one after the other, three a
+// second, and callers' jobs stood still.
+func TestTasksThatWereOnManyLostWorkersAreNotTriedOneByOne(t *testing.T) {
+	w := newWorld(1)
+	w.crashing(func(work.TaskID) bool { return false })
+	w.addWorkers(20, room.Times(8))
+	w.run(time.Second)
+	for i := range 16 {
+		w.submit(fmt.Sprintf("a%02d", i), step(20, 2*time.Second))
+	}
+	for range 2 {
+		w.run(150 * time.Millisecond)
+		w.crashSome(10)
+		w.run(3 * time.Second)
+	}
+	w.run(9 * time.Second)
+	for _, id := range w.order {
+		expectState(t, w, id, work.JobSucceeded)
+	}
+	expectWhole(t, w)
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -111,6 +111,8 @@
 	// soloUntil is until when a task under which several workers have crashed is tried, and
 	// no other such one.
 	soloUntil time.Time
+	// keptUntil is until when a worker is kept for a task that may crash it.
+	keptUntil time.Time
 	// inheritedUntil is when all leases that the earlier owner gave are over.
 	inheritedUntil time.Time
 	// inherited is set while any task may run anywhere by an earlier owner's order.
