--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -46,11 +46,14 @@
 	verdict := &leverdyke.Error{}
 	usage := &UsageError{}
 	input := inputError(nil)
+	violation := violationError(nil)
 	switch {
 	case err == nil:
 		return ExitOK
 	case errors.As(err, &field), errors.As(err, &usage), errors.As(err, &input):
 		return ExitInvalid
+	case errors.As(err, &violation):
+		return ExitViolated
 	case errors.As(err, &refused):
 		return codeOfProblem(refused)
 	case errors.As(err, &verdict) && verdict.Verdict == leverdyke.VerdictMayHaveRun:
@@ -66,6 +69,13 @@
 	IsInput()
 }
 
+// violationError is an error that says that something did not hold that always must.
+type violationError interface {
+	error
+	// IsViolation tells such errors from others by having it.
+	IsViolation()
+}
+
 func codeOfProblem(p *operator.ProblemError) int {
 	switch {
 	case p.IsInvalid:
--- /dev/null
+++ b/internal/emulator/report/report.go
@@ -0,0 +1,81 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package report prints what plays showed.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/emulator/play"
+	"github.com/leverdyke/leverdyke/internal/emulator/rules"
+)
+
+// maxTold bounds the violations that a screen tells of each rule.
+const maxTold = 3
+
+// JSON writes a result as one line.
+func JSON(w io.Writer, r *play.Result) error {
+	if err := json.NewEncoder(w).Encode(r); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
+}
+
+// Screen writes a result for people.
+func Screen(w io.Writer, r *play.Result) error {
+	b := &strings.Builder{}
+	partial := ""
+	if r.IsPartial {
+		partial = ", ended early"
+	}
+	fmt.Fprintf(b, "%s on %s, seed %d: %v, %d faults, %d runs of tasks%s\n\n", r.Day, r.Deployment, r.Seed, r.Length.Round(time.Second), r.Faults, r.Starts, partial)
+	fmt.Fprintf(b, "%-14s %6s %9s %8s %8s %10s %7s %10s %10s %10s %10s\n", "jobs", "came", "accepted", "refused", "unknown", "succeeded", "failed", "cancelled", "answer p50", "answer p99", "end p99")
+	for i := range r.Kinds {
+		k := &r.Kinds[i]
+		fmt.Fprintf(b, "%-14s %6d %9d %8d %8d %10d %7d %10d %10s %10s %10s\n", k.Name, k.Came, k.Accepted, k.Refused, k.Unknown, k.Succeeded, k.Failed, k.Cancelled,
+			short(k.Answers.Half), short(k.Answers.Most), short(k.Ends.Most))
+	}
+	fmt.Fprintf(b, "\ntasks that last: away for %s at most\n", short(r.LongestAway))
+	writeRules(b, r)
+	_, err := io.WriteString(w, b.String())
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
+}
+
+// writeRules tells of each rule whether it held, and the first violations.
+func writeRules(b *strings.Builder, r *play.Result) {
+	for _, rule := range rules.All {
+		found := []string{}
+		for _, v := range r.Violations {
+			if v.Rule == rule {
+				found = append(found, fmt.Sprintf("%10s  %s", short(v.At), v.What))
+			}
+		}
+		verdict := "held"
+		if len(found) > 0 {
+			verdict = fmt.Sprintf("BROKEN %d times", len(found))
+		}
+		fmt.Fprintf(b, "rule %-10s %s\n", rule, verdict)
+		for _, what := range found[:min(len(found), maxTold)] {
+			fmt.Fprintln(b, what)
+		}
+	}
+}
+
+// short rounds a time so that it is read at a glance.
+func short(d time.Duration) string {
+	switch {
+	case d == 0:
+		return "-"
+	case d < time.Second:
+		return d.Round(time.Millisecond).String()
+	}
+	return d.Round(10 * time.Millisecond).String()
+}
--- /dev/null
+++ b/internal/emulator/report/report_test.go
@@ -0,0 +1,49 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package report_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/emulator/play"
+	"github.com/leverdyke/leverdyke/internal/emulator/report"
+	"github.com/leverdyke/leverdyke/internal/emulator/rules"
+)
+
+func result() *play.Result {
+	return &play.Result{
+		Deployment: "small", Day: "calm", Seed: 3, Length: time.Minute,
+		Kinds:      []play.KindResult{{Name: "check", Came: 7, Accepted: 6, Refused: 1, Succeeded: 6, Answers: play.Times{Most: 12 * time.Millisecond}}},
+		Violations: []rules.Violation{{Rule: rules.Ends, At: 2 * time.Second, What: "job 1 has not ended"}},
+	}
+}
+
+func TestScreenNamesWhatIsBroken(t *testing.T) {
+	b := &strings.Builder{}
+	if err := report.Screen(b, result()); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"calm on small, seed 3", "rule ends       BROKEN 1 times", "job 1 has not ended", "rule lasting    held", "12ms"} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("screen: got: %s, want: it to have %q", b, want)
+		}
+	}
+}
+
+func TestJSONIsOneLine(t *testing.T) {
+	b := &strings.Builder{}
+	if err := report.JSON(b, result()); err != nil {
+		t.Fatal(err)
+	}
+	got := play.Result{}
+	if err := json.Unmarshal([]byte(b.String()), &got); err != nil || strings.Count(b.String(), "\n") != 1 {
+		t.Fatalf("got: %q, %v, want: one line of JSON", b, err)
+	}
+	if got.Seed != 3 || len(got.Violations) != 1 || got.Kinds[0].Came != 7 {
+		t.Errorf("got: %+v, want: the result", got)
+	}
+}
--- /dev/null
+++ b/internal/emulator/scenario/deployment.go
@@ -0,0 +1,142 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+// Package scenario has what the emulator plays: deployments and days, as files and drawn.
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/document"
+)
+
+// Bounds of a deployment: an emulator is one machine.
+const (
+	maxNodes   = 60
+	maxWorkers = 400
+	maxTasks   = 500
+)
+
+// Deployment says what is emulated.
+type Deployment struct {
+	Name    string  `yaml:"name"`
+	Nodes   Nodes   `yaml:"nodes"`
+	Workers Workers `yaml:"workers"`
+	// AsksPermission means that each step may run on some workers only, which a service tells.
+	AsksPermission bool      `yaml:"asksPermission"`
+	Jobs           []JobKind `yaml:"jobs"`
+}
+
+// Nodes are the entry VMs.
+type Nodes struct {
+	Count int `yaml:"count"`
+	// CPUShare is the part of a processor that their settings name; 0 means half of one.
+	CPUShare float64 `yaml:"cpuShare"`
+}
+
+// Workers are the backend servers, all alike.
+type Workers struct {
+	Count     int   `yaml:"count"`
+	MilliCPU  int64 `yaml:"milliCPU"`
+	MemoryMiB int64 `yaml:"memoryMiB"`
+}
+
+// JobKind is a kind of job. Jobs come in an open loop: whether earlier ones are done or not.
+type JobKind struct {
+	Name string `yaml:"name"`
+	// AtStart is how many come before the day begins, PerSecond how many on average while it lasts.
+	AtStart   int     `yaml:"atStart"`
+	PerSecond float64 `yaml:"perSecond"`
+	// CancelShare of them are cancelled by their callers a moment after they were accepted.
+	CancelShare float64 `yaml:"cancelShare"`
+	// Steps follow each other.
+	Steps []Step `yaml:"steps"`
+}
+
+// Step is a step of a kind of job.
+type Step struct {
+	// Tasks is the mean of a geometric distribution where it varies, else the number.
+	Tasks     int           `yaml:"tasks"`
+	Varies    bool          `yaml:"varies"`
+	MilliCPU  int64         `yaml:"milliCPU"`
+	MemoryMiB int64         `yaml:"memoryMiB"`
+	Takes     time.Duration `yaml:"takes"`
+	// Lasts means that its tasks run until the job is cancelled.
+	Lasts bool `yaml:"lasts"`
+}
+
+// LoadDeployment reads a file. The error is a *document.FieldError where the file is at fault.
+func LoadDeployment(path string) (*Deployment, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	d := &Deployment{}
+	f, err := document.Decode(path, data, d)
+	if err != nil {
+		return nil, err
+	}
+	return d, d.check(f)
+}
+
+func (d *Deployment) check(f *document.File) error {
+	switch {
+	case d.Nodes.Count < 1 || d.Nodes.Count > maxNodes:
+		return f.Errorf("count", fmt.Sprintf("1 to %d", maxNodes), "nodes.count is %d", d.Nodes.Count)
+	case d.Nodes.CPUShare < 0 || d.Nodes.CPUShare > 1:
+		return f.Errorf("cpuShare", "over 0, up to 1", "nodes.cpuShare is %g", d.Nodes.CPUShare)
+	case d.Workers.Count < 1 || d.Workers.Count > maxWorkers:
+		return f.Errorf("count", fmt.Sprintf("1 to %d", maxWorkers), "workers.count is %d", d.Workers.Count)
+	case d.Workers.MilliCPU < 1:
+		return f.Errorf("milliCPU", "1 or more", "workers.milliCPU is %d", d.Workers.MilliCPU)
+	case d.Workers.MemoryMiB < 1:
+		return f.Errorf("memoryMiB", "1 or more", "workers.memoryMiB is %d", d.Workers.MemoryMiB)
+	case len(d.Jobs) == 0:
+		return f.Errorf("jobs", "one kind of job or more", "there are none")
+	}
+	for i := range d.Jobs {
+		if err := d.checkKind(f, &d.Jobs[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) checkKind(f *document.File, k *JobKind) error {
+	switch {
+	case k.Name == "":
+		return f.Errorf("jobs", "a name for each", "a kind of job has none")
+	case k.AtStart < 0:
+		return f.Errorf("atStart", "0 or more", "%s: atStart is %d", k.Name, k.AtStart)
+	case k.PerSecond < 0:
+		return f.Errorf("perSecond", "0 or more", "%s: perSecond is %g", k.Name, k.PerSecond)
+	case k.CancelShare < 0 || k.CancelShare > 1:
+		return f.Errorf("cancelShare", "0 to 1", "%s: cancelShare is %g", k.Name, k.CancelShare)
+	case len(k.Steps) == 0:
+		return f.Errorf("steps", "one step or more", "%s has none", k.Name)
+	}
+	for i := range k.Steps {
+		if err := d.checkStep(f, k.Name, &k.Steps[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) checkStep(f *document.File, kind string, s *Step) error {
+	switch {
+	case s.Tasks < 1 || s.Tasks > maxTasks:
+		return f.Errorf("tasks", fmt.Sprintf("1 to %d", maxTasks), "%s: tasks is %d", kind, s.Tasks)
+	case s.MilliCPU < 0 || s.MilliCPU > d.Workers.MilliCPU:
+		return f.Errorf("milliCPU", fmt.Sprintf("0 to %d, what a worker has", d.Workers.MilliCPU), "%s: milliCPU is %d", kind, s.MilliCPU)
+	case s.MemoryMiB < 0 || s.MemoryMiB > d.Workers.MemoryMiB:
+		return f.Errorf("memoryMiB", fmt.Sprintf("0 to %d, what a worker has", d.Workers.MemoryMiB), "%s: memoryMiB is %d", kind, s.MemoryMiB)
+	case !s.Lasts && s.Takes <= 0:
+		return f.Errorf("takes", "a duration over 0, as 800ms", "%s: takes is %v", kind, s.Takes)
+	case s.Lasts && s.Takes != 0:
+		return f.Errorf("takes", "none where lasts is true", "%s: takes is %v", kind, s.Takes)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/emulator/scenario/scenario_test.go
@@ -0,0 +1,128 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package scenario_test
+
+import (
+	"errors"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/document"
+	"github.com/leverdyke/leverdyke/internal/emulator/scenario"
+)
+
+const files = "../../../deploy/emulator"
+
+func TestTheFilesThatShipAreValid(t *testing.T) {
+	deployments, _ := filepath.Glob(files + "/*.yaml")
+	days, _ := filepath.Glob(files + "/days/*.yaml")
+	if len(deployments) == 0 || len(days) == 0 {
+		t.Fatalf("files: got: %d and %d, want: some of each", len(deployments), len(days))
+	}
+	for _, path := range deployments {
+		if _, err := scenario.LoadDeployment(path); err != nil {
+			t.Error(err)
+		}
+	}
+	for _, path := range days {
+		if _, err := scenario.LoadDay(path); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+const valid = `name: d
+nodes: {count: 1}
+workers: {count: 1, milliCPU: 1000, memoryMiB: 1000}
+jobs:
+  - name: k
+    perSecond: 1
+    steps:
+      - {tasks: 1, milliCPU: 100, memoryMiB: 100, takes: 1s}
+`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file.yaml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+func expectField(t *testing.T, name string, err error, wants ...string) {
+	t.Helper()
+	field := &document.FieldError{}
+	if !errors.As(err, &field) {
+		t.Errorf("%s: got: %v, want: an error of a field", name, err)
+		return
+	}
+	for _, want := range wants {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got: %v, want: it to name %q", name, err, want)
+		}
+	}
+}
+
+func TestABadDeploymentIsRefused(t *testing.T) {
+	if _, err := scenario.LoadDeployment(write(t, valid)); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct{ from, to, want string }{
+		"unknown field":      {"perSecond: 1", "persecond: 1", "persecond"},
+		"no node":            {"nodes: {count: 1}", "nodes: {count: 0}", "nodes.count"},
+		"share":              {"nodes: {count: 1}", "nodes: {count: 1, cpuShare: 2}", "cpuShare"},
+		"too many workers":   {"workers: {count: 1,", "workers: {count: 1000,", "workers.count"},
+		"a task too large":   {"milliCPU: 100,", "milliCPU: 2000,", "milliCPU"},
+		"a task without end": {", takes: 1s}", "}", "takes"},
+		"both":               {"takes: 1s}", "takes: 1s, lasts: true}", "takes"},
+		"negative rate":      {"perSecond: 1", "perSecond: -1", "perSecond"},
+	} {
+		_, err := scenario.LoadDeployment(write(t, strings.Replace(valid, c.from, c.to, 1)))
+		expectField(t, name, err, c.want, "file.yaml")
+	}
+}
+
+func TestABadDayIsRefused(t *testing.T) {
+	for name, c := range map[string]struct{ fault, want string }{
+		"unknown kind":   {"{at: 1s, kind: earthquake}", "node-kill"},
+		"after the end":  {"{at: 11s, kind: worker-crash}", "at"},
+		"no length":      {"{at: 1s, kind: node-kill}", "for"},
+		"length of none": {"{at: 1s, kind: worker-crash, for: 1s}", "for"},
+		"negative count": {"{at: 1s, kind: worker-crash, count: -1}", "count"},
+		"unknown field":  {"{at: 1s, kind: worker-crash, size: 1}", "size"},
+		"not a duration": {"{at: soon, kind: worker-crash}", "at"},
+	} {
+		_, err := scenario.LoadDay(write(t, "name: d\nlength: 10s\nfaults:\n  - "+c.fault+"\n"))
+		expectField(t, name, err, c.want)
+	}
+	_, err := scenario.LoadDay(write(t, "name: d\nlength: 0s\n"))
+	expectField(t, "no time", err, "length")
+}
+
+func TestADayIsDrawnAndSaved(t *testing.T) {
+	draw := func(seed uint64) *scenario.Day {
+		return scenario.Draw("d", 30*time.Second, rand.New(rand.NewPCG(seed, 2)))
+	}
+	day := draw(7)
+	if len(day.Faults) < 5 || !reflect.DeepEqual(day, draw(7)) || reflect.DeepEqual(day, draw(8)) {
+		t.Errorf("drawn: got: %d faults, want: 5 or more, the same by the same seed only", len(day.Faults))
+	}
+	path := filepath.Join(t.TempDir(), "day.yaml")
+	if err := day.Save(path); err != nil {
+		t.Fatal(err)
+	}
+	got, err := scenario.LoadDay(path)
+	if err != nil || !reflect.DeepEqual(got, day) {
+		t.Errorf("read again: got: %+v, %v, want: %+v", got, err, day)
+	}
+	if less := day.Without(0); len(less.Faults) != len(day.Faults)-1 || less.Faults[0] != day.Faults[1] {
+		t.Errorf("without the first fault: got: %v, want: the others", less.Faults)
+	}
+}
--- /dev/null
+++ b/internal/integration/emulator_test.go
@@ -0,0 +1,72 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package integration_test
+
+import (
+	"errors"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/emulator/play"
+	"github.com/leverdyke/leverdyke/internal/emulator/scenario"
+)
+
+// shortDay is a day of faults that are over before it ends.
+func shortDay() *scenario.Day {
+	return &scenario.Day{Name: "short", Length: 4 * time.Second, Faults: []scenario.Fault{
+		{At: 500 * time.Millisecond, Kind: scenario.NodeKill, For: 300 * time.Millisecond},
+		{At: time.Second, Kind: scenario.WorkerFailsLasting, For: time.Second, Count: 2},
+		{At: 2 * time.Second, Kind: scenario.WorkerCrash},
+	}}
+}
+
+func TestEmulatorPlaysADay(t *testing.T) {
+	t.Parallel()
+	deployment, err := scenario.LoadDeployment("../../deploy/emulator/small.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := play.New(t.Context(), play.Options{Deployment: deployment, Day: shortDay(), Seed: 1, Binary: binary, Dir: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	r, err := p.Run(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range r.Violations {
+		t.Errorf("rule %s is broken at %v: %s", v.Rule, v.At, v.What)
+	}
+	for _, k := range r.Kinds {
+		if k.Came != k.Accepted+k.Refused+k.Unknown || k.Accepted == 0 {
+			t.Errorf("%s: got: %+v, want: jobs that were taken, and what became of each", k.Name, k)
+		}
+	}
+	if r.Faults != 3 || r.IsPartial {
+		t.Errorf("got: %d faults, partial: %v, want: 3, the whole day", r.Faults, r.IsPartial)
+	}
+}
+
+func TestEmulatorSaysWhatIsWrongWithTheNodes(t *testing.T) {
+	t.Parallel()
+	deployment, err := scenario.LoadDeployment("../../deploy/emulator/small.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := play.Options{Deployment: deployment, Day: shortDay(), Binary: filepath.Join(t.TempDir(), "nothing"), Dir: t.TempDir()}
+	if _, err := play.New(t.Context(), o); !errors.Is(err, fs.ErrNotExist) {
+		t.Errorf("without a program: got: %v, want: %v", err, fs.ErrNotExist)
+	}
+	if err := os.WriteFile(o.Binary, []byte("#!/bin/sh\necho no licence today\n"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := play.New(t.Context(), o); err == nil || !strings.Contains(err.Error(), "ended by itself: no licence today") {
+		t.Errorf("a node that ends at once: got: %v, want: an error with its last line", err)
+	}
+}
--- /dev/null
+++ b/internal/standin/site/job.go
@@ -0,0 +1,119 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Job is a job as its caller hands it in.
+type Job struct {
+	ID    string
+	Steps []Step
+}
+
+// Step is a step of a job.
+type Step struct {
+	// Tasks is how many tasks it has, MilliCPU and MemoryMiB are what each takes.
+	Tasks               int
+	MilliCPU, MemoryMiB int64
+	// Takes is how long a task runs; tasks that last run until they are stopped.
+	Takes time.Duration
+	Lasts bool
+	// After has the indexes of the steps that must be done before.
+	After []int
+}
+
+// Outcome is what a caller knows of its request.
+type Outcome string
+
+// The outcomes.
+const (
+	// OutcomeAccepted means that the request was taken, OutcomeRefused that it certainly was not.
+	OutcomeAccepted Outcome = "accepted"
+	OutcomeRefused  Outcome = "refused"
+	// OutcomeUnknown means that no whole answer came.
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// body returns the job in the platform's words.
+func (j *Job) body() ([]byte, error) {
+	steps := make([]map[string]any, len(j.Steps))
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		steps[i] = map[string]any{"count": s.Tasks, "cpu": s.MilliCPU, "memMb": s.MemoryMiB, "estimatedMs": float64(s.Takes) / float64(time.Millisecond)}
+		if s.Lasts {
+			steps[i]["perpetual"] = true
+		}
+		if len(s.After) > 0 {
+			steps[i]["dependsOn"] = s.After
+		}
+	}
+	data, err := json.Marshal(map[string]any{"spec": "", "steps": steps})
+	if err != nil {
+		return nil, fmt.Errorf("site: %w", err)
+	}
+	return data, nil
+}
+
+// Submit hands in a job at a node.
+func (s *Site) Submit(ctx context.Context, n *Node, j *Job) (Outcome, error) {
+	body, err := j.body()
+	if err != nil {
+		return "", err
+	}
+	if err := s.Know(j.ID, body); err != nil {
+		return "", err
+	}
+	status, _, err := n.Do(ctx, http.MethodPost, QueuePrefix+j.ID, body)
+	return outcomeOf(status, err), nil
+}
+
+// Cancel asks a node to cancel a job.
+func (n *Node) Cancel(ctx context.Context, id string) Outcome {
+	status, _, err := n.Do(ctx, http.MethodDelete, QueuePrefix+id, nil)
+	return outcomeOf(status, err)
+}
+
+func outcomeOf(status int, err error) Outcome {
+	switch {
+	case err != nil:
+		return OutcomeUnknown
+	case status == http.StatusOK:
+		return OutcomeAccepted
+	}
+	return OutcomeRefused
+}
+
+// StateOf asks a node for the state of a job; false when it tells none. A final state is noted as
+// shown.
+func (s *Site) StateOf(ctx context.Context, n *Node, id string) (string, bool) {
+	status, body, err := n.Do(ctx, http.MethodGet, QueuePrefix+id, nil)
+	if err != nil || status != http.StatusOK {
+		return "", false
+	}
+	answer := struct {
+		State string `json:"state"`
+	}{}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		s.oracle.breaks(fmt.Sprintf("the state of %s cannot be read: %v", id, err))
+		return "", false
+	}
+	if IsFinal(answer.State) {
+		s.NoteShown(id, answer.State)
+	}
+	return answer.State, true
+}
+
+// Succeeded is the state of a job whose tasks have all ended well.
+const Succeeded = "succeeded"
+
+// IsFinal reports whether a job in that state is over.
+func IsFinal(state string) bool {
+	return state == Succeeded || state == "failed" || state == "cancelled"
+}
--- a/internal/standin/site/node.go
+++ b/internal/standin/site/node.go
@@ -34,6 +34,7 @@
 	// ClockShift is how far its time of day is ahead from its next start on.
 	ClockShift time.Duration
 	log        string
+	hasGroup   bool
 	process    *exec.Cmd
 	done       chan struct{}
 	client     *http.Client
@@ -115,7 +116,7 @@
 	n := &Node{
 		Name: "node-" + strconv.Itoa(i), Callers: fmt.Sprintf("%s:%d", ip, callersPort), ready: fmt.Sprintf("%s:%d", ip, readyPort),
 		binary: binary, file: filepath.Join(dir, fmt.Sprintf("node-%d.yaml", i)), log: filepath.Join(dir, fmt.Sprintf("node-%d.log", i)),
-		client: &http.Client{Timeout: 5 * time.Second},
+		client: &http.Client{Timeout: 5 * time.Second}, hasGroup: s.options.HasOwnGroup,
 	}
 	storeAddr, err := s.via(n.Name+"-store", s.StoreAddr)
 	if err != nil {
@@ -140,10 +141,12 @@
 	defer func() { _ = out.Close() }()
 	n.process = exec.Command(n.binary, "platform", "--settings", n.file, "--advertise", n.advertised, "--clock-shift", n.ClockShift.String())
 	n.process.Stdout, n.process.Stderr = out, out
+	n.process.SysProcAttr = &syscall.SysProcAttr{Setpgid: n.hasGroup}
 	if err := n.process.Start(); err != nil {
 		return fmt.Errorf("site: %w", err)
 	}
 	n.done = make(chan struct{})
+	processes.Store(n.process, struct{}{})
 	go n.run(n.process, n.done)
 	return nil
 }
@@ -151,9 +154,21 @@
 // run reaps the process.
 func (*Node) run(p *exec.Cmd, done chan struct{}) {
 	defer close(done)
+	defer processes.Delete(p)
 	_ = p.Wait()
 }
 
+// processes has those of all nodes that run.
+var processes sync.Map
+
+// KillAll ends all nodes of this process at once, for one that is about to end itself.
+func KillAll() {
+	processes.Range(func(p, _ any) bool {
+		_ = p.(*exec.Cmd).Process.Kill()
+		return true
+	})
+}
+
 // HasEnded reports whether the process has ended.
 func (n *Node) HasEnded() bool {
 	select {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -42,6 +42,8 @@
 	CPUShare float64
 	// HasAdvice means that starts want tickets.
 	HasAdvice bool
+	// HasOwnGroup keeps signals of a terminal from the nodes: whoever started them ends them.
+	HasOwnGroup bool
 	// Via returns the address by which nodes reach a service or a worker, for a
 	// proxy between; nil means its own.
 	Via func(name, addr string) (string, error)
@@ -285,7 +287,7 @@
 	}
 	good := [][2]string{}
 	for _, id := range body.Workers {
-		if t := ticketFor(body.Step, id); strings.ContainsAny(id[len(id)-1:], "02468") || t[0]%3 != 0 {
+		if s.Permits(body.Step, id) {
 			good = append(good, [2]string{id, ticketFor(body.Step, s.startOf(id))})
 		}
 	}
