--- a/internal/carrier/plan.go
+++ b/internal/carrier/plan.go
@@ -22,8 +22,8 @@
 }
 
 // stretch is how many times as many workers as a node has room for beside its other work
-// it carries before weaker nodes do: 15 nodes that are busy answer sooner than 147, of
-// which most are four times as slow and get their orders one by one.
+// it carries before weaker nodes do: a few strong nodes that are busy answer sooner than many
+// slow ones, which get their orders one by one.
 const stretch = 2
 
 // alikeShare is the part of the most that a node can carry from which it counts as
--- a/internal/cell/config.go
+++ b/internal/cell/config.go
@@ -98,7 +98,7 @@
 	isInForce := n.config != nil && bytes.Equal(data, n.config)
 	n.mu.Unlock()
 	if isInForce {
-		// It came from a peer before: to parse it again costs a weak node 0.1 s.
+		// It came from a peer before, and a weak node takes long to parse it.
 		return
 	}
 	c, err := n.options.Config.Parse(data)
--- a/internal/cell/request.go
+++ b/internal/cell/request.go
@@ -17,8 +17,8 @@
 const (
 	// retryAfter is when a refused caller should come back, in seconds.
 	retryAfter = 1
-	// defaultPatience is how long a request waits for the next owner: a dead one is
-	// replaced in some 0.3 s, and reading the jobs takes 0.05 to 0.2 s.
+	// defaultPatience is how long a request waits for the next owner, which has to take over
+	// and to read the jobs.
 	defaultPatience = 500 * time.Millisecond
 	// lostLately is how many times that after its owner was lost a node expects
 	// another one. After that it refuses at once.
--- a/internal/outlier/health.go
+++ b/internal/outlier/health.go
@@ -15,8 +15,8 @@
 // Limits by which a worker is judged from what became of its attempts.
 const (
 	// suspectAfter is how many failures in a row, of different jobs and without a
-	// success between them, set a worker aside. Tasks fail by their own fault in
-	// one of twenty attempts or so; two such in a row are rare.
+	// success between them, set a worker aside: two tasks in a row that fail by their own
+	// fault are rare.
 	suspectAfter = 2
 	// firstPause is how long a worker is set aside at first; it doubles up to
 	// longestPause while trials fail.
--- a/internal/rack/reports.go
+++ b/internal/rack/reports.go
@@ -260,8 +260,7 @@
 	r.Flush(now)
 }
 
-// upkeep looks at every attempt; it is not done at each tick, since with 700
-// attempts a node it was two fifths of the node's processor time.
+// upkeep looks at every attempt, which takes too long to be done at each tick.
 func (r *Rack) upkeep(now time.Time) {
 	r.lapseWorkers(now)
 	for _, id := range r.health.Proven(now) {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -62,8 +62,7 @@
 // 0 where it has answered that it does, as a question may be held up and reach a newer start, and
 // where the worker may have started again since it was heard last: the numbers of its earlier
 // start would make it forget ends of this one that it has not told, and these tasks would run
-// twice. Without this they did on 26 of 11,200 random days of the model
-// (TestPromisesHoldWhereWorkersStartAgain with other seeds), with it on none of 1,750.
+// twice.
 func (s *Session) Confirmable(now time.Time) uint64 {
 	if s.HasMissed() || now.Sub(s.listedAt) > shortestRestart || s.confirmed <= s.forgotten {
 		return 0
--- a/internal/stray/refusals.go
+++ b/internal/stray/refusals.go
@@ -12,9 +12,7 @@
 
 const (
 	// probePause is the pause before a worker that does not answer is told again to refuse an
-	// order, less than the owner's tick of 20 ms: what reaches its newer start first counts. On
-	// days such as NextGeneration tells of, a task ran twice on 9.9 of 1,000 with the pause of
-	// other stops, and on 2.0 with this one, both without generations.
+	// order, less than the owner's tick of 20 ms: what reaches its newer start first counts.
 	probePause = 15 * time.Millisecond
 	// maxProbes bounds the orders that such a worker is told to refuse at once: one may have left
 	// a hundred orders without an answer before it ended.
