internal/emulator/play: a node that starts again is not looked at meanwhile

Cause: the watch asked the node before it looked whether the node is down.

Why this works: a node is started only while it is marked as down, and the mark is set and taken off under the lock that the watch holds. Measured: the test twice under the race detector, no race.

--- a/internal/emulator/play/watch.go
+++ b/internal/emulator/play/watch.go
@@ -40,7 +40,8 @@
 	p.found = append(p.found, p.watch.Look(p.now(), workers, &p.calm)...)
 	p.found = append(p.found, p.stopped.Look(p.now(), workers, &p.calm)...)
 	for _, n := range p.nodes {
-		if n.HasEnded() && !n.isDown {
+		// One that is down may be starting again.
+		if !n.isDown && n.HasEnded() {
 			n.isDown = true
 			p.found = append(p.found, rules.Violation{Rule: rules.Promises, At: p.now(), What: n.Name + " ended by itself: " + lastLine(n.Log())})
 		}
