internal/cluster: failing tests for queries on silent links

Callers saw queries without an answer in time while the owner was alive (LOST in the users' record). Two causes were found by reading: requests in flight on a link that is replaced are sent again only within the request timeout, counted from their arrival; and a link on which only the follower's direction is silent is never replaced. The relay learns to silence one direction.

--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -404,6 +404,30 @@
 // when the link to the owner broke without a reset.
 func TestASilentLinkIsReplacedWhileTheOwnerLives(t *testing.T) {
 	log := fakestore.NewLog()
+	ownerRelay := newRelayedOwner(t, log)
+	clk := &manualClock{}
+	second := newNodeWith(t, log, "n1", "1", clk)
+	await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
+	ownerRelay.Silence()
+	await.True(t, "heartbeats are dropped", func() bool { return ownerRelay.DroppedReads() >= 3 })
+	// Longer than ownerSilenceTimeout, shorter than maxLinkSilence.
+	clk.offset.Store(int64(800 * time.Millisecond))
+	served := make(chan error, 1)
+	go func() { served <- second.Submit(t.Context(), job("b")) }()
+	await.True(t, "a request is served", func() bool {
+		select {
+		case err := <-served:
+			return err == nil
+		default:
+			return false
+		}
+	})
+	checkOwner(t, log, "n0")
+}
+
+// newRelayedOwner returns an owner, which has job "a" and whose followers link to it through the relay.
+func newRelayedOwner(t *testing.T, log *fakestore.Log) *relay.Relay {
+	t.Helper()
 	var ownerRelay *relay.Relay
 	first := newNodeWith(t, log, "n0", "1", clock.Real{}, func(o *cluster.Options) {
 		var err error
@@ -414,18 +438,52 @@
 		o.AdvertiseAddr = ownerRelay.Addr()
 	})
 	first.submit(t, "a")
+	return ownerRelay
+}
+
+// Guards against queries that fail although the owner is alive: those in flight on a link that fell
+// silent failed when it was replaced more than the request timeout after they had arrived.
+func TestRequestsOnASilentLinkAreSentAgainOverTheNextLink(t *testing.T) {
+	log := fakestore.NewLog()
+	ownerRelay := newRelayedOwner(t, log)
 	clk := &manualClock{}
-	second := newNodeWith(t, log, "n1", "1", clk)
+	second := newNodeWith(t, log, "n1", "1", clk, func(o *cluster.Options) { o.RequestTimeout = time.Nanosecond })
 	await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
 	ownerRelay.Silence()
-	await.True(t, "heartbeats are dropped", func() bool { return ownerRelay.DroppedReads() >= 3 })
+	const queries = 20
+	answers := make(chan error, queries)
+	for range queries {
+		go func() {
+			_, _, err := second.State(t.Context(), "a", work.Caller{})
+			answers <- err
+		}()
+	}
+	await.True(t, "queries and heartbeats are dropped", func() bool { return ownerRelay.DroppedReads() >= 5 })
 	// Longer than ownerSilenceTimeout, shorter than maxLinkSilence.
 	clk.offset.Store(int64(800 * time.Millisecond))
-	served := make(chan error, 1)
-	go func() { served <- second.Submit(t.Context(), job("b")) }()
-	await.True(t, "a request is served", func() bool {
+	for range queries {
+		if err := <-answers; err != nil {
+			t.Errorf("query: got: %v, want: an answer", err)
+		}
+	}
+}
+
+// Guards against a follower that hears its owner while nothing that it sends arrives: its requests
+// waited until their deadlines, for as long as the connection was open.
+func TestALinkThatIsSilentTowardsTheOwnerIsReplaced(t *testing.T) {
+	log := fakestore.NewLog()
+	ownerRelay := newRelayedOwner(t, log)
+	second := newNode(t, log, "n1", "1")
+	await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
+	ownerRelay.SilenceClients()
+	answers := make(chan error, 1)
+	go func() {
+		_, _, err := second.State(t.Context(), "a", work.Caller{})
+		answers <- err
+	}()
+	await.True(t, "a query is answered", func() bool {
 		select {
-		case err := <-served:
+		case err := <-answers:
 			return err == nil
 		default:
 			return false
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -19,8 +19,9 @@
 
 	mu    sync.Mutex
 	conns []net.Conn
-	// silenced is how many of conns, counted from the first, are silenced.
-	silenced int
+	// silenced is how many of conns, counted from the first, are silenced. Of the first halfSilenced only what
+	// clients send is discarded.
+	silenced, halfSilenced int
 	// droppedReads counts the reads from silenced connections, whose data was discarded.
 	droppedReads int
 	isClosed     bool
@@ -53,6 +54,14 @@
 	r.silenced = len(r.conns)
 }
 
+// SilenceClients discards what clients send on the connections that are open now, until these are closed. What the
+// target sends still arrives.
+func (r *Relay) SilenceClients() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.halfSilenced = len(r.conns)
+}
+
 // DroppedReads returns how many reads from silenced connections returned data, which was discarded.
 func (r *Relay) DroppedReads() int {
 	r.mu.Lock()
@@ -99,13 +108,13 @@
 	i := len(r.conns)
 	r.conns = append(r.conns, client, server)
 	r.wg.Add(2)
-	go r.copyData(client, server, i)
-	go r.copyData(server, client, i)
+	go r.copyData(client, server, i, true)
+	go r.copyData(server, client, i, false)
 }
 
 // copyData copies from one end to the other. Once the pair whose first index in conns is i has been silenced, it
 // discards what it reads.
-func (r *Relay) copyData(from, to net.Conn, i int) {
+func (r *Relay) copyData(from, to net.Conn, i int, isFromClient bool) {
 	defer r.wg.Done()
 	buf := make([]byte, bufferBytes)
 	for {
@@ -114,17 +123,18 @@
 			_ = to.Close()
 			return
 		}
-		if !r.shouldDrop(i) {
+		if !r.shouldDrop(i, isFromClient) {
 			_, _ = to.Write(buf[:n])
 		}
 	}
 }
 
-// shouldDrop reports whether the pair whose first index in conns is i is silenced, and if so counts the read.
-func (r *Relay) shouldDrop(i int) bool {
+// shouldDrop reports whether the pair whose first index in conns is i is silenced in that direction, and if so counts
+// the read.
+func (r *Relay) shouldDrop(i int, isFromClient bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if i >= r.silenced {
+	if i >= r.silenced && (i >= r.halfSilenced || !isFromClient) {
 		return false
 	}
 	r.droppedReads++
