internal/cluster: send requests again when a silent link is replaced

Callers saw: queries, submissions and cancels that were in flight on a link that had fallen silent failed, although the owner was alive and linked again; what may not be repeated got a 504. Cause: the request timeout, which bounds the wait for the next owner, was counted from the arrival of the request. A silent link is replaced after 0.3 to 1.2 s, so that the timeout (0.5 s) had mostly passed, and the wait for the change ended at once, or at random where both were due. Change: the timeout is counted from the end of each attempt; a change that has come goes before a timeout; the new link is set before the old one is closed, so that a request finds it. Why it works: a request can be repeated (its job ID makes it idempotent) and its caller's deadline still bounds it.

--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -99,10 +99,12 @@
 func (f *followSession) reconnect(conn *link.Conn) {
 	n := f.node
 	n.options.Log(events.OwnerFollowed, "owner", f.record.Node, "epoch", f.record.Epoch, "silent", n.silentFor())
-	f.conn.Close()
+	old := f.conn
 	f.conn = conn
 	n.setOwnerLink(conn, f.record.Node)
 	n.sendFollowerHeartbeat()
+	// Requests in flight on the old link fail now and are sent again over the new one.
+	old.Close()
 }
 
 // checkIfSilent starts a check of the owner if it is silent and no check runs. The check ends with
--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -441,13 +441,42 @@
 	return ownerRelay
 }
 
+// requestTimers is a clock on which the timers of requests fire by hand.
+type requestTimers struct {
+	manualClock
+	mu     sync.Mutex
+	timers []chan time.Time
+}
+
+// After returns a timer that fires by hand if it is one of a request.
+func (c *requestTimers) After(d time.Duration) <-chan time.Time {
+	if d != requestTimeout {
+		return c.manualClock.After(d)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	timer := make(chan time.Time, 1)
+	c.timers = append(c.timers, timer)
+	return timer
+}
+
+// fire lets all timers that were made so far fire.
+func (c *requestTimers) fire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, timer := range c.timers {
+		timer <- c.Now()
+	}
+	c.timers = nil
+}
+
 // Guards against queries that fail although the owner is alive: those in flight on a link that fell
 // silent failed when it was replaced more than the request timeout after they had arrived.
 func TestRequestsOnASilentLinkAreSentAgainOverTheNextLink(t *testing.T) {
 	log := fakestore.NewLog()
 	ownerRelay := newRelayedOwner(t, log)
-	clk := &manualClock{}
-	second := newNodeWith(t, log, "n1", "1", clk, func(o *cluster.Options) { o.RequestTimeout = time.Nanosecond })
+	clk := &requestTimers{}
+	second := newNodeWith(t, log, "n1", "1", clk)
 	await.True(t, "the second node serves", func() bool { return second.knows(t, "a") })
 	ownerRelay.Silence()
 	const queries = 20
@@ -459,6 +488,7 @@
 		}()
 	}
 	await.True(t, "queries and heartbeats are dropped", func() bool { return ownerRelay.DroppedReads() >= 5 })
+	clk.fire()
 	// Longer than ownerSilenceTimeout, shorter than maxLinkSilence.
 	clk.offset.Store(int64(800 * time.Millisecond))
 	for range queries {
--- a/internal/cluster/request.go
+++ b/internal/cluster/request.go
@@ -74,17 +74,20 @@
 	return !errors.As(err, &e) || e.Verdict != leverdyke.VerdictNotRun
 }
 
-// requestFromOwner sends a request to the owner. If the owner changes meanwhile, it waits for the next
-// owner, up to the request timeout, and sends the request again. If an earlier attempt may have
-// been carried out, the final error says so even when later attempts were refused.
+// requestFromOwner sends a request to the owner. If the owner or the link to it changes meanwhile,
+// it waits for the next one, up to the request timeout after each attempt, and sends the request
+// again. If an earlier attempt may have been carried out, the final error says so even when later
+// attempts were refused.
 func (n *Node) requestFromOwner(ctx context.Context, r *request) (*ownerReply, error) {
-	timedOut := n.options.Clock.After(n.options.RequestTimeout)
+	var timedOut <-chan time.Time
 	var uncertain error
 	for {
 		t, ownerChanged, err := n.target()
 		var a *ownerReply
 		if err == nil {
 			a, err = t.send(ctx, r)
+			// The time in which the owner had the request is not spent on waiting for the next one.
+			timedOut = nil
 		}
 		if err == nil || !isOwnerChange(err) && uncertain == nil {
 			return a, err
@@ -92,6 +95,9 @@
 		if uncertain == nil && mayHaveRun(err) {
 			uncertain = err
 		}
+		if timedOut == nil {
+			timedOut = n.options.Clock.After(n.options.RequestTimeout)
+		}
 		if !isOwnerChange(err) || !n.isOwnerExpected() || !waitForChange(ctx, ownerChanged, timedOut) {
 			return nil, errors.Join(uncertain, err)
 		}
@@ -101,6 +107,11 @@
 // waitForChange waits until ownerChanged is closed. It reports false when the request timed out or
 // ctx ended first.
 func waitForChange(ctx context.Context, ownerChanged <-chan struct{}, timedOut <-chan time.Time) bool {
+	select {
+	case <-ownerChanged:
+		return ctx.Err() == nil
+	default:
+	}
 	select {
 	case <-ownerChanged:
 		return true
