internal/cluster: close links of followers that are not heard

Callers saw: all requests at one node without an answer until their deadlines, while the node heard its owner. Cause: a follower judges its link by what it hears. Where only its own direction is silent, it kept the link, its requests and its outcomes as a delegate were lost, and the owner left the link open, as it merely stopped using the follower. Change: the owner counts its own heartbeats since a follower was last heard and closes the link after 15 of them (1.5 s, from which on it does not use the follower anyway); the follower then makes a new link and sends its requests again. They are counted, as an owner that was kept from running itself hears nobody.

--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -19,6 +19,10 @@
 const (
 	// maxPeerSilence is how long after its last heartbeat a follower is still used.
 	maxPeerSilence = 1500 * time.Millisecond
+	// maxMissedHeartbeats is how many of this node's own heartbeats in a row may pass without one of
+	// the follower until its link is closed. They are counted, and no time is measured, because this
+	// node hears nobody while it is kept from running itself.
+	maxMissedHeartbeats = int(maxPeerSilence / ownerHeartbeatPeriod)
 	// peerRetention is how long a peer that is no longer linked still counts as known when a
 	// majority is determined.
 	peerRetention = 8 * time.Second
@@ -35,6 +39,8 @@
 	startedAt time.Time
 	// heardAt is when its last heartbeat was received, or when it was linked.
 	heardAt time.Time
+	// missedHeartbeats counts this node's heartbeats since then.
+	missedHeartbeats int
 	// isLeaving means that its process is about to end.
 	isLeaving bool
 	// isStoreUnavailable means that its last direct read from the store failed.
@@ -92,11 +98,30 @@
 	defer p.mu.Unlock()
 	for _, peer := range p.byName {
 		if peer.conn == c {
-			peer.heardAt, peer.isLeaving, peer.isStoreUnavailable = p.clock.Now(), a.IsLeaving, a.IsStoreUnavailable
+			peer.heardAt, peer.missedHeartbeats = p.clock.Now(), 0
+			peer.isLeaving, peer.isStoreUnavailable = a.IsLeaving, a.IsStoreUnavailable
 		}
 	}
 }
 
+// closeSilent closes the links of followers that are not heard any more, and returns their names. It
+// is called with each heartbeat to the followers. Where only the direction to this node is silent, a
+// follower has no other way to learn that its requests do not arrive; it then makes a new link.
+func (p *peers) closeSilent() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	closed := []string{}
+	for name, peer := range p.byName {
+		peer.missedHeartbeats++
+		if peer.missedHeartbeats == maxMissedHeartbeats {
+			peer.conn.Close()
+			closed = append(closed, name)
+		}
+	}
+	slices.Sort(closed)
+	return closed
+}
+
 func (p *peers) closeAll() {
 	for _, peer := range p.all() {
 		peer.conn.Close()
