internal/owner: log records in the store that the owner does not know

The logs could not tell whether an owner had read all that was written before its takeover, which one hypothesis for a cancelled job that ran on needs. LD0217 tells it: the offset that each append of jobs returns is compared with the end of what this owner has read and written. TestRecordsOfAnotherWriterAreLogged: none after a lost answer, one after a foreign record.

--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -149,6 +149,7 @@
 	JobRefused             = add(458, "job refused", LevelWarning)
 	PaceFailed             = add(459, "worker was not told the pace of a task", LevelWarning)
 	JobsLoaded             = add(463, "jobs read from the store", LevelInfo)
+	UnexpectedOffset       = add(217, "records in the store that the owner does not know", LevelError)
 	StoreFailed            = add(216, "platform's store did not do what was asked", LevelWarning)
 	VMListRecovered        = add(311, "list of VMs answers again", LevelInfo)
 )
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -77,6 +77,9 @@
 	// that it is; only runZoneDrains uses it.
 	zonesKnown    chan struct{}
 	areZonesKnown bool
+	// jobsEnd is the end of the topic of jobs as far as this owner has read and written it. Only load
+	// and then runWrites use it.
+	jobsEnd uint64
 	// recordOffset is the offset of this owner's newest record. Only runHeartbeats uses it.
 	recordOffset uint64
 	lag          lagMeter
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -186,6 +187,43 @@
 	}
 }
 
+// Records of another writer may cancel a job that this owner goes on with, so they must show in the
+// log. An append of its own that is repeated must not.
+func TestRecordsOfAnotherWriterAreLogged(t *testing.T) {
+	log, workers := fakestore.NewLog(), newFakeWorkers()
+	unexpected := atomic.Int64{}
+	o := startOwnerWithLog(t, log, workers, func(e events.Event, _ ...any) {
+		if e == events.UnexpectedOffset {
+			unexpected.Add(1)
+		}
+	})
+	isLost := atomic.Bool{}
+	isLost.Store(true)
+	log.SetAppendFault(func(*store.Append) (error, bool) {
+		if isLost.CompareAndSwap(true, false) {
+			return &store.Error{Failure: store.Unknown}, true
+		}
+		return nil, false
+	})
+	if err := o.Submit(t.Context(), newJob("a")); err != nil {
+		t.Fatal(err)
+	}
+	awaitState(t, o, "a", work.JobSucceeded)
+	if got := unexpected.Load(); got != 0 {
+		t.Errorf("after a lost answer: got: %d lines, want: 0", got)
+	}
+	if _, err := log.Append(t.Context(), &store.Append{Topic: owner.TopicJobs, Records: []store.Record{{Key: "p/x"}}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := o.Submit(t.Context(), newJob("b")); err != nil {
+		t.Fatal(err)
+	}
+	awaitState(t, o, "b", work.JobSucceeded)
+	if got := unexpected.Load(); got != 1 {
+		t.Errorf("after records of another writer: got: %d lines, want: 1", got)
+	}
+}
+
 // A previous owner that the store has fenced must end and accept no more jobs. Otherwise it could
 // accept jobs that the new owner does not know.
 func TestNewOwnerEndsPreviousOwner(t *testing.T) {
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -32,6 +32,7 @@
 	if err != nil {
 		return 0, err
 	}
+	o.jobsEnd = newest.End
 	o.tick()
 	o.engine.SetTimeOfDay(o.options.Clock.TimeOfDay())
 	o.applyPolicy()
@@ -241,8 +242,9 @@
 func (o *Owner) append(records []store.Record, sequence uint64, mayRefuse bool) (uint64, bool) {
 	a := &appendCall{owner: o, records: records, sequence: sequence, mayRefuse: mayRefuse}
 	for tries := 0; ; tries++ {
-		err := a.try()
+		offset, err := a.try()
 		if err == nil {
+			o.recordAppended(offset, len(records), tries)
 			return a.sequence + 1, true
 		}
 		if o.ctx.Err() != nil {
@@ -256,6 +258,16 @@
 	}
 }
 
+// recordAppended checks that the records of an append follow what this owner has read and written.
+// Only a repeated append of its own may have come between; otherwise there are records that it does
+// not know.
+func (o *Owner) recordAppended(offset uint64, count, tries int) {
+	if offset != o.jobsEnd {
+		o.options.Log(events.UnexpectedOffset, "epoch", o.Epoch(), "offset", offset, "want", o.jobsEnd, "records", count, "tries", tries)
+	}
+	o.jobsEnd = offset + uint64(count)
+}
+
 // appendCall is the append of some records, repeated until its outcome is known.
 type appendCall struct {
 	owner   *Owner
@@ -268,15 +280,15 @@
 	mayBeApplied bool
 }
 
-// try sends the append once.
-func (a *appendCall) try() error {
+// try sends the append once, and returns the offset of its first record.
+func (a *appendCall) try() (uint64, error) {
 	o := a.owner
 	ctx, cancel := o.withStoreTimeout()
 	defer cancel()
 	startedAt := o.options.Clock.Now()
-	_, err := o.options.Store.Append(ctx, &store.Append{Topic: TopicJobs, Records: a.records, Writer: o.writer(a.sequence)})
+	offset, err := o.options.Store.Append(ctx, &store.Append{Topic: TopicJobs, Records: a.records, Writer: o.writer(a.sequence)})
 	o.options.Metrics.Appended(appendOutcome(err), o.options.Clock.Now().Sub(startedAt))
-	return err
+	return offset, err
 }
 
 // retryDecision says when a failed append is tried again.
