--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -71,7 +71,7 @@
 	HasPreviousEnded bool
 }
 
-// Options configures an Owner. All fields but Log, Delegates and DirectWorkers are required.
+// Options configures an Owner. All fields but Log, Delegates, DirectWorkers and MaxDirectPolls are required.
 type Options struct {
 	Claim              Claim
 	Store              store.Log
@@ -83,8 +83,11 @@
 	// DirectWorkers is how many workers this node talks to itself while delegates are available; 0
 	// means all.
 	DirectWorkers int
-	Clock         clock.Service
-	Log           func(e events.Event, keysAndValues ...any)
+	// MaxDirectPolls is how many workers this node polls itself at a time, as each poll holds a
+	// connection; 0 sets no limit.
+	MaxDirectPolls int
+	Clock          clock.Service
+	Log            func(e events.Event, keysAndValues ...any)
 	// Metrics receives measurements.
 	Metrics Metrics
 	// MaxStrength returns the strength of the strongest known node.
