internal/core: replace links over which a node is not heard

Change: a node that hears a peer whose heartbeat lists it among the silent ones replaces its link to that peer, at most once in 3 s.

--- a/internal/core/cluster_test.go
+++ b/internal/core/cluster_test.go
@@ -42,6 +42,9 @@
 	// blockedLinks has the pairs of names, sender and receiver, between which all
 	// messages are lost. The log is a receiver named "log".
 	blockedLinks map[[2]string]bool
+	// silentLinks has the pairs of nodes, sender and receiver, of links that are open but deliver
+	// nothing until the sender replaces them.
+	silentLinks map[[2]state.NodeID]bool
 	// loseReplies is the number of further appends that take effect but whose
 	// replies are lost.
 	loseReplies      int
@@ -65,7 +68,7 @@
 func newCluster(o clusterOptions) *cluster {
 	cl := &cluster{
 		clock: clock.NewFake(), oracle: native.NewOracle(), workers: map[worker.ID]*native.Worker{},
-		rng: rand.New(rand.NewPCG(o.seed, 1)), blockedLinks: map[[2]string]bool{},
+		rng: rand.New(rand.NewPCG(o.seed, 1)), blockedLinks: map[[2]string]bool{}, silentLinks: map[[2]state.NodeID]bool{},
 	}
 	if o.capacity == (leverdyke.Resources{}) {
 		o.capacity = leverdyke.Resources{MilliCPU: 4000, MemoryMiB: 4096, Slots: 4}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -198,8 +198,11 @@
 	livenessChecks         livenessChecks
 	heartbeatAt, plannedAt time.Time
 	silentSince            map[state.NodeID]time.Time
-	answerQueries          map[uint64]*answerQuery
-	lastQueryID            uint64
+	// reconnectedAt is when the links were last replaced over which peers did not
+	// hear this node.
+	reconnectedAt map[state.NodeID]time.Time
+	answerQueries map[uint64]*answerQuery
+	lastQueryID   uint64
 	// unacknowledgedMessages is the number of messages with stored answers that
 	// the successor has not acknowledged yet; handoverDone is called when it
 	// reaches 0.
@@ -239,6 +242,7 @@
 		fenced: map[state.ShardID]worker.Epoch{}, deputies: map[state.ShardID]deputy{}, pendingClaims: map[state.ShardID]uint64{},
 		rackSummaries: map[state.ShardID]*node.RackSummary{},
 		rackCapacity:  map[state.ShardID]leverdyke.Resources{}, startedAt: env.Now(), recentBatches: logbuffer.NewBuffer(-1), silentSince: map[state.NodeID]time.Time{},
+		reconnectedAt: map[state.NodeID]time.Time{},
 		answerQueries: map[uint64]*answerQuery{}, livenessChecks: livenessChecks{pending: map[state.NodeID]livenessCheck{}},
 	}
 	for _, p := range options.Peers {
--- a/internal/core/fakenode_test.go
+++ b/internal/core/fakenode_test.go
@@ -25,6 +25,8 @@
 // fakeNode is a node's process without sockets. While it is paused it does
 // nothing; when it resumes it first handles everything that has queued up.
 type fakeNode struct {
+	// connects counts the links that the node was asked to open.
+	connects      int
 	cluster       *cluster
 	index         int
 	addr          netip.AddrPort
@@ -274,7 +276,7 @@
 		if o.id() != to {
 			continue
 		}
-		if o.core == nil || n.cluster.isBlocked(n.name(), o.name()) {
+		if o.core == nil || n.cluster.isBlocked(n.name(), o.name()) || n.cluster.silentLinks[[2]state.NodeID{n.id(), to}] {
 			return true
 		}
 		// Encoded and decoded, so that the nodes share no memory and a field that
@@ -293,8 +295,11 @@
 	return false
 }
 
-func (n *fakeNode) Connect(state.NodeID, netip.AddrPort) {}
-func (n *fakeNode) Disconnect(state.NodeID)              {}
+func (n *fakeNode) Connect(state.NodeID, netip.AddrPort) { n.connects++ }
+
+func (n *fakeNode) Disconnect(peer state.NodeID) {
+	delete(n.cluster.silentLinks, [2]state.NodeID{n.id(), peer})
+}
 
 func (n *fakeNode) Append(r state.Record, done func(error)) bool {
 	if n.IsAppendFailing() {
--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -6,6 +6,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/leverdyke/leverdyke/internal/state"
 )
 
 // epochs returns the sum of the epochs of all shards, which grows by one with
@@ -59,6 +61,25 @@
 	}
 }
 
+// A node sends to a peer over a connection on which it receives nothing, so that only the peer can
+// notice when the connection delivers nothing any more. It stayed in use for as long as it was open.
+func TestNodeReplacesLinksOverWhichItIsNotHeard(t *testing.T) {
+	cl := newClusterWithService(t, 42)
+	n := cl.nodes[2]
+	before := n.connects
+	cl.run(10 * time.Second)
+	if got := n.connects - before; got != 0 {
+		t.Errorf("links replaced without need: got: %d, want: 0", got)
+	}
+	for _, o := range cl.nodes[:2] {
+		cl.silentLinks[[2]state.NodeID{n.id(), o.id()}] = true
+	}
+	cl.run(5 * time.Second)
+	if got := len(cl.silentLinks); got != 0 {
+		t.Errorf("silent links after 5 s: got: %d, want: 0", got)
+	}
+}
+
 // The last live node of a region cannot be distinguished from a partitioned one. It must take over
 // all shards once its peers have not answered its query in the log.
 func TestLastLiveNodeTakesOverAllShards(t *testing.T) {
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -4,6 +4,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
@@ -19,6 +20,10 @@
 	// summaryRefreshPeriod is after which time a summary is sent again although
 	// it has not changed, for peers that missed it.
 	summaryRefreshPeriod = 15 * time.Second
+	// reconnectPeriod is the minimum time between two replacements of the link to a
+	// peer: the peer needs a heartbeat over the new one, and this node one of the
+	// peer's after that.
+	reconnectPeriod = 3 * time.Second
 	// batchesRetryDelay and stateRetryDelay are after which time a peer is asked
 	// again for batches, or for its state.
 	batchesRetryDelay = time.Second
@@ -202,6 +207,9 @@
 		Node: from.Node, Incarnation: from.Incarnation, Region: from.Region, Applied: hb.Applied,
 		IsLogUnavailable: hb.IsLogUnavailable, IsDraining: hb.IsDraining, Suspects: hb.Suspects,
 	})
+	if slices.Contains(hb.Suspects, c.options.Self.Node) {
+		c.reconnect(now, from.Node)
+	}
 	for i := range hb.Summaries {
 		rackSummary := hb.Summaries[i]
 		c.onSummary(&rackSummary)
@@ -209,6 +217,20 @@
 	c.onDeputyReport(from.Node, hb.DeputyRacks)
 }
 
+// reconnect replaces the link to a peer that does not hear this node although
+// this node hears the peer. Nothing arrives over a link that this node only sends
+// on, so it cannot tell by itself that the link delivers nothing any more.
+func (c *Core) reconnect(now time.Time, peer state.NodeID) {
+	m := c.state.Members[peer]
+	if m == nil || m.HasLeft || now.Sub(c.reconnectedAt[peer]) < reconnectPeriod {
+		return
+	}
+	c.reconnectedAt[peer] = now
+	events.Log(events.PeerSuspected, "peer", peer, "link", "replaced")
+	c.env.Disconnect(peer)
+	c.env.Connect(peer, m.Link)
+}
+
 func (c *Core) onSummary(rackSummary *node.RackSummary) {
 	if rackSummary.Workers > 0 {
 		c.rackCapacity[rackSummary.Rack] = c.rackCapacity[rackSummary.Rack].Max(rackSummary.Capacity)
