internal/integration: the soak cancels jobs and silences one direction of connections

Neither the soak nor the random models cancelled a job, and silent connections were silent in both directions. Half of the silences are of one direction.

--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -48,7 +48,8 @@
 //   - firstDelayedOrderSeed: orders to workers are delayed for seconds (1800).
 //   - firstCustomerSeed: jobs belong to customers, whose keys and limits change (1900).
 //   - firstDegradedWorkerSeed: workers fail long-running tasks (2000).
-var soakSeeds = []uint64{1, 322, 328, 802, 807, 909, 1200, 1500, 1600, 1646, 1700, 1800, 1900, 2000}
+//   - firstCancelSeed: callers cancel jobs, and connections fall silent in one direction (2200).
+var soakSeeds = []uint64{1, 322, 328, 802, 807, 909, 1200, 1500, 1600, 1646, 1700, 1800, 1900, 2000, 2200}
 
 const (
 	// firstDelegateSeed is the first seed in which each node has delegateCPUShare of a processor. A
@@ -126,6 +127,8 @@
 	hasDegradedWorkers bool
 	// customers are the customers who submit the jobs; nil when the queue requires no keys.
 	customers *soakCustomers
+	// cancels are the callers who cancel their jobs; nil when there are none.
+	cancels *soakCancels
 
 	mu      sync.Mutex
 	proxies map[string]*toxiproxy.Proxy
@@ -208,10 +211,14 @@
 		}
 	})
 	s.startPolling(seed)
+	if seed >= firstCancelSeed {
+		s.startCancelling(seed)
+	}
 	s.submitAndInjectFaults(length)
 	s.endAllFaults()
 	s.awaitAll()
 	s.awaitCrashing()
+	s.awaitCancelled()
 	s.await("the long-running tasks run", func() bool {
 		return s.areRunning(longRunning) && s.running() == longRunningTasksPerJob*len(longRunning)
 	})
@@ -278,11 +285,16 @@
 // or of all kinds, stop carrying data for good. New connections work.
 func (s *soak) silenceConnections() {
 	kind := []string{"-store", "-link", "i-", ""}[s.rng.IntN(4)]
-	s.logAction("open connections of %q go silent", kind)
+	isOneWay := s.cancels != nil && s.rng.IntN(2) == 0
+	s.logAction("open connections of %q go silent, one way: %v", kind, isOneWay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, r := range s.relays {
-		if strings.Contains(name, kind) {
+		switch {
+		case !strings.Contains(name, kind):
+		case isOneWay:
+			r.SilenceClients()
+		default:
 			r.Silence()
 		}
 	}
@@ -310,6 +322,10 @@
 }
 
 func (s *soak) submitJob() {
+	if s.cancels != nil && s.rng.IntN(cancelOdds) == 0 {
+		s.submitJobToCancel()
+		return
+	}
 	s.submitRandomJob("", func(id string) { s.unfinished = append(s.unfinished, id) })
 }
 
--- a/internal/standin/site/oracle.go
+++ b/internal/standin/site/oracle.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Oracle checks the scheduler's guarantees by what workers and callers observe, and collects violations. It
@@ -23,6 +24,8 @@
 	startedJobs map[string]bool
 	// shownStates has, by job, the final state that a caller was shown: from then on it must not change.
 	shownStates map[string]string
+	// cancelledAt has, by job, when the cancellation was acknowledged to its caller.
+	cancelledAt map[string]time.Time
 	violations  []string
 	// crashes counts, by task, the workers that crashed while it ran. startsAfterCrashes counts the starts
 	// of a task since crashes reached maxCrashes.
@@ -44,9 +47,13 @@
 	startsAfterCrashesLimit = 3
 )
 
+// maxStartDelay is the longest time for which an order to start may be on its way: longer than the
+// lease that it carries (6 s), and than workers delay orders in the tests (5 s).
+const maxStartDelay = 6500 * time.Millisecond
+
 func newOracle() *Oracle {
 	return &Oracle{
-		runningOn: map[string][]string{}, successes: map[string][]*successfulRun{}, startedJobs: map[string]bool{}, shownStates: map[string]string{},
+		runningOn: map[string][]string{}, successes: map[string][]*successfulRun{}, startedJobs: map[string]bool{}, shownStates: map[string]string{}, cancelledAt: map[string]time.Time{},
 		crashes: map[string]int{}, startsAfterCrashes: map[string]int{},
 		customerOfJob: map[string]string{}, used: map[string]int64{}, peaks: map[string]int64{}, usageByRun: map[string]customerUsage{},
 	}
@@ -63,6 +70,9 @@
 	if state := o.shownStates[job]; state != "" {
 		o.violations = append(o.violations, fmt.Sprintf("%s starts on %s after its job was shown as %s", task, w.incarnation, state))
 	}
+	if at, ok := o.cancelledAt[job]; ok && time.Since(at) > maxStartDelay {
+		o.violations = append(o.violations, fmt.Sprintf("%s starts on %s %v after the cancellation of its job was acknowledged", task, w.incarnation, time.Since(at)))
+	}
 	if running := o.runningOn[task]; len(running) > 0 {
 		o.violations = append(o.violations, fmt.Sprintf("%s starts on %s while it runs on %v", task, w.incarnation, running))
 	}
@@ -87,6 +97,14 @@
 	}
 }
 
+// recordCancel records that the cancellation of a job was acknowledged to its caller. No order to start one of its
+// tasks may leave a node from then on.
+func (o *Oracle) recordCancel(job string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cancelledAt[job] = time.Now()
+}
+
 // recordCrash records that a task of the kind that crashes workers has crashed one.
 func (o *Oracle) recordCrash(task string) {
 	o.mu.Lock()
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -279,6 +279,10 @@
 // its tasks or another final state is a violation.
 func (s *Site) RecordShownState(job, state string) { s.oracle.recordShownState(job, state) }
 
+// RecordCancel records that the cancellation of a job was acknowledged to its caller. A start of one of its tasks
+// counts as a violation once no earlier order can be on its way any more.
+func (s *Site) RecordCancel(job string) { s.oracle.recordCancel(job) }
+
 // Starts returns how many runs were started.
 func (s *Site) Starts() int { return s.oracle.starts() }
 
