cluster, fallback, owner: an owner that is cut off is no majority

Cause: an owner goes on without the store only while it is linked to the majority of the nodes (decision 0015). A node without a link counted as known for 8 s only. An owner, or a few nodes with it, that is cut off from the store and from the others therefore stopped acting after 3 s, but was the majority of the nodes that it still knew after 8 s, and took its role up again from memory, beside its successor: it answered with old states, renewed leases, and started tasks ahead of the store on workers that the successor had not reached. Class: a vote among the nodes that one remembers, where forgetting is what being cut off brings about. Change: who is known is counted from the store's last word that named this node as the owner, instead of from now: whoever has been lost since then counts for as long as the store does not confirm the owner again. A new owner that was cut off before the others had linked to it knew nobody and was a majority at once: the record of the owner has the number of nodes that it knows, and for 8 s its successor counts at least as many. Why it works: no other node can become the owner without the store's word; while most of the nodes that were known at the last word of the store follow this node, they do not claim.

--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -120,7 +120,7 @@
 	if previous != nil {
 		// The previous owner's values count too, because stronger nodes may not be linked to this
 		// one yet.
-		r.MaxStrength, r.ListedWorkers = max(r.MaxStrength, previous.MaxStrength), previous.ListedWorkers
+		r.MaxStrength, r.ListedWorkers, r.KnownNodes = max(r.MaxStrength, previous.MaxStrength), previous.ListedWorkers, previous.KnownNodes
 	}
 	at, err := owner.AppendRecord(n.ctx, n.log, &r, end)
 	if err != nil {
@@ -195,7 +195,7 @@
 	workers, list := n.options.NewOwner(n.fallback)
 	o := owner.New(owner.Options{
 		Claim: c, Store: n.options.NewStore(n.fallback), Workers: workers, List: list, PermissionChannels: &permissionChannels{n},
-		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasStoreOutage: n.fallback.HasOutage, NodeZone: n.options.Zone,
+		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasStoreOutage: n.fallback.HasOutage, KnownNodes: n.peers.known, NodeZone: n.options.Zone,
 		StopTime: n.options.StopTime, Heartbeat: n.options.Heartbeat, MaxStrength: n.maxKnownStrength,
 		Delegates: &delegates{n}, DirectWorkers: n.options.MaxWorkers, MaxDirectPolls: n.options.MaxDirectPolls, Disabled: n.options.Disabled, Enabled: n.options.Enabled,
 	})
--- a/internal/cluster/export_test.go
+++ b/internal/cluster/export_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/link"
 	"github.com/leverdyke/leverdyke/internal/owner"
 )
@@ -105,3 +106,18 @@
 func (f *Fitness) IsUnfit(lag float64, isWeak bool, now time.Time) bool {
 	return f.f.isUnfit(lag, isWeak, now)
 }
+
+// Peers gives tests access to the peers of an owner.
+type Peers struct{ p *peers }
+
+// NewPeers returns no peers.
+func NewPeers(c clock.Service) *Peers { return &Peers{newPeers(c)} }
+
+// Add adds a peer that has made a link.
+func (p *Peers) Add(name string, c *link.Conn) { p.p.add(hello{Name: name}, c) }
+
+// Remove removes the peer with that link.
+func (p *Peers) Remove(c *link.Conn) { p.p.remove(c) }
+
+// IsMajority reports whether this node and its peers are the majority.
+func (p *Peers) IsMajority(asOf time.Time, minNodes int) bool { return p.p.IsMajority(asOf, minNodes) }
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -23,8 +23,8 @@
 	// the follower until its link is closed. They are counted, and no time is measured, because this
 	// node hears nobody while it is kept from running itself.
 	maxMissedHeartbeats = int(maxPeerSilence / ownerHeartbeatPeriod)
-	// peerRetention is how long a peer that is no longer linked still counts as known when a
-	// majority is determined.
+	// peerRetention is how long before the store last confirmed the owner a peer must have lost its
+	// link so that it no longer counts as known when a majority is determined.
 	peerRetention = 8 * time.Second
 )
 
@@ -55,7 +55,7 @@
 	mu     sync.Mutex
 	byName map[string]*peer
 	// lastLinkedAt has, by name, when each peer made its link or, if the link has ended since, when
-	// it ended. IsMajority counts a peer without a link for peerRetention after that.
+	// it ended.
 	lastLinkedAt map[string]time.Time
 	// nextSample rotates the peers that Sample returns.
 	nextSample int
@@ -205,20 +205,28 @@
 	return out
 }
 
-// IsMajority reports whether this node and its usable peers are the majority of the nodes known to
-// this one: itself, its linked peers, and the peers that were linked within peerRetention.
-func (p *peers) IsMajority() bool {
+// IsMajority reports whether this node and its usable peers are the majority of the nodes that this
+// one has known since asOf, the last time at which the store is known to have named it as the owner.
+// Nodes that were lost after that are counted however long ago it is: a node that is cut off from
+// all others must not become the majority of the nodes that it still remembers. minNodes is at least
+// how many there are.
+func (p *peers) IsMajority(asOf time.Time, minNodes int) bool {
 	linked := len(p.usable()) + 1
+	return 2*linked > max(p.known(asOf), minNodes)
+}
+
+// known returns the number of nodes that this one has known since asOf: itself, its linked peers, and
+// the peers whose links ended after peerRetention before asOf.
+func (p *peers) known(asOf time.Time) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := len(p.byName) + 1
-	now := p.clock.Now()
 	for name, at := range p.lastLinkedAt {
-		if p.byName[name] == nil && now.Sub(at) < peerRetention {
+		if p.byName[name] == nil && asOf.Sub(at) < peerRetention {
 			known++
 		}
 	}
-	return 2*linked > known
+	return known
 }
 
 // linkTo returns the link to a peer, nil when there is none.
--- a/internal/fallback/fallback.go
+++ b/internal/fallback/fallback.go
@@ -67,8 +67,8 @@
 	// Via sends a request through a peer, with the results of Doer.Do.
 	Via(ctx context.Context, peer string, r *Request) (*Response, error)
 	// IsMajority reports whether this node and its linked peers are a majority of the nodes that
-	// were linked recently.
-	IsMajority() bool
+	// this node has known since asOf, of which there are at least minNodes.
+	IsMajority(asOf time.Time, minNodes int) bool
 }
 
 const (
@@ -138,13 +138,15 @@
 }
 
 // HasOutage reports whether the service has an outage: this node and most others reach each other,
-// but a request has failed on all paths that were tried, or did so until a moment ago.
-func (d *Client) HasOutage() bool {
+// but a request has failed on all paths that were tried, or did so until a moment ago. The others are
+// those that were known when the service was last seen to work, at asOf, at least minNodes in all: a
+// node that is cut off forgets them.
+func (d *Client) HasOutage(asOf time.Time, minNodes int) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
 	isFailing := d.allFailedAt.After(d.lastServedAt) && now.Sub(d.allFailedAt) < outageWindow
-	return (isFailing || now.Sub(d.recoveredAt) < recoveryWindow) && d.peers.IsMajority()
+	return (isFailing || now.Sub(d.recoveredAt) < recoveryWindow) && d.peers.IsMajority(asOf, minNodes)
 }
 
 // Do sends the request directly. It also sends it through peers when the direct path fails, or
--- a/internal/fallback/fallback_test.go
+++ b/internal/fallback/fallback_test.go
@@ -51,7 +51,7 @@
 	return p.responder.Do(ctx, r)
 }
 
-func (p *singlePeer) IsMajority() bool { return p.isMajority }
+func (p *singlePeer) IsMajority(time.Time, int) bool { return p.isMajority }
 
 var errReset = errors.New("reset")
 
@@ -119,22 +119,22 @@
 	peers := &singlePeer{responder: fixedResponder{status: 503}, isLinked: true, isMajority: true}
 	d := fallback.New(direct, peers, c)
 	sendRequest := func() { _, _ = d.Do(t.Context(), &fallback.Request{}) }
-	if d.HasOutage() {
+	if d.HasOutage(time.Time{}, 0) {
 		t.Error("before any request: got: an outage, want: none")
 	}
 	sendRequest()
-	if !d.HasOutage() {
+	if !d.HasOutage(time.Time{}, 0) {
 		t.Error("all paths fail: got: no outage, want: one")
 	}
 	c.Advance(time.Second)
 	direct.status, peers.responder.status = 200, 200
 	sendRequest()
-	if !d.HasOutage() {
+	if !d.HasOutage(time.Time{}, 0) {
 		t.Error("just served again: got: no outage, want: one")
 	}
 	c.Advance(2 * time.Second)
 	sendRequest()
-	if d.HasOutage() {
+	if d.HasOutage(time.Time{}, 0) {
 		t.Error("served for long: got: an outage, want: none")
 	}
 }
@@ -145,7 +145,7 @@
 	if _, err := d.Do(t.Context(), &fallback.Request{}); err != nil {
 		t.Fatal(err)
 	}
-	if d.HasOutage() {
+	if d.HasOutage(time.Time{}, 0) {
 		t.Error("got: an outage, want: none, as this node may be cut off")
 	}
 }
--- a/internal/owner/load_bench_test.go
+++ b/internal/owner/load_bench_test.go
@@ -237,7 +237,7 @@
 	o := owner.New(owner.Options{
 		Claim: owner.Claim{Record: r, HasAllPlacements: true}, Store: slowLog{log}, Workers: newFakeWorkers(), List: workers,
 		Delegates: workers, DirectWorkers: 1, PermissionChannels: fakeChannels{}, Clock: clock.Real{}, Metrics: noMetrics{},
-		HasStoreOutage: func() bool { return false }, MaxStrength: func() float64 { return 1 }, Log: func(events.Event, ...any) {},
+		HasStoreOutage: func(time.Time, int) bool { return false }, MaxStrength: func() float64 { return 1 }, Log: func(events.Event, ...any) {},
 		StopTime: 200 * time.Millisecond, Heartbeat: 1500 * time.Millisecond,
 	})
 	workers.owner = o
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -71,7 +71,7 @@
 	HasPreviousEnded bool
 }
 
-// Options configures an Owner. All fields but Log, Delegates, DirectWorkers and MaxDirectPolls are required.
+// Options configures an Owner. All fields but Log, Delegates, DirectWorkers, MaxDirectPolls and KnownNodes are required.
 type Options struct {
 	Claim              Claim
 	Store              store.Log
@@ -93,9 +93,12 @@
 	// MaxStrength returns the strength of the strongest known node.
 	MaxStrength func() float64
 	// HasStoreOutage reports whether most nodes are linked to this one and none reaches the store.
+	// asOf is when the store last confirmed this owner, minNodes at least how many nodes there are.
 	// No other node can become the owner then, so this one continues.
-	HasStoreOutage func() bool
-	NodeZone       string
+	HasStoreOutage func(asOf time.Time, minNodes int) bool
+	// KnownNodes returns how many nodes this one has known since asOf; nil if that is not needed.
+	KnownNodes func(asOf time.Time) int
+	NodeZone   string
 	// StopTime is the longest time that a worker takes to stop a task.
 	StopTime time.Duration
 	// Heartbeat is the time between two heartbeats of a worker; 0 when it is unknown.
@@ -114,6 +117,8 @@
 	// the store confirmed. It covers the loss of two heartbeats at a slow store (0.4 s per answer),
 	// and the time for which an outage of the store still counts after its end.
 	ConfirmationTimeout = 3 * time.Second
+	// linkingTime is how long after a claim the other nodes may take to link to the new owner.
+	linkingTime = 8 * time.Second
 	// maxLease is the longest time that a worker's lease runs from its last renewal: 6 s, 4% and
 	// the worker's own slack. maxInheritedLease is the longest time that a lease granted by a
 	// previous owner may still run: that owner may renew leases until its ConfirmationTimeout ends.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -74,6 +74,8 @@
 	// nextLearned is when the next digest of what was learned is due.
 	nextLearned   time.Time
 	appendTimeout appendTimeout
+	// claimedAt is when the owner was made, right after its claim.
+	claimedAt time.Time
 	// confirmedAt is when the newest heartbeat was sent that the store has confirmed.
 	confirmedAt time.Time
 	// zonesKnown is closed once the drained zones have been passed to the loop. areZonesKnown says
@@ -139,7 +141,7 @@
 		inbox: boundedqueue.NewQueue[event](inboxSize), ctx: ctx, cancel: cancel,
 		writes: make(chan *write, 1), loaded: make(chan struct{}), zonesKnown: make(chan struct{}),
 		pendingSubmits: map[work.JobID][]chan error{}, pendingCancels: map[work.JobID][]chan error{},
-		recordOffset: options.Claim.Offset, heartbeatSeq: options.Claim.Record.HeartbeatSeq, persistedAt: options.Clock.Now(),
+		recordOffset: options.Claim.Offset, heartbeatSeq: options.Claim.Record.HeartbeatSeq, persistedAt: options.Clock.Now(), claimedAt: options.Clock.Now(),
 		writeBehind: newWriteBehindGate(&options.Claim.Record, options.Clock.Now()),
 	}
 }
@@ -359,7 +361,20 @@
 // mayActAsOwner reports whether the store has confirmed the ownership within ConfirmationTimeout,
 // or no other node can claim it because no node reaches the store.
 func (o *Owner) mayActAsOwner() bool {
-	return o.now.Sub(o.confirmedAt) < ConfirmationTimeout || o.options.HasStoreOutage()
+	return o.now.Sub(o.confirmedAt) < ConfirmationTimeout || o.options.HasStoreOutage(o.confirmedAt, o.knownNodes(o.confirmedAt))
+}
+
+// knownNodes returns how many nodes there are as far as this owner knew at a time. Until all of them
+// have had the time to link to it, they are at least as many as the previous owner knew.
+func (o *Owner) knownNodes(at time.Time) int {
+	known := 0
+	if o.options.KnownNodes != nil {
+		known = o.options.KnownNodes(at)
+	}
+	if at.Sub(o.claimedAt) < linkingTime {
+		known = max(known, o.options.Claim.Record.KnownNodes)
+	}
+	return known
 }
 
 func (o *Owner) enqueue(ev event) bool { return o.inbox.Put(ev, o.ctx.Done()) }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -65,7 +65,7 @@
 	}
 	options := owner.Options{
 		Claim: owner.Claim{Record: r, Offset: at, Previous: previous, HasAllPlacements: true}, Store: log, Workers: workers, List: list,
-		PermissionChannels: noChannels{}, Clock: clk, Metrics: noMetrics{}, HasStoreOutage: func() bool { return false }, MaxStrength: func() float64 { return 1 },
+		PermissionChannels: noChannels{}, Clock: clk, Metrics: noMetrics{}, HasStoreOutage: func(time.Time, int) bool { return false }, MaxStrength: func() float64 { return 1 },
 		Log: logLine,
 	}
 	for _, f := range change {
@@ -316,3 +316,39 @@
 		t.Errorf("an append over the slow link: got: %v, want: persisted", err)
 	}
 }
+
+// A new owner that was cut off before the other nodes had linked to it knew of none, and took an
+// outage of the store for granted.
+func TestNewOwnerKnowsHowManyNodesThereAre(t *testing.T) {
+	log := fakestore.NewLog()
+	asked := make(chan int, 1)
+	change := func(o *owner.Options) {
+		o.Claim.Record.KnownNodes = 7
+		o.KnownNodes = func(time.Time) int { return 1 }
+		o.HasStoreOutage = func(_ time.Time, minNodes int) bool {
+			select {
+			case asked <- minNodes:
+			default:
+			}
+			return false
+		}
+	}
+	clk := clock.NewFake()
+	o := runOwner(t, log, newFakeWorkers(), oneWorkerList{}, clk, nil, change)
+	await.True(t, "the first heartbeat is persisted and the jobs are read", func() bool {
+		heartbeatSeq, _ := o.LastRecord()
+		return heartbeatSeq > 0 && o.IsLoaded()
+	})
+	if r, _, err := owner.ReadRecord(t.Context(), log); err != nil || r.KnownNodes != 7 {
+		t.Errorf("known nodes in the record: got: %v, %v, want: 7", r, err)
+	}
+	log.SetDown(true)
+	clk.Advance(owner.ConfirmationTimeout)
+	await.True(t, "the owner asks for an outage", func() bool {
+		clk.Advance(time.Millisecond)
+		return len(asked) > 0
+	})
+	if got := <-asked; got != 7 {
+		t.Errorf("nodes at least: got: %d, want: 7", got)
+	}
+}
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -430,6 +430,7 @@
 	r.SentAt = o.options.Clock.TimeOfDay()
 	r.MaxStrength = o.options.MaxStrength()
 	r.ListedWorkers = int(o.listedWorkers.Load())
+	r.KnownNodes = o.knownNodes(sentAt)
 	o.mu.Lock()
 	r.MayHaveUnpersisted = o.writeBehind.nextFlag(r.HeartbeatSeq, sentAt)
 	o.mu.Unlock()
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -35,6 +35,8 @@
 	MayHaveUnpersisted bool `msgpack:"u"`
 	// ListedWorkers is how many workers the owner's list had; 0 when it had none yet.
 	ListedWorkers int `msgpack:"w"`
+	// KnownNodes is how many nodes the owner knew; 0 when that is not known.
+	KnownNodes int `msgpack:"k"`
 }
 
 // Age returns the age of the record at that time of day.
