internal/cluster: close only links over which nothing arrives; wake requests when the owner is heard again

Links were closed although their followers were heard: the owner counted heartbeats, which wait behind a long message on a slow link, and are not read while a notification waits for the owner's full inbox; all links of a busy owner would have closed at once. Now a link counts as silent only while not a byte arrives and no message of it is being handled (TestOnlySilentLinksAreClosed). Callers whose request arrived while the owner was silent were refused after 0.5 s although it was heard again after 0.1 s: a heartbeat that ends the silence wakes them now (TestRequestsGoOnWhenTheOwnerIsHeardAgain: never sent before).

--- a/internal/cluster/export_test.go
+++ b/internal/cluster/export_test.go
@@ -121,3 +121,17 @@
 
 // IsMajority reports whether this node and its peers are the majority.
 func (p *Peers) IsMajority(asOf time.Time, minNodes int) bool { return p.p.IsMajority(asOf, minNodes) }
+
+// CloseSilent closes the links of silent peers and returns their names.
+func (p *Peers) CloseSilent() []string { return p.p.closeSilent() }
+
+// MaxSilentHeartbeats is after how many calls of CloseSilent a link is closed.
+const MaxSilentHeartbeats = maxSilentHeartbeats
+
+// HandleOwnerHeartbeat handles a heartbeat of the owner over the current link to it.
+func (n *Node) HandleOwnerHeartbeat() {
+	n.mu.Lock()
+	conn := n.ownerLink
+	n.mu.Unlock()
+	n.handleOwnerHeartbeat(conn, ownerHeartbeat{Epoch: 1})
+}
--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -460,6 +460,13 @@
 	return timer
 }
 
+// count returns how many timers have not fired.
+func (c *requestTimers) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.timers)
+}
+
 // fire lets all timers that were made so far fire.
 func (c *requestTimers) fire() {
 	c.mu.Lock()
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -19,10 +19,10 @@
 const (
 	// maxPeerSilence is how long after its last heartbeat a follower is still used.
 	maxPeerSilence = 1500 * time.Millisecond
-	// maxMissedHeartbeats is how many of this node's own heartbeats in a row may pass without one of
-	// the follower until its link is closed. They are counted, and no time is measured, because this
-	// node hears nobody while it is kept from running itself.
-	maxMissedHeartbeats = int(maxPeerSilence / ownerHeartbeatPeriod)
+	// maxSilentHeartbeats is how many of this node's own heartbeats in a row may pass without a byte
+	// of the follower until its link is closed. They are counted, and no time is measured, because
+	// this node hears nobody while it is kept from running itself.
+	maxSilentHeartbeats = int(maxPeerSilence / ownerHeartbeatPeriod)
 	// peerRetention is how long before the store last confirmed the owner a peer must have lost its
 	// link so that it no longer counts as known when a majority is determined.
 	peerRetention = 8 * time.Second
@@ -39,8 +39,10 @@
 	startedAt time.Time
 	// heardAt is when its last heartbeat was received, or when it was linked.
 	heardAt time.Time
-	// missedHeartbeats counts this node's heartbeats since then.
-	missedHeartbeats int
+	// silentHeartbeats counts this node's heartbeats since something arrived over the link, which had
+	// delivered receivedBytes then.
+	silentHeartbeats int
+	receivedBytes    int64
 	// isLeaving means that its process is about to end.
 	isLeaving bool
 	// isStoreUnavailable means that its last direct read from the store failed.
@@ -98,22 +100,27 @@
 	defer p.mu.Unlock()
 	for _, peer := range p.byName {
 		if peer.conn == c {
-			peer.heardAt, peer.missedHeartbeats = p.clock.Now(), 0
-			peer.isLeaving, peer.isStoreUnavailable = a.IsLeaving, a.IsStoreUnavailable
+			peer.heardAt, peer.isLeaving, peer.isStoreUnavailable = p.clock.Now(), a.IsLeaving, a.IsStoreUnavailable
 		}
 	}
 }
 
-// closeSilent closes the links of followers that are not heard any more, and returns their names. It
-// is called with each heartbeat to the followers. Where only the direction to this node is silent, a
-// follower has no other way to learn that its requests do not arrive; it then makes a new link.
+// closeSilent closes the links over which nothing arrives any more, and returns the names of their
+// followers. It is called with each heartbeat to the followers. Where only the direction to this node
+// is silent, a follower has no other way to learn that its requests do not arrive; it then makes a
+// new link. A follower whose heartbeat is late behind a long message, or whose last message is still
+// being handled here, is not silent.
 func (p *peers) closeSilent() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	closed := []string{}
 	for name, peer := range p.byName {
-		peer.missedHeartbeats++
-		if peer.missedHeartbeats == maxMissedHeartbeats {
+		if received := peer.conn.ReceivedBytes(); received != peer.receivedBytes || peer.conn.IsHandling() {
+			peer.receivedBytes, peer.silentHeartbeats = received, 0
+			continue
+		}
+		peer.silentHeartbeats++
+		if peer.silentHeartbeats == maxSilentHeartbeats {
 			peer.conn.Close()
 			closed = append(closed, name)
 		}
--- a/internal/cluster/serve.go
+++ b/internal/cluster/serve.go
@@ -225,7 +225,13 @@
 	if from != n.ownerLink {
 		return
 	}
-	n.detector.recordHeartbeat(n.options.Clock.Now(), b)
+	now := n.options.Clock.Now()
+	wasSilent := n.detector.isSilent(now)
+	n.detector.recordHeartbeat(now, b)
+	if wasSilent {
+		// Requests that arrived meanwhile wait for an owner.
+		n.notifyOwnerChange()
+	}
 	n.unpersistedEpoch = 0
 	if b.MayHaveUnpersisted {
 		n.unpersistedEpoch = b.Epoch
--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/boundedqueue"
@@ -80,6 +81,10 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	callSlots chan struct{}
+	// receivedBytes counts what was read. isHandling is set while a notification is handled, as
+	// nothing is read then.
+	receivedBytes atomic.Int64
+	isHandling    atomic.Bool
 
 	mu      sync.Mutex
 	nextID  uint64
@@ -117,6 +122,13 @@
 	_ = c.conn.Close()
 }
 
+// ReceivedBytes returns how many bytes have arrived over the connection.
+func (c *Conn) ReceivedBytes() int64 { return c.receivedBytes.Load() }
+
+// IsHandling reports whether a notification of the peer is being handled, so that nothing more is
+// read from the connection until that is done.
+func (c *Conn) IsHandling() bool { return c.isHandling.Load() }
+
 // Done returns a channel that is closed when the connection is closed.
 func (c *Conn) Done() <-chan struct{} { return c.ctx.Done() }
 
@@ -258,7 +270,9 @@
 			call.reply <- m
 		}
 	case m.ID == 0:
+		c.isHandling.Store(true)
 		c.handler.HandleNotification(c, m.Kind, m.Body)
+		c.isHandling.Store(false)
 	default:
 		select {
 		case c.callSlots <- struct{}{}:
--- a/internal/link/longframe.go
+++ b/internal/link/longframe.go
@@ -75,6 +75,7 @@
 // Read implements io.Reader.
 func (m *progressReader) Read(b []byte) (int, error) {
 	n, err := m.conn.conn.Read(b)
+	m.conn.receivedBytes.Add(int64(n))
 	if m.reads++; m.reads > shortFrameReads && n > 0 {
 		m.conn.recordProgress(n)
 	}
