Revert "internal/pollqueue: bound how many workers an owner polls at a time"

A review showed by a run that the queue polls without a pause once there are more workers than slots: 1,815 polls a second of 300 idle workers at a limit of 20, 82,000 a second of 6,000 at 820, where 150 and 1,000 are meant, as polls do not wait at the worker while others wait in the queue and the next one follows at once. Queued polls also keep an old generation, so that workers may refuse them. The test drained the queue once and could not see it.

--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -54,8 +54,8 @@
 	Apply func()
 }
 
-// Options configures a Node. All fields but AdvertiseAddr, Heartbeat, Workers, MaxWorkers, MaxDirectPolls
-// and RequestTimeout are required.
+// Options configures a Node. All fields but AdvertiseAddr, Heartbeat, Workers, MaxWorkers and
+// RequestTimeout are required.
 type Options struct {
 	Name string
 	Zone string
@@ -90,9 +90,6 @@
 	// is not used as a delegate.
 	Workers    owner.Workers
 	MaxWorkers int
-	// MaxDirectPolls is how many workers this node polls itself at a time as the owner; 0 sets no
-	// limit.
-	MaxDirectPolls int
 	// Strength is the number of processors of the node. The strongest node should be the owner.
 	Strength float64
 	// NeedsStoreConfig means that the node may serve callers only with a configuration that it has
--- a/internal/owner/delegates.go
+++ b/internal/owner/delegates.go
@@ -123,10 +123,9 @@
 			// The worker may have restarted since this poll was created. A new incarnation numbers
 			// its ends anew, so none may be confirmed.
 			a.Wait, a.Confirmed = 0, 0
-			o.polls.Add(a, o.now)
+			go o.runPoll(a)
 		}
 	}
-	o.sendPolls()
 }
 
 // HandleOutcomes takes the outcomes of orders that were handed to delegates.
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -71,7 +71,8 @@
 	HasPreviousEnded bool
 }
 
-// Options configures an Owner. All fields but Log, Delegates, DirectWorkers, MaxDirectPolls and KnownNodes are required.
+// Options configures an Owner. All fields but Log, Delegates, DirectWorkers and KnownNodes are
+// required.
 type Options struct {
 	Claim              Claim
 	Store              store.Log
@@ -83,11 +84,8 @@
 	// DirectWorkers is how many workers this node talks to itself while delegates are available; 0
 	// means all.
 	DirectWorkers int
-	// MaxDirectPolls is how many workers this node polls itself at a time, as each poll holds a
-	// connection; 0 sets no limit.
-	MaxDirectPolls int
-	Clock          clock.Service
-	Log            func(e events.Event, keysAndValues ...any)
+	Clock         clock.Service
+	Log           func(e events.Event, keysAndValues ...any)
 	// Metrics receives measurements.
 	Metrics Metrics
 	// MaxStrength returns the strength of the strongest known node.
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -31,8 +31,7 @@
 	case order.Stop:
 		go o.runStop(a)
 	case order.Poll:
-		o.polls.Add(a, o.now)
-		o.sendPolls()
+		go o.runPoll(a)
 	case order.Pace:
 		go o.runPace(a)
 	case order.QueryPermission:
@@ -83,27 +82,11 @@
 	return "unknown"
 }
 
-// sendPolls sends the polls that this node sends itself, as many as may be in flight at a time.
-func (o *Owner) sendPolls() {
-	for poll, ok := o.polls.Next(o.now); ok; poll, ok = o.polls.Next(o.now) {
-		go o.runPoll(poll)
-	}
-}
-
 func (o *Owner) runPoll(poll order.Poll) {
 	ctx, cancel := o.withTimeout(poll.Wait + poll.Timeout)
 	defer cancel()
 	listing, outcome := o.options.Workers.Poll(ctx, o.Epoch(), &poll)
-	o.enqueue(directPollEvent{pollEvent{poll, listing, outcome}})
-}
-
-// directPollEvent is the end of a poll that this node sent itself.
-type directPollEvent struct{ pollEvent }
-
-func (ev directPollEvent) apply(o *Owner) {
-	o.polls.Done()
-	ev.pollEvent.apply(o)
-	o.sendPolls()
+	o.enqueue(pollEvent{poll, listing, outcome})
 }
 
 func (o *Owner) runPace(p order.Pace) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -19,7 +19,6 @@
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/inspect"
 	"github.com/leverdyke/leverdyke/internal/order"
-	"github.com/leverdyke/leverdyke/internal/pollqueue"
 	"github.com/leverdyke/leverdyke/internal/quota"
 	"github.com/leverdyke/leverdyke/internal/statequery"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -32,8 +31,6 @@
 	engine  *dispatch.Engine
 	// router is used by the loop only.
 	router *delegate.Router
-	// polls are those that this node sends itself. They are used by the loop only.
-	polls  *pollqueue.Queue
 	inbox  *boundedqueue.Queue[event]
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -137,8 +134,8 @@
 			Log: options.Log, NodeZone: options.NodeZone, StopTime: options.StopTime, HeartbeatInterval: options.Heartbeat,
 			Disabled: options.Disabled, Enabled: options.Enabled,
 		}),
-		router: delegate.NewRouter(options.DirectWorkers, options.Claim.Record.Epoch), polls: pollqueue.NewQueue(options.MaxDirectPolls),
-		inbox: boundedqueue.NewQueue[event](inboxSize), ctx: ctx, cancel: cancel,
+		router: delegate.NewRouter(options.DirectWorkers, options.Claim.Record.Epoch),
+		inbox:  boundedqueue.NewQueue[event](inboxSize), ctx: ctx, cancel: cancel,
 		writes: make(chan *write, 1), loaded: make(chan struct{}), zonesKnown: make(chan struct{}),
 		pendingSubmits: map[work.JobID][]chan error{}, pendingCancels: map[work.JobID][]chan error{},
 		recordOffset: options.Claim.Offset, heartbeatSeq: options.Claim.Record.HeartbeatSeq, persistedAt: options.Clock.Now(), claimedAt: options.Clock.Now(),
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -50,7 +50,7 @@
 }
 
 // runOwner claims the shard and runs an owner until the test ends.
-func runOwner(t *testing.T, log store.Log, workers owner.Workers, list owner.List, clk clock.Service, logLine func(events.Event, ...any), change ...func(*owner.Options)) *owner.Owner {
+func runOwner(t *testing.T, log store.Log, workers *fakeWorkers, list owner.List, clk clock.Service, logLine func(events.Event, ...any), change ...func(*owner.Options)) *owner.Owner {
 	t.Helper()
 	previous, at, err := owner.ReadRecord(t.Context(), log)
 	if err != nil {
