--- a/internal/core/liveness_test.go
+++ b/internal/core/liveness_test.go
@@ -71,12 +71,17 @@
 	if got := n.connects - before; got != 0 {
 		t.Errorf("links replaced without need: got: %d, want: 0", got)
 	}
-	for _, o := range cl.nodes[:2] {
-		cl.silentLinks[[2]state.NodeID{n.id(), o.id()}] = true
-	}
-	cl.run(5 * time.Second)
-	if got := len(cl.silentLinks); got != 0 {
-		t.Errorf("silent links after 5 s: got: %d, want: 0", got)
+	for name, isSilentBothWays := range map[string]bool{"one way": false, "both ways": true} {
+		for _, o := range cl.nodes[:2] {
+			cl.silentLinks[[2]state.NodeID{n.id(), o.id()}] = true
+			if isSilentBothWays {
+				cl.silentLinks[[2]state.NodeID{o.id(), n.id()}] = true
+			}
+		}
+		cl.run(6 * time.Second)
+		if got := len(cl.silentLinks); got != 0 {
+			t.Errorf("%s: silent links after 6 s: got: %d, want: 0", name, got)
+		}
 	}
 }
 
--- a/internal/core/messages.go
+++ b/internal/core/messages.go
@@ -208,6 +208,7 @@
 		IsLogUnavailable: hb.IsLogUnavailable, IsDraining: hb.IsDraining, Suspects: hb.Suspects,
 	})
 	if slices.Contains(hb.Suspects, c.options.Self.Node) {
+		events.Log(events.PeerSuspected, "peer", from.Node, "link", "not heard")
 		c.reconnect(now, from.Node)
 	}
 	for i := range hb.Summaries {
@@ -217,16 +218,15 @@
 	c.onDeputyReport(from.Node, hb.DeputyRacks)
 }
 
-// reconnect replaces the link to a peer that does not hear this node although
-// this node hears the peer. Nothing arrives over a link that this node only sends
-// on, so it cannot tell by itself that the link delivers nothing any more.
+// reconnect replaces the link to a peer that does not hear this node, or may not
+// hear it. Nothing arrives over a link that this node only sends on, so it cannot
+// tell by itself that the link delivers nothing any more.
 func (c *Core) reconnect(now time.Time, peer state.NodeID) {
 	m := c.state.Members[peer]
 	if m == nil || m.HasLeft || now.Sub(c.reconnectedAt[peer]) < reconnectPeriod {
 		return
 	}
 	c.reconnectedAt[peer] = now
-	events.Log(events.PeerSuspected, "peer", peer, "link", "replaced")
 	c.env.Disconnect(peer)
 	c.env.Connect(peer, m.Link)
 }
@@ -251,6 +251,8 @@
 			c.silentSince[n] = now
 			events.Log(events.PeerSuspected, "peer", n)
 		}
+		// Where neither hears the other, neither is told that it is not heard.
+		c.reconnect(now, n)
 	}
 	for n, since := range c.silentSince {
 		if !c.members.IsSuspect(now, n) {
