--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -68,6 +68,11 @@
 	startCount    int
 	pollCounts    map[order.WorkerID]int
 	violations    []string
+	// hasFullPollWaits makes workers hold a long poll for as long as it asks, unless a run ends;
+	// otherwise they answer after 200 ms at the latest.
+	hasFullPollWaits bool
+	// lostStops is how many of the next orders to stop are lost.
+	lostStops int
 	// staleEntries are entries of the workers' list for workers that no longer exist.
 	staleEntries []order.Worker
 	// pollDelay is added to the time after which a worker answers a poll.
@@ -429,6 +434,10 @@
 func (w *sim) executeStop(s order.Stop) {
 	m, fence := w.workerByID(s.Worker), w.fence
 	lost, delay := w.drawLoss()
+	if w.lostStops > 0 {
+		w.lostStops--
+		return
+	}
 	if m == nil {
 		return
 	}
@@ -471,7 +480,7 @@
 			arrivedIncarnation = m.entry.ID
 		}
 	})
-	w.schedule(delay+wait, func() {
+	answer := func() {
 		var l *order.Listing
 		// A restart of the worker drops the polls that wait at it.
 		if !m.isPartitioned && !m.isDead && m.entry.ID == arrivedIncarnation {
@@ -487,7 +496,23 @@
 			}
 			w.engine.PollAnswered(&p, l)
 		})
-	})
+	}
+	if w.hasFullPollWaits {
+		w.schedule(delay, func() { w.awaitEnd(m, &p, w.clock.Now().Add(p.Wait+w.pollDelay), answer) })
+		return
+	}
+	w.schedule(delay+wait, answer)
+}
+
+// awaitEnd calls answer once the worker has an end that the poll does not confirm, at until at the
+// latest.
+func (w *sim) awaitEnd(m *modelWorker, p *order.Poll, until time.Time, answer func()) {
+	hasEnd := slices.ContainsFunc(m.finished, func(end order.End) bool { return end.Number > max(m.confirmedUpTo, p.Confirmed) })
+	if hasEnd || !w.clock.Now().Before(until) {
+		answer()
+		return
+	}
+	w.schedule(tick, func() { w.awaitEnd(m, p, until, answer) })
 }
 
 // checkStart checks the invariants at the start of a run: capacity, the customer's limit, no second
