internal/dispatch: a red test of the state of a job that was cancelled first

A job that is cancelled before its submission arrives is withdrawn: its caller is answered that there is no such job. When the submission arrives, the engine shows the job as running until the store has it as cancelled, which is seconds where the store is down. If the cancellation is still being written then, the engine shows the job as cancelled although the store has no such job.

--- a/internal/dispatch/cancel_test.go
+++ b/internal/dispatch/cancel_test.go
@@ -6,6 +6,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/leverdyke/leverdyke/internal/work"
 )
 
 // cancelUnseen starts a long-running task, cancels its job while the worker is unreachable, and
@@ -62,3 +64,36 @@
 	}
 	expectNoViolations(t, w)
 }
+
+// A job that was cancelled before its submission arrives, and whose caller was answered that there is
+// no such job, must not appear as running when the submission arrives: callers are shown no job until
+// the store has the job as cancelled.
+func TestJobCancelledBeforeItsSubmissionIsNotShownAsRunning(t *testing.T) {
+	for name, isStored := range map[string]bool{"the store has the cancellation": true, "the cancellation is being written": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newSim(1)
+			w.run(time.Second)
+			w.engine.Cancel("a", "")
+			if isStored {
+				w.run(200 * time.Millisecond)
+			}
+			cancellation := w.engine.TakeBatch()
+			if isPersisted := w.engine.IsFinalPersisted("a"); isPersisted != isStored || isStored != (cancellation == nil) {
+				t.Fatalf("persisted: got: %v, want: %v", isPersisted, isStored)
+			}
+			w.submit("a", newStep(1, time.Second))
+			if cancellation != nil {
+				w.engine.Committed(cancellation)
+			}
+			if got, isKnown := w.engine.State("a"); isKnown {
+				t.Errorf("state before the store has the job: got: %s, want: none", got)
+			}
+			if w.engine.IsFinalPersisted("a") {
+				t.Error("the store does not have the job yet: got: final state persisted, want: not persisted")
+			}
+			w.run(time.Second)
+			expectState(t, w, "a", work.JobCancelled)
+			expectNoViolations(t, w)
+		})
+	}
+}
