internal/dispatch: show no job where one was cancelled before its submission

Cause: a submission of a withdrawn job made it a cancelled job whose final state is not in the store yet; such a job is shown as running. And a batch with the withdrawal, committed after that, counted as one with the cancelled job.

Change: until the store has the job as cancelled, callers are told as before that there is no such job, and the commit of another state than the current one does not count.

What callers saw: a job whose cancellation was answered with 'no such job' appears as running, for as long as the store is down. The caller's submission is not acknowledged in that time, and nothing of the job started in the model.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -124,9 +124,9 @@
 }
 
 // progressPersisted records that a state of a job is in the store. A final state is visible to
-// callers from then on.
+// callers from then on. A withdrawn job may have been submitted since, which is not in the store yet.
 func (e *Engine) progressPersisted(j *job, state work.JobState) {
-	if e.jobs[j.spec.ID] != j || !state.IsFinal() {
+	if e.jobs[j.spec.ID] != j || !state.IsFinal() || j.state != state {
 		return
 	}
 	j.isFinalPersisted = true
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -37,6 +37,9 @@
 	// isFinalPersisted means that the final state is in the store; until then callers see the job
 	// as running.
 	isFinalPersisted bool
+	// wasWithdrawn means that the job was cancelled before it was submitted. Callers were answered
+	// that there is no such job, and are until the store has the job as cancelled.
+	wasWithdrawn bool
 	// isInherited means that a previous owner may have started tasks of the job.
 	isInherited bool
 	// mayHaveUnpersistedStarts means that it may have started some before their placements were
@@ -194,7 +197,7 @@
 func (e *Engine) AddJob(spec *work.Spec) bool {
 	if j, ok := e.jobs[spec.ID]; ok {
 		if j.state == work.JobWithdrawn {
-			j.state, j.isFinalPersisted = work.JobCancelled, false
+			j.state, j.isFinalPersisted, j.wasWithdrawn = work.JobCancelled, false, true
 			e.markUrgent(j)
 		}
 		return false
@@ -546,7 +549,7 @@
 func (e *Engine) State(id work.JobID) (work.JobState, bool) {
 	j := e.jobs[id]
 	switch {
-	case j == nil || j.state == work.JobWithdrawn:
+	case j == nil || j.state == work.JobWithdrawn || j.wasWithdrawn && !j.isFinalPersisted:
 		return "", false
 	case j.state.IsFinal() && j.isFinalPersisted:
 		return j.state, true
