internal/dispatch: a red test of unknown runs on lost workers

A run that a worker lists and whose task is not known counts as unknown usage of its customer. It was dropped by a later listing or with the worker's attempts, but a lost worker without attempts has neither: nothing ends the unknown run there, and a customer with a limit gets nothing started any more.

--- a/internal/dispatch/cancel_test.go
+++ b/internal/dispatch/cancel_test.go
@@ -97,3 +97,26 @@
 		})
 	}
 }
+
+// A worker that is lost while it lists a run of a cancelled job must not hold back its customer for
+// ever: what may be running there counts against the customer's limit until the worker's leases have
+// expired.
+func TestUnknownRunOnALostWorkerEndsWithItsLeases(t *testing.T) {
+	w := newLimitedWorld(limitOf("a", 1))
+	lasting := newStep(1, time.Hour)
+	lasting.IsLongRunning = true
+	w.submitFor("a", "q", "j1", lasting)
+	w.run(time.Second)
+	m := w.workerOf(work.TaskID{Job: "j1"})
+	m.isPartitioned = true
+	w.engine.Cancel("j1", "a")
+	w.run(200 * time.Millisecond)
+	w.takeOver()
+	m.isPartitioned, w.lostStops = false, 10
+	w.run(300 * time.Millisecond)
+	m.isDead, m.running = true, nil
+	w.submitFor("a", "q", "j2", newStep(1, 100*time.Millisecond))
+	w.run(20 * time.Second)
+	expectState(t, w, "j2", work.JobSucceeded)
+	expectNoViolations(t, w)
+}
