internal/dispatch: unknown runs end with the leases of their worker

Cause: the expiry of a worker's leases was only looked at while the worker had known attempts.

Change: it is looked at for unknown runs, too, and ends them.

What callers saw: a customer with a limit whose cancelled job ran on a worker that was lost after a change of owner got nothing started any more, until the worker came back or the owner changed again.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -338,7 +338,7 @@
 	e.sendRefusals(w)
 	e.repeatUnknownStops(w)
 	e.dropIfEmpty(w)
-	if w.attempts.Len() == 0 {
+	if w.attempts.Len() == 0 && w.unknownRuns.Len() == 0 {
 		return
 	}
 	if w.session.HasExpired(e.now) {
