--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -32,6 +32,9 @@
 	t.Parallel()
 	for name, run := range map[string]func(uint64) *sim{
 		"days": runRandomFaults, "days with permission": runRandomFaultsWithPermission, "workers that start again": simulateRestarts, "rooms that change": simulateResizing, "crashes": simulateCrashes,
+		"cancellations": func(seed uint64) *sim {
+			return simulateCancels(seed, cancelFaults{hasRestarts: true, hasLateOrders: true}).sim
+		},
 	} {
 		for seed := range uint64(3) {
 			first, second := run(seed).trace, run(seed).trace
--- a/internal/dispatch/worker_model_test.go
+++ b/internal/dispatch/worker_model_test.go
@@ -164,7 +164,9 @@
 		return false
 	}
 	if r := m.running[s.Task]; r != nil && r.run == s.Run {
-		r.stopsAt = now.Add(stopTime)
+		if r.stopsAt.IsZero() {
+			r.stopsAt = now.Add(stopTime)
+		}
 		return true
 	}
 	m.highestEndedRun[s.Task] = max(m.highestEndedRun[s.Task], s.Run)
