internal/discard: judge a worker by all of its tasks together as well

Samples of progress are 8 % of the expected time apart, so that a task on such a worker makes 2 to 4 percent between two, and a whole percent is allowed for rounding.

Change: JudgeWorker adds up the speeds of a worker's tasks as well. Rounding errors are independent, so that for n tasks the square root of n percent is allowed, not n. A task that is fast counts as one at its usual speed; by estimates alone this sum never decides. The new cases of TestWorkerIsSlowOnlyIfItsTasksAreNotLongAsAWhole without it: most may be rounding: got: false, want: true none alone is slow beyond rounding: got: false, want: true

The existing cases of discard_test.go got the new field, 0, and nothing else.

--- a/internal/discard/discard_test.go
+++ b/internal/discard/discard_test.go
@@ -103,18 +103,29 @@
 
 func TestWorkerIsSlowOnlyIfItsTasksAreNotLongAsAWhole(t *testing.T) {
 	step := func(n int) work.StepID { return work.StepID{Job: "a", Step: n} }
+	// made is a task that made so many percent between two samples, where most siblings make 12.
+	made := func(percent int) discard.Observation {
+		return discard.Observation{Step: step(0), AtRate: 12 * second / time.Duration(percent+1), Elsewhere: second, Rounding: 1 / float64(percent+1)}
+	}
+	long := discard.Observation{Step: step(1), AtRate: 4 * second, Expected: second}
 	for name, c := range map[string]struct {
 		observations []discard.Observation
 		want         bool
 	}{
+		"none alone is slow beyond rounding":      {[]discard.Observation{made(4), made(4), made(4), made(4)}, true},
+		"most may be rounding":                    {[]discard.Observation{made(4), made(5), made(2), made(4), made(4), made(4)}, true},
+		"one alone may be rounding":               {[]discard.Observation{made(4)}, false},
+		"none is slow by as much":                 {[]discard.Observation{made(5), made(4), made(5), made(5), made(4)}, false},
+		"some may be rounding, others are fast":   {[]discard.Observation{made(4), made(4), made(20), made(4)}, false},
+		"a long step beside one that is not slow": {[]discard.Observation{made(6), long, long, long, long}, false},
 		"nothing runs":                            {nil, false},
-		"one step, slower than elsewhere":         {[]discard.Observation{{step(0), 8 * second, 2 * second, 2 * second}}, true},
-		"one step, longer than estimated":         {[]discard.Observation{{step(0), 8 * second, 0, second}, {step(0), 8 * second, 0, second}}, false},
-		"two steps, longer than estimated":        {[]discard.Observation{{step(0), 8 * second, 0, second}, {step(1), 8 * second, 0, second}}, true},
-		"two steps, long elsewhere too":           {[]discard.Observation{{step(0), 8 * second, 7 * second, second}, {step(1), 8 * second, 7 * second, second}}, false},
-		"one of three is slower than elsewhere":   {[]discard.Observation{{step(0), 8 * second, 2 * second, second}, {step(1), second, second, second}, {step(2), second, 0, second}}, false},
-		"short as a whole, slower than elsewhere": {[]discard.Observation{{step(0), 2 * second, 500 * ms, 9 * second}}, true},
-		"nothing is known of how long they take":  {[]discard.Observation{{step(0), 8 * second, 0, 0}, {step(1), 8 * second, 0, 0}}, false},
+		"one step, slower than elsewhere":         {[]discard.Observation{{step(0), 8 * second, 2 * second, 2 * second, 0}}, true},
+		"one step, longer than estimated":         {[]discard.Observation{{step(0), 8 * second, 0, second, 0}, {step(0), 8 * second, 0, second, 0}}, false},
+		"two steps, longer than estimated":        {[]discard.Observation{{step(0), 8 * second, 0, second, 0}, {step(1), 8 * second, 0, second, 0}}, true},
+		"two steps, long elsewhere too":           {[]discard.Observation{{step(0), 8 * second, 7 * second, second, 0}, {step(1), 8 * second, 7 * second, second, 0}}, false},
+		"one of three is slower than elsewhere":   {[]discard.Observation{{step(0), 8 * second, 2 * second, second, 0}, {step(1), second, second, second, 0}, {step(2), second, 0, second, 0}}, false},
+		"short as a whole, slower than elsewhere": {[]discard.Observation{{step(0), 2 * second, 500 * ms, 9 * second, 0}}, true},
+		"nothing is known of how long they take":  {[]discard.Observation{{step(0), 8 * second, 0, 0, 0}, {step(1), 8 * second, 0, 0, 0}}, false},
 	} {
 		if got := discard.JudgeWorker(c.observations).IsSlow; got != c.want {
 			t.Errorf("%s: got: %v, want: %v", name, got, c.want)
--- a/internal/dispatch/discard_load_test.go
+++ b/internal/dispatch/discard_load_test.go
@@ -10,6 +10,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -246,20 +247,30 @@
 // others may be taken for slow, and callers must get no less than by estimates alone.
 func TestWorkersThatTurnSlowAreFoundAmongLongSteps(t *testing.T) {
 	t.Parallel()
-	const seeds = 2
+	const seeds = 8
 	for _, slowdown := range []float64{4, 8} {
 		run := func(disabled ...dispatch.Mechanism) (busy, found, others int, onTime float64) {
-			for seed := range uint64(seeds) {
-				d := newDiscardSim(seed, disabled...)
-				d.runLoadOf(6*time.Second, 1)
-				slow := d.slowDown(slowdown)
-				d.runLoadOf(4*time.Second, 1)
-				clear(d.slowdowns)
-				d.runLoadOf(4*time.Second, 1)
-				d.runUntilJobsEnd()
+			simulations, slow := make([]*discardSim, seeds), make([][]string, seeds)
+			var wg sync.WaitGroup
+			for i := range simulations {
+				wg.Go(func() {
+					d := newDiscardSim(uint64(i), disabled...)
+					simulations[i] = d
+					d.runLoadOf(6*time.Second, 1)
+					slow[i] = d.slowDown(slowdown)
+					d.runLoadOf(4*time.Second, 1)
+					clear(d.slowdowns)
+					d.runLoadOf(4*time.Second, 1)
+					d.runUntilJobsEnd()
+					// The steps of one job alone take longer than a minute.
+					d.runUntilJobsEnd()
+				})
+			}
+			wg.Wait()
+			for i, d := range simulations {
 				d.expectAllSucceeded(t)
 				others += len(d.foundSlow)
-				for _, name := range slow {
+				for _, name := range slow[i] {
 					if d.foundSlow[name] {
 						others--
 					}
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		if d := a.durationAtRate(); d > 0 && a.percent < discard.NearlyDonePercent {
-			e.observationsBuffer = append(e.observationsBuffer, discard.Observation{Step: a.step.id, AtRate: d, Elsewhere: e.durationElsewhere(a, d), Expected: e.durationByEnds(a.step)})
+			e.observationsBuffer = append(e.observationsBuffer, discard.Observation{Step: a.step.id, AtRate: d, Elsewhere: e.durationElsewhere(a, d), Expected: e.durationByEnds(a.step), Rounding: a.progress.RoundingShare()})
 		}
 	}
 	speed := discard.JudgeWorker(e.observationsBuffer)
--- a/internal/outlier/outlier_test.go
+++ b/internal/outlier/outlier_test.go
@@ -4,6 +4,7 @@
 package outlier_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -114,3 +115,25 @@
 		t.Errorf("rate: got: %v, %v, want: 100 %% a second, not that of samples too near", rate, ok)
 	}
 }
+
+// Two samples are each rounded down to a whole percent: the fewer percent are between them, the more
+// of the highest rate that they allow may be rounding.
+func TestRoundingShareIsLargeForSlowTasks(t *testing.T) {
+	for name, tc := range map[string]struct {
+		percents []int
+		want     float64
+	}{
+		"one sample":   {[]int{20}, 0},
+		"no progress":  {[]int{20, 20}, 1},
+		"one percent":  {[]int{20, 21}, 0.5},
+		"many percent": {[]int{20, 59}, 0.025},
+	} {
+		p := outlier.Progress{}
+		for i, percent := range tc.percents {
+			p.Observe(order.WorkerTime(i+1)*order.WorkerTime(time.Second), percent, time.Second)
+		}
+		if got := p.RoundingShare(); math.Abs(got-tc.want) > 1e-9 {
+			t.Errorf("%s: got: %v, want: %v", name, got, tc.want)
+		}
+	}
+}
--- a/internal/outlier/speed.go
+++ b/internal/outlier/speed.go
@@ -80,3 +80,12 @@
 // Rate returns the rate between the last two samples, in percent a second, and false before
 // there are two.
 func (p *Progress) Rate() (float64, bool) { return p.rate, p.hasRate }
+
+// RoundingShare returns which fraction of the highest rate that the last two samples allow may come
+// from rounding; 0 before there are two.
+func (p *Progress) RoundingShare() float64 {
+	if p.maxRate <= 0 {
+		return 0
+	}
+	return 1 - max(p.rate, 0)/p.maxRate
+}
