internal/dispatch: do not count customers without jobs as late in the hot-customer test

Cause: onTimeShareOfOthers was the mean over all 19 other customers, and a customer that had drawn no job of the queue counted as 0.

Change: the mean is over the customers that have sent jobs to the queue.

--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -348,11 +348,20 @@
 	o.runUntilJobsEnd()
 }
 
-// onTimeShareOfOthers is the mean of onTimeShareOf over all customers but the hot one.
+// onTimeShareOfOthers is the mean of onTimeShareOf over all customers but the hot one that have sent
+// jobs to the queue.
 func (o *loadSim) onTimeShareOfOthers(queue string) float64 {
+	customers := map[work.CustomerName]bool{}
+	for _, j := range o.jobs {
+		if j.queue == queue && j.customer != hotCustomer {
+			customers[j.customer] = true
+		}
+	}
 	sum := 0.0
 	for i := 1; i < customerCount; i++ {
-		sum += o.onTimeShareOf(queue, customerName(i)) / (customerCount - 1)
+		if customers[customerName(i)] {
+			sum += o.onTimeShareOf(queue, customerName(i)) / float64(len(customers))
+		}
 	}
 	return sum
 }
