internal/dispatch: count channels to the permission service in customers' shares

Shares were weighed by the capacity in use alone. The hot customer used 0.35 to 0.39 of the pool, little above its bound of 0.31, and was seldom over it; its steps went by priority and deadline with the others' and took more than half of the long queries. A pool that waits for permission is not full, so that capacity says nothing of who holds the others up.

Change: permit.Occupancy tracks the time of the calls of each customer with a time constant of 3 s, and whether a step found no channel in the last 0.5 s. While channels are scarce, a customer's fraction of the time of all calls counts like its fraction of the capacity, whichever is larger. fairshare.OverShare is unchanged. Where no step lacks a channel nothing changes: what nobody else wants is not counted.

--- a/internal/dispatch/customer.go
+++ b/internal/dispatch/customer.go
@@ -57,7 +57,7 @@
 		c := &e.customers[i]
 		used := e.quota.Usage(c.Name).Used
 		if c.Weight > 0 && (isWaiting[c.Name] || used != (leverdyke.Resources{})) {
-			uses = append(uses, fairshare.Usage{Name: c.Name, Weight: c.Weight, Fraction: reserve.DominantShare(used, capacity)})
+			uses = append(uses, fairshare.Usage{Name: c.Name, Weight: c.Weight, Fraction: max(reserve.DominantShare(used, capacity), e.planner.Occupancy().Fraction(c.Name, e.now))})
 		}
 	}
 	e.activeWeight = 0
--- a/internal/dispatch/permission.go
+++ b/internal/dispatch/permission.go
@@ -66,7 +66,7 @@
 
 func (e *Engine) planQuery(s *step, policy *order.PermissionPolicy, missing int, isAhead bool) {
 	r := permit.Request{
-		ID: s.id, Queue: s.job.spec.Queue, Policy: policy, Missing: missing, AtOnce: 1, Need: s.spec.Charge(),
+		ID: s.id, Customer: s.customer(), Queue: s.job.spec.Queue, Policy: policy, Missing: missing, AtOnce: 1, Need: s.spec.Charge(),
 		IsPoolUnderused: e.poolUsage[e.queues[s.job.spec.Queue].Service] < underusedShare, IsAhead: isAhead,
 	}
 	if s.spec.IsGang {
--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -1,7 +1,7 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-// Package fairshare finds the customers that use more of the cluster's capacity than their share.
+// Package fairshare finds the customers that use more of the cluster's resources than their share.
 // It does no I/O and reads no clock.
 //
 // It handles a load in which one customer submits many times its usual amount. While work of other
@@ -22,8 +22,9 @@
 	Name work.CustomerName
 	// Weight is above 0. The share of a customer is its weight divided by the sum of all weights.
 	Weight float64
-	// Fraction is the fraction of the total capacity that the customer uses, in the dimension in
-	// which that fraction is largest.
+	// Fraction is the fraction of what all customers share that the customer uses, in the resource in
+	// which that fraction is largest. Resources are the dimensions of the total capacity, and others
+	// that are scarce.
 	Fraction float64
 }
 
--- a/internal/permit/channels.go
+++ b/internal/permit/channels.go
@@ -37,6 +37,11 @@
 // isFast reports whether a call takes so little time that all workers are asked about.
 func isFast(policy *order.PermissionPolicy) bool { return policy.BaseTime <= maxFastCall }
 
+// callTime returns how long a call about that many workers is expected to take.
+func callTime(policy *order.PermissionPolicy, workers int) time.Duration {
+	return policy.BaseTime + time.Duration(workers)*policy.TimePerWorker
+}
+
 // channel is a route to the permission service: a node, which makes one call at a time.
 type channel struct {
 	name string
@@ -155,7 +160,7 @@
 func (l *Channels) BeginCall(name string, step work.StepID, policy *order.PermissionPolicy, workers int, now time.Time) time.Duration {
 	c := l.find(name)
 	c.busySince, c.step, c.isFast = now, step, isFast(policy)
-	c.timeout = timeoutFactor*(policy.BaseTime+time.Duration(workers)*policy.TimePerWorker) + RoundTripMargin
+	c.timeout = timeoutFactor*callTime(policy, workers) + RoundTripMargin
 	return c.timeout
 }
 
--- a/internal/permit/planner.go
+++ b/internal/permit/planner.go
@@ -34,11 +34,12 @@
 // Planner decides which calls are made to the permission service, through which channel, and which
 // workers they name.
 type Planner struct {
-	options  Options
-	channels Channels
-	claims   Claims
-	shares   Shares
-	usages   usages
+	options   Options
+	channels  Channels
+	claims    Claims
+	shares    Shares
+	usages    usages
+	occupancy Occupancy
 	// busyAt is when a step whose pool has free capacity last found no free channel.
 	busyAt time.Time
 	// callsLeft is how many calls this pass may still prepare, deferralsLeft how many further steps
@@ -48,9 +49,10 @@
 
 // Request is what a step would ask the permission service.
 type Request struct {
-	ID     work.StepID
-	Queue  string
-	Policy *order.PermissionPolicy
+	ID       work.StepID
+	Customer work.CustomerName
+	Queue    string
+	Policy   *order.PermissionPolicy
 	// Missing is how many tasks need workers; AtOnce is how many must start together: 1, or all of a
 	// gang. Need is that of each.
 	Missing, AtOnce int
@@ -80,6 +82,9 @@
 // Shares returns the shares of permitted workers that were learned.
 func (p *Planner) Shares() *Shares { return &p.shares }
 
+// Occupancy returns how much of the channels' time the customers take.
+func (p *Planner) Occupancy() *Occupancy { return &p.occupancy }
+
 // Claimed returns the capacity of a worker that is likely to be used by the steps whose calls are in
 // flight.
 func (p *Planner) Claimed(id order.WorkerID) leverdyke.Resources { return p.claims.OnWorker(id) }
@@ -95,6 +100,7 @@
 	}
 	channel := p.channels.FreeChannel(r.Policy, now)
 	if channel == "" {
+		p.occupancy.RecordNoChannel(now)
 		if r.IsPoolUnderused {
 			p.busyAt = now
 		}
@@ -111,7 +117,7 @@
 		s.RecordNoCandidates(now)
 		return Call{}, false
 	}
-	p.record(s, r, workers)
+	p.record(s, r, workers, now)
 	return Call{channel, workers, p.channels.BeginCall(channel, r.ID, r.Policy, len(workers), now)}, true
 }
 
@@ -154,8 +160,9 @@
 }
 
 // record records that a call is made.
-func (p *Planner) record(s *Step, r *Request, workers []order.WorkerID) {
+func (p *Planner) record(s *Step, r *Request, workers []order.WorkerID, now time.Time) {
 	s.BeginQuery()
+	p.occupancy.Record(r.Customer, callTime(r.Policy, len(workers)), now)
 	if !p.options.IgnoresClaims {
 		p.claims.Add(r.ID, workers, r.Missing, r.Need)
 	}
