internal/dispatch: log a leaving worker also where it was not known before

The engine logs that only when the entry of a worker that it knows changes. An owner that reads the list for the first time after the worker began to drain, or takes over later, never does, although it gives the worker nothing new.

Change: a worker that is draining when it is added is logged too.

Measured: TestLeavingWorkerIsLoggedOnce failed before (not known before: logged 0 times, want once) and passes. Five runs of TestSiteDraining* pass. Nothing changes for callers: operators see LD0435 at each owner of a leaving worker.

--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 )
 
@@ -48,3 +51,29 @@
 		}
 	}
 }
+
+// An owner must log that a worker is leaving once, also where it has not known the worker before: after
+// a takeover nothing in its log said so.
+func TestLeavingWorkerIsLoggedOnce(t *testing.T) {
+	for name, isKnownBefore := range map[string]bool{"known before": true, "not known before": false} {
+		logged := 0
+		now := clock.NewFake()
+		e := dispatch.NewEngine(dispatch.Options{Log: func(event events.Event, _ ...any) {
+			if event == events.WorkerLeaving {
+				logged++
+			}
+		}})
+		e.Advance(now.Now())
+		entry := order.Worker{ID: "w", Service: "pool", Capacity: workerCapacity}
+		if isKnownBefore {
+			e.SetWorkers([]order.Worker{entry}, true)
+		}
+		entry.IsDraining = true
+		for range 3 {
+			e.SetWorkers([]order.Worker{entry}, true)
+		}
+		if logged != 1 {
+			t.Errorf("%s: logged: got: %d times, want: once", name, logged)
+		}
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -194,7 +194,7 @@
 		return
 	}
 	if entry.IsDraining && !w.IsDraining {
-		e.options.Log(events.WorkerLeaving, "worker", entry.ID, "attempts", w.attempts.Len())
+		e.logLeaving(w)
 	}
 	if w.Capacity != entry.Capacity && !entry.IsUncertain {
 		e.needsScheduling = true
@@ -221,9 +221,16 @@
 	e.abandonedStarts.NextGeneration(entry.ID)
 	e.refuseAbandoned(w)
 	e.longPoll(w)
+	if w.IsDraining {
+		e.logLeaving(w)
+	}
 	return w
 }
 
+func (e *Engine) logLeaving(w *worker) {
+	e.options.Log(events.WorkerLeaving, "worker", w.ID, "attempts", w.attempts.Len())
+}
+
 // mayRunInherited reports whether a worker for which only an uncertain entry is known can be polled,
 // and may run tasks that a previous owner started.
 func (e *Engine) mayRunInherited(entry *order.Worker) bool {
