internal/admission: remove admission control

What is short are the channels to the permission service, which the forecast did not know.

Tried before the removal: permission in the forecast (channel time as a dimension of demand, channels less those of more urgent queries as the rate, no free capacity without a free channel).

What is refused is the least urgent work, which gets no channel anyway, and some of it would have been late and of use.

Tests: those of the removed decisions go with them.

--- a/cmd/leverdyked/platform.go
+++ b/cmd/leverdyked/platform.go
@@ -42,7 +42,6 @@
 	c.Flags().Uint16Var(&options.MetricsPort, "metrics-port", 0, "port on which metrics are served; 0 serves none")
 	c.Flags().StringVar(&advertise, "advertise", "", "address and port at which other nodes reach this one, if they differ from the listen address")
 	c.Flags().StringVar(&options.Disabled, "disable", "", "mechanisms that are switched off, separated by commas")
-	c.Flags().StringVar(&options.Enabled, "enable", "", "optional mechanisms that are switched on, separated by commas")
 	c.Flags().DurationVar(&options.ClockShift, "clock-shift", 0, "how far the wall clock is ahead of the real one, for tests with clocks that differ")
 	check := &cobra.Command{
 		Use: "check", Short: "Check the platform's settings file without starting a node", Args: cobra.NoArgs,
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -80,8 +80,8 @@
 	StopTime time.Duration
 	// Heartbeat is the time between two heartbeats of a worker; 0 if unknown.
 	Heartbeat time.Duration
-	// Disabled lists mechanisms that are switched off, Enabled the optional ones that are switched on.
-	Disabled, Enabled []dispatch.Mechanism
+	// Disabled lists mechanisms that are switched off.
+	Disabled []dispatch.Mechanism
 	// ReclaimDelay is how long a node does not claim the shard after it stopped being the owner.
 	ReclaimDelay time.Duration
 	// Workers talks to workers on behalf of the owner when this node is its delegate; with nil the
--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -67,8 +67,6 @@
 
 func (inactivePlatform) Appended(string, time.Duration) {}
 
-func (inactivePlatform) JobRefused(string) {}
-
 // config is a fake configuration store and decoder. A configuration is only its version, as JSON.
 type config struct {
 	mu             sync.Mutex
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -19,7 +19,6 @@
 
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/abandoned"
-	"github.com/leverdyke/leverdyke/internal/admission"
 	"github.com/leverdyke/leverdyke/internal/crash"
 	"github.com/leverdyke/leverdyke/internal/discard"
 	"github.com/leverdyke/leverdyke/internal/estimate"
@@ -64,16 +63,12 @@
 	StopTime time.Duration
 	// HeartbeatInterval is the time between two heartbeats of a worker; 0 if it is not known.
 	HeartbeatInterval time.Duration
-	// Disabled lists mechanisms that are switched off. Enabled lists the optional mechanisms that are
-	// switched on.
-	Disabled, Enabled []Mechanism
+	// Disabled lists mechanisms that are switched off.
+	Disabled []Mechanism
 }
 
 // isEnabled reports whether a mechanism is in use.
 func (e *Engine) isEnabled(m Mechanism) bool {
-	if m == MechanismAdmission && !slices.Contains(e.options.Enabled, m) {
-		return false
-	}
 	return !slices.Contains(e.options.Disabled, m)
 }
 
@@ -114,10 +109,6 @@
 	// poolUsageDueAt.
 	poolUsage      map[string]float64
 	poolUsageDueAt time.Time
-	// admission decides which jobs are accepted, by the name of the service that runs them. It gets
-	// the state of the pools at loadDueAt.
-	admission ordered.Map[string, *admission.Controller]
-	loadDueAt time.Time
 	// admittedBuffer is the reusable result slice of withinLimits.
 	admittedBuffer []*step
 	// limitLogDueAt is the earliest time of the next log line about a step that is blocked by the
--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -34,16 +34,6 @@
 	return found
 }
 
-// LargestFree returns the most processors, in thousandths of a core, that are not charged on any one
-// worker.
-func (e *Engine) LargestFree() int64 {
-	free := int64(0)
-	for _, w := range e.workers.All() {
-		free = max(free, w.Capacity.MilliCPU-w.used.MilliCPU)
-	}
-	return free
-}
-
 func (e *Engine) checkStep(s *step, writing *Batch, report func(format string, args ...any)) {
 	waiting, copies := 0, 0
 	for i := range s.tasks {
--- a/internal/dispatch/mechanism.go
+++ b/internal/dispatch/mechanism.go
@@ -24,9 +24,6 @@
 	// MechanismShares places the steps of customers that use more than their share after those of
 	// the others.
 	MechanismShares Mechanism = "shares"
-	// MechanismAdmission refuses jobs that would end too late to be of use. It is optional: off unless
-	// it is switched on.
-	MechanismAdmission Mechanism = "admission"
 	// MechanismSpeculativeCopies starts speculative copies of attempts that are slow or may be
 	// lost.
 	MechanismSpeculativeCopies Mechanism = "copies"
--- a/internal/dispatch/parse_mechanisms.go
+++ b/internal/dispatch/parse_mechanisms.go
@@ -12,7 +12,7 @@
 // mechanisms has all mechanisms.
 var mechanisms = []Mechanism{
 	MechanismReservations, MechanismPreemption, MechanismEarlyPermission, MechanismClaims, MechanismUrgency,
-	MechanismShares, MechanismAdmission, MechanismSpeculativeCopies, MechanismHealth, MechanismSpeed,
+	MechanismShares, MechanismSpeculativeCopies, MechanismHealth, MechanismSpeed,
 	MechanismThroughput, MechanismDiscard, MechanismEvacuation, MechanismWriteBehind, MechanismStateWait,
 	MechanismLateDelegates, MechanismLearned, MechanismPermissionPlan,
 }
--- a/internal/dispatch/parse_mechanisms_test.go
+++ b/internal/dispatch/parse_mechanisms_test.go
@@ -13,7 +13,7 @@
 
 // A mistyped name must not leave a mechanism on that an operator wants to be off.
 func TestUnknownMechanismIsRefusedByName(t *testing.T) {
-	for _, text := range []string{"claim", "claims,", "claims,urgent"} {
+	for _, text := range []string{"claim", "claims,", "claims,urgent", "admission"} {
 		_, err := dispatch.ParseMechanisms(text)
 		if err == nil || !strings.Contains(err.Error(), `"claims"`) {
 			t.Errorf("%q: got: %v, want: an error that lists the names", text, err)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -39,7 +39,6 @@
 		// permission service is free again because its query has timed out.
 		e.recheckAt = e.now.Add(recheckInterval)
 	}
-	e.observeLoad()
 }
 
 // enqueue adds a step with waiting tasks or wanted speculative copies to stepQueue.
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -195,7 +195,7 @@
 	}
 	w.inFlightBatch = nil
 	areStartsPersisted := !w.mayHaveUnpersistedStarts && (w.engine == nil || !w.engine.HasUnpersisted())
-	w.engine = dispatch.NewEngine(dispatch.Options{Disabled: w.disabledMechanisms, Enabled: []dispatch.Mechanism{dispatch.MechanismAdmission}, StopTime: modelStopTime, Log: w.log})
+	w.engine = dispatch.NewEngine(dispatch.Options{Disabled: w.disabledMechanisms, StopTime: modelStopTime, Log: w.log})
 	w.engine.Advance(w.clock.Now())
 	w.engine.SetQueues(w.queues)
 	w.engine.SetCustomers(w.customers)
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -142,8 +142,6 @@
 	PermissionChannels     = add(487, "channels to the permission service", LevelInfo)
 	TaskNotRunning         = add(479, "nothing of a task that lasts runs", LevelWarning)
 	WorkersBySpeed         = add(482, "workers by speed", LevelInfo)
-	JobWouldBeLate         = add(488, "job refused, as it would end too late to be of use", LevelInfo)
-	JobsWouldBeLate        = add(489, "jobs were refused, as they would end too late to be of use", LevelInfo)
 	KeyRefused             = add(478, "call carries no key that is in force", LevelInfo)
 	JobOfOtherCustomer     = add(476, "job of another customer was asked for", LevelWarning)
 	JobRefused             = add(458, "job refused", LevelWarning)
--- a/internal/events/catalogue_test.go
+++ b/internal/events/catalogue_test.go
@@ -7,11 +7,24 @@
 	"fmt"
 	"os"
 	"regexp"
+	"slices"
 	"testing"
 
 	"github.com/leverdyke/leverdyke/internal/events"
 )
 
+// retired has the numbers of events of earlier versions.
+var retired = []int{488, 489}
+
+// Guards against an event with a number that had another meaning in an earlier version.
+func TestRetiredNumbersAreNotUsedAgain(t *testing.T) {
+	for _, e := range events.Catalogue() {
+		if slices.Contains(retired, e.Number) {
+			t.Errorf("LD%04d: got: %q, want: no event", e.Number, e.Name)
+		}
+	}
+}
+
 // Guards against an event that is missing from docs/EVENTS.md or differs from it in level or
 // text, a documented event that no longer exists, and a number that is used twice.
 func TestDocumentedEventsMatchCatalogue(t *testing.T) {
--- a/internal/metrics/jobs.go
+++ b/internal/metrics/jobs.go
@@ -23,7 +23,6 @@
 	appends    metric.Float64Histogram
 	starts     metric.Float64Histogram
 	badRecords metric.Int64Counter
-	refusals   metric.Int64Counter
 }
 
 // latencyBuckets are the bucket bounds of the latency histograms, in seconds. They range
@@ -55,10 +54,6 @@
 	if err != nil {
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
-	j.refusals, err = meter.Int64Counter("leverdyke.job.refused_late", metric.WithDescription("jobs refused because they would end too late to be of use, by queue"))
-	if err != nil {
-		return nil, fmt.Errorf("metrics: %w", err)
-	}
 	return j, nil
 }
 
@@ -92,14 +87,6 @@
 	j.appends.Record(context.Background(), took.Seconds(), metric.WithAttributes(attribute.String("outcome", outcome)))
 }
 
-// JobRefused counts a job that was refused because it would end too late to be of use.
-func (j *Jobs) JobRefused(queue string) {
-	if j == nil {
-		return
-	}
-	j.refusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("queue", queue)))
-}
-
 // BadRecord counts a record of the store that cannot be relied on, such as one of another
 // writer.
 func (j *Jobs) BadRecord(topic string) {
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -51,9 +51,6 @@
 		ev.reply <- errImpossible(why)
 		return
 	}
-	if !isPending && o.refuseLate(ev) {
-		return
-	}
 	o.pendingSubmits[id] = append(o.pendingSubmits[id], ev.reply)
 	o.engine.AddJob(ev.spec)
 }
--- a/internal/owner/fakes_test.go
+++ b/internal/owner/fakes_test.go
@@ -118,5 +118,3 @@
 func (noMetrics) OrderAnswered(string, string, time.Duration) {}
 
 func (noMetrics) Appended(string, time.Duration) {}
-
-func (noMetrics) JobRefused(string) {}
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -50,9 +50,6 @@
 	OrderAnswered(kind, outcome string, took time.Duration)
 	// Appended records the outcome of an append to the store and how long it took.
 	Appended(outcome string, took time.Duration)
-	// JobRefused counts a job of a queue that was refused because it would end too late to be of
-	// use.
-	JobRefused(queue string)
 }
 
 // Claim describes an ownership that this node has claimed successfully.
@@ -101,8 +98,8 @@
 	StopTime time.Duration
 	// Heartbeat is the time between two heartbeats of a worker; 0 when it is unknown.
 	Heartbeat time.Duration
-	// Disabled lists mechanisms that are switched off, Enabled the optional ones that are switched on.
-	Disabled, Enabled []dispatch.Mechanism
+	// Disabled lists mechanisms that are switched off.
+	Disabled []dispatch.Mechanism
 }
 
 // Timeouts, periods and limits.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -93,8 +93,6 @@
 	pendingCancels map[work.JobID][]chan error
 	// held are new jobs that arrived while the store did not take any, in order of arrival.
 	held []heldSubmit
-	// admissions counts the jobs that are refused because they would end too late.
-	admissions admissionCounts
 	// unknownJobQueries are queries for jobs that are unknown here. They wait until the store
 	// confirms that this node is still the owner.
 	unknownJobQueries []stateEvent
@@ -132,7 +130,7 @@
 		options: options,
 		engine: dispatch.NewEngine(dispatch.Options{
 			Log: options.Log, NodeZone: options.NodeZone, StopTime: options.StopTime, HeartbeatInterval: options.Heartbeat,
-			Disabled: options.Disabled, Enabled: options.Enabled,
+			Disabled: options.Disabled,
 		}),
 		router: delegate.NewRouter(options.DirectWorkers, options.Claim.Record.Epoch),
 		inbox:  boundedqueue.NewQueue[event](inboxSize), ctx: ctx, cancel: cancel,
@@ -271,7 +269,6 @@
 	c := o.engine.Counts()
 	o.options.Log(events.OwnerTotals, "epoch", o.Epoch(), "starts", c.Starts, "done", c.Done, "failed", c.Failed, "stopped", c.Stopped,
 		"lapsed", c.Expired, "doubtful", c.Unacknowledged, "asks", c.PermissionQueries, "orders", o.pendingStarts, "moved", o.router.MovedTotal())
-	o.logAdmissions()
 	for _, w := range o.engine.TakeWaits() {
 		o.options.Log(events.TasksWaited, "queue", w.Queue, "reason", w.Reason, "waited", w.Time)
 	}
--- a/internal/urgency/urgency.go
+++ b/internal/urgency/urgency.go
@@ -14,9 +14,9 @@
 	"time"
 )
 
-// OverdueFactor is how many times its objective a job may take in all before its result is of no
+// overdueFactor is how many times its objective a job may take in all before its result is of no
 // use to its caller.
-const OverdueFactor = 3
+const overdueFactor = 3
 
 // Work describes a piece of work that waits.
 type Work struct {
@@ -41,7 +41,7 @@
 	classImmediate class = iota
 	// classOnTime is work that can be done within its objective, or has no objective.
 	classOnTime
-	// classLate is work that misses its objective but still ends within OverdueFactor times it.
+	// classLate is work that misses its objective but still ends within overdueFactor times it.
 	classLate
 	// classOverdue is work that ends too late to be of use.
 	classOverdue
@@ -58,7 +58,7 @@
 // Rank returns the position of the work in the order.
 func (w *Work) Rank() Rank {
 	dueIn := w.Objective - w.Age
-	overdueIn := OverdueFactor*w.Objective - w.Age
+	overdueIn := overdueFactor*w.Objective - w.Age
 	switch {
 	case w.IsImmediate:
 		return Rank{class: classImmediate, age: w.Age}
@@ -87,9 +87,6 @@
 	lateFirstTime = 100 * time.Millisecond
 )
 
-// LateShare is the fraction of the time for which late work goes first.
-const LateShare = float64(lateFirstTime) / float64(latePeriod)
-
 // IsLateFirst reports whether late work goes before other work now. since is the time since any
 // fixed moment, which must be the same for all calls.
 func IsLateFirst(since time.Duration) bool { return since%latePeriod < lateFirstTime }
