internal/store/fakestore: know writers per topic, and refuse single topics

Cause: the platform's store counts epochs and sequence numbers for one partition, and may be down in part. The fake counted them for all topics together and could only be down as a whole.

Change: writers are kept by topic; SetTopicDown refuses one topic. TestWritersAreKnownPerTopic fails without it (1 record wanted, 0 found).

--- a/internal/store/fakestore/fakelog.go
+++ b/internal/store/fakestore/fakelog.go
@@ -16,21 +16,36 @@
 type Log struct {
 	mu     sync.Mutex
 	topics map[string][]store.Record
-	epoch  uint64
-	// answers has the first answer to each sequence number of the epoch.
-	answers map[uint64]uint64
+	// writers has what is known of the writer of each topic.
+	writers map[string]*writer
 	// appendFault is called before an append of records by a writer. It returns the error that the
 	// writer gets, and whether the append is applied nevertheless.
 	appendFault func(a *store.Append) (err error, isApplied bool)
-	// isDown makes the store refuse all requests.
-	isDown bool
+	// isDown makes the store refuse all requests, and downTopics those for single topics.
+	isDown     bool
+	downTopics map[string]bool
 	// changed is closed at the next append.
 	changed chan struct{}
 }
 
+// writer is what the store knows of the writer of a topic.
+type writer struct {
+	epoch uint64
+	// answers has the first answer to each sequence number of the epoch.
+	answers map[uint64]uint64
+}
+
 // NewLog returns an empty store.
 func NewLog() *Log {
-	return &Log{topics: map[string][]store.Record{}, answers: map[uint64]uint64{}, changed: make(chan struct{})}
+	return &Log{topics: map[string][]store.Record{}, writers: map[string]*writer{}, downTopics: map[string]bool{}, changed: make(chan struct{})}
+}
+
+// writerOf returns the writer of a topic.
+func (l *Log) writerOf(topic string) *writer {
+	if l.writers[topic] == nil {
+		l.writers[topic] = &writer{answers: map[uint64]uint64{}}
+	}
+	return l.writers[topic]
 }
 
 // Append adds records as the platform's store does. Like a client of that store, it sends nothing
@@ -41,7 +56,7 @@
 	if ctx.Err() != nil {
 		return 0, &store.Error{Failure: store.Unknown, Err: ctx.Err()}
 	}
-	if l.isDown {
+	if l.isDown || l.downTopics[a.Topic] {
 		return 0, &store.Error{Failure: store.NotApplied}
 	}
 	if a.Writer != nil && len(a.Records) > 0 {
@@ -63,17 +78,18 @@
 		return 0, &store.Error{Failure: store.ConditionFailed, End: end}
 	}
 	if w := a.Writer; w != nil {
-		if w.Epoch < l.epoch {
+		known := l.writerOf(a.Topic)
+		if w.Epoch < known.epoch {
 			return 0, &store.Error{Failure: store.Fenced}
 		}
-		if w.Epoch > l.epoch {
-			clear(l.answers)
+		if w.Epoch > known.epoch {
+			clear(known.answers)
 		}
-		l.epoch = w.Epoch
-		if first, ok := l.answers[w.Sequence]; ok && len(a.Records) > 0 {
+		known.epoch = w.Epoch
+		if first, ok := known.answers[w.Sequence]; ok && len(a.Records) > 0 {
 			return first, nil
 		}
-		l.answers[w.Sequence] = end
+		known.answers[w.Sequence] = end
 	}
 	for _, r := range a.Records {
 		r.Offset = uint64(len(l.topics[a.Topic]))
@@ -88,7 +104,7 @@
 func (l *Log) ReadNewest(_ context.Context, topic string) (*store.Newest, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.isDown {
+	if l.isDown || l.downTopics[topic] {
 		return nil, &store.Error{Failure: store.NotApplied}
 	}
 	newest := map[string]store.Record{}
@@ -111,7 +127,7 @@
 		l.mu.Lock()
 		all := l.topics[topic]
 		changed := l.changed
-		isDown := l.isDown
+		isDown := l.isDown || l.downTopics[topic]
 		l.mu.Unlock()
 		switch {
 		case isDown:
@@ -136,6 +152,13 @@
 	l.isDown = isDown
 }
 
+// SetTopicDown makes the store refuse all requests for a topic, or serve them again.
+func (l *Log) SetTopicDown(topic string, isDown bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.downTopics[topic] = isDown
+}
+
 // SetAppendFault sets a function that is called before an append of records by a writer. It returns
 // the error that the writer gets, and whether the append is applied nevertheless. nil lets all
 // appends succeed.
--- a/internal/store/fakestore/fakelog_test.go
+++ b/internal/store/fakestore/fakelog_test.go
@@ -31,3 +31,20 @@
 		}
 	}
 }
+
+// Sequence numbers and epochs count for one topic: an append to another topic is no repetition, and
+// does not fence a writer there.
+func TestWritersAreKnownPerTopic(t *testing.T) {
+	log := fakestore.NewLog()
+	for _, a := range []struct {
+		topic string
+		epoch uint64
+	}{{"t", 2}, {"u", 1}} {
+		_, err := log.Append(t.Context(), &store.Append{
+			Topic: a.topic, Records: []store.Record{{Key: "a", Value: []byte("v")}}, Writer: &store.Writer{Name: "w", Epoch: a.epoch, Sequence: 1},
+		})
+		if got := log.CountKey(a.topic, "a"); err != nil || got != 1 {
+			t.Errorf("records in %s: got: %d, %v, want: 1", a.topic, got, err)
+		}
+	}
+}
