internal/store/failover: look for the spill topic in the background

Cause: with neither topic served, each third failed append waited for two more calls.

Change: Probe may run beside Append, which uses its last result and never waits for it. The first append that fails is refused as before; one of the next goes to the spill topic.

--- a/internal/store/failover/failover.go
+++ b/internal/store/failover/failover.go
@@ -11,6 +11,8 @@
 
 import (
 	"context"
+	"sync/atomic"
+	"time"
 
 	"github.com/leverdyke/leverdyke/internal/ordered"
 	"github.com/leverdyke/leverdyke/internal/store"
@@ -31,7 +33,8 @@
 	OnUnexpectedOffset func(topic string, offset, want uint64, records int)
 }
 
-// Log is the log of one writer. It is not safe for concurrent use, except for IsMainServed.
+// Log is the log of one writer. It is not safe for concurrent use, except for Probe and
+// IsMainServed.
 type Log struct {
 	options Options
 	main    stream
@@ -44,8 +47,8 @@
 	// pendingFor are the caller's records whose encoded form spill.pending is; nil when that is a
 	// removal of copied records.
 	pendingFor []store.Record
-	// failures counts the appends to the main topic that have failed in a row.
-	failures int
+	// maySpill is the result of the last Probe, until it is used.
+	maySpill atomic.Bool
 	// open are the caller's records that may be stored although no append of them has succeeded.
 	open []store.Record
 }
@@ -70,14 +73,6 @@
 // Spilled returns how many records the spill topic has.
 func (l *Log) Spilled() int { return l.spilled.Len() }
 
-// MainEnd returns where the main topic ends, as far as this writer knows.
-func (l *Log) MainEnd() uint64 { return l.main.end }
-
-// IsMainServed reports whether the store serves the main topic, which is known to have reached end.
-func (l *Log) IsMainServed(ctx context.Context, end uint64) bool {
-	return isServed(ctx, l.options.Store, l.options.Topic, end)
-}
-
 // Append appends records. After an error other than store.NotApplied and store.Fenced it is unknown
 // whether they are stored, and the next call must have the same slice of records. After
 // store.NotApplied they are not stored and never will be.
@@ -88,10 +83,7 @@
 	}
 	if !l.isSpilling {
 		err := l.main.append(ctx, records)
-		if err == nil {
-			l.failures = 0
-		}
-		if err == nil || store.FailureOf(err) == store.Fenced || !l.maySpill(ctx) {
+		if err == nil || store.FailureOf(err) == store.Fenced || !l.maySpill.Swap(false) {
 			return l.classify(err, records)
 		}
 		l.isSpilling = true
@@ -102,19 +94,32 @@
 	return l.classify(err, records)
 }
 
-// probeInterval is how many appends to the main topic fail in a row from one probe of the topics to
-// the next. Without a limit an outage of the whole store would cost two more calls for each append.
-const probeInterval = 3
-
-// maySpill reports whether to continue in the spill topic after an append to the main topic failed:
-// the store serves it and not the main topic. A single call that is refused or gets no answer is not
-// a reason, because the next one will succeed.
-func (l *Log) maySpill(ctx context.Context) bool {
-	l.failures++
-	if l.failures%probeInterval != 1 {
-		return false
-	}
-	return !l.IsMainServed(ctx, l.main.end) && isServed(ctx, l.options.Store, l.options.SpillTopic, l.spill.end)
+// Ends are where the two topics end, as far as the writer knows.
+type Ends struct{ Main, Spill uint64 }
+
+// Ends returns the present ends, for Probe.
+func (l *Log) Ends() Ends { return Ends{l.main.end, l.spill.end} }
+
+// Probe finds out whether Append may continue in the spill topic: the store serves it and not the
+// main topic. A single append that is refused or gets no answer is not a reason, because the next
+// one will succeed.
+func (l *Log) Probe(ctx context.Context, ends Ends) {
+	maySpill := !l.IsMainServed(ctx, ends) && l.isServed(ctx, l.options.SpillTopic, ends.Spill)
+	l.maySpill.Store(maySpill)
+}
+
+// IsMainServed reports whether the store serves the main topic.
+func (l *Log) IsMainServed(ctx context.Context, ends Ends) bool {
+	return l.isServed(ctx, l.options.Topic, ends.Main)
+}
+
+// probeTime is how long the store may wait for a record when it is only asked whether it serves.
+const probeTime = time.Millisecond
+
+// isServed reports whether the store serves a topic that ends at end or after.
+func (l *Log) isServed(ctx context.Context, topic string, end uint64) bool {
+	_, err := l.options.Store.Wait(ctx, topic, end, probeTime)
+	return err == nil || store.FailureOf(err) == store.Trimmed
 }
 
 // classify returns the error for the caller of Append, by what may still become of the records.
@@ -194,7 +199,6 @@
 	}
 	err := l.appendSpill(ctx, removals)
 	l.updateSpilling()
-	l.failures = 0
 	return err
 }
 
--- a/internal/store/failover/failover_test.go
+++ b/internal/store/failover/failover_test.go
@@ -164,13 +164,15 @@
 
 func (h *history) step() {
 	h.store.change()
-	switch h.rng.IntN(12) {
+	switch h.rng.IntN(14) {
 	case 0:
 		h.takeOver()
 	case 1:
 		h.appendAsFormer()
 	case 2, 3, 4:
 		_ = h.log.Drain(h.t.Context())
+	case 5, 6:
+		h.log.Probe(h.t.Context(), h.log.Ends())
 	default:
 		h.appendBatch()
 	}
@@ -199,6 +201,7 @@
 		h := newHistory(t, seed)
 		for range 40 {
 			h.store.change()
+			h.log.Probe(t.Context(), h.log.Ends())
 			h.appendBatch()
 		}
 		h.store.serveAll()
@@ -230,6 +233,10 @@
 		}
 	}
 	h.store.topic(mainTopic).isDown = true
+	if err := h.log.Append(t.Context(), set("d", "1")); store.FailureOf(err) != store.NotApplied {
+		t.Errorf("before it is known that the other topic is served: got: %v, want: %v", err, store.NotApplied)
+	}
+	h.log.Probe(t.Context(), h.log.Ends())
 	for _, records := range [][]store.Record{set("a", "2"), {{Key: "b"}}} {
 		if err := h.log.Append(t.Context(), records); err != nil {
 			t.Errorf("while the main topic is down: got: %v, want: stored", err)
--- a/internal/store/failover/stream.go
+++ b/internal/store/failover/stream.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/leverdyke/leverdyke/internal/store"
 )
@@ -67,12 +66,3 @@
 	s.writer.Sequence = e.ExpectedSequence
 	return true
 }
-
-// probeTime is how long the store may wait for a record when it is only asked whether it serves.
-const probeTime = time.Millisecond
-
-// isServed reports whether the store serves the topic.
-func isServed(ctx context.Context, log store.Log, topic string, end uint64) bool {
-	_, err := log.Wait(ctx, topic, end, probeTime)
-	return err == nil || store.FailureOf(err) == store.Trimmed
-}
