--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -12,8 +12,8 @@
 // Waits, timeouts and rates of the polls by which workers are asked for their listings.
 const (
 	// busyPollWait is how long a long poll may wait for a task to end on a worker with tasks, also
-	// with ones that are unknown here, idlePollWait on one without. Progress and tail latencies are only reported in listings.
-	// Workers accept a wait of 2 s at most.
+	// with ones that are unknown here, idlePollWait on one without. Progress and tail latencies are
+	// only reported in listings. Workers accept a wait of 2 s at most.
 	busyPollWait = 500 * time.Millisecond
 	idlePollWait = 2 * time.Second
 	// maxPollRate is how many polls a second are sent only to learn of progress. With more workers
--- a/internal/integration/soak_cancel_test.go
+++ b/internal/integration/soak_cancel_test.go
@@ -83,18 +83,11 @@
 
 func (s *soak) cancelJobs(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeatUntilDone(ctx, func() {
 		for _, id := range s.cancels.due() {
 			s.cancelJob(ctx, s.nodes[s.cancels.rng.IntN(len(s.nodes))], id)
 		}
-	}
+	})
 }
 
 // cancelJob cancels a job at a node, and reports to the oracle when that is acknowledged.
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -380,14 +380,7 @@
 
 func (s *soak) pollJobs(ctx context.Context, rng *rand.Rand, done chan<- struct{}) {
 	defer close(done)
-	ticker := time.NewTicker(pollInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+	repeatUntilDone(ctx, func() {
 		s.mu.Lock()
 		ids := slices.Clone(s.unfinished)
 		s.mu.Unlock()
@@ -398,6 +391,20 @@
 		s.mu.Lock()
 		s.unfinished = slices.DeleteFunc(s.unfinished, func(id string) bool { return ended[id] })
 		s.mu.Unlock()
+	})
+}
+
+// repeatUntilDone calls action every pollInterval until ctx ends.
+func repeatUntilDone(ctx context.Context, action func()) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			action()
+		}
 	}
 }
 
