internal/owner: end when the store has records that were not read

Now it ends, its callers are told that their requests may have run, and the next owner reads everything. Repeated appends are left out: a repetition may follow the first one. TestOwnerEndsWhenTheStoreHasRecordsOfAnotherWriter takes the place of the test that asked for the log line only.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -187,9 +187,9 @@
 	}
 }
 
-// Records of another writer may cancel a job that this owner goes on with, so they must show in the
-// log. An append of its own that is repeated must not.
-func TestRecordsOfAnotherWriterAreLogged(t *testing.T) {
+// Records of another writer may cancel a job that this owner goes on with: it must end, so that the
+// next one reads them. An append of its own that is repeated is no such record.
+func TestOwnerEndsWhenTheStoreHasRecordsOfAnotherWriter(t *testing.T) {
 	log, workers := fakestore.NewLog(), newFakeWorkers()
 	unexpected := atomic.Int64{}
 	o := startOwnerWithLog(t, log, workers, func(e events.Event, _ ...any) {
@@ -215,13 +215,14 @@
 	if _, err := log.Append(t.Context(), &store.Append{Topic: owner.TopicJobs, Records: []store.Record{{Key: "p/x"}}}); err != nil {
 		t.Fatal(err)
 	}
-	if err := o.Submit(t.Context(), newJob("b")); err != nil {
-		t.Fatal(err)
+	if got := verdictOf(o.Submit(t.Context(), newJob("b"))); got != leverdyke.VerdictMayHaveRun {
+		t.Errorf("a job after records of another writer: got: %v, want: %v", got, leverdyke.VerdictMayHaveRun)
 	}
-	awaitState(t, o, "b", work.JobSucceeded)
+	<-o.Done()
 	if got := unexpected.Load(); got != 1 {
 		t.Errorf("after records of another writer: got: %d lines, want: 1", got)
 	}
+	awaitState(t, startOwner(t, log, newFakeWorkers()), "b", work.JobSucceeded)
 }
 
 // A previous owner that the store has fenced must end and accept no more jobs. Otherwise it could
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -245,7 +245,7 @@
 		offset, err := a.try()
 		if err == nil {
 			o.recordAppended(offset, len(records), tries)
-			return a.sequence + 1, true
+			return a.sequence + 1, o.ctx.Err() == nil
 		}
 		if o.ctx.Err() != nil {
 			return a.sequence, false
@@ -259,11 +259,15 @@
 }
 
 // recordAppended checks that the records of an append follow what this owner has read and written.
-// Only a repeated append of its own may have come between; otherwise there are records that it does
-// not know.
+// If not, another writer's records have come between, and this owner decides without them: it ends,
+// and the next one reads them. After a repeated append they may be its own.
 func (o *Owner) recordAppended(offset uint64, count, tries int) {
 	if offset != o.jobsEnd {
 		o.options.Log(events.UnexpectedOffset, "epoch", o.Epoch(), "offset", offset, "want", o.jobsEnd, "records", count, "tries", tries)
+		if tries == 0 {
+			o.options.Log(events.ShardDropped, "epoch", o.Epoch(), "why", "the store has records that this owner has not read")
+			o.cancel()
+		}
 	}
 	o.jobsEnd = offset + uint64(count)
 }
