internal/dispatch: pause between two looks for capacity outside of drained zones

Cause: while a zone is drained, each long-running task there that finds no room elsewhere had all workers looked at in each tick, so that the cost grew with tasks times workers. Change: a step that found no room is not looked at again for 0.1 s, the time after which waiting steps are tried again, too. A task moves up to 0.1 s later than before when room appears.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -30,6 +30,18 @@
 	clock          *clock.Fake
 	lastEndNumbers map[order.WorkerID]uint64
 	isLongRunning  map[work.JobID]bool
+	// running has the long-running tasks that were started, by worker.
+	running map[order.WorkerID][]order.Running
+}
+
+// listAll answers a poll of each worker with a listing of its long-running tasks, which are at work.
+func (c *benchCluster) listAll() {
+	c.clock.Advance(time.Millisecond)
+	c.engine.Advance(c.clock.Now())
+	for id, running := range c.running {
+		poll := &order.Poll{Worker: id, IsImmediate: true, AskedAt: c.clock.Now()}
+		c.engine.PollAnswered(poll, &order.Listing{At: order.WorkerTime(c.clock.Now().UnixNano()), Running: running})
+	}
 }
 
 func (c *benchCluster) settle() {
@@ -55,6 +67,9 @@
 	case order.Start:
 		at := order.WorkerTime(c.clock.Now().UnixNano())
 		c.engine.StartAnswered(a.Worker, a.Task, a.Run, order.StartSucceeded, at)
+		if c.isLongRunning[a.Task.Job] && c.running != nil {
+			c.running[a.Worker] = append(c.running[a.Worker], order.Running{Task: a.Task, Run: a.Run, Percent: 100})
+		}
 		if !c.isLongRunning[a.Task.Job] {
 			c.lastEndNumbers[a.Worker]++
 			c.engine.PollAnswered(&order.Poll{Worker: a.Worker, IsImmediate: true}, &order.Listing{Finished: []order.End{{
@@ -129,3 +144,40 @@
 		})
 	}
 }
+
+// BenchmarkDrainedZone measures a tick while a zone is drained whose long-running tasks find no
+// capacity elsewhere.
+func BenchmarkDrainedZone(b *testing.B) {
+	const workers, tasksPerJob = 2000, 20
+	c := &benchCluster{engine: dispatch.NewEngine(dispatch.Options{}), clock: clock.NewFake(), lastEndNumbers: map[order.WorkerID]uint64{}, isLongRunning: map[work.JobID]bool{}, running: map[order.WorkerID][]order.Running{}}
+	c.engine.Advance(c.clock.Now())
+	c.engine.SetOwnershipConfirmed(true)
+	c.engine.SetQueues([]order.Queue{{Name: "q", Service: "pool"}})
+	capacity := leverdyke.Resources{MilliCPU: 1000, MemoryMiB: 1000, Slots: 8}
+	list := make([]order.Worker, workers)
+	for i := range list {
+		list[i] = order.Worker{ID: order.WorkerID(fmt.Sprintf("w%04d", i)), Zone: fmt.Sprintf("z%d", i%2), Service: "pool", Capacity: capacity}
+	}
+	c.engine.SetWorkers(list, true)
+	c.settle()
+	for i := range workers / tasksPerJob {
+		id := work.JobID(fmt.Sprintf("j%03d", i))
+		c.isLongRunning[id] = true
+		c.engine.AddJob(&work.Spec{ID: id, Queue: "q", Steps: []work.Step{{
+			Count: tasksPerJob, Need: leverdyke.Resources{MilliCPU: 1000, MemoryMiB: 1000, Slots: 1}, IsLongRunning: true, MaxUnavailable: -1,
+		}}})
+		c.settle()
+	}
+	if got := c.engine.Counts().Starts; got != workers {
+		b.Fatalf("running tasks: got: %d, want: %d", got, workers)
+	}
+	c.listAll()
+	c.engine.SetDrainedZones([]string{"z0"})
+	c.settle()
+	for b.Loop() {
+		c.clock.Advance(20 * time.Millisecond)
+		c.engine.Advance(c.clock.Now())
+		c.engine.Tick()
+		c.engine.Actions()
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -104,6 +104,8 @@
 	mayProbeEarly bool
 	// waitReason is what its tasks were waiting for in the last scheduling pass.
 	waitReason waits.Reason
+	// noRoomElsewhereAt is when no worker outside of the drained zones was last found for a task.
+	noRoomElsewhereAt time.Time
 	// copiesWanted counts the tasks that want a speculative copy.
 	copiesWanted int
 	// doneTasks and doneRunTime are the number and the summed run times of the tasks that have
--- a/internal/dispatch/zone_drain.go
+++ b/internal/dispatch/zone_drain.go
@@ -72,7 +72,7 @@
 // has capacity for it, and the step allows that one of its tasks does not run for a while. The worker
 // goes on, so that a task which cannot move is better left where it is.
 func (e *Engine) mayMoveOffZone(s *step) bool {
-	if s.spec.MaxUnavailable == 0 {
+	if s.spec.MaxUnavailable == 0 || e.now.Sub(s.noRoomElsewhereAt) < recheckInterval {
 		return false
 	}
 	pool := e.queues[s.job.spec.Queue].Service
@@ -84,5 +84,6 @@
 			return true
 		}
 	}
+	s.noRoomElsewhereAt = e.now
 	return false
 }
