internal/dispatch: index what a previous owner may have started by the worker's name

Cause: at each first listing a new owner looked through all workers on which a previous owner may have started tasks, twice, for other incarnations of that worker, so that its cost grew with the square of the workers. Change: uncertainTasks keeps the incarnations by the worker's name.

--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -78,7 +78,7 @@
 		}
 	case order.Poll:
 		if a.Wait == 0 {
-			c.engine.PollAnswered(&a, &order.Listing{At: order.WorkerTime(c.clock.Now().UnixNano())})
+			c.engine.PollAnswered(&a, &order.Listing{At: order.WorkerTime(c.clock.Now().UnixNano()), Running: c.running[a.Worker]})
 		}
 	}
 }
@@ -181,3 +181,42 @@
 		c.engine.Actions()
 	}
 }
+
+// BenchmarkTakeover measures a new owner's cost from the jobs that it has read until it knows what all
+// workers run, with four tasks on each worker.
+func BenchmarkTakeover(b *testing.B) {
+	for _, workers := range []int{1500, 6000, 12_000} {
+		b.Run(fmt.Sprintf("%d workers", workers), func(b *testing.B) { benchTakeover(b, workers) })
+	}
+}
+
+func benchTakeover(b *testing.B, workers int) {
+	const tasksPerWorker = 4
+	list := make([]order.Worker, workers)
+	running := map[order.WorkerID][]order.Running{}
+	specs, progress := make([]*work.Spec, workers), make([]*work.Progress, workers)
+	for i := range list {
+		id := order.NewWorkerID(fmt.Sprintf("w%05d", i), time.UnixMilli(1791916135672))
+		list[i] = order.Worker{ID: id, Machine: fmt.Sprintf("m%05d", i), Service: "pool", Capacity: leverdyke.Resources{MilliCPU: 10_000, MemoryMiB: 10_000}}
+		job := work.JobID(fmt.Sprintf("j%05d", i))
+		specs[i] = &work.Spec{ID: job, Queue: "q", Steps: []work.Step{{Count: tasksPerWorker, Need: leverdyke.Resources{MilliCPU: 1000, MemoryMiB: 500}, Estimate: time.Second, MaxUnavailable: -1}}}
+		step := work.StepProgress{Run: 1}
+		for k := range tasksPerWorker {
+			step.Placements = append(step.Placements, work.Placement{Index: k, Worker: string(id), Run: 1})
+			running[id] = append(running[id], order.Running{Task: work.TaskID{Job: job, Index: k}, Run: 1, Percent: 50})
+		}
+		progress[i] = &work.Progress{State: work.JobRunning, Rounds: map[int][]work.StepProgress{0: {step}}}
+	}
+	for b.Loop() {
+		c := &benchCluster{engine: dispatch.NewEngine(dispatch.Options{}), clock: clock.NewFake(), running: running}
+		c.engine.Advance(c.clock.Now())
+		c.engine.SetOwnershipConfirmed(true)
+		c.engine.SetQueues([]order.Queue{{Name: "q", Service: "pool"}})
+		for i := range specs {
+			c.engine.RestoreJob(specs[i], progress[i])
+		}
+		c.engine.Inherit(c.clock.Now().Add(10*time.Second), true, workers)
+		c.engine.SetWorkers(list, true)
+		c.settle()
+	}
+}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -121,9 +121,8 @@
 	// the next log lines about them.
 	planner            *permit.Planner
 	permissionLogDueAt time.Time
-	// uncertainTasks has, by worker, the tasks that a previous owner may have started there and
-	// that the worker has not reported on yet.
-	uncertainTasks ordered.Map[order.WorkerID, []work.TaskID]
+	// uncertainTasks are the tasks that a previous owner may have started.
+	uncertainTasks uncertainTasks
 	// abandonedStarts are the orders to start that are no longer wanted and may still arrive at a
 	// worker.
 	abandonedStarts abandoned.Starts
--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -69,7 +69,7 @@
 		}
 	}
 	for _, w := range t.mayRunOn {
-		if !slices.Contains(e.uncertainTasks.Get(w), id) {
+		if !slices.Contains(e.uncertainTasks.tasks.Get(w), id) {
 			report("%s may still run on %s, but is not among the unsettled tasks of that worker", id, w)
 		}
 	}
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -93,7 +93,7 @@
 	}
 	t.mayRunOn = append(t.mayRunOn, worker)
 	e.chargeCustomer(s)
-	e.uncertainTasks.Set(worker, append(e.uncertainTasks.Get(worker), id))
+	e.uncertainTasks.add(worker, id)
 }
 
 // isBlocked reports whether tasks of the job may run on any worker by a previous owner's order, so
@@ -104,11 +104,10 @@
 
 // resolveInherited records that it is now known which of a previous owner's tasks the worker runs.
 func (e *Engine) resolveInherited(id order.WorkerID, reason string) {
-	tasks, ok := e.uncertainTasks.Find(id)
+	tasks, ok := e.uncertainTasks.take(id)
 	if !ok {
 		return
 	}
-	e.uncertainTasks.Delete(id)
 	for _, task := range tasks {
 		if s, t := e.findTask(task); t != nil {
 			t.mayRunOn = slices.DeleteFunc(t.mayRunOn, func(w order.WorkerID) bool { return w == id })
@@ -125,7 +124,7 @@
 	if reason != resolvedByListing {
 		e.options.Log(events.PreviousAttemptsEnded, "worker", id, "tasks", len(tasks), "why", reason)
 	}
-	if e.uncertainTasks.Len() == 0 {
+	if e.uncertainTasks.isEmpty() {
 		e.options.Log(events.PreviousAttemptsKnown, "last", id, "why", reason)
 	}
 }
@@ -150,7 +149,7 @@
 	if e.now.Before(e.inheritedLeasesUntil) {
 		return
 	}
-	for id := range e.uncertainTasks.All() {
+	for id := range e.uncertainTasks.workers() {
 		if w := e.workers.Get(id); w == nil || e.now.After(w.session.ExpiresAt()) {
 			e.resolveInherited(id, resolvedByLeaseExpiry)
 		}
--- a/internal/dispatch/restart.go
+++ b/internal/dispatch/restart.go
@@ -104,21 +104,19 @@
 // resolveIncarnations resolves what previous owners may have started on any incarnation of a
 // worker that has sent its listing.
 func (e *Engine) resolveIncarnations(w *worker) {
-	for id := range e.uncertainTasks.All() {
-		switch {
-		case !id.IsSameWorker(w.ID):
-		case id.IsOtherIncarnation(w.ID):
-			e.resolveInherited(id, resolvedByIncarnationEnd)
-		default:
-			e.resolveInherited(id, resolvedByListing)
+	for _, id := range e.uncertainTasks.incarnationsOf(w.ID) {
+		reason := resolvedByListing
+		if id.IsOtherIncarnation(w.ID) {
+			reason = resolvedByIncarnationEnd
 		}
+		e.resolveInherited(id, reason)
 	}
 }
 
 // waitForOtherLeases waits for leases that a previous owner may have given by the clock of another
 // incarnation, on which it may have started tasks.
 func (e *Engine) waitForOtherLeases(w *worker) {
-	for id := range e.uncertainTasks.All() {
+	for _, id := range e.uncertainTasks.incarnationsOf(w.ID) {
 		if id.IsOtherIncarnation(w.ID) {
 			w.session.RecordOtherLeases(e.now.Add(session.AnyLeaseBound))
 		}
@@ -128,12 +126,7 @@
 // hasUnresolved reports whether a previous owner may have started tasks on any incarnation of a
 // worker.
 func (e *Engine) hasUnresolved(worker order.WorkerID) bool {
-	for id := range e.uncertainTasks.All() {
-		if id.IsSameWorker(worker) {
-			return true
-		}
-	}
-	return false
+	return len(e.uncertainTasks.incarnationsOf(worker)) > 0
 }
 
 // otherIncarnation returns the list's entry of another incarnation of a worker, nil if there is
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -312,7 +312,7 @@
 	if !w.isUnlisted || w.attempts.Len() > 0 || w.unknownRuns.Len() > 0 {
 		return
 	}
-	if _, ok := e.uncertainTasks.Find(w.ID); ok {
+	if e.uncertainTasks.has(w.ID) {
 		return
 	}
 	e.workers.Delete(w.ID)
