internal/owner: a takeover reads until it has all records of its predecessor

What callers would see: tasks that have ended run again, or jobs stay as they were a moment before the takeover. A new owner reads the jobs, fences its predecessor and reads again if the topic has grown in between. It did not check that the second read reached the end that the fence gave.

TestTakeoverReadsUntilItHasAllRecordsOfThePreviousOwner fails before: 'timed out waiting for condition: a is succeeded' after 30 s. A read that ends below the fence is repeated; the first read, which runs beside the fence, stays as it was.

--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -69,10 +69,22 @@
 		return nil, err
 	}
 	a := <-read
-	if a.err != nil || a.newest.End == end {
+	if a.err != nil || a.newest.End >= end {
 		return a.newest, a.err
 	}
-	return o.readJobs()
+	return o.readJobsUpTo(end)
+}
+
+// readJobsUpTo reads the jobs again until a read includes all records before offset end.
+func (o *Owner) readJobsUpTo(end uint64) (*store.Newest, error) {
+	for {
+		newest, err := o.readJobs()
+		if err != nil || newest.End >= end {
+			return newest, err
+		}
+		o.options.Log(events.StoreFailed, "what", "read", "end", newest.End, "want", end)
+		o.sleep(storeRetryDelay)
+	}
 }
 
 // readResult is the outcome of reading the jobs.
