internal/dispatch: log late successes of runs that were given up

A task that ran again after a run of it had ended as done left no trace in the log: an end was logged only if it was no success, a start only as a count of its step. Which evidence an owner had for the end of the first run could not be told afterwards.

LD0495 tells, when a successful end arrives of a run that this owner had given up or never knew, or whose task has another attempt: task, run, worker, the owner's epoch, the evidence (lease, life, listing, stop, refused start, what a previous owner left) and its age, and the other attempt. Steps that allow copies and tasks that last are left out, as their runs overlap by intention.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -65,6 +65,8 @@
 	HeartbeatInterval time.Duration
 	// Disabled lists mechanisms that are switched off.
 	Disabled []Mechanism
+	// Epoch is that of the owner; it is logged.
+	Epoch uint64
 }
 
 // isEnabled reports whether a mechanism is in use.
@@ -90,6 +92,8 @@
 	// longer lists, stays until no attempt is charged to it.
 	workers ordered.Map[order.WorkerID, *worker]
 	index   workerIndex
+	// givenUp has the runs that were taken for ended without their ends, for the log.
+	givenUp givenUpRuns
 	// endedIncarnations are the workers' incarnations that are known to have ended and are still in
 	// the platform's list.
 	endedIncarnations map[order.WorkerID]bool
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -74,7 +74,7 @@
 	case order.StartSucceeded, order.StartFenced, order.StartUnknown, order.StartIncarnationEnded:
 	}
 	a.isAcknowledged = true
-	e.release(a)
+	e.giveUp(a, givenUpRefused+string(outcome))
 	e.detachAttempt(a)
 	e.stopRestOfGang(a, "a member was refused")
 }
@@ -194,7 +194,7 @@
 	}
 	if previous := w.attempts.Get(running.Task); previous != nil {
 		// A worker runs at most one attempt of a task, so the previous one is not there any more.
-		e.release(previous)
+		e.giveUp(previous, givenUpOtherRun)
 		e.detachAttempt(previous)
 	}
 	a := &attempt{
@@ -257,6 +257,9 @@
 	if s == nil {
 		return
 	}
+	if end.Kind == order.EndSucceeded {
+		e.logLateSuccess(w, s, t, end, a)
+	}
 	t.run = max(t.run, end.Run)
 	if end.Checkpoint != "" && (a != nil || t.checkpoint == "") {
 		t.checkpoint = end.Checkpoint
@@ -378,10 +381,12 @@
 		if !isStopConfirmed && !isStartConfirmed {
 			continue
 		}
+		reason := givenUpStopped
 		if !isStopConfirmed {
+			reason = givenUpMissing
 			e.options.Log(events.AttemptMissing, "task", id, "run", a.run, "worker", w.ID)
 		}
-		e.release(a)
+		e.giveUp(a, reason)
 		e.detachAttempt(a)
 		e.stopRestOfGang(a, "a member is missing")
 	}
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/dispatch"
+	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -27,20 +28,28 @@
 	workerTime order.WorkerTime
 	// silentWorker answers no poll; empty when all workers answer.
 	silentWorker order.WorkerID
+	// entries is the platform's list of workers.
+	entries []order.Worker
+	// log receives the engine's log lines; nil discards them.
+	log func(event events.Event, keysAndValues ...any)
 }
 
 // newRetryCluster returns a cluster of idle workers with capacity for one task each, and a queue
 // that allows two attempts.
 func newRetryCluster(workers ...order.WorkerID) *retryCluster {
-	c := &retryCluster{engine: dispatch.NewEngine(dispatch.Options{HeartbeatInterval: 1500 * time.Millisecond}), clock: clock.NewFake(), endNumbers: map[order.WorkerID]uint64{}, workerTime: 10}
+	c := &retryCluster{clock: clock.NewFake(), endNumbers: map[order.WorkerID]uint64{}, workerTime: 10}
+	c.engine = dispatch.NewEngine(dispatch.Options{HeartbeatInterval: 1500 * time.Millisecond, Log: func(event events.Event, keysAndValues ...any) {
+		if c.log != nil {
+			c.log(event, keysAndValues...)
+		}
+	}})
 	c.engine.Advance(c.clock.Now())
 	c.engine.SetOwnershipConfirmed(true)
 	c.engine.SetQueues([]order.Queue{{Name: "q", Service: "pool", MaxAttempts: 2}})
-	entries := []order.Worker{}
 	for _, id := range workers {
-		entries = append(entries, order.Worker{ID: id, Service: "pool", Capacity: newStep(1, 0).Need})
+		c.entries = append(c.entries, order.Worker{ID: id, Service: "pool", Capacity: newStep(1, 0).Need})
 	}
-	c.engine.SetWorkers(entries, true)
+	c.engine.SetWorkers(c.entries, true)
 	for _, id := range workers {
 		c.answerPoll(id)
 	}
@@ -59,6 +68,19 @@
 	c.engine.PollAnswered(&order.Poll{Worker: id, AskedAt: c.clock.Now()}, &order.Listing{At: c.workerTime, Running: running, Finished: ends})
 }
 
+// reportNothing lets the worker send a listing without anything.
+func (c *retryCluster) reportNothing(id order.WorkerID) {
+	c.workerTime++
+	c.engine.PollAnswered(&order.Poll{Worker: id, AskedAt: c.clock.Now()}, &order.Listing{At: c.workerTime})
+}
+
+// relist removes all workers from the list and adds them again, so that the engine knows those anew
+// that it has taken for ended.
+func (c *retryCluster) relist() {
+	c.engine.SetWorkers(nil, true)
+	c.engine.SetWorkers(c.entries, true)
+}
+
 func (*retryCluster) hasEnded(s order.Start, ends []order.End) bool {
 	for _, e := range ends {
 		if e.Task == s.Task && e.Run == s.Run {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -419,7 +419,7 @@
 	for _, a := range w.attempts.All() {
 		e.counts.Expired++
 		e.recordLoss(a, order.EndLeaseExpired)
-		e.release(a)
+		e.giveUp(a, reason)
 		e.detachAttempt(a)
 		e.stopRestOfGang(a, "a member is lost")
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -132,6 +132,7 @@
 	WorkerResized          = add(473, "room of a worker changes", LevelInfo)
 	WorkerRestarted        = add(474, "worker has started again under its ID", LevelInfo)
 	AttemptEndedWithWorker = add(471, "attempt ended with its worker", LevelInfo)
+	LateSuccess            = add(495, "run ended as done after it was given up", LevelWarning)
 	WorkerLeft             = add(467, "worker has left as planned", LevelInfo)
 	PreviousAttemptsKnown  = add(462, "all that an earlier owner started is known", LevelInfo)
 	CancelAnswered         = add(470, "cancelling of a job answered", LevelInfo)
