--- a/internal/dispatch/given_up.go
+++ b/internal/dispatch/given_up.go
@@ -97,11 +97,13 @@
 		return
 	}
 	other := t.otherAttempt(ended)
-	if ended != nil && other == nil || !e.givenUp.mayLog(e.now) {
+	given, isElsewhere := e.givenUp.find(end.Task, end.Run, w.ID)
+	// A new owner also receives the ends that the previous one has stored and not confirmed.
+	isStored := t.state == taskDone && t.orderedRun == 0 && given == nil
+	if ended != nil && other == nil || isStored || !e.givenUp.mayLog(e.now) {
 		return
 	}
 	reason, age := reasonNeverKnown, time.Duration(0)
-	given, isElsewhere := e.givenUp.find(end.Task, end.Run, w.ID)
 	switch {
 	case given != nil:
 		reason, age = given.reason, e.now.Sub(given.at)
@@ -115,7 +117,7 @@
 		otherWorker, otherRun = other.worker.ID, other.run
 	}
 	e.options.Log(events.LateSuccess, "task", end.Task, "run", end.Run, "worker", w.ID, "epoch", e.options.Epoch, "number", end.Number, "clock", time.Duration(w.session.Clock()),
-		"why", reason, "age", age, "state", t.state, "highest", t.run, "other", otherWorker, "otherRun", otherRun)
+		"why", reason, "age", age, "state", t.state, "ordered", t.orderedRun, "other", otherWorker, "otherRun", otherRun)
 }
 
 // otherAttempt returns an attempt of the task other than a that was ordered, nil if there is none.
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -127,8 +127,10 @@
 	state   taskState
 	attempt *attempt
 	// run is the highest run number of the task that is known.
-	run      uint64
-	failures []work.Failure
+	run uint64
+	// orderedRun is the last run that this owner has ordered; 0 if there is none.
+	orderedRun uint64
+	failures   []work.Failure
 	// crashes are the crashes of workers that had the task; lastCrashAt is when the last one was
 	// recorded.
 	crashes     []work.Crash
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -483,6 +483,7 @@
 	e.durationsOf(a.step).Ordered(e.now)
 	e.countUnpersisted(a)
 	a.isResumed = a.step.savedStateOf(a.id.Index) != ""
+	a.step.tasks[a.id.Index].orderedRun = a.run
 	e.counts.Starts++
 	e.startsInFlight++
 	e.startsInActions = append(e.startsInActions, a)
