--- a/internal/dispatch/given_up.go
+++ b/internal/dispatch/given_up.go
@@ -98,8 +98,10 @@
 	}
 	other := t.otherAttempt(ended)
 	given, isElsewhere := e.givenUp.find(end.Task, end.Run, w.ID)
-	// A new owner also receives the ends that the previous one has stored and not confirmed.
-	isStored := t.state == taskDone && t.orderedRun == 0 && given == nil
+	// The ends that are stored and not confirmed are received again by a new owner, and by this one
+	// once the worker is listed again.
+	isOwn := t.orderedRun == end.Run && t.orderedOn == w.ID
+	isStored := t.state == taskDone && given == nil && other == nil && (t.orderedRun == 0 || isOwn)
 	if ended != nil && other == nil || isStored || !e.givenUp.mayLog(e.now) {
 		return
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -128,8 +128,9 @@
 	attempt *attempt
 	// run is the highest run number of the task that is known.
 	run uint64
-	// orderedRun is the last run that this owner has ordered; 0 if there is none.
+	// orderedRun is the last run that this owner has ordered, on orderedOn; 0 if there is none.
 	orderedRun uint64
+	orderedOn  order.WorkerID
 	failures   []work.Failure
 	// crashes are the crashes of workers that had the task; lastCrashAt is when the last one was
 	// recorded.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -483,7 +483,8 @@
 	e.durationsOf(a.step).Ordered(e.now)
 	e.countUnpersisted(a)
 	a.isResumed = a.step.savedStateOf(a.id.Index) != ""
-	a.step.tasks[a.id.Index].orderedRun = a.run
+	t := &a.step.tasks[a.id.Index]
+	t.orderedRun, t.orderedOn = a.run, a.worker.ID
 	e.counts.Starts++
 	e.startsInFlight++
 	e.startsInActions = append(e.startsInActions, a)
