platform: take a heartbeat for recent by when it was written

Callers: a task could start elsewhere while its draining worker still ran it. The removal of a draining worker's entry counts as its end if its last heartbeat is under 3.5 s old: after three heartbeats of 1.5 s without a write the platform removes the entry of any worker. The age was counted from when the record was read. A node that was frozen, or whose store is slow, reads the last heartbeat late, or together with the removal, and takes a worker that has been cut off from the store for one that has left.

--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -43,7 +43,7 @@
 		}
 		cluster.settle()
 		cluster.silentWorker = leaving
-		entry.IsRemoved, entry.HeartbeatAt = true, cluster.clock.Now().Add(-tc.heartbeatAge)
+		entry.IsRemoved, entry.HeartbeatAfter = true, cluster.clock.Now().Add(-tc.heartbeatAge)
 		cluster.engine.SetWorkers([]order.Worker{entry, other}, tc.isListCertain)
 		cluster.advance(500 * time.Millisecond)
 		if got := len(cluster.starts) == 2; got != tc.wantRestart {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -251,10 +251,10 @@
 // it any more. Otherwise the worker may still run and only be unreachable.
 func (e *Engine) handleEntryRemoved(entry *order.Worker, isComplete bool) {
 	w := e.workers.Get(entry.ID)
-	if w == nil || !w.IsDraining || !isComplete || entry.HeartbeatAt.IsZero() {
+	if w == nil || !w.IsDraining || !isComplete || entry.HeartbeatAfter.IsZero() {
 		return
 	}
-	sinceHeartbeat := e.now.Sub(entry.HeartbeatAt)
+	sinceHeartbeat := e.now.Sub(entry.HeartbeatAfter)
 	if sinceHeartbeat >= heartbeatsUntilRemoval*e.options.HeartbeatInterval-removalSlack {
 		return
 	}
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -32,8 +32,9 @@
 	// fields are those of its last valid entry. Where there is none, all but ID and Addr are
 	// empty, and Addr may be empty too.
 	IsUncertain bool
-	// HeartbeatAt is when the worker's last heartbeat was seen; zero when none was.
-	HeartbeatAt time.Time
+	// HeartbeatAfter is a time after which the worker wrote its last heartbeat; zero when no such
+	// time is known.
+	HeartbeatAfter time.Time
 	// IsRemoved means that the worker's entry has been removed since the list was last passed
 	// to the engine.
 	IsRemoved bool
