internal/dispatch: wait for the lease of a draining worker that answers

Callers: a task could start elsewhere while its worker still ran it. The removal of a draining worker's entry marks the worker as shut down, and the next poll that failed ended its incarnation, so that all that ran there was placed anew at once. A poll sent before the removal counted, too, as did misses before it.

An answer to a poll sent after the removal now refutes the shutdown, as does the entry's return, and only a failed poll sent after the removal confirms it.

TestWorkerThatAnswersAfterItsEntryIsRemovedHasNotShutDown on, both cases: "starts: got: [{v ...} {w ...}], want: only the first one, which may still run". TestTasksOfADrainedAndRemovedWorkerRestartElsewhere is unchanged and passes: workers that have left are still found out at once.

--- a/internal/dispatch/leave_test.go
+++ b/internal/dispatch/leave_test.go
@@ -4,6 +4,7 @@
 package dispatch_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -52,6 +53,36 @@
 	}
 }
 
+// Guards against a task that starts elsewhere because one answer of its worker was lost some time
+// after the worker's entry had been removed.
+func TestWorkerThatAnswersAfterItsEntryIsRemovedHasNotShutDown(t *testing.T) {
+	for _, isListedAgain := range []bool{false, true} {
+		cluster := newRetryCluster("v", "w")
+		cluster.submit("a", false)
+		leaving := cluster.starts[0].Worker
+		entries := slices.Clone(cluster.entries)
+		i := slices.IndexFunc(entries, func(w order.Worker) bool { return w.ID == leaving })
+		entries[i].IsDraining, entries[i].HeartbeatAfter = true, cluster.clock.Now()
+		cluster.engine.SetWorkers(entries, true)
+		removed := slices.Clone(entries)
+		removed[i].IsRemoved = true
+		if isListedAgain {
+			cluster.silentWorker = leaving
+		}
+		cluster.engine.SetWorkers(removed, true)
+		if isListedAgain {
+			cluster.engine.SetWorkers(entries, true)
+		} else {
+			cluster.advance(time.Second)
+			cluster.silentWorker = leaving
+		}
+		cluster.advance(time.Second)
+		if len(cluster.starts) != 1 {
+			t.Errorf("listed again: %v: starts: got: %v, want: only the first one, which may still run", isListedAgain, cluster.starts)
+		}
+	}
+}
+
 // An owner must log that a worker is leaving once, also where it has not known the worker before: after
 // a takeover nothing in its log said so.
 func TestLeavingWorkerIsLoggedOnce(t *testing.T) {
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -113,6 +113,9 @@
 	if w.session.HasMissed() {
 		e.silences.Remove(w.ID)
 	}
+	if !poll.AskedAt.Before(w.entryRemovedAt) {
+		w.hasShutDown = false
+	}
 	w.session.RecordAnswer(listing.At, e.now)
 	w.session.MarkEndsForgotten(poll.Confirmed)
 	e.handleListing(w, listing, poll.AskedAt)
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -99,7 +99,7 @@
 	if w == nil {
 		return
 	}
-	if w.hasShutDown {
+	if w.hasShutDown && !poll.AskedAt.Before(w.entryRemovedAt) {
 		e.IncarnationEnded(w.ID)
 		return
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -34,8 +34,10 @@
 	// session has the lease, the listings, the reported ends and the polls of this incarnation.
 	session session.Session
 	// isUnlisted means that the platform's list no longer has the worker, or that this incarnation
-	// has ended. hasShutDown means that its entry was removed because it shut down as planned.
+	// has ended. hasShutDown means that its entry was removed, at entryRemovedAt, because it shut
+	// down as planned; a poll that was sent later and is answered refutes that.
 	isUnlisted, hasShutDown bool
+	entryRemovedAt          time.Time
 	// isShuttingDown means that its entry disappeared while it still answered polls: it shuts down
 	// as planned.
 	isShuttingDown bool
@@ -209,7 +211,7 @@
 	}
 	w.Worker = entry
 	e.updateZoneDrain(w)
-	w.isUnlisted, w.isShuttingDown, w.isSuperseded = false, false, false
+	w.isUnlisted, w.isShuttingDown, w.isSuperseded, w.hasShutDown = false, false, false, false
 }
 
 // addWorker adds an incarnation of a worker that was not known, and polls it for what it runs.
@@ -248,7 +250,8 @@
 
 // handleEntryRemoved handles the removal of an entry. If the worker is draining and its last
 // heartbeat is recent, the entry was removed because the worker has shut down, and nothing runs on
-// it any more. Otherwise the worker may still run and only be unreachable.
+// it any more unless it answers the next poll. Otherwise the worker may still run and only be
+// unreachable.
 func (e *Engine) handleEntryRemoved(entry *order.Worker, isComplete bool) {
 	w := e.workers.Get(entry.ID)
 	if w == nil || !w.IsDraining || !isComplete || entry.HeartbeatAfter.IsZero() {
@@ -258,12 +261,8 @@
 	if sinceHeartbeat >= heartbeatsUntilRemoval*e.options.HeartbeatInterval-removalSlack {
 		return
 	}
-	w.hasShutDown = true
+	w.hasShutDown, w.entryRemovedAt = true, e.now
 	e.options.Log(events.WorkerLeft, "worker", w.ID, "attempts", w.attempts.Len(), "heartbeat", sinceHeartbeat)
-	if w.session.HasMissed() {
-		e.IncarnationEnded(w.ID)
-		return
-	}
 	e.pollNow(w)
 }
 
