internal/dispatch: end no run by a listing that may lack ends

Workers list the ends that are not confirmed 500 at a time. Ends are confirmed once they are stored, so that while the store is down they add up. A run whose end came after the 500 that are listed is neither among the running ones nor among the ended ones, and was taken for one that the worker has lost: its task was placed anew at once. When the store was back, the first end was listed, accepted and confirmed. In the same way a new owner took the first listing of a worker for all that the previous one had started there.

A listing now says whether it may lack ends: when it has as many as are listed at a time, or numbers with a gap. It ends nothing that it does not list, and does not count as the worker's first listing; the next ones, after the ends are confirmed, do.

The models of the engine gain workers that list a few ends at a time, and an oracle for the users' rule: no start after an end as done that is confirmed then or later, unless the worker's lease has expired in between.

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -127,10 +127,11 @@
 	if !w.session.IsListed() {
 		e.prepareFirstListing(w)
 	}
+	isNewest, hasAllEnds := w.session.AcceptListing(listing.At, e.now), listing.HasAllEnds()
 	for i := range listing.Finished {
 		e.handleEnd(w, &listing.Finished[i])
 	}
-	if !w.session.AcceptListing(listing.At, e.now) {
+	if !isNewest {
 		return
 	}
 	running := make(map[work.TaskID]bool, len(listing.Running))
@@ -139,12 +140,14 @@
 		e.handleRunning(w, &listing.Running[i])
 	}
 	w.dropEndedUnknown(running)
-	e.reconcileMissing(w, listing, running, askedAt)
-	if !w.session.IsListed() {
-		w.session.SetListed(true)
-		e.needsScheduling = true
+	if hasAllEnds {
+		e.reconcileMissing(w, listing, running, askedAt)
+		if !w.session.IsListed() {
+			w.session.SetListed(true)
+			e.needsScheduling = true
+		}
+		e.resolveIncarnations(w)
 	}
-	e.resolveIncarnations(w)
 	e.detectSlowWorker(w)
 	e.setPaces(w)
 }
--- a/internal/dispatch/restart_simulation_test.go
+++ b/internal/dispatch/restart_simulation_test.go
@@ -96,7 +96,7 @@
 	m.clockOffset = clock - time.Duration(float64(since)*(1-m.drift))
 	m.fence, m.deadline = 0, 0
 	m.running, m.highestEndedRun = map[work.TaskID]*modelRun{}, map[work.TaskID]uint64{}
-	m.finished, m.nextEndNumber, m.confirmedUpTo = nil, 1, 0
+	m.finished, m.nextEndNumber, m.confirmedUpTo, m.doneEnds = nil, 1, 0, nil
 }
 
 // runningTasks returns how many tasks of a job run.
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -123,6 +123,10 @@
 	writeCounts map[work.JobID]int
 	// runTimeRatio is how many times as long as estimated a run of a task takes; nil stands for 1.
 	runTimeRatio func(work.TaskID) float64
+	// endsPerListing is how many ends a listing has at most, the first ones; 0 stands for all.
+	// hasShuffledEnds makes workers list them in a random order.
+	endsPerListing  int
+	hasShuffledEnds bool
 	// crashFaults configures tasks that crash their workers; nil without such tasks.
 	crashFaults *crashFaults
 	// workersStartedAt is the start time in the IDs of the workers that are added; the zero value
@@ -489,6 +493,7 @@
 		w.schedule(2*time.Second+time.Duration(w.rng.IntN(10_000))*time.Millisecond, func() {
 			if !m.isPartitioned && !m.isDead {
 				m.poll(order.Token(fence, p.Generation), &p, w.elapsed())
+				w.checkConfirmed(m)
 			}
 		})
 	}
@@ -513,6 +518,8 @@
 		// A restart of the worker drops the polls that wait at it.
 		if !m.isPartitioned && !m.isDead && m.entry.ID == arrivedIncarnation {
 			l = m.poll(order.Token(fence, p.Generation), &p, w.elapsed())
+			w.checkConfirmed(m)
+			w.cutListing(l)
 		}
 		if engine != w.engine {
 			return
@@ -532,6 +539,45 @@
 	w.schedule(delay+wait, answer)
 }
 
+// cutListing leaves only the first ends in a listing, and shuffles them.
+func (w *sim) cutListing(l *order.Listing) {
+	if l == nil {
+		return
+	}
+	if w.endsPerListing > 0 && len(l.Finished) >= w.endsPerListing {
+		l.Finished, l.MayLackEnds = l.Finished[:w.endsPerListing], true
+	}
+	if w.hasShuffledEnds {
+		w.rng.Shuffle(len(l.Finished), func(i, j int) { l.Finished[i], l.Finished[j] = l.Finished[j], l.Finished[i] })
+	}
+}
+
+// checkConfirmed checks the successful ends that a poll has confirmed to a worker: no task may have
+// been started again after such an end, unless the worker's lease has expired in between.
+func (w *sim) checkConfirmed(m *modelWorker) {
+	m.doneEnds = slices.DeleteFunc(m.doneEnds, func(end doneEnd) bool {
+		isConfirmed := end.number <= m.confirmedUpTo
+		if isConfirmed && end.restartedOn != "" {
+			w.reportViolation("%s started on %s after its end on %s, which is confirmed now", end.task, end.restartedOn, m.entry.ID)
+		}
+		return isConfirmed
+	})
+}
+
+// recordRestarts records a start of a task after its end that is not confirmed yet.
+func (w *sim) recordRestarts(m *modelWorker, id work.TaskID) {
+	if w.specs[id.Job].Steps[id.Step].AllowsSpeculation {
+		return
+	}
+	for _, o := range w.allWorkers() {
+		for i := range o.doneEnds {
+			if o.doneEnds[i].task == id {
+				o.doneEnds[i].restartedOn = m.entry.ID
+			}
+		}
+	}
+}
+
 // awaitEnd calls answer once the worker has an end that the poll does not confirm, at until at the
 // latest.
 func (w *sim) awaitEnd(m *modelWorker, p *order.Poll, until time.Time, answer func()) {
@@ -548,6 +594,7 @@
 func (w *sim) checkStart(m *modelWorker, id work.TaskID, r *modelRun) {
 	w.startCount++
 	w.recordCrashingStart(m, id)
+	w.recordRestarts(m, id)
 	if capacity := m.maxAllowedCapacity(w.clock.Now()); !w.isDelayedOrder && !m.used().FitsIn(capacity) {
 		w.reportViolation("start of %s exceeds the capacity of %s: %v of %v in use", id, m.entry.ID, m.used(), capacity)
 	}
--- a/internal/dispatch/worker_model_test.go
+++ b/internal/dispatch/worker_model_test.go
@@ -55,6 +55,9 @@
 	// it, also ends that only occur after the confirmation has arrived.
 	confirmedUpTo uint64
 	nextEndNumber uint64
+	// doneEnds are the successful ends of this incarnation that were not confirmed yet, without those
+	// since which its lease has expired.
+	doneEnds      []doneEnd
 	isPartitioned bool
 	now           time.Time
 	isDead        bool
@@ -74,6 +77,14 @@
 	capacityChanges []capacityChange
 }
 
+// doneEnd is a successful end; restartedOn is the worker on which its task was started after it,
+// empty if it was not.
+type doneEnd struct {
+	number      uint64
+	task        work.TaskID
+	restartedOn order.WorkerID
+}
+
 func (r *modelRun) percent(now time.Time) int {
 	if r.isStuck {
 		return 20
@@ -102,6 +113,9 @@
 	delete(m.running, id)
 	m.highestEndedRun[id] = max(m.highestEndedRun[id], r.run)
 	m.finished = append(m.finished, order.End{Number: m.nextEndNumber, Task: id, Run: r.run, Kind: kind})
+	if kind == order.EndSucceeded {
+		m.doneEnds = append(m.doneEnds, doneEnd{number: m.nextEndNumber, task: id})
+	}
 	m.nextEndNumber++
 }
 
@@ -112,6 +126,9 @@
 // stopped or that are finished.
 func (m *modelWorker) step(now time.Time, since time.Duration) {
 	m.now = now
+	if m.clockAt(since) >= m.deadline {
+		m.doneEnds = nil
+	}
 	for id, r := range m.sortedRuns() {
 		switch {
 		case m.clockAt(since) >= m.deadline:
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -115,7 +115,36 @@
 	// the poll was addressed to; otherwise it is empty.
 	OtherIncarnation WorkerID
 	Running          []Running
-	Finished         []End
+	// Finished are the ends that the worker has not forgotten; with MayLackEnds only some of them,
+	// the first ones where it is the first listing.
+	Finished    []End
+	MayLackEnds bool
+}
+
+// FirstEnd returns the lowest number of the listed ends; 0 if there are none.
+func (l *Listing) FirstEnd() uint64 {
+	first, _ := l.endNumbers()
+	return first
+}
+
+// endNumbers returns the lowest and the highest number of the listed ends.
+func (l *Listing) endNumbers() (first, last uint64) {
+	for i := range l.Finished {
+		n := l.Finished[i].Number
+		if first == 0 || n < first {
+			first = n
+		}
+		last = max(last, n)
+	}
+	return first, last
+}
+
+// HasAllEnds reports whether the listing has all ends that the worker has not forgotten. What it
+// does not list has then ended with an end that was confirmed, or was never started.
+func (l *Listing) HasAllEnds() bool {
+	first, last := l.endNumbers()
+	hasGap := len(l.Finished) > 0 && last-first+1 != uint64(len(l.Finished))
+	return !l.MayLackEnds && !hasGap
 }
 
 // StartOutcome is the outcome of an order to start.
