internal/session: confirm no end beyond one that is missing

Ends were accepted by number only: the highest one accepted stood for all below it.

Ends are now tracked one by one beyond the first that is missing, and only those before it are confirmed. What the worker has forgotten, confirmed by a previous owner, is told by a complete listing that begins later.

On the code before, TestEndsListedOutOfOrderAreAllHandled: "a: got: running, want: succeeded" and "started again: got: [{v ... a.0.0.0 2 ...}], want: none".

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -128,6 +128,7 @@
 		e.prepareFirstListing(w)
 	}
 	isNewest, hasAllEnds := w.session.AcceptListing(listing.At, e.now), listing.HasAllEnds()
+	w.session.BeginListing(listing.FirstEnd(), isNewest && hasAllEnds)
 	for i := range listing.Finished {
 		e.handleEnd(w, &listing.Finished[i])
 	}
@@ -251,7 +252,7 @@
 	if !w.session.AcceptEnd(end.Number) {
 		return
 	}
-	e.currentBatch().handledEnds.Set(w, end.Number)
+	e.currentBatch().handledEnds.Set(w, w.session.LastAcceptedEnd())
 	a := w.attempts.Get(end.Task)
 	if a != nil && a.run == end.Run {
 		a.isAcknowledged = true
