--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -74,7 +74,7 @@
 	case order.StartSucceeded, order.StartFenced, order.StartUnknown, order.StartIncarnationEnded:
 	}
 	a.isAcknowledged = true
-	e.release(a)
+	e.giveUp(a, givenUpRefused+string(outcome))
 	e.detachAttempt(a)
 	e.stopRestOfGang(a, "a member was refused")
 }
@@ -113,6 +113,9 @@
 	if w.session.HasMissed() {
 		e.silences.Remove(w.ID)
 	}
+	if !poll.AskedAt.Before(w.entryRemovedAt) {
+		w.hasShutDown = false
+	}
 	w.session.RecordAnswer(listing.At, e.now)
 	w.session.MarkEndsForgotten(poll.Confirmed)
 	e.handleListing(w, listing, poll.AskedAt)
@@ -124,10 +127,12 @@
 	if !w.session.IsListed() {
 		e.prepareFirstListing(w)
 	}
+	isNewest, hasAllEnds := w.session.AcceptListing(listing.At, e.now), listing.HasAllEnds()
+	w.session.BeginListing(listing.FirstEnd(), isNewest && hasAllEnds)
 	for i := range listing.Finished {
 		e.handleEnd(w, &listing.Finished[i])
 	}
-	if !w.session.AcceptListing(listing.At, e.now) {
+	if !isNewest {
 		return
 	}
 	running := make(map[work.TaskID]bool, len(listing.Running))
@@ -136,12 +141,14 @@
 		e.handleRunning(w, &listing.Running[i])
 	}
 	w.dropEndedUnknown(running)
-	e.reconcileMissing(w, listing, running, askedAt)
-	if !w.session.IsListed() {
-		w.session.SetListed(true)
-		e.needsScheduling = true
+	if hasAllEnds {
+		e.reconcileMissing(w, listing, running, askedAt)
+		if !w.session.IsListed() {
+			w.session.SetListed(true)
+			e.needsScheduling = true
+		}
+		e.resolveIncarnations(w)
 	}
-	e.resolveIncarnations(w)
 	e.detectSlowWorker(w)
 	e.setPaces(w)
 }
@@ -194,7 +201,7 @@
 	}
 	if previous := w.attempts.Get(running.Task); previous != nil {
 		// A worker runs at most one attempt of a task, so the previous one is not there any more.
-		e.release(previous)
+		e.giveUp(previous, givenUpOtherRun)
 		e.detachAttempt(previous)
 	}
 	a := &attempt{
@@ -245,7 +252,7 @@
 	if !w.session.AcceptEnd(end.Number) {
 		return
 	}
-	e.currentBatch().handledEnds.Set(w, end.Number)
+	e.currentBatch().handledEnds.Set(w, w.session.LastAcceptedEnd())
 	a := w.attempts.Get(end.Task)
 	if a != nil && a.run == end.Run {
 		a.isAcknowledged = true
@@ -257,6 +264,9 @@
 	if s == nil {
 		return
 	}
+	if end.Kind == order.EndSucceeded {
+		e.logLateSuccess(w, s, t, end, a)
+	}
 	t.run = max(t.run, end.Run)
 	if end.Checkpoint != "" && (a != nil || t.checkpoint == "") {
 		t.checkpoint = end.Checkpoint
@@ -378,10 +388,12 @@
 		if !isStopConfirmed && !isStartConfirmed {
 			continue
 		}
+		reason := givenUpStopped
 		if !isStopConfirmed {
+			reason = givenUpMissing
 			e.options.Log(events.AttemptMissing, "task", id, "run", a.run, "worker", w.ID)
 		}
-		e.release(a)
+		e.giveUp(a, reason)
 		e.detachAttempt(a)
 		e.stopRestOfGang(a, "a member is missing")
 	}
