internal/owner, internal/cluster: start tasks ahead of the store only under a flagged record

Callers saw a task that must run once run twice, and a start after a run of it had ended as done (TWICE).

Cause: a claim took the previous owner's last record without the write-behind flag as proof that all placements are in the store, if that record was younger than 0.9 s when the claim was made. The previous owner could start tasks ahead of the store from 1.2 s after that record until its ConfirmationTimeout, without a word from the store. Both rules are about the past; nothing bound what the previous owner did after the claim. Cut off from the store, but not from the workers, it started tasks on each worker that its successor had not fenced yet, and the successor started the same tasks on others. A claim that landed seconds after it was sent, or whose answer was lost, used the decision of the time at which it was sent.

An owner now runs write-behind only while its newest record in the store carries the flag. A claim is conditional on the end of the topic, so whoever succeeds has seen the newest record, however late the claim lands; a previous owner without the flag can place no further task, as the append of the placement is fenced. Age and clocks no longer matter, and the age of records is gone from heartbeats.

TestOwnerWithoutStoreStartsNothingThatItsSuccessorRuns failed before: j1.0.0.0: got: 2 runs, want: 1

Tests changed: the gate's case "the unflagged record is old" now expects that write-behind is not allowed, which is stricter. The cases of TestPlacementsAreNotReliedOnAfterPossibleWriteBehind that doubted an unflagged record because of its age or of clocks now expect that it is relied on: the gate makes it a proof at any age. TestJobEndIsReportedOnlyOncePersisted waits for the flag before the outage, as write-behind needs it; what it checks is unchanged.

--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -250,12 +250,11 @@
 	n.handOverIfUnfit(o)
 	record, persistedAt := o.LastRecord()
 	age := n.options.Clock.Now().Sub(persistedAt)
-	unflagged, unflaggedAge := o.LastUnflagged()
 	for _, name := range n.peers.closeSilent() {
 		n.options.Log(events.PeerSuspected, "peer", name, "epoch", o.Epoch(), "silent", maxPeerSilence, "link", "closed")
 	}
 	for _, p := range n.peers.all() {
-		p.conn.Notify(kindOwnerHeartbeat, ownerHeartbeat{o.Epoch(), record, age, unflagged, unflaggedAge, version, o.MayHaveUnpersisted()})
+		p.conn.Notify(kindOwnerHeartbeat, ownerHeartbeat{o.Epoch(), record, age, version, o.MayHaveUnpersisted()})
 	}
 }
 
--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -133,33 +133,17 @@
 	n.runOwner(owner.Claim{Record: r, Offset: at, Previous: previous, HasAllPlacements: !r.MayHaveUnpersisted, HasPreviousEnded: hasEnded})
 }
 
-const (
-	// maxUnflaggedAge is the maximum age of an owner's record without the write-behind flag at
-	// which it is certain that the owner has not run write-behind. It is shorter than
-	// owner.MinUnflaggedAge to allow for differing clocks of nodes and for the time that a
-	// heartbeat is in flight.
-	maxUnflaggedAge = owner.MinUnflaggedAge - maxClockSkew
-	// maxClockSkew is the difference between the clocks of two nodes that is allowed for.
-	maxClockSkew = 300 * time.Millisecond
-)
-
-// hasAllPlacements reports whether the previous owner has certainly persisted the placement of each
-// task that it started. Its last record must not carry the write-behind flag and must be recent.
-// The age is checked twice, because each check alone may be wrong: by the owner's heartbeats on
-// this node's clock, as a heartbeat may have been delayed in flight; and by the time of day, which
-// may have been set. A node that received no heartbeat of that owner cannot know the
-// age of the record.
+// hasAllPlacements reports whether the previous owner persists the placement of each task before it
+// starts it, also if it is still running: it runs write-behind only while its newest record in the
+// store carries the flag. Neither that record's age nor when the claim is appended matters, because
+// the append fails when there is a newer record.
 func (n *Node) hasAllPlacements(previous *owner.Record) bool {
 	if previous == nil {
 		return true
 	}
-	now := n.options.Clock.Now()
-	age := previous.Age(n.options.Clock.TimeOfDay())
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	unflaggedAge, isAgeKnown := n.detector.unflaggedAge(now, previous)
-	isRecent := isAgeKnown && unflaggedAge < maxUnflaggedAge && age < maxUnflaggedAge && age > -maxClockSkew
-	return isRecent && !previous.MayHaveUnpersisted && n.unpersistedEpoch != previous.Epoch
+	return !previous.MayHaveUnpersisted && n.unpersistedEpoch != previous.Epoch
 }
 
 // claimDelay returns how long this node delays its claim so that stronger nodes can claim first. It
--- a/internal/cluster/election_test.go
+++ b/internal/cluster/election_test.go
@@ -21,29 +21,25 @@
 	if !n.HasAllPlacements(nil) {
 		t.Error("no previous owner: got: placements may be missing, want: all placements persisted")
 	}
-	const ms = time.Millisecond
-	type lastHeartbeat struct {
-		epoch, unflaggedSeq uint64
-		age                 time.Duration
-	}
 	for name, tc := range map[string]struct {
-		lastHeartbeat lastHeartbeat
-		age           time.Duration
-		isFlagged     bool
-		want          bool
+		age       time.Duration
+		isFlagged bool
+		// unpersistedEpoch is the epoch of an owner whose last heartbeat said that it runs
+		// write-behind, or 0.
+		unpersistedEpoch uint64
+		want             bool
 	}{
-		"young":                                {lastHeartbeat{7, 4, 800 * ms}, 800 * ms, false, true},
-		"old":                                  {lastHeartbeat{7, 4, 1000 * ms}, 1000 * ms, false, false},
-		"marked":                               {lastHeartbeat{7, 4, 0}, 0, true, false},
-		"clock ahead":                          {lastHeartbeat{7, 4, 0}, -2 * time.Second, false, false},
-		"clock set back":                       {lastHeartbeat{7, 4, 1500 * ms}, 100 * ms, false, false},
-		"a delayed heartbeat":                  {lastHeartbeat{7, 4, 0}, 1500 * ms, false, false},
-		"a record since the heartbeat":         {lastHeartbeat{7, 3, 1100 * ms}, 800 * ms, false, true},
-		"two records since the heartbeat, old": {lastHeartbeat{7, 2, 1600 * ms}, 800 * ms, false, false},
-		"no heartbeat of this owner":           {lastHeartbeat{6, 4, 0}, 800 * ms, false, false},
-		"no heartbeat at all":                  {lastHeartbeat{}, 800 * ms, false, false},
+		"unflagged":      {0, false, 0, true},
+		"unflagged, old": {time.Hour, false, 0, true},
+		"unflagged, the time of day was set back": {-time.Hour, false, 0, true},
+		"flagged":      {0, true, 0, false},
+		"flagged, old": {time.Hour, true, 0, false},
+		"unflagged, its heartbeat says otherwise":    {0, false, 7, false},
+		"unflagged, an earlier owner's heartbeat":    {0, false, 6, true},
+		"flagged, a heartbeat of the same owner":     {0, true, 7, false},
+		"flagged, an earlier owner ran write-behind": {0, true, 6, false},
 	} {
-		n.RecordOwnerHeartbeat(tc.lastHeartbeat.epoch, tc.lastHeartbeat.unflaggedSeq, tc.lastHeartbeat.age)
+		n.RecordOwnerHeartbeat(max(tc.unpersistedEpoch, 6), tc.unpersistedEpoch > 0)
 		r := &owner.Record{Epoch: 7, HeartbeatSeq: 4, SentAt: clk.Now().Add(-tc.age), MayHaveUnpersisted: tc.isFlagged}
 		if got := n.HasAllPlacements(r); got != tc.want {
 			t.Errorf("%s: got: %v, want: %v", name, got, tc.want)
--- a/internal/cluster/export_test.go
+++ b/internal/cluster/export_test.go
@@ -72,16 +72,14 @@
 	return n.owner != nil && n.owner.MayHaveUnpersisted()
 }
 
-// RecordOwnerHeartbeat records a heartbeat with the epoch of the owner and with the number and the
-// age of its last record without the write-behind flag.
-func (n *Node) RecordOwnerHeartbeat(epoch, unflaggedSeq uint64, unflaggedAge time.Duration) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.detector.recordHeartbeat(n.options.Clock.Now(), ownerHeartbeat{Epoch: epoch, UnflaggedSeq: unflaggedSeq, UnflaggedAge: unflaggedAge})
+// RecordOwnerHeartbeat records a heartbeat of the owner of that epoch, which says whether tasks may run
+// on placements that are not in the store.
+func (n *Node) RecordOwnerHeartbeat(epoch uint64, mayHaveUnpersisted bool) {
+	n.handleOwnerHeartbeat(n.ownerLink, ownerHeartbeat{Epoch: epoch, MayHaveUnpersisted: mayHaveUnpersisted})
 }
 
-// HasAllPlacements reports whether an owner with that record has certainly persisted the placement
-// of each task that it started, as far as this node knows.
+// HasAllPlacements reports whether an owner with that record persists the placement of each task
+// before it starts it, as far as this node knows.
 func (n *Node) HasAllPlacements(r *owner.Record) bool { return n.hasAllPlacements(r) }
 
 // Compress compresses a configuration.
--- a/internal/cluster/failure_detector.go
+++ b/internal/cluster/failure_detector.go
@@ -37,12 +37,6 @@
 	// persisted, both by the last heartbeat; persistedAt is zero before the first heartbeat.
 	record      uint64
 	persistedAt time.Time
-	// epoch is the owner's epoch, unflaggedSeq the number of its last record without the
-	// write-behind flag and unflaggedAt when it sent that record, all by the last heartbeat; epoch
-	// is 0 before the first heartbeat.
-	epoch        uint64
-	unflaggedSeq uint64
-	unflaggedAt  time.Time
 }
 
 // reset starts to observe an owner to which a link has just been made.
@@ -52,20 +46,6 @@
 func (w *failureDetector) recordHeartbeat(now time.Time, b ownerHeartbeat) {
 	w.heardAt = now
 	w.record, w.persistedAt = b.Record, now.Add(-b.RecordAge)
-	w.epoch, w.unflaggedSeq, w.unflaggedAt = b.Epoch, b.UnflaggedSeq, now.Add(-b.UnflaggedAge)
-}
-
-// unflaggedAge returns the maximum age of the owner's newest record in the store, on this node's
-// own clock, if that record does not carry the write-behind flag. It reports false when no
-// heartbeat of that owner was received: then the age could only be determined from the clocks of
-// two nodes, which may have been set.
-func (w *failureDetector) unflaggedAge(now time.Time, newest *owner.Record) (time.Duration, bool) {
-	if w.epoch == 0 || w.epoch != newest.Epoch {
-		return 0, false
-	}
-	// Records after the last unflagged one were sent at least one period apart.
-	later := time.Duration(max(newest.HeartbeatSeq, w.unflaggedSeq) - w.unflaggedSeq)
-	return now.Sub(w.unflaggedAt) - later*owner.HeartbeatPeriod, true
 }
 
 // isSilent reports whether the last heartbeat was received more than ownerSilenceTimeout ago.
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -85,11 +85,6 @@
 	// record was persisted.
 	Record    uint64
 	RecordAge time.Duration
-	// UnflaggedSeq is the number of the owner's last record without the write-behind flag, which
-	// may still be in flight to the store. UnflaggedAge is how long ago it was sent; see
-	// owner.MinUnflaggedAge.
-	UnflaggedSeq uint64
-	UnflaggedAge time.Duration
 	// ConfigVersion is the version of the owner's active configuration.
 	ConfigVersion uint64
 	// MayHaveUnpersisted means that tasks may run on placements that are not in the store.
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -23,9 +23,7 @@
 type WriteBehindGate struct{ g writeBehindGate }
 
 // NewWriteBehindGate starts from a record without the flag.
-func NewWriteBehindGate(sentAt time.Time) *WriteBehindGate {
-	return &WriteBehindGate{newWriteBehindGate(&Record{}, sentAt)}
-}
+func NewWriteBehindGate() *WriteBehindGate { return &WriteBehindGate{newWriteBehindGate(&Record{})} }
 
 // RecordSlow records a sign that the store is slow.
 func (a *WriteBehindGate) RecordSlow(now time.Time) {
@@ -39,7 +37,7 @@
 }
 
 // NextFlag returns the flag of a record that is written now.
-func (a *WriteBehindGate) NextFlag(now time.Time) bool { return a.g.nextFlag(0, now) }
+func (a *WriteBehindGate) NextFlag() bool { return a.g.nextFlag() }
 
 // Persisted records that a record is in the store.
 func (a *WriteBehindGate) Persisted(isFlagged bool) { a.g.persisted(isFlagged) }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -137,7 +137,7 @@
 		writes: make(chan *write, 1), loaded: make(chan struct{}), zonesKnown: make(chan struct{}),
 		pendingSubmits: map[work.JobID][]chan error{}, pendingCancels: map[work.JobID][]chan error{},
 		recordOffset: options.Claim.Offset, heartbeatSeq: options.Claim.Record.HeartbeatSeq, persistedAt: options.Clock.Now(), claimedAt: options.Clock.Now(),
-		writeBehind: newWriteBehindGate(&options.Claim.Record, options.Clock.Now()),
+		writeBehind: newWriteBehindGate(&options.Claim.Record),
 	}
 }
 
@@ -308,15 +308,6 @@
 // MayHaveUnpersisted reports whether tasks may run on placements that are not in the store.
 func (o *Owner) MayHaveUnpersisted() bool { return o.mayHaveUnpersisted.Load() }
 
-// LastUnflagged returns the number of this owner's last record without the write-behind flag, and
-// how long ago it was sent.
-func (o *Owner) LastUnflagged() (uint64, time.Duration) {
-	now := o.options.Clock.Now()
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.writeBehind.unflaggedSeq, now.Sub(o.writeBehind.unflaggedAt)
-}
-
 // runCycle does what follows from the handled events: it runs a scheduling pass, executes the
 // engine's actions and writes the next batch.
 func (o *Owner) runCycle() {
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -436,7 +436,7 @@
 	r.ListedWorkers = int(o.listedWorkers.Load())
 	r.KnownNodes = o.knownNodes(sentAt)
 	o.mu.Lock()
-	r.MayHaveUnpersisted = o.writeBehind.nextFlag(r.HeartbeatSeq, sentAt)
+	r.MayHaveUnpersisted = o.writeBehind.nextFlag()
 	o.mu.Unlock()
 	at := o.recordOffset + 1
 	offset, err := AppendRecord(o.ctx, o.options.Store, &r, at)
--- /dev/null
+++ b/internal/owner/two_owners_test.go
@@ -0,0 +1,149 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package owner_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"github.com/leverdyke/leverdyke/internal/await"
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/store/fakestore"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+// severableLog is one owner's access to the store, which a test can sever.
+type severableLog struct {
+	*fakestore.Log
+	isSevered atomic.Bool
+	// isArmed severs the access right after the next append of jobs.
+	isArmed atomic.Bool
+}
+
+func (l *severableLog) Append(ctx context.Context, a *store.Append) (uint64, error) {
+	if l.isSevered.Load() {
+		return 0, &store.Error{Failure: store.NotApplied}
+	}
+	if a.Topic == owner.TopicJobs && len(a.Records) > 0 && l.isArmed.CompareAndSwap(true, false) {
+		defer l.isSevered.Store(true)
+	}
+	return l.Log.Append(ctx, a)
+}
+
+func (l *severableLog) ReadNewest(ctx context.Context, topic string) (*store.Newest, error) {
+	if l.isSevered.Load() {
+		return nil, &store.Error{Failure: store.NotApplied}
+	}
+	return l.Log.ReadNewest(ctx, topic)
+}
+
+// reachableWorkers are one owner's paths to the workers of a pool: only one of them answers it.
+type reachableWorkers struct {
+	poolWithClose
+	reachable order.WorkerID
+}
+
+func (r *reachableWorkers) Start(ctx context.Context, fence uint64, s *order.Start) (order.StartOutcome, order.WorkerTime) {
+	if s.Worker != r.reachable {
+		return order.StartUnknown, 0
+	}
+	return r.workerPool.Start(ctx, fence, s)
+}
+
+func (r *reachableWorkers) Stop(ctx context.Context, fence uint64, s *order.Stop) (order.WorkerTime, bool) {
+	if s.Worker != r.reachable {
+		return 0, false
+	}
+	return r.workerPool.Stop(ctx, fence, s)
+}
+
+func (r *reachableWorkers) Poll(ctx context.Context, fence uint64, p *order.Poll) (*order.Listing, order.PollOutcome) {
+	if p.Worker != r.reachable {
+		return nil, order.PollUnanswered
+	}
+	return r.workerPool.Poll(ctx, fence, p)
+}
+
+// ownerInPartition is an owner with a clock and with paths to the store and the workers of its own.
+type ownerInPartition struct {
+	*owner.Owner
+	clock *clock.Fake
+	log   *severableLog
+}
+
+func startOwnerInPartition(t *testing.T, log *fakestore.Log, pool *workerPool, reachable order.WorkerID, change ...func(*owner.Options)) *ownerInPartition {
+	t.Helper()
+	p := &ownerInPartition{clock: clock.NewFake(), log: &severableLog{Log: log}}
+	change = append([]func(*owner.Options){func(o *owner.Options) {
+		o.Workers = &reachableWorkers{poolWithClose{pool}, reachable}
+		if o.Claim.Previous != nil {
+			o.Claim.HasAllPlacements = !o.Claim.Previous.MayHaveUnpersisted
+			o.Claim.Record.MayHaveUnpersisted = o.Claim.Previous.MayHaveUnpersisted
+		}
+	}}, change...)
+	p.Owner = runOwner(t, p.log, newFakeWorkers(), pool, p.clock, nil, change...)
+	await.True(t, "the jobs are read", p.IsLoaded)
+	return p
+}
+
+// severAfterSubmit submits jobs until the owner's access to the store is severed right after it has
+// accepted one, while its newest record there does not carry the write-behind flag. It returns the
+// ID of that job.
+func (p *ownerInPartition) severAfterSubmit(t *testing.T) work.JobID {
+	t.Helper()
+	id := ""
+	n := 0
+	await.True(t, "the owner's newest record does not carry the flag", func() bool {
+		for range 20 {
+			p.clock.Advance(tick)
+		}
+		n++
+		id = fmt.Sprintf("j%d", n)
+		p.log.isArmed.Store(true)
+		job := newJob(id)
+		job.Steps[0].Count = 1
+		if p.Submit(t.Context(), job) != nil {
+			p.log.isSevered.Store(false)
+			return false
+		}
+		r, _, err := owner.ReadRecord(t.Context(), p.log.Log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.HeartbeatSeq > 0 && !r.MayHaveUnpersisted {
+			return true
+		}
+		p.log.isSevered.Store(false)
+		return false
+	})
+	return work.JobID(id)
+}
+
+// A successor relied on the placements in the store, and the previous owner, which had lost the
+// store but not all workers, started the same task ahead of the store.
+func TestOwnerWithoutStoreStartsNothingThatItsSuccessorRuns(t *testing.T) {
+	log, pool := fakestore.NewLog(), newWorkerPool(2)
+	previous := startOwnerInPartition(t, log, pool, "w00")
+	id := previous.severAfterSubmit(t)
+	successor := startOwnerInPartition(t, log, pool, "w01")
+	await.True(t, "the successor has run the job", func() bool {
+		successor.clock.Advance(tick)
+		state, _, _ := successor.State(t.Context(), id, work.Caller{})
+		return state == work.JobSucceeded
+	})
+	await.True(t, "the previous owner has stopped", func() bool {
+		previous.clock.Advance(tick)
+		return !previous.MayActAsOwner()
+	})
+	for task, runs := range pool.runsPerTask() {
+		if task.Job == id && runs != 1 {
+			t.Errorf("%v: got: %d runs, want: 1", task, runs)
+		}
+	}
+}
--- a/internal/owner/write_behind.go
+++ b/internal/owner/write_behind.go
@@ -16,17 +16,13 @@
 	// heartbeatOverdue is the age of the last confirmed heartbeat from which the next one counts as
 	// overdue: two periods.
 	heartbeatOverdue = 2 * HeartbeatPeriod
-	// MinUnflaggedAge is the age that the owner's last record without the flag must exceed before
-	// the owner may run write-behind without a flagged record in the store. It is longer than a
-	// silent owner goes unnoticed (0.75 s). A successor that finds a younger record without the
-	// flag knows that all placements were persisted.
-	MinUnflaggedAge = 1200 * time.Millisecond
 )
 
 // writeBehindGate decides when an owner may run write-behind, that is, start tasks before their
-// placements are in the store. The next owner must be able to detect that. Write-behind is
-// therefore only allowed when the owner's newest record in the store carries the flag, or when its
-// newest record without the flag is older than MinUnflaggedAge. Not safe for concurrent use.
+// placements are in the store. The next owner must be able to detect that, also when this one does
+// not learn of its claim. Write-behind is therefore only allowed while the owner's newest record in
+// the store carries the flag: a claim is conditional on the newest record, so no owner can succeed
+// this one without having seen the flag. Not safe for concurrent use.
 type writeBehindGate struct {
 	slowUntil time.Time
 	// wantsFlag means that the next record carries the flag.
@@ -34,15 +30,11 @@
 	// isFlagged means that the newest record in the store carries the flag and that no record
 	// without it is in flight.
 	isFlagged bool
-	// unflaggedSeq is the number of the last record without the flag, unflaggedAt the time at which
-	// it was written.
-	unflaggedSeq uint64
-	unflaggedAt  time.Time
 }
 
-// newWriteBehindGate starts from the record of a claim, which was sent before now.
-func newWriteBehindGate(r *Record, now time.Time) writeBehindGate {
-	return writeBehindGate{wantsFlag: r.MayHaveUnpersisted, isFlagged: r.MayHaveUnpersisted, unflaggedSeq: r.HeartbeatSeq, unflaggedAt: now}
+// newWriteBehindGate starts from the record of a claim.
+func newWriteBehindGate(r *Record) writeBehindGate {
+	return writeBehindGate{wantsFlag: r.MayHaveUnpersisted, isFlagged: r.MayHaveUnpersisted}
 }
 
 // recordSlow records a sign that the store is slow or down.
@@ -58,14 +50,13 @@
 
 // mayWriteBehind reports whether the owner may run write-behind.
 func (g *writeBehindGate) mayWriteBehind(now time.Time) bool {
-	return now.Before(g.slowUntil) && g.wantsFlag && (g.isFlagged || now.Sub(g.unflaggedAt) > MinUnflaggedAge)
+	return now.Before(g.slowUntil) && g.wantsFlag && g.isFlagged
 }
 
-// nextFlag returns the flag of the record with that number, which is written now. It remembers the
-// number and the time of a record without the flag.
-func (g *writeBehindGate) nextFlag(number uint64, now time.Time) bool {
+// nextFlag returns the flag of the record that is written next.
+func (g *writeBehindGate) nextFlag() bool {
 	if !g.wantsFlag {
-		g.isFlagged, g.unflaggedSeq, g.unflaggedAt = false, number, now
+		g.isFlagged = false
 	}
 	return g.wantsFlag
 }
--- a/internal/owner/write_behind_test.go
+++ b/internal/owner/write_behind_test.go
@@ -16,9 +16,8 @@
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
-// The next owner must be able to detect that this one ran write-behind: by the flag in the newest
-// record, or by the age of the newest record without the flag. Otherwise it would rely on
-// placements in the store that are incomplete.
+// The next owner must be able to detect that this one ran write-behind, or does so later: by the flag
+// in the newest record. Otherwise it would rely on placements in the store that are incomplete.
 func TestWriteBehindIsAlwaysDetectableByNextOwner(t *testing.T) {
 	const ms = time.Millisecond
 	begin := clock.NewFake().Now()
@@ -33,36 +32,36 @@
 		}, 1100 * ms, false},
 		"slow, the unflagged record is old": {func(g *owner.WriteBehindGate) {
 			g.RecordSlow(begin.Add(1100 * ms))
-		}, 1300 * ms, true},
+		}, 1300 * ms, false},
 		"slow, the flag is written": {func(g *owner.WriteBehindGate) {
 			g.RecordSlow(begin.Add(100 * ms))
-			g.NextFlag(begin.Add(150 * ms))
+			g.NextFlag()
 		}, 200 * ms, false},
 		"slow, the flag is persisted": {func(g *owner.WriteBehindGate) {
 			g.RecordSlow(begin.Add(100 * ms))
-			g.Persisted(g.NextFlag(begin.Add(150 * ms)))
+			g.Persisted(g.NextFlag())
 		}, 200 * ms, true},
 		"the flag is persisted before, as all workers respond": {func(g *owner.WriteBehindGate) {
 			g.Update(begin, false, true)
-			g.Persisted(g.NextFlag(begin.Add(50 * ms)))
+			g.Persisted(g.NextFlag())
 			g.RecordSlow(begin.Add(100 * ms))
 		}, 100 * ms, true},
 		"an unflagged record follows the flagged one": {func(g *owner.WriteBehindGate) {
 			g.RecordSlow(begin.Add(100 * ms))
-			g.Persisted(g.NextFlag(begin.Add(150 * ms)))
+			g.Persisted(g.NextFlag())
 			g.Update(begin.Add(2000*ms), false, false)
-			g.NextFlag(begin.Add(2000 * ms))
+			g.NextFlag()
 			g.RecordSlow(begin.Add(2100 * ms))
 		}, 2200 * ms, false},
 		"placements are not persisted after the store is back": {func(g *owner.WriteBehindGate) {
 			g.RecordSlow(begin.Add(100 * ms))
-			g.Persisted(g.NextFlag(begin.Add(150 * ms)))
+			g.Persisted(g.NextFlag())
 			g.Update(begin.Add(2000*ms), true, false)
-			g.Persisted(g.NextFlag(begin.Add(2000 * ms)))
+			g.Persisted(g.NextFlag())
 			g.RecordSlow(begin.Add(2100 * ms))
 		}, 2200 * ms, true},
 	} {
-		g := owner.NewWriteBehindGate(begin)
+		g := owner.NewWriteBehindGate()
 		tc.setUp(g)
 		if got := g.MayWriteBehind(begin.Add(tc.at)); got != tc.want {
 			t.Errorf("%s: got: %v, want: %v", name, got, tc.want)
@@ -87,6 +86,10 @@
 			if err := o.Submit(t.Context(), &work.Spec{ID: "a", Queue: "q", Steps: []work.Step{{Count: 1, MaxUnavailable: -1}, {Count: 1, MaxUnavailable: -1, After: []int{0}}}}); err != nil {
 				t.Fatal(err)
 			}
+			await.True(t, "the owner's newest record carries the flag", func() bool {
+				r, _, err := owner.ReadRecord(t.Context(), log)
+				return err == nil && r.MayHaveUnpersisted
+			})
 			log.SetAppendFault(func(*store.Append) (error, bool) { return &store.Error{Failure: store.NotApplied}, false })
 			log.SetDown(true)
 			close(release)
