internal/owner: wait for a previous owner that most nodes may still follow

Cause: a successor counts all leases of the previous owner as expired 9.54 s after its takeover, as that owner renews none 3 s after its last confirmed record. But an owner acts for as long as most nodes are linked to it and the store fails for them (HasStoreOutage). A node on the other side of a partition that the store serves can claim the shard meanwhile. After 9.54 s it started again what still ran on workers that it could not reach.

A successor now extends these leases for as long as most of the nodes that the previous owner knew may be linked to that one: a node is linked to one owner at a time, so once half of them are linked to the successor, the previous owner acts no longer than its ConfirmationTimeout. Where followers link in time (0.4 s), nothing takes longer than before. If they do not, the wait ends after a minute; an owner therefore acts for a minute at most without the store's confirmation. Until then the successor's records name at least as many nodes as its claim, so that the next owner waits in the same way.

TestLeasesOfPreviousOwnerAreNotExpiredWhileItMayHaveMajority failed before: most nodes follow the previous owner: got: it may act: true, its leases have expired: true, want: true, false

--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -179,7 +179,7 @@
 	workers, list := n.options.NewOwner(n.fallback)
 	o := owner.New(owner.Options{
 		Claim: c, Store: n.options.NewStore(n.fallback), Workers: workers, List: list, PermissionChannels: &permissionChannels{n},
-		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasStoreOutage: n.fallback.HasOutage, KnownNodes: n.peers.known, NodeZone: n.options.Zone,
+		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasStoreOutage: n.fallback.HasOutage, KnownNodes: n.peers.known, LinkedNodes: n.peers.linked, NodeZone: n.options.Zone,
 		StopTime: n.options.StopTime, Heartbeat: n.options.Heartbeat, MaxStrength: n.maxKnownStrength,
 		Delegates: &delegates{n}, DirectWorkers: n.options.MaxWorkers, Disabled: n.options.Disabled,
 	})
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -218,10 +218,12 @@
 // all others must not become the majority of the nodes that it still remembers. minNodes is at least
 // how many there are.
 func (p *peers) IsMajority(asOf time.Time, minNodes int) bool {
-	linked := len(p.usable()) + 1
-	return 2*linked > max(p.known(asOf), minNodes)
+	return 2*p.linked() > max(p.known(asOf), minNodes)
 }
 
+// linked returns the number of this node and its usable peers.
+func (p *peers) linked() int { return len(p.usable()) + 1 }
+
 // known returns the number of nodes that this one has known since asOf: itself, its linked peers, and
 // the peers whose links ended after peerRetention before asOf.
 func (p *peers) known(asOf time.Time) int {
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -31,6 +31,18 @@
 	}
 }
 
+// ExtendInheritedLeases records that the previous owner may still renew leases, so that these expire
+// no earlier than until.
+func (e *Engine) ExtendInheritedLeases(until time.Time) {
+	if !until.After(e.inheritedLeasesUntil) {
+		return
+	}
+	e.inheritedLeasesUntil = until
+	if e.inherited != nil {
+		e.inherited.leasesExpireAt = until
+	}
+}
+
 // listRecoveryTime is how long after the store's recovery the platform's list may lack entries of
 // running workers; the platform states about two seconds.
 const listRecoveryTime = 2300 * time.Millisecond
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -68,7 +68,7 @@
 	HasPreviousEnded bool
 }
 
-// Options configures an Owner. All fields but Log, Delegates, DirectWorkers and KnownNodes are
+// Options configures an Owner. All fields but Log, Delegates, DirectWorkers, KnownNodes and LinkedNodes are
 // required.
 type Options struct {
 	Claim              Claim
@@ -89,11 +89,15 @@
 	MaxStrength func() float64
 	// HasStoreOutage reports whether most nodes are linked to this one and none reaches the store.
 	// asOf is when the store last confirmed this owner, minNodes at least how many nodes there are.
-	// No other node can become the owner then, so this one continues.
+	// Only a node that is not linked to this one can become the owner then, so this one continues.
 	HasStoreOutage func(asOf time.Time, minNodes int) bool
 	// KnownNodes returns how many nodes this one has known since asOf; nil if that is not needed.
 	KnownNodes func(asOf time.Time) int
-	NodeZone   string
+	// LinkedNodes returns how many nodes are linked to this one, itself included. A node is linked to
+	// one owner at a time, and counts for maxFollowerSilence after it was heard from. nil if that is not
+	// needed.
+	LinkedNodes func() int
+	NodeZone    string
 	// StopTime is the longest time that a worker takes to stop a task.
 	StopTime time.Duration
 	// Heartbeat is the time between two heartbeats of a worker; 0 when it is unknown.
@@ -112,11 +116,18 @@
 	// the store confirmed. It covers the loss of two heartbeats at a slow store (0.4 s per answer),
 	// and the time for which an outage of the store still counts after its end.
 	ConfirmationTimeout = 3 * time.Second
+	// maxOutageOwnership is how long this node acts as the owner after that record while the store
+	// has an outage. A successor waits for that long while most nodes may be linked to this one.
+	maxOutageOwnership = time.Minute
+	// maxFollowerSilence is how long a node that follows another owner now may still count as linked to
+	// the previous one.
+	maxFollowerSilence = 1500 * time.Millisecond
 	// linkingTime is how long after a claim the other nodes may take to link to the new owner.
 	linkingTime = 8 * time.Second
 	// maxLease is the longest time that a worker's lease runs from its last renewal: 6 s, 4% and
 	// the worker's own slack. maxInheritedLease is the longest time that a lease granted by a
 	// previous owner may still run: that owner may renew leases until its ConfirmationTimeout ends.
+	// While most nodes may be linked to it, it may renew them for longer; see awaitPrevious.
 	maxLease          = 6240*time.Millisecond + 300*time.Millisecond
 	maxInheritedLease = ConfirmationTimeout + maxLease
 	// workerListPeriod is the time between two reads of the worker list, well below the time within
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -44,6 +44,8 @@
 	mayHaveUnpersisted atomic.Bool
 	// mayAct is the result of MayActAsOwner.
 	mayAct atomic.Bool
+	// mayPreviousAct means that the previous owner may still act during an outage of the store.
+	mayPreviousAct atomic.Bool
 	// listedWorkers is how many workers the list had when it was last read.
 	listedWorkers atomic.Int64
 	// customerUse is the result of CustomerUse; nil before the first sample.
@@ -73,6 +75,8 @@
 	appendTimeout appendTimeout
 	// claimedAt is when the owner was made, right after its claim.
 	claimedAt time.Time
+	// loadedAt is when the jobs had been read.
+	loadedAt time.Time
 	// confirmedAt is when the newest heartbeat was sent that the store has confirmed.
 	confirmedAt time.Time
 	// zonesKnown is closed once the drained zones have been passed to the loop. areZonesKnown says
@@ -343,20 +347,40 @@
 // found. While it returns false, the owner refuses all requests.
 func (o *Owner) MayActAsOwner() bool { return o.mayAct.Load() }
 
-// mayActAsOwner reports whether the store has confirmed the ownership within ConfirmationTimeout,
-// or no other node can claim it because no node reaches the store.
+// mayActAsOwner reports whether the store has confirmed the ownership within ConfirmationTimeout, or
+// within maxOutageOwnership while the store has an outage. A node that is not linked to this one may
+// be served nevertheless and claim the shard; awaitPrevious says what it does then.
 func (o *Owner) mayActAsOwner() bool {
-	return o.now.Sub(o.confirmedAt) < ConfirmationTimeout || o.options.HasStoreOutage(o.confirmedAt, o.knownNodes(o.confirmedAt))
+	unconfirmed := o.now.Sub(o.confirmedAt)
+	return unconfirmed < ConfirmationTimeout || unconfirmed < maxOutageOwnership && o.options.HasStoreOutage(o.confirmedAt, o.knownNodes(o.confirmedAt))
+}
+
+// mayPreviousHaveMajority reports whether most nodes may be linked to the previous owner: it may then
+// act for longer than its ConfirmationTimeout.
+func (o *Owner) mayPreviousHaveMajority() bool {
+	previous := o.options.Claim.Previous
+	return previous != nil && o.options.LinkedNodes != nil && 2*o.options.LinkedNodes() < previous.KnownNodes
+}
+
+// awaitPrevious extends the leases of a previous owner that may act during an outage of the store,
+// until most nodes cannot be linked to it any more.
+func (o *Owner) awaitPrevious() {
+	if !o.mayPreviousAct.Load() {
+		return
+	}
+	o.engine.ExtendInheritedLeases(o.now.Add(maxFollowerSilence + maxLease))
+	o.mayPreviousAct.Store(o.mayPreviousHaveMajority() && o.now.Before(o.loadedAt.Add(maxOutageOwnership)))
 }
 
 // knownNodes returns how many nodes there are as far as this owner knew at a time. Until all of them
-// have had the time to link to it, they are at least as many as the previous owner knew.
+// have had the time to link to it, or while they may be linked to the previous owner, they are at least
+// as many as that owner knew.
 func (o *Owner) knownNodes(at time.Time) int {
 	known := 0
 	if o.options.KnownNodes != nil {
 		known = o.options.KnownNodes(at)
 	}
-	if at.Sub(o.claimedAt) < linkingTime {
+	if at.Sub(o.claimedAt) < linkingTime || o.mayPreviousAct.Load() {
 		known = max(known, o.options.Claim.Record.KnownNodes)
 	}
 	return known
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -48,6 +48,8 @@
 		if o.options.Claim.HasPreviousEnded {
 			leaseLeft = maxLease
 		}
+		o.loadedAt = o.now
+		o.mayPreviousAct.Store(!o.options.Claim.HasPreviousEnded)
 		o.engine.Inherit(o.now.Add(leaseLeft), o.options.Claim.HasAllPlacements, previous.ListedWorkers)
 	}
 	o.options.Log(events.JobsLoaded, "epoch", o.Epoch(), "jobs", len(jobs), "records", len(newest.Records), "end", newest.End, "took", o.now.Sub(startedAt))
--- a/internal/owner/two_owners_test.go
+++ b/internal/owner/two_owners_test.go
@@ -8,9 +8,11 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/leverdyke/leverdyke/internal/await"
 	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store"
@@ -147,3 +149,70 @@
 		}
 	}
 }
+
+// A previous owner that most nodes follow goes on without the store and renews the leases of workers
+// that its successor cannot reach. The successor counted them as expired and started their tasks again.
+func TestLeasesOfPreviousOwnerAreNotExpiredWhileItMayHaveMajority(t *testing.T) {
+	log, pool := fakestore.NewLog(), newWorkerPool(2)
+	gate := make(chan struct{})
+	pool.byID["w00"].gate = gate
+	t.Cleanup(func() { close(gate) })
+	previous := startOwnerInPartition(t, log, pool, "w00", func(o *owner.Options) {
+		o.KnownNodes = func(time.Time) int { return 3 }
+		o.HasStoreOutage = func(time.Time, int) bool { return true }
+	})
+	job := newJob("a")
+	job.Steps[0].Count = 1
+	if err := previous.Submit(t.Context(), job); err != nil {
+		t.Fatal(err)
+	}
+	await.True(t, "the placement is persisted", func() bool {
+		previous.clock.Advance(tick)
+		r, _, err := owner.ReadRecord(t.Context(), log)
+		return err == nil && r.KnownNodes == 3 && pool.hasStarted("w00")
+	})
+	previous.log.isSevered.Store(true)
+	linked := atomic.Int64{}
+	linked.Store(1)
+	isExpired := atomic.Bool{}
+	successor := startOwnerInPartition(t, log, pool, "w01", func(o *owner.Options) {
+		o.KnownNodes = func(time.Time) int { return 1 }
+		o.LinkedNodes = func() int { return int(linked.Load()) }
+		o.Log = func(e events.Event, _ ...any) {
+			if e == events.PreviousAttemptsEnded {
+				isExpired.Store(true)
+			}
+		}
+	})
+	advance := func(d time.Duration) {
+		for range int(d / tick) {
+			previous.clock.Advance(tick)
+			successor.clock.Advance(tick)
+			await.True(t, "the successor is confirmed as the owner", func() bool {
+				_, _, err := successor.State(t.Context(), "a", work.Caller{})
+				return err == nil
+			})
+		}
+	}
+	advance(20 * time.Second)
+	if !previous.MayActAsOwner() || isExpired.Load() {
+		t.Errorf("most nodes follow the previous owner: got: it may act: %v, its leases have expired: %v, want: true, false", previous.MayActAsOwner(), isExpired.Load())
+	}
+	linked.Store(2)
+	advance(7 * time.Second)
+	if isExpired.Load() {
+		t.Error("most nodes have just left it: got: its leases have expired, want: its last renewals are waited for")
+	}
+	await.True(t, "its leases have expired", func() bool {
+		successor.clock.Advance(tick)
+		return isExpired.Load()
+	})
+}
+
+// hasStarted reports whether a worker has got an order to start.
+func (p *workerPool) hasStarted(id order.WorkerID) bool {
+	w := p.byID[id]
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.starts) > 0
+}
