internal/cluster, internal/owner: log what a claim was decided by

It now says whether the store has all placements of the previous owner, whether that owner has certainly ended, the number, flag and age of its newest record, and how old the claim is, which shows an answer that was late or lost. LD0318 says when a previous owner that may continue during an outage of the store cannot act any more.

--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -190,7 +190,7 @@
 	n.notifyOwnerChange()
 	version, policy := n.configVersion, n.policy
 	n.mu.Unlock()
-	n.options.Log(events.ShardOwned, "epoch", c.Record.Epoch, "from", previousNode(&c))
+	n.logOwned(&c)
 	o.SetPolicy(version, policy)
 	normalPercent := debug.SetGCPercent(ownerGCPercent)
 	err := o.Run(n.ctx)
@@ -208,11 +208,15 @@
 	}
 }
 
-func previousNode(c *owner.Claim) string {
-	if c.Previous == nil {
-		return ""
+// logOwned logs what this node knew of the previous owner when it claimed the shard.
+func (n *Node) logOwned(c *owner.Claim) {
+	now := n.options.Clock.TimeOfDay()
+	from, previous := "", &c.Record
+	if c.Previous != nil {
+		from, previous = c.Previous.Node, c.Previous
 	}
-	return c.Previous.Node
+	n.options.Log(events.ShardOwned, "epoch", c.Record.Epoch, "from", from, "placements", c.HasAllPlacements, "ended", c.HasPreviousEnded,
+		"flagged", previous.MayHaveUnpersisted, "beat", previous.HeartbeatSeq, "age", previous.Age(now), "claimed", c.Record.Age(now))
 }
 
 // followOrClaim connects to the owner and follows it until the link ends. If the owner's process
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -81,6 +81,7 @@
 	LearnedRestored       = add(492, "digest of what owners learned is used", LevelInfo)
 	ZoneDrainsFailed      = add(316, "drained availability zones are not read", LevelWarning)
 	WorkersListed         = add(317, "list of workers read for the first time", LevelInfo)
+	PreviousOwnerStopped  = add(318, "previous owner cannot act any more", LevelInfo)
 	VMListFailed          = add(310, "list of VMs does not answer", LevelWarning)
 	ConfigInForce         = add(320, "document in force", LevelInfo)
 	ConfigUnreadable      = add(321, "document in the log cannot be read", LevelError)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -369,7 +369,12 @@
 		return
 	}
 	o.engine.ExtendInheritedLeases(o.now.Add(maxFollowerSilence + maxLease))
-	o.mayPreviousAct.Store(o.mayPreviousHaveMajority() && o.now.Before(o.loadedAt.Add(maxOutageOwnership)))
+	mayHaveMajority := o.mayPreviousHaveMajority()
+	if mayHaveMajority && o.now.Before(o.loadedAt.Add(maxOutageOwnership)) {
+		return
+	}
+	o.mayPreviousAct.Store(false)
+	o.options.Log(events.PreviousOwnerStopped, "epoch", o.Epoch(), "took", o.now.Sub(o.loadedAt), "majority", !mayHaveMajority)
 }
 
 // knownNodes returns how many nodes there are as far as this owner knew at a time. Until all of them
