--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -133,33 +133,17 @@
 	n.runOwner(owner.Claim{Record: r, Offset: at, Previous: previous, HasAllPlacements: !r.MayHaveUnpersisted, HasPreviousEnded: hasEnded})
 }
 
-const (
-	// maxUnflaggedAge is the maximum age of an owner's record without the write-behind flag at
-	// which it is certain that the owner has not run write-behind. It is shorter than
-	// owner.MinUnflaggedAge to allow for differing clocks of nodes and for the time that a
-	// heartbeat is in flight.
-	maxUnflaggedAge = owner.MinUnflaggedAge - maxClockSkew
-	// maxClockSkew is the difference between the clocks of two nodes that is allowed for.
-	maxClockSkew = 300 * time.Millisecond
-)
-
-// hasAllPlacements reports whether the previous owner has certainly persisted the placement of each
-// task that it started. Its last record must not carry the write-behind flag and must be recent.
-// The age is checked twice, because each check alone may be wrong: by the owner's heartbeats on
-// this node's clock, as a heartbeat may have been delayed in flight; and by the time of day, which
-// may have been set. A node that received no heartbeat of that owner cannot know the
-// age of the record.
+// hasAllPlacements reports whether the previous owner persists the placement of each task before it
+// starts it, also if it is still running: it runs write-behind only while its newest record in the
+// store carries the flag. Neither that record's age nor when the claim is appended matters, because
+// the append fails when there is a newer record.
 func (n *Node) hasAllPlacements(previous *owner.Record) bool {
 	if previous == nil {
 		return true
 	}
-	now := n.options.Clock.Now()
-	age := previous.Age(n.options.Clock.TimeOfDay())
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	unflaggedAge, isAgeKnown := n.detector.unflaggedAge(now, previous)
-	isRecent := isAgeKnown && unflaggedAge < maxUnflaggedAge && age < maxUnflaggedAge && age > -maxClockSkew
-	return isRecent && !previous.MayHaveUnpersisted && n.unpersistedEpoch != previous.Epoch
+	return !previous.MayHaveUnpersisted && n.unpersistedEpoch != previous.Epoch
 }
 
 // claimDelay returns how long this node delays its claim so that stronger nodes can claim first. It
@@ -195,7 +179,7 @@
 	workers, list := n.options.NewOwner(n.fallback)
 	o := owner.New(owner.Options{
 		Claim: c, Store: n.options.NewStore(n.fallback), Workers: workers, List: list, PermissionChannels: &permissionChannels{n},
-		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasStoreOutage: n.fallback.HasOutage, KnownNodes: n.peers.known, NodeZone: n.options.Zone,
+		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasStoreOutage: n.fallback.HasOutage, KnownNodes: n.peers.known, LinkedNodes: n.peers.linked, NodeZone: n.options.Zone,
 		StopTime: n.options.StopTime, Heartbeat: n.options.Heartbeat, MaxStrength: n.maxKnownStrength,
 		Delegates: &delegates{n}, DirectWorkers: n.options.MaxWorkers, Disabled: n.options.Disabled,
 	})
@@ -206,7 +190,7 @@
 	n.notifyOwnerChange()
 	version, policy := n.configVersion, n.policy
 	n.mu.Unlock()
-	n.options.Log(events.ShardOwned, "epoch", c.Record.Epoch, "from", previousNode(&c))
+	n.logOwned(&c)
 	o.SetPolicy(version, policy)
 	normalPercent := debug.SetGCPercent(ownerGCPercent)
 	err := o.Run(n.ctx)
@@ -224,11 +208,15 @@
 	}
 }
 
-func previousNode(c *owner.Claim) string {
-	if c.Previous == nil {
-		return ""
+// logOwned logs what this node knew of the previous owner when it claimed the shard.
+func (n *Node) logOwned(c *owner.Claim) {
+	now := n.options.Clock.TimeOfDay()
+	from, previous := "", &c.Record
+	if c.Previous != nil {
+		from, previous = c.Previous.Node, c.Previous
 	}
-	return c.Previous.Node
+	n.options.Log(events.ShardOwned, "epoch", c.Record.Epoch, "from", from, "placements", c.HasAllPlacements, "ended", c.HasPreviousEnded,
+		"flagged", previous.MayHaveUnpersisted, "beat", previous.HeartbeatSeq, "age", previous.Age(now), "claimed", c.Record.Age(now))
 }
 
 // followOrClaim connects to the owner and follows it until the link ends. If the owner's process
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -48,6 +48,8 @@
 		if o.options.Claim.HasPreviousEnded {
 			leaseLeft = maxLease
 		}
+		o.loadedAt = o.now
+		o.mayPreviousAct.Store(!o.options.Claim.HasPreviousEnded)
 		o.engine.Inherit(o.now.Add(leaseLeft), o.options.Claim.HasAllPlacements, previous.ListedWorkers)
 	}
 	o.options.Log(events.JobsLoaded, "epoch", o.Epoch(), "jobs", len(jobs), "records", len(newest.Records), "end", newest.End, "took", o.now.Sub(startedAt))
@@ -448,7 +450,7 @@
 	r.ListedWorkers = int(o.listedWorkers.Load())
 	r.KnownNodes = o.knownNodes(sentAt)
 	o.mu.Lock()
-	r.MayHaveUnpersisted = o.writeBehind.nextFlag(r.HeartbeatSeq, sentAt)
+	r.MayHaveUnpersisted = o.writeBehind.nextFlag()
 	o.mu.Unlock()
 	at := o.recordOffset + 1
 	offset, err := AppendRecord(o.ctx, o.options.Store, &r, at)
