internal/dispatch, internal/owner: log the sizes of jobs

Cause: both lines carried counts and times only.

LD0422 now has the work of the job, the processor time of its tasks as its caller estimates it, and LD0456 has the queue, the work and the objective. The objective is computed by objectiveOf without the state that criticalPath updates, so that no decision depends on the line.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -457,7 +457,8 @@
 	j.state, j.endedAt = state, e.now
 	e.markUrgent(j)
 	e.needsScheduling = true
-	e.options.Log(events.JobEnded, "job", j.spec.ID, "state", state, "why", reason, "took", e.now.Sub(j.acceptedAt), "attempts", j.attempts)
+	e.options.Log(events.JobEnded, "job", j.spec.ID, "queue", j.spec.Queue, "work", j.spec.Work(), "state", state, "why", reason,
+		"took", e.now.Sub(j.acceptedAt), "objective", e.objectiveOf(j), "attempts", j.attempts)
 	if j.attempts == 0 {
 		return
 	}
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -387,7 +387,7 @@
 	o.engine.Committed(b)
 	for _, spec := range b.NewJobs {
 		o.answer(o.pendingSubmits, spec.ID, nil)
-		o.options.Log(events.JobAccepted, "job", spec.ID, "queue", spec.Queue, "steps", len(spec.Steps), "batch", len(b.NewJobs), "took", o.now.Sub(o.inFlightSince))
+		o.options.Log(events.JobAccepted, "job", spec.ID, "queue", spec.Queue, "steps", len(spec.Steps), "work", spec.Work(), "batch", len(b.NewJobs), "took", o.now.Sub(o.inFlightSince))
 	}
 	for id := range b.Progress {
 		o.answerCancel(id)
--- a/internal/work/spec.go
+++ b/internal/work/spec.go
@@ -99,6 +99,15 @@
 	return need
 }
 
+// Work returns the processor time of all tasks of the step as its caller estimates it, as that of one
+// processor. It is 0 for a step that is long-running or has no estimate.
+func (s *Step) Work() time.Duration {
+	if s.IsLongRunning {
+		return 0
+	}
+	return time.Duration(float64(s.Count) * float64(s.Need.MilliCPU) / 1000 * float64(s.Estimate))
+}
+
 // Spec is a job as it was submitted. It never changes. The names of its fields are stored.
 type Spec struct {
 	ID JobID
@@ -120,6 +129,15 @@
 	AcceptedAt time.Time
 }
 
+// Work returns the sum of the work of the steps, in one round.
+func (s *Spec) Work() time.Duration {
+	sum := time.Duration(0)
+	for i := range s.Steps {
+		sum += s.Steps[i].Work()
+	}
+	return sum
+}
+
 // Limits of a job's size. A larger job is refused, so that a single request cannot exhaust the
 // memory or the processor time of a node.
 const (
