internal/served: count what was served by queue and size

Package served learns how large the jobs of a queue are from its latest 256 and puts each accepted job into one of three classes: the largest tenth, the fifth beneath it, the rest. The engine counts a job once the store has it, by how it ends: in time, up to three times the objective, later, failed, cancelled, or still open and for how long. A new owner counts the jobs that it finds open and begins anew otherwise, as the store has no sizes of jobs that have ended.

The owner logs the counts every 10 s (LD0493, 16 queues and the sum of the others), exports them as leverdyke_job_served and leverdyke_job_oldest_open, and "leverdyke scheduler served" shows them.

The simulations check at each tick that as many jobs were accepted as have ended or are open. No decision reads the counts.

--- a/internal/cli/scheduler.go
+++ b/internal/cli/scheduler.go
@@ -24,6 +24,7 @@
 	}
 	c.AddCommand(
 		a.newSchedulerView("waits", "Show which tasks wait for what, and for how long", waitsTable),
+		a.newSchedulerView("served", "Show what became of the accepted jobs, by queue and size", servedTable),
 		a.newSchedulerView("refusals", "Show which jobs were refused lately, why and until when", refusalsTable),
 		a.newSchedulerView("workers", "Show which workers count as fast and slow", workersTable),
 	)
@@ -71,6 +72,19 @@
 	return r.Waiting, t
 }
 
+func servedTable(r *inspect.Report) (any, command.Table) {
+	t := command.Table{Header: []string{"QUEUE", "SIZE", "ACCEPTED", "IN TIME", "LATE", "TOO LATE", "FAILED", "CANCELLED", "OPEN", "OLDEST"}}
+	for i := range r.Served {
+		c := &r.Served[i]
+		row := []string{c.Queue, string(c.Class)}
+		for _, n := range []int{c.Accepted, c.InTime, c.Late, c.TooLate, c.Failed, c.Cancelled, c.Open} {
+			row = append(row, fmt.Sprint(n))
+		}
+		t.Rows = append(t.Rows, append(row, c.Oldest.Round(time.Millisecond).String()))
+	}
+	return r.Served, t
+}
+
 func refusalsTable(r *inspect.Report) (any, command.Table) {
 	t := command.Table{Header: []string{"AT", "JOB", "QUEUE", "CUSTOMER", "REASON", "RETRY AT"}}
 	for _, f := range r.Refusals {
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -22,6 +22,7 @@
 	"github.com/leverdyke/leverdyke/internal/link"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/served"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -246,6 +247,18 @@
 	return out
 }
 
+// Served returns what became of the accepted jobs, by queue and size class. It returns nil when this
+// node is not the owner.
+func (n *Node) Served() []served.Count {
+	n.mu.Lock()
+	o := n.owner
+	n.mu.Unlock()
+	if o == nil {
+		return nil
+	}
+	return o.Served()
+}
+
 // Inspect returns what the scheduler does now, if this node is the owner. Otherwise its error is an
 // *inspect.NotOwnerError.
 func (n *Node) Inspect(ctx context.Context) (*inspect.Report, error) {
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -106,6 +106,7 @@
 			continue
 		}
 		j.isPersisted = true
+		e.countAccepted(j)
 		if !j.state.IsFinal() {
 			e.activeJobs = append(e.activeJobs, j)
 			e.openRounds(j)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -29,6 +29,7 @@
 	"github.com/leverdyke/leverdyke/internal/permit"
 	"github.com/leverdyke/leverdyke/internal/quota"
 	"github.com/leverdyke/leverdyke/internal/rotation"
+	"github.com/leverdyke/leverdyke/internal/served"
 	"github.com/leverdyke/leverdyke/internal/throughput"
 	"github.com/leverdyke/leverdyke/internal/waits"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -203,6 +204,8 @@
 	waits waits.Totals
 	// lostWork sums up the work of attempts that ended without a result, by queue and reason.
 	lostWork lostwork.Totals
+	// served counts what became of the accepted jobs, by queue and size class.
+	served served.Totals
 	// tickedAt is when Tick was last called. Until stalledUntil, answers may be processed late
 	// because this node did not get processor time.
 	tickedAt, stalledUntil time.Time
--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -24,6 +24,11 @@
 			}
 		}
 	}
+	for _, c := range e.Served() {
+		if sum := c.InTime + c.Late + c.TooLate + c.Failed + c.Cancelled + c.Open; sum != c.Accepted {
+			report("%d jobs of %s, %s, were accepted, but %d have ended or are open", c.Accepted, c.Queue, c.Class, sum)
+		}
+	}
 	for id, w := range e.workers.All() {
 		for task, a := range w.attempts.All() {
 			if a.worker != w || a.id != task {
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -12,6 +12,7 @@
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/permit"
+	"github.com/leverdyke/leverdyke/internal/served"
 	"github.com/leverdyke/leverdyke/internal/throughput"
 	"github.com/leverdyke/leverdyke/internal/urgency"
 	"github.com/leverdyke/leverdyke/internal/waits"
@@ -51,10 +52,13 @@
 	hasBegun          bool
 	acceptedAt        time.Time
 	endedAt           time.Time
-	rounds            map[int]*round
-	roundsDone        work.StepProgress
-	nextRound         int
-	roundsLeft        int
+	// sizeClass is the class under which the job is counted in Engine.served; empty until it is
+	// persisted, and for jobs that are not counted.
+	sizeClass  served.Class
+	rounds     map[int]*round
+	roundsDone work.StepProgress
+	nextRound  int
+	roundsLeft int
 	// attempts counts the attempts that are not known to have ended; idleSince is when the last
 	// one was released.
 	attempts  int
@@ -228,6 +232,7 @@
 	if j.state.IsFinal() {
 		return
 	}
+	e.countAccepted(j)
 	e.activeJobs = append(e.activeJobs, j)
 	e.openRounds(j)
 }
@@ -455,6 +460,7 @@
 		return
 	}
 	j.state, j.endedAt = state, e.now
+	e.countEnded(j)
 	e.markUrgent(j)
 	e.needsScheduling = true
 	e.options.Log(events.JobEnded, "job", j.spec.ID, "queue", j.spec.Queue, "work", j.spec.Work(), "state", state, "why", reason,
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -136,6 +136,7 @@
 	PreviousAttemptsKnown  = add(462, "all that an earlier owner started is known", LevelInfo)
 	CancelAnswered         = add(470, "cancelling of a job answered", LevelInfo)
 	TasksWaited            = add(477, "tasks have waited", LevelInfo)
+	JobsServed             = add(493, "jobs were served", LevelInfo)
 	AttemptTooSlow         = add(484, "attempt is too slow", LevelInfo)
 	WorkLost               = add(480, "work was thrown away", LevelInfo)
 	PermissionsQueried     = add(486, "permissions were queried", LevelInfo)
--- a/internal/inspect/inspect_test.go
+++ b/internal/inspect/inspect_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/inspect"
+	"github.com/leverdyke/leverdyke/internal/served"
 	"github.com/leverdyke/leverdyke/internal/waits"
 )
 
@@ -35,6 +36,7 @@
 	want := &inspect.Report{
 		Node: "n1", Epoch: 3, At: time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC),
 		Waiting:  []waits.Waiting{{Queue: "q", Reason: waits.Capacity, Steps: 2, Tasks: 9, Longest: time.Second}},
+		Served:   []served.Count{{Queue: "q", Class: served.Largest, Accepted: 3, InTime: 1, Open: 2, Oldest: time.Minute}},
 		Refusals: []inspect.Refusal{{Job: "a", Queue: "q", Reason: "no capacity in time"}},
 		Workers:  []inspect.Worker{{ID: "w", Class: "slow", Ratio: 1.25, Observations: 12}},
 	}
--- a/internal/inspect/report.go
+++ b/internal/inspect/report.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/served"
 	"github.com/leverdyke/leverdyke/internal/waits"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -22,6 +23,8 @@
 	At    time.Time `json:"at"`
 	// Waiting is sorted by queue, customer and reason.
 	Waiting []waits.Waiting `json:"waiting"`
+	// Served is sorted by queue, the largest jobs first.
+	Served []served.Count `json:"served"`
 	// Refusals are the latest ones, in the order of time.
 	Refusals []Refusal `json:"refusals"`
 	// Workers are those whose speed is known, sorted by ID.
--- a/internal/metrics/jobs.go
+++ b/internal/metrics/jobs.go
@@ -11,6 +11,8 @@
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"github.com/leverdyke/leverdyke/internal/served"
 )
 
 // Jobs has the metrics instruments of a node that runs jobs. It is safe for concurrent use.
@@ -96,6 +98,34 @@
 	j.badRecords.Add(context.Background(), 1, metric.WithAttributes(attribute.String("topic", topic)))
 }
 
+// ObserveServed registers gauges of what became of the accepted jobs, by queue, size and outcome, and
+// of the age of the oldest open one. At each scrape they call counts, which returns a bounded number
+// of queues.
+func (j *Jobs) ObserveServed(counts func() []served.Count) error {
+	jobs, err := j.meter.Int64ObservableGauge("leverdyke.job.served", metric.WithDescription("accepted jobs since the owner began, by queue, size and outcome"))
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	oldest, err := j.meter.Float64ObservableGauge("leverdyke.job.oldest_open", metric.WithUnit("s"), metric.WithDescription("age of the oldest open job, by queue and size"))
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	_, err = j.meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		for _, c := range counts() {
+			labels := []attribute.KeyValue{attribute.String("queue", c.Queue), attribute.String("size", string(c.Class))}
+			o.ObserveFloat64(oldest, c.Oldest.Seconds(), metric.WithAttributes(labels...))
+			for outcome, n := range c.Outcomes() {
+				o.ObserveInt64(jobs, int64(n), metric.WithAttributes(append(labels[:2:2], attribute.String("outcome", string(outcome)))...))
+			}
+		}
+		return nil
+	}, jobs, oldest)
+	if err != nil {
+		return fmt.Errorf("metrics: %w", err)
+	}
+	return nil
+}
+
 // Gauge registers a gauge. At each scrape it calls values, which returns one value for each
 // value of the label.
 func (j *Jobs) Gauge(name, label string, values func() map[string]float64) error {
--- a/internal/owner/inspect.go
+++ b/internal/owner/inspect.go
@@ -35,7 +35,7 @@
 	}
 	ev.reply <- inspectAnswer{report: &inspect.Report{
 		Node: o.options.Claim.Record.Node, Epoch: o.Epoch(), At: o.options.Clock.TimeOfDay(),
-		Waiting: o.engine.Waiting(), Refusals: o.refusals.Latest(), Workers: o.workerSpeeds(),
+		Waiting: o.engine.Waiting(), Served: o.engine.Served(), Refusals: o.refusals.Latest(), Workers: o.workerSpeeds(),
 	}}
 }
 
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -143,10 +143,12 @@
 	handOverTimeout = 500 * time.Millisecond
 	// totalsPeriod is the time between two log lines with the engine's totals.
 	totalsPeriod = 10 * time.Second
-	// customerUsePeriod is the time between two samples of what customers use of their limits, and
-	// maxCustomersReported how many customers a sample contains.
-	customerUsePeriod    = time.Second
+	// samplePeriod is the time between two samples of what customers use of their limits and of what
+	// was served. maxCustomersReported and maxQueuesReported are how many customers and queues a
+	// sample contains.
+	samplePeriod         = time.Second
 	maxCustomersReported = 50
+	maxQueuesReported    = 16
 	// retryAfterSeconds is when a refused caller should retry. storeDownRetrySeconds applies while
 	// the store is down: an outage lasts for seconds, and the longer delay keeps the number of
 	// retries low.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -20,6 +20,7 @@
 	"github.com/leverdyke/leverdyke/internal/inspect"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/quota"
+	"github.com/leverdyke/leverdyke/internal/served"
 	"github.com/leverdyke/leverdyke/internal/statequery"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -48,6 +49,8 @@
 	listedWorkers atomic.Int64
 	// customerUse is the result of CustomerUse; nil before the first sample.
 	customerUse atomic.Pointer[[]quota.CustomerUtilization]
+	// served is the result of Served; nil before the first sample.
+	served atomic.Pointer[[]served.Count]
 	// lagBits has the bits of the result of Lag.
 	lagBits atomic.Uint64
 
@@ -103,9 +106,9 @@
 	// heldCheckedAt is when they were last checked.
 	heldCheckedAt time.Time
 	// pendingStarts is how many start orders are unanswered.
-	pendingStarts      int
-	totalsLoggedAt     time.Time
-	customersSampledAt time.Time
+	pendingStarts  int
+	totalsLoggedAt time.Time
+	sampledAt      time.Time
 	// handOverDone gets the outcome of a hand-over; nil while there is none.
 	handOverDone      chan bool
 	handOverStartedAt time.Time
@@ -254,13 +257,15 @@
 	}
 }
 
-// logTotals periodically samples what customers use of their limits, and logs the engine's totals,
-// so that a later analysis does not need the metrics.
+// logTotals periodically takes the samples for the metrics, and logs the engine's totals, so that a
+// later analysis does not need the metrics.
 func (o *Owner) logTotals() {
-	if o.now.Sub(o.customersSampledAt) >= customerUsePeriod {
+	if o.now.Sub(o.sampledAt) >= samplePeriod {
+		o.sampledAt = o.now
 		fullest := o.engine.TopCustomersByUsage(maxCustomersReported)
-		o.customersSampledAt = o.now
 		o.customerUse.Store(&fullest)
+		counts := served.Bounded(o.engine.Served(), maxQueuesReported)
+		o.served.Store(&counts)
 	}
 	if o.now.Sub(o.totalsLoggedAt) < totalsPeriod {
 		return
@@ -272,6 +277,13 @@
 	for _, w := range o.engine.TakeWaits() {
 		o.options.Log(events.TasksWaited, "queue", w.Queue, "reason", w.Reason, "waited", w.Time)
 	}
+	for _, c := range o.Served() {
+		if c.Accepted == 0 {
+			continue
+		}
+		o.options.Log(events.JobsServed, "queue", c.Queue, "size", c.Class, "accepted", c.Accepted, "inTime", c.InTime, "late", c.Late,
+			"tooLate", c.TooLate, "failed", c.Failed, "cancelled", c.Cancelled, "open", c.Open, "oldest", c.Oldest)
+	}
 	for _, l := range o.engine.TakeLostWork() {
 		o.options.Log(events.WorkLost, "queue", l.Queue, "reason", l.Reason, "attempts", l.Attempts, "coreTime", l.CoreTime)
 	}
@@ -285,6 +297,15 @@
 	return nil
 }
 
+// Served returns what became of the accepted jobs, by queue and size class, as last sampled. It has
+// at most maxQueuesReported queues and the sum of all others.
+func (o *Owner) Served() []served.Count {
+	if counts := o.served.Load(); counts != nil {
+		return *counts
+	}
+	return nil
+}
+
 // updateWriteBehind finds out whether the store is slow or down, and decides whether tasks are
 // started without waiting for it.
 func (o *Owner) updateWriteBehind() {
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -32,6 +32,9 @@
 	// acceptTime is the time from the arrival of the job at the owner to its acceptance,
 	// timeToEnd the time from its acceptance to its end.
 	acceptTime, timeToEnd time.Duration
+	// work is the job's processor time as estimated, 0 if that is unknown; objective is the time
+	// within which it should have ended.
+	work, objective time.Duration
 	// waits has, by step, how long the first tasks of the step waited until they were placed
 	// on a worker.
 	waits map[string]time.Duration
@@ -82,7 +85,7 @@
 	switch fields["event"] {
 	case eventJobAccepted:
 		j := r.job(fields["job"])
-		j.queue, j.acceptTime = fields["queue"], fields.duration("took")
+		j.queue, j.acceptTime, j.work = fields["queue"], fields.duration("took"), fields.duration("work")
 	case eventTasksPlaced:
 		j := r.job(jobOf(fields["step"]))
 		if _, ok := j.waits[fields["step"]]; !ok {
@@ -98,7 +101,7 @@
 		}
 	case eventJobEnded:
 		j := r.job(fields["job"])
-		j.state, j.timeToEnd = fields["state"], fields.duration("took")
+		j.state, j.timeToEnd, j.objective = fields["state"], fields.duration("took"), fields.duration("objective")
 	}
 }
 
@@ -120,8 +123,8 @@
 	return slices.DeleteFunc(slices.Collect(maps.Values(r.jobs)), func(j *job) bool { return j.queue == "" || j.state == "" })
 }
 
-// Write writes two tables: the time that jobs spent in each stage, by queue, and the
-// slowest jobs.
+// Write writes three tables: the time that jobs spent in each stage, by queue, what became of them by
+// queue and size, and the slowest jobs.
 func (r *Report) Write(w io.Writer, slowest int) error {
 	jobs := r.complete()
 	fmt.Fprintf(w, "%d lines, %d jobs, %d of them from their acceptance to their end\n\n", r.lines, len(r.jobs), len(jobs))
@@ -129,6 +132,10 @@
 		return err
 	}
 	fmt.Fprintln(w)
+	if err := writeServed(w, r.Served()); err != nil {
+		return err
+	}
+	fmt.Fprintln(w)
 	return writeSlowest(w, jobs, slowest)
 }
 
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -4,10 +4,14 @@
 package report_test
 
 import (
+	"fmt"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/leverdyke/leverdyke/internal/report"
+	"github.com/leverdyke/leverdyke/internal/served"
 )
 
 const testLog = `  4.0723 edge-1 I0526 02:58:46.0 1 keep.go:231] "job accepted" event="LD0422" job="a" queue="q" steps=2 batch=1 took="12ms"
@@ -48,6 +52,44 @@
 	}
 }
 
+// The report must tell which sizes of the jobs of a queue are served. Jobs whose size is unknown are
+// left out.
+func TestReportCountsJobsBySize(t *testing.T) {
+	log := &strings.Builder{}
+	accept := func(id string, work time.Duration) {
+		fmt.Fprintf(log, "x \"job accepted\" event=\"LD0422\" job=%q queue=\"q\" steps=1 work=%q batch=1 took=\"1ms\"\n", id, work)
+	}
+	end := func(id, state, took string) {
+		fmt.Fprintf(log, "x \"job is over\" event=\"LD0456\" job=%q queue=\"q\" work=\"1s\" state=%q why=\"w\" took=%q objective=\"2s\" attempts=0\n", id, state, took)
+	}
+	for i := range 10 {
+		accept(fmt.Sprint("j", i), time.Duration(i+1)*time.Second)
+	}
+	accept("unknown", 0)
+	end("j0", "succeeded", "2s")
+	end("j1", "succeeded", "6s")
+	end("j2", "succeeded", "6.1s")
+	end("j3", "failed", "1s")
+	end("j4", "cancelled", "1s")
+	end("j8", "succeeded", "1s")
+	r := &report.Report{}
+	if err := r.Read(strings.NewReader(log.String())); err != nil {
+		t.Fatal(err)
+	}
+	want := []served.Count{
+		{Queue: "q", Class: served.Largest, Accepted: 1, Open: 1},
+		{Queue: "q", Class: served.Large, Accepted: 2, InTime: 1, Open: 1},
+		{Queue: "q", Class: served.Rest, Accepted: 7, InTime: 1, Late: 1, TooLate: 1, Failed: 1, Cancelled: 1, Open: 2},
+	}
+	if got := r.Served(); !slices.Equal(got, want) {
+		t.Errorf("got: %+v, want: %+v", got, want)
+	}
+	out := &strings.Builder{}
+	if err := r.Write(out, 0); err != nil || !strings.Contains(strings.Join(strings.Fields(out.String()), " "), "q large 2 1 0 0 0 0 1") {
+		t.Errorf("got: %s, %v, want: the counts in it", out, err)
+	}
+}
+
 func TestReportOfEmptyLog(t *testing.T) {
 	out := &strings.Builder{}
 	r := &report.Report{}
