--- a/internal/report/line.go
+++ b/internal/report/line.go
@@ -11,18 +11,18 @@
 	"time"
 )
 
-// logFields has the values of a log line by their keys.
-type logFields map[string]string
+// Fields has the values of a log line by their keys.
+type Fields map[string]string
 
-// parseLine returns the keys and values of the log line of an event, or nil for any other
+// ParseLine returns the keys and values of the log line of an event, or nil for any other
 // line. A value is either a quoted Go string or extends to the next space.
-func parseLine(line string) logFields {
+func ParseLine(line string) Fields {
 	_, rest, ok := strings.Cut(line, ` event="LD`)
 	if !ok {
 		return nil
 	}
 	rest = `event="LD` + rest
-	parsed := logFields{}
+	parsed := Fields{}
 	for rest != "" {
 		name, value, ok := strings.Cut(rest, "=")
 		if !ok {
@@ -43,9 +43,9 @@
 	return parsed
 }
 
-// duration returns the value of a key as a duration, or 0 if it is missing or not a
+// Duration returns the value of a key as a duration, or 0 if it is missing or not a
 // duration.
-func (fields logFields) duration(name string) time.Duration {
+func (fields Fields) Duration(name string) time.Duration {
 	d, err := time.ParseDuration(fields[name])
 	if err != nil {
 		return 0
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -69,7 +69,7 @@
 	s := bufio.NewScanner(log)
 	s.Buffer(make([]byte, 0, 64<<10), maxLineBytes)
 	for s.Scan() {
-		if fields := parseLine(s.Text()); fields != nil {
+		if fields := ParseLine(s.Text()); fields != nil {
 			r.lines++
 			r.record(fields)
 		}
@@ -81,15 +81,15 @@
 }
 
 // record adds what the line of an event says to its job.
-func (r *Report) record(fields logFields) {
+func (r *Report) record(fields Fields) {
 	switch fields["event"] {
 	case eventJobAccepted:
 		j := r.job(fields["job"])
-		j.queue, j.acceptTime, j.work = fields["queue"], fields.duration("took"), fields.duration("work")
+		j.queue, j.acceptTime, j.work = fields["queue"], fields.Duration("took"), fields.Duration("work")
 	case eventTasksPlaced:
 		j := r.job(jobOf(fields["step"]))
 		if _, ok := j.waits[fields["step"]]; !ok {
-			j.waits[fields["step"]] = fields.duration("waited")
+			j.waits[fields["step"]] = fields.Duration("waited")
 		}
 	case eventStartUnacknowledged:
 		r.job(jobOf(fields["task"])).unacknowledged++
@@ -101,7 +101,7 @@
 		}
 	case eventJobEnded:
 		j := r.job(fields["job"])
-		j.state, j.timeToEnd, j.objective = fields["state"], fields.duration("took"), fields.duration("objective")
+		j.state, j.timeToEnd, j.objective = fields["state"], fields.Duration("took"), fields.Duration("objective")
 	}
 }
 
--- a/internal/served/served.go
+++ b/internal/served/served.go
@@ -18,7 +18,7 @@
 
 // The outcomes.
 const (
-	// InTime means success within the objective, or without one. Late means within maxLateRatio
+	// InTime means success within the objective, or without one. Late means within MaxLateRatio
 	// times the objective, TooLate after that.
 	InTime    Outcome = "in time"
 	Late      Outcome = "late"
@@ -29,15 +29,15 @@
 	StillOpen Outcome = "open"
 )
 
-// maxLateRatio is how many times its objective a job may take to be of use to its caller.
-const maxLateRatio = 3
+// MaxLateRatio is how many times its objective a job may take to be of use to its caller.
+const MaxLateRatio = 3
 
 // OutcomeOf returns the outcome of a job that succeeded. objective is 0 if there is none.
 func OutcomeOf(took, objective time.Duration) Outcome {
 	switch {
 	case objective <= 0 || took <= objective:
 		return InTime
-	case took <= maxLateRatio*objective:
+	case took <= MaxLateRatio*objective:
 		return Late
 	}
 	return TooLate
