--- a/internal/emulator/rules/rules.go
+++ b/internal/emulator/rules/rules.go
@@ -28,10 +28,12 @@
 	CancelledStops Rule = "cancelled"
 	// ZoneDrained: nothing is started in an availability zone soon after its drain was published.
 	ZoneDrained Rule = "drained"
+	// SizesServed: in an overload, the large jobs of a kind are served at least half as often as the kind.
+	SizesServed Rule = "sizes"
 )
 
 // All lists the rules in the order in which they are reported.
-var All = []Rule{WorkerInvariants, JobsEnd, LongRunning, RefusedNotRun, CancelledStops, ZoneDrained}
+var All = []Rule{WorkerInvariants, JobsEnd, LongRunning, RefusedNotRun, CancelledStops, ZoneDrained, SizesServed}
 
 // Violation is one case in which a rule was broken.
 type Violation struct {
--- a/internal/emulator/runner/callers.go
+++ b/internal/emulator/runner/callers.go
@@ -12,6 +12,7 @@
 
 	"github.com/leverdyke/leverdyke/internal/emulator/rules"
 	"github.com/leverdyke/leverdyke/internal/emulator/scenario"
+	"github.com/leverdyke/leverdyke/internal/served"
 	"github.com/leverdyke/leverdyke/internal/standin/site"
 )
 
@@ -165,12 +166,35 @@
 	if !open.isLongRunning || isCancelled {
 		p.openJobs = append(p.openJobs, open)
 	}
+	if !open.isLongRunning && !isCancelled {
+		p.sizes.Add(job.ID, p.sizedJob(k, job, arrivedAt))
+	}
 	p.mu.Unlock()
 	if isCancelled && sleep(ctx, cancelDelay) {
 		p.cancel(ctx, open)
 	}
 }
 
+// largestWave is the share of all processors above which the tasks of a step are expected to run in
+// several waves.
+const largestWave = 0.25
+
+// sizedJob returns how large a job is, and until when its end is of use: as the platform defines it,
+// for three times its objective, which follows its longest chain of tasks.
+func (p *Runner) sizedJob(k *scenario.JobKind, job *site.Job, arrivedAt time.Duration) rules.SizedJob {
+	workers := &p.options.Deployment.Workers
+	room := largestWave * float64(workers.Count) * float64(workers.MilliCPU)
+	work, chain := time.Duration(0), time.Duration(0)
+	for i := range job.Steps {
+		s := &job.Steps[i]
+		milliCPU := float64(s.Tasks) * float64(s.MilliCPU)
+		work += time.Duration(milliCPU / 1000 * float64(s.Duration))
+		chain += time.Duration(max(math.Ceil(milliCPU/room), 1)) * s.Duration
+	}
+	objective := time.Duration(site.Stretch*float64(chain)) + site.TargetLatency
+	return rules.SizedJob{Kind: k.Name, Work: work, ArrivedAt: arrivedAt, UsefulUntil: arrivedAt + served.MaxLateRatio*objective}
+}
+
 // monitorStep adds a long-running step to those that are checked, unless its job is about to be cancelled.
 func (p *Runner) monitorStep(job string, i int, s *site.Step, isCancelled bool) {
 	if isCancelled {
@@ -245,6 +269,7 @@
 	counter := p.counters[j.kind.Name]
 	switch state {
 	case site.Succeeded:
+		p.sizes.Succeeded(j.id, p.now())
 		counter.update(func(r *KindResult) { r.Succeeded++ })
 		counter.record(counter.completionTime, p.now()-j.arrivedAt)
 	case "cancelled":
--- a/internal/emulator/runner/runner.go
+++ b/internal/emulator/runner/runner.go
@@ -52,6 +52,7 @@
 	longRunning  *rules.LongRunningChecker
 	cancelled    rules.CancelledChecker
 	drained      rules.DrainedChecker
+	sizes        *rules.SizesChecker
 	violations   []rules.Violation
 	// openJobs has the accepted jobs that must end and were not yet reported as ended.
 	openJobs []*openJob
@@ -95,7 +96,7 @@
 	}
 	p := &Runner{
 		options: o, site: s, rng: rand.New(rand.NewPCG(o.Seed, 1)), longRunning: rules.NewLongRunningChecker(s.Permits), counters: map[string]*kindCounter{}, configVersion: 1,
-		lastWorker: d.Workers.Count,
+		lastWorker: d.Workers.Count, sizes: rules.NewSizesChecker(float64(d.Workers.Count) * float64(d.Workers.MilliCPU) / 1000),
 	}
 	for i := range d.Jobs {
 		p.counters[d.Jobs[i].Name] = newKindCounter(d.Jobs[i].Name)
@@ -244,6 +245,7 @@
 	if r.IsPartial {
 		return r
 	}
+	r.Violations = append(r.Violations, p.sizes.Check(p.now())...)
 	for _, j := range p.openJobs {
 		r.Violations = append(r.Violations, rules.Violation{Rule: rules.JobsEnd, At: p.now(), Description: fmt.Sprintf("job %s of %s has not ended %v after the last fault", j.id, j.kind.Name, jobEndTimeout)})
 	}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -198,6 +198,13 @@
 	s.wg.Wait()
 }
 
+// Stretch and TargetLatency make up the objective of the jobs of the queue: Stretch times their
+// longest chain of tasks, and TargetLatency.
+const (
+	Stretch       = 1.5
+	TargetLatency = 250 * time.Millisecond
+)
+
 // Configure publishes a configuration in which the queue has the path prefix QueuePrefix.
 func (s *Site) Configure(version int) { s.ConfigureQueue(version, QueuePrefix) }
 
@@ -205,7 +212,7 @@
 func (s *Site) ConfigureQueue(version int, prefix string) {
 	route := map[string]any{
 		"name": "q", "host": QueueHost, "pathPrefix": prefix, "service": serviceName, "priority": 0,
-		"maxAttempts": 3, "stretch": 1.5, "targetLatencyMs": 250,
+		"maxAttempts": 3, "stretch": Stretch, "targetLatencyMs": TargetLatency.Milliseconds(),
 	}
 	if s.options.HasPermissionService {
 		route["advice"] = map[string]any{"decide_ms": 5, "each_ms": 0.1, "valid_ms": 2000}
