--- a/internal/shortfall/hunt.go
+++ b/internal/shortfall/hunt.go
@@ -18,9 +18,11 @@
 // Hunt plays days of sites with several seeds.
 type Hunt struct {
 	// Bench is the program that plays days.
-	Bench       string
-	Sites, Days []string
-	Seeds       []uint64
+	Bench string
+	Sites []string
+	// Days are names of days of the sites, or paths of files that have one day each.
+	Days  []string
+	Seeds []uint64
 	// Dir is where the report and the output of each play are kept. A play whose report is there
 	// already is not played again.
 	Dir string
@@ -38,9 +40,14 @@
 }
 
 func (d *day) String() string {
-	return fmt.Sprintf("%s %s seed %d", strings.TrimSuffix(filepath.Base(d.site), ".toml"), d.name, d.seed)
+	return fmt.Sprintf("%s %s seed %d", baseName(d.site), baseName(d.name), d.seed)
 }
 
+func baseName(file string) string { return strings.TrimSuffix(filepath.Base(file), fileSuffix) }
+
+// fileSuffix tells the path of a file with a day from the name of a day.
+const fileSuffix = ".toml"
+
 // file returns the path of a file of the play.
 func (h *Hunt) file(d *day, suffix string) string {
 	return filepath.Join(h.Dir, strings.NewReplacer(" seed ", "-", " ", "-").Replace(d.String())+suffix)
@@ -85,7 +92,8 @@
 			return nil, err
 		}
 		for _, name := range h.Days {
-			if _, ok := floors[name]; !ok {
+			// The day of a file has no floors but those of sizes.
+			if _, ok := floors[name]; !ok && !strings.HasSuffix(name, fileSuffix) {
 				return nil, fmt.Errorf("shortfall: %s has no day %s", site, name)
 			}
 			for _, seed := range h.Seeds {
--- a/internal/shortfall/shortfall_test.go
+++ b/internal/shortfall/shortfall_test.go
@@ -228,6 +228,11 @@
 	if err != nil || strings.Count(string(calls), "\n") != 4 {
 		t.Errorf("calls: got: %s, %v, want: one of seeds 1 and 2, two of seed 3", calls, err)
 	}
+	h.Days, h.Seeds = []string{filepath.Join(dir, "own.toml")}, []uint64{4}
+	results, err := h.Run(t.Context())
+	if err != nil || len(results) != 1 || results[0].Name != "harbour own seed 4" || results[0].Floors.Kind != 0 {
+		t.Errorf("a day of a file: got: %v, %v, want: its result, without floors", results, err)
+	}
 	h.Days = []string{"unknown"}
 	if _, err := h.Run(t.Context()); err == nil {
 		t.Error("a day that the site does not have: got: no error, want: one")
