internal/cluster, internal/owner: two builds in one cell keep their words for heartbeats and records

A record says whether its owner runs write-behind only under the flag; without that word its placements count as incomplete. TestPlacementsAreNotReliedOnAfterPossibleWriteBehind has the case 'unflagged, of an earlier version', which answers with true.

--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -115,7 +115,7 @@
 	n.mu.Unlock()
 	r := owner.Record{
 		Node: n.options.Name, Addr: n.options.AdvertiseAddr, Incarnation: n.options.Incarnation, Epoch: end + 1, SentAt: n.options.Clock.TimeOfDay(),
-		MaxStrength: n.maxKnownStrength(), MayHaveUnpersisted: !n.hasAllPlacements(previous),
+		MaxStrength: n.maxKnownStrength(), MayHaveUnpersisted: !n.hasAllPlacements(previous), WritesBehindByFlagOnly: true,
 	}
 	if previous != nil {
 		// The previous owner's values count too, because stronger nodes may not be linked to this
@@ -143,7 +143,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return !previous.MayHaveUnpersisted && n.unpersistedEpoch != previous.Epoch
+	return previous.WritesBehindByFlagOnly && !previous.MayHaveUnpersisted && n.unpersistedEpoch != previous.Epoch
 }
 
 // claimDelay returns how long this node delays its claim so that stronger nodes can claim first. It
--- a/internal/cluster/election_test.go
+++ b/internal/cluster/election_test.go
@@ -27,20 +27,23 @@
 		// unpersistedEpoch is the epoch of an owner whose last heartbeat said that it runs
 		// write-behind, or 0.
 		unpersistedEpoch uint64
+		// isEarlierVersion means that the owner also runs write-behind without the flag.
+		isEarlierVersion bool
 		want             bool
 	}{
-		"unflagged":      {0, false, 0, true},
-		"unflagged, old": {time.Hour, false, 0, true},
-		"unflagged, the time of day was set back": {-time.Hour, false, 0, true},
-		"flagged":      {0, true, 0, false},
-		"flagged, old": {time.Hour, true, 0, false},
-		"unflagged, its heartbeat says otherwise":    {0, false, 7, false},
-		"unflagged, an earlier owner's heartbeat":    {0, false, 6, true},
-		"flagged, a heartbeat of the same owner":     {0, true, 7, false},
-		"flagged, an earlier owner ran write-behind": {0, true, 6, false},
+		"unflagged":      {0, false, 0, false, true},
+		"unflagged, old": {time.Hour, false, 0, false, true},
+		"unflagged, the time of day was set back": {-time.Hour, false, 0, false, true},
+		"flagged":      {0, true, 0, false, false},
+		"flagged, old": {time.Hour, true, 0, false, false},
+		"unflagged, its heartbeat says otherwise":    {0, false, 7, false, false},
+		"unflagged, an earlier owner's heartbeat":    {0, false, 6, false, true},
+		"flagged, a heartbeat of the same owner":     {0, true, 7, false, false},
+		"unflagged, of an earlier version":           {0, false, 0, true, false},
+		"flagged, an earlier owner ran write-behind": {0, true, 6, false, false},
 	} {
 		n.RecordOwnerHeartbeat(max(tc.unpersistedEpoch, 6), tc.unpersistedEpoch > 0)
-		r := &owner.Record{Epoch: 7, HeartbeatSeq: 4, SentAt: clk.Now().Add(-tc.age), MayHaveUnpersisted: tc.isFlagged}
+		r := &owner.Record{Epoch: 7, HeartbeatSeq: 4, SentAt: clk.Now().Add(-tc.age), MayHaveUnpersisted: tc.isFlagged, WritesBehindByFlagOnly: !tc.isEarlierVersion}
 		if got := n.HasAllPlacements(r); got != tc.want {
 			t.Errorf("%s: got: %v, want: %v", name, got, tc.want)
 		}
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -85,6 +85,10 @@
 	// record was persisted.
 	Record    uint64
 	RecordAge time.Duration
+	// UnflaggedSeq and UnflaggedAge are 0. Messages encode structs as arrays, and earlier versions have
+	// fields of other meanings here.
+	UnflaggedSeq uint64
+	UnflaggedAge time.Duration
 	// ConfigVersion is the version of the owner's active configuration.
 	ConfigVersion uint64
 	// MayHaveUnpersisted means that tasks may run on placements that are not in the store.
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -450,7 +450,7 @@
 	r.ListedWorkers = int(o.listedWorkers.Load())
 	r.KnownNodes = o.knownNodes(sentAt)
 	o.mu.Lock()
-	r.MayHaveUnpersisted = o.writeBehind.nextFlag()
+	r.MayHaveUnpersisted, r.WritesBehindByFlagOnly = o.writeBehind.nextFlag(), true
 	o.mu.Unlock()
 	at := o.recordOffset + 1
 	offset, err := AppendRecord(o.ctx, o.options.Store, &r, at)
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -33,6 +33,9 @@
 	// MayHaveUnpersisted is the write-behind flag: tasks may run on placements that are not in the
 	// store.
 	MayHaveUnpersisted bool `msgpack:"u"`
+	// WritesBehindByFlagOnly means that the owner runs write-behind only while its newest record in
+	// the store carries the flag. Owners of earlier versions also do so by the age of a record.
+	WritesBehindByFlagOnly bool `msgpack:"f"`
 	// ListedWorkers is how many workers the owner's list had; 0 when it had none yet.
 	ListedWorkers int `msgpack:"w"`
 	// KnownNodes is how many nodes the owner knew; 0 when that is not known.
