internal/dispatch: place a refused task anew only after a listing

A refused start counted as one that had never run, and its task was placed anew at once. But a worker refuses a run also if that run has ended there: when the order was delivered before and its answer was lost on the way, or when another owner started a run of the same number. The end then arrived with the next listing, was accepted, and was confirmed.

A refused attempt now stays on its worker, with its room, until a listing that was requested after the refusal does not have it; an end in that listing or before it is handled as any other. The worker is polled at once, so that this takes one round trip. As before, a worker that took no order at all (429, 503, not reached) leaves the task free at once, and the members of a gang are stopped at once.

No path by which this code delivers an order twice was found: orders are sent once by the owner or by one delegate, and net/http does not repeat a POST that was written. So this is not shown to be what the users saw.

--- a/internal/dispatch/given_up.go
+++ b/internal/dispatch/given_up.go
@@ -39,7 +39,8 @@
 )
 
 // Reasons why a run was given up or is not known; they are logged. Others are endedWithIncarnation
-// and endedByLeaseExpiry, and with givenUpInherited before them those of resolveInherited.
+// and endedByLeaseExpiry, with givenUpInherited before them those of resolveInherited, and
+// with givenUpRefused before them those of StartOutcome.
 const (
 	givenUpRefused      = "start refused: "
 	givenUpMissing      = "missing in a listing"
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -113,7 +113,9 @@
 			t.mayRunOn = slices.DeleteFunc(t.mayRunOn, func(w order.WorkerID) bool { return w == id })
 			e.releaseCustomer(s)
 			if w := e.workers.Get(id); w == nil || w.attempts.Get(task) == nil {
-				e.givenUp.add(givenUpRun{task, t.run, id, givenUpInherited + reason, e.now})
+				if t.state != taskDone {
+					e.givenUp.add(givenUpRun{task, t.run, id, givenUpInherited + reason, e.now})
+				}
 				e.abandonedStarts.Add(id, task, t.run, e.now, e.now)
 			}
 		}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -58,7 +58,9 @@
 	}
 }
 
-// handleRefusedStart releases an attempt that the worker refused to start.
+// handleRefusedStart handles a refusal to start an attempt. A worker also refuses a run that has ended
+// there, after an earlier delivery of the order or by the order of another owner. So the attempt is
+// released only by a listing that was requested later, except where the worker took no order at all.
 func (e *Engine) handleRefusedStart(w *worker, a *attempt, outcome order.StartOutcome) {
 	if a.phase == phaseRunning {
 		return
@@ -74,6 +76,13 @@
 	case order.StartSucceeded, order.StartFenced, order.StartUnknown, order.StartIncarnationEnded:
 	}
 	a.isAcknowledged = true
+	if outcome != order.StartUnhealthy {
+		a.phase, a.refusal, a.refusedAt = phaseRefused, outcome, e.now
+		w.needsTick = true
+		e.stopRestOfGang(a, "a member was refused")
+		e.pollNow(w)
+		return
+	}
 	e.giveUp(a, givenUpRefused+string(outcome))
 	e.detachAttempt(a)
 	e.stopRestOfGang(a, "a member was refused")
@@ -370,7 +379,7 @@
 }
 
 // reconcileMissing ends attempts that a listing should have and does not: those whose start or
-// stop was confirmed before the listing was requested. It stops those whose orders had become
+// stop was confirmed, or whose start was refused, before the listing was requested. It stops those whose orders had become
 // unacknowledged by then: the order of one that was only late may arrive while a listing is on its
 // way. The clock in a listing does not show when its content was put together, so the time of the
 // request is compared instead.
@@ -385,11 +394,15 @@
 		}
 		isStopConfirmed := a.stopConfirmedClock > 0 && a.stopConfirmedClock <= listing.At && !askedAt.Before(a.stopConfirmedAt)
 		isStartConfirmed := a.phase == phaseRunning && a.startConfirmedClock > 0 && a.startConfirmedClock < listing.At && askedAt.After(a.startConfirmedAt)
-		if !isStopConfirmed && !isStartConfirmed {
+		isRefusalConfirmed := a.phase == phaseRefused && !askedAt.Before(a.refusedAt)
+		if !isStopConfirmed && !isStartConfirmed && !isRefusalConfirmed {
 			continue
 		}
 		reason := givenUpStopped
-		if !isStopConfirmed {
+		switch {
+		case isRefusalConfirmed:
+			reason = givenUpRefused + string(a.refusal)
+		case !isStopConfirmed:
 			reason = givenUpMissing
 			e.options.Log(events.AttemptMissing, "task", id, "run", a.run, "worker", w.ID)
 		}
--- a/internal/dispatch/retry_test.go
+++ b/internal/dispatch/retry_test.go
@@ -28,6 +28,8 @@
 	workerTime order.WorkerTime
 	// silentWorker answers no poll; empty when all workers answer.
 	silentWorker order.WorkerID
+	// refusal is the outcome of all orders to start; empty when all are accepted.
+	refusal order.StartOutcome
 	// entries is the platform's list of workers.
 	entries []order.Worker
 	// log receives the engine's log lines; nil discards them.
@@ -110,8 +112,12 @@
 	for _, a := range c.engine.Actions() {
 		switch a := a.(type) {
 		case order.Start:
-			c.starts = append(c.starts, a)
 			c.workerTime++
+			if c.refusal != "" {
+				c.engine.StartAnswered(a.Worker, a.Task, a.Run, c.refusal, c.workerTime)
+				continue
+			}
+			c.starts = append(c.starts, a)
 			c.engine.StartAnswered(a.Worker, a.Task, a.Run, order.StartSucceeded, c.workerTime)
 		case order.Poll:
 			if a.Worker == c.silentWorker {
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -123,6 +123,9 @@
 	writeCounts map[work.JobID]int
 	// runTimeRatio is how many times as long as estimated a run of a task takes; nil stands for 1.
 	runTimeRatio func(work.TaskID) float64
+	// repeatedOrderShare of the orders to start are delivered twice; only the second delivery is
+	// answered.
+	repeatedOrderShare float64
 	// endsPerListing is how many ends a listing has at most, the first ones; 0 stands for all.
 	// hasShuffledEnds makes workers list them in a random order.
 	endsPerListing  int
@@ -417,21 +420,19 @@
 	}
 	spec := w.specs[s.Task.Job].Steps[s.Task.Step]
 	r := &modelRun{orderedAt: w.elapsed(), need: spec.Need, isLongRunning: spec.IsLongRunning, fails: w.rng.Float64() < w.failureShare}
+	if w.repeatedOrderShare > 0 && w.rng.Float64() < w.repeatedOrderShare {
+		// The answer to the first delivery is lost, and the order is delivered again.
+		first, firstDelay := *r, delay
+		w.schedule(firstDelay, func() { w.deliverStart(&s, m, &first, fence, firstDelay) })
+		delay += time.Duration(w.rng.IntN(300)) * time.Millisecond
+	}
 	engine := w.engine
 	w.schedule(delay, func() {
 		if m.isDead && engine == w.engine && !lost && !m.isPartitioned {
 			w.deliverToEngine(w.networkDelay(), func() { w.engine.StartAnswered(s.Worker, s.Task, s.Run, order.StartUnknown, 0) })
 		}
-		if m.isPartitioned || m.isDead {
-			return
-		}
-		r.beganAt, r.endsAt = w.clock.Now(), w.clock.Now().Add(w.runDuration(m, r, s.Task, &spec))
-		outcome, began := m.start(order.Token(fence, s.Generation), &s, r, w.elapsed())
-		w.isDelayedOrder = delay >= shrinkGrace
-		if began {
-			w.checkStart(m, s.Task, r)
-		}
-		if lost || engine != w.engine {
+		outcome := w.deliverStart(&s, m, r, fence, delay)
+		if outcome == "" || lost || engine != w.engine {
 			return
 		}
 		at := m.clockAt(w.elapsed())
@@ -442,6 +443,22 @@
 	}
 }
 
+// deliverStart delivers an order to start to a worker and returns the outcome; empty if the worker
+// cannot be reached.
+func (w *sim) deliverStart(s *order.Start, m *modelWorker, r *modelRun, fence uint64, delay time.Duration) order.StartOutcome {
+	if m.isPartitioned || m.isDead {
+		return ""
+	}
+	spec := w.specs[s.Task.Job].Steps[s.Task.Step]
+	r.beganAt, r.endsAt = w.clock.Now(), w.clock.Now().Add(w.runDuration(m, r, s.Task, &spec))
+	outcome, began := m.start(order.Token(fence, s.Generation), s, r, w.elapsed())
+	w.isDelayedOrder = delay >= shrinkGrace
+	if began {
+		w.checkStart(m, s.Task, r)
+	}
+	return outcome
+}
+
 // runDuration returns how long a run takes on a worker until it ends by itself; it marks the run as
 // failing where the worker is degraded or a failure of a long-running task is drawn.
 func (w *sim) runDuration(m *modelWorker, r *modelRun, id work.TaskID, spec *work.Step) time.Duration {
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -76,6 +76,9 @@
 	// may be later.
 	phaseUnacknowledged phase = "doubtful"
 	phaseRunning        phase = "running"
+	// phaseRefused means that the worker refused the order, and that no listing requested later has
+	// shown yet that the attempt does not run.
+	phaseRefused phase = "refused"
 )
 
 // attempt is a start of a task, from its planning until it is known to have ended.
@@ -94,6 +97,9 @@
 	// requested later did not have the attempt.
 	unacknowledgedAt time.Time
 	isMissing        bool
+	// refusal is how the worker refused the order, at refusedAt.
+	refusal   order.StartOutcome
+	refusedAt time.Time
 	// startConfirmedClock is the worker's clock when it confirmed the start; 0 before.
 	startConfirmedClock order.WorkerTime
 	// startConfirmedAt and stopConfirmedAt are when these confirmations arrived, by the engine's
@@ -385,7 +391,7 @@
 	if a.isStopping && a.stopConfirmedClock == 0 && e.now.Sub(a.stopSentAt) > stopRetryInterval {
 		e.sendStop(a)
 	}
-	if a.isStopping && a.stopConfirmedClock > 0 && a.phase == phaseUnacknowledged {
+	if a.phase == phaseRefused || a.isStopping && a.stopConfirmedClock > 0 && a.phase == phaseUnacknowledged {
 		e.pollNow(a.worker)
 	}
 	e.checkProbation(a)
