internal/permit: count full workers in calls, permits used and time on channels

The log doesn't tell whether the named workers are full, how many permits lead to a start, or whether channels are busy for longer than the service takes.

TestUsageTellsPermitsThatWereUsed checks the counts.

--- a/internal/dispatch/permission.go
+++ b/internal/dispatch/permission.go
@@ -41,7 +41,7 @@
 // PermissionAnswered processes the answer to a permission query. permits are those that were
 // granted; each is valid for the time valid. isKnown is false if there was no answer.
 func (e *Engine) PermissionAnswered(channel string, id work.StepID, queried []order.WorkerID, permits []order.Permit, valid time.Duration, isKnown bool) {
-	e.planner.End(channel, id, e.now)
+	took := e.planner.End(channel, id, e.now)
 	e.needsScheduling = true
 	s := e.findStep(id)
 	if s == nil {
@@ -54,6 +54,9 @@
 		return
 	}
 	isWanted := !s.job.state.IsFinal() && s.waiting+s.copiesWanted > 0
+	if q := e.queues[s.job.spec.Queue]; q.Permission != nil {
+		e.planner.RecordDuration(q.Name, q.Permission, len(queried), took)
+	}
 	e.planner.Learn(s.job.spec.Queue, &s.permissions, queried, permits, isWanted)
 	s.permissions.RecordAnswer(queried, permits, valid, e.now)
 }
@@ -91,7 +94,8 @@
 	usage := e.planner.TakeUsage()
 	for i := range usage {
 		u := &usage[i]
-		e.options.Log(events.PermissionsQueried, "queue", u.Queue, "share", u.Share, "queries", u.Calls, "ahead", u.Ahead, "named", u.Named, "granted", u.Granted, "wasted", u.Wasted, "failed", u.Failed)
+		e.options.Log(events.PermissionsQueried, "queue", u.Queue, "share", u.Share, "queries", u.Calls, "ahead", u.Ahead, "deferred", u.Deferred, "missing", u.Missing,
+			"named", u.Named, "full", u.Full, "known", u.Known, "granted", u.Granted, "used", u.Used, "wasted", u.Wasted, "failed", u.Failed, "expected", u.Expected, "took", u.Took)
 	}
 	if len(usage) > 0 {
 		channels, free := e.planner.Channels().Len()
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -484,6 +484,9 @@
 	e.countUnpersisted(a)
 	a.isResumed = a.step.savedStateOf(a.id.Index) != ""
 	e.counts.Starts++
+	if hasPermit {
+		e.planner.RecordStart(q.Name, &a.step.permissions, a.worker.ID)
+	}
 	e.startsInFlight++
 	e.startsInActions = append(e.startsInActions, a)
 	e.emit(order.Start{
--- a/internal/permit/channels.go
+++ b/internal/permit/channels.go
@@ -164,11 +164,16 @@
 	return c.timeout
 }
 
-// EndCall records that the call of a step through a channel has ended.
-func (l *Channels) EndCall(name string, step work.StepID, now time.Time) {
-	if c := l.find(name); c != nil && c.step == step {
-		l.free(c, now)
+// EndCall records that the call of a step through a channel has ended, and returns how long it took;
+// 0 if it was counted as lost before.
+func (l *Channels) EndCall(name string, step work.StepID, now time.Time) time.Duration {
+	c := l.find(name)
+	if c == nil || c.step != step || c.busySince.IsZero() {
+		return 0
 	}
+	took := now.Sub(c.busySince)
+	l.free(c, now)
+	return took
 }
 
 // free records that a channel is free.
--- a/internal/permit/planner.go
+++ b/internal/permit/planner.go
@@ -117,7 +117,8 @@
 		s.RecordNoCandidates(now)
 		return Call{}, false
 	}
-	p.record(s, r, workers, now)
+	// The workers that are named are sorted to the front.
+	p.record(s, r, found[:len(workers)], workers, now)
 	return Call{channel, workers, p.channels.BeginCall(channel, r.ID, r.Policy, len(workers), now)}, true
 }
 
@@ -146,6 +147,7 @@
 		return
 	}
 	s.Defer(now)
+	p.usages.of(r.Queue).Deferred++
 	if p.deferralsLeft > 0 {
 		p.deferralsLeft--
 		p.callsLeft++
@@ -160,7 +162,7 @@
 }
 
 // record records that a call is made.
-func (p *Planner) record(s *Step, r *Request, workers []order.WorkerID, now time.Time) {
+func (p *Planner) record(s *Step, r *Request, named []Candidate, workers []order.WorkerID, now time.Time) {
 	s.BeginQuery()
 	p.occupancy.Record(r.Customer, callTime(r.Policy, len(workers)), now)
 	if !p.options.IgnoresClaims {
@@ -169,15 +171,33 @@
 	u := p.usages.of(r.Queue)
 	u.Calls++
 	u.Named += len(workers)
+	u.Missing += r.Missing
 	if r.IsAhead {
 		u.Ahead++
 	}
+	for i := range named {
+		if named[i].Fits == 0 {
+			u.Full++
+		}
+		if named[i].IsPermitted {
+			u.Known++
+		}
+	}
+}
+
+// RecordStart counts a start of a task of the step with the permit of a worker.
+func (p *Planner) RecordStart(queue string, s *Step, id order.WorkerID) {
+	if s.use(id) {
+		p.usages.of(queue).Used++
+	}
 }
 
-// End records that the call of a step has ended, answered or not.
-func (p *Planner) End(channel string, id work.StepID, now time.Time) {
-	p.channels.EndCall(channel, id, now)
+// End records that the call of a step has ended, answered or not, and returns how long it has occupied
+// its channel; 0 if it was counted as lost before.
+func (p *Planner) End(channel string, id work.StepID, now time.Time) time.Duration {
+	took := p.channels.EndCall(channel, id, now)
 	p.claims.Drop(id)
+	return took
 }
 
 // Lost records that the call of a step was lost with its channel.
@@ -186,6 +206,16 @@
 // Failed counts a call for a queue that was not answered.
 func (p *Planner) Failed(queue string) { p.usages.of(queue).Failed++ }
 
+// RecordDuration counts how long an answered call about that many workers occupied its channel.
+func (p *Planner) RecordDuration(queue string, policy *order.PermissionPolicy, workers int, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	u := p.usages.of(queue)
+	u.Expected += callTime(policy, workers)
+	u.Took += took
+}
+
 // Learn learns from an answer, before it is recorded in the step. isWanted is false if the step has no
 // use for it any more.
 func (p *Planner) Learn(queue string, s *Step, queried []order.WorkerID, permits []order.Permit, isWanted bool) {
--- a/internal/permit/planner_test.go
+++ b/internal/permit/planner_test.go
@@ -171,3 +171,31 @@
 		t.Errorf("got: %+v, want: 101 granted, 100 answers wasted", usage)
 	}
 }
+
+// The usage of a queue must tell permits that led to starts from those that expired, and calls that
+// name full workers from those that name free ones.
+func TestUsageTellsPermitsThatWereUsed(t *testing.T) {
+	p, s, r := newPlanner(8), &permit.Step{}, requestOf("j", slow)
+	found := append(freeWorkers(1, 2), permit.Candidate{ID: "full", IsPermitted: true}, permit.Candidate{ID: "x"})
+	r.Missing = 9
+	call, ok := p.Plan(s, r, now, func() []permit.Candidate { return found })
+	if !ok || len(call.Workers) != 3 {
+		t.Fatalf("got: %v, %v, want: a call that names 3 workers", call, ok)
+	}
+	took := p.End(call.Channel, r.ID, now.Add(700*ms))
+	if again := p.End(call.Channel, r.ID, now.Add(800*ms)); took != 700*ms || again != 0 {
+		t.Errorf("time on the channel: got: %v, and %v once it had ended, want: 700ms, 0s", took, again)
+	}
+	p.RecordDuration(r.Queue, r.Policy, len(call.Workers), took)
+	permits := []order.Permit{{Worker: "w000"}, {Worker: "full"}}
+	p.Learn(r.Queue, s, call.Workers, permits, true)
+	s.RecordAnswer(call.Workers, permits, 2*time.Second, now)
+	for range 2 {
+		p.RecordStart(r.Queue, s, "w000")
+	}
+	got := p.TakeUsage()[0]
+	want := permit.Usage{Queue: "q", Share: got.Share, Calls: 1, Missing: 9, Named: 3, Full: 2, Known: 1, Granted: 2, Used: 1, Expected: 511 * ms, Took: 700 * ms}
+	if got != want {
+		t.Errorf("got: %+v, want: %+v", got, want)
+	}
+}
--- a/internal/permit/step.go
+++ b/internal/permit/step.go
@@ -43,6 +43,7 @@
 type grant struct {
 	text    string
 	expires time.Time
+	isUsed  bool
 }
 
 // MayQuery reports whether a call may be made: none is in flight, and the pause after the last
@@ -91,7 +92,7 @@
 	}
 	for _, p := range permits {
 		s.verdicts[p.Worker] = true
-		s.permits[p.Worker] = grant{p.Text, now.Add(valid - permitMargin)}
+		s.permits[p.Worker] = grant{text: p.Text, expires: now.Add(valid - permitMargin)}
 	}
 }
 
@@ -107,6 +108,18 @@
 	return g.text, ok && at.Before(g.expires)
 }
 
+// use records that a task is started with the permit of a worker. It reports whether that is the first
+// one.
+func (s *Step) use(id order.WorkerID) bool {
+	g, ok := s.permits[id]
+	if !ok || g.isUsed {
+		return false
+	}
+	g.isUsed = true
+	s.permits[id] = g
+	return true
+}
+
 // DropPermit drops the permit of a worker that has refused it.
 func (s *Step) DropPermit(id order.WorkerID) { delete(s.permits, id) }
 
--- a/internal/permit/usage.go
+++ b/internal/permit/usage.go
@@ -6,6 +6,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // Usage sums up the calls for the steps of a queue.
@@ -16,8 +17,18 @@
 	// Calls is how many calls were made, Ahead how many of them before the step could start. Failed
 	// were not answered, and Wasted were answered when the step had no use for it any more.
 	Calls, Ahead, Failed, Wasted int
-	// Named is how many workers the calls named, Granted how many of those were permitted.
-	Named, Granted int
+	// Deferred counts how often a step left the channels to others.
+	Deferred int
+	// Missing is how many tasks needed workers when the calls were made.
+	Missing int
+	// Named is how many workers the calls named. Full of them had no free capacity at that time, and
+	// Known were known to be permitted.
+	Named, Full, Known int
+	// Granted is how many permits were issued, Used with how many of them a task was started. The
+	// others have expired, or are still valid.
+	Granted, Used int
+	// Expected is how long the answered calls were to occupy their channels, Took how long they did.
+	Expected, Took time.Duration
 }
 
 // usages are the usages since they were last taken. The zero value has none.
