internal/permit: count claims by fractions, and only those that go first

Callers saw large jobs of curve-refresh wait for a channel to the permission service while two thirds of the workers' capacity were free. A call names many times the workers that it uses, and claims the tasks divided by the workers on each of them. That fraction was taken off the free capacity before whole tasks were counted, so that a worker with capacity for one task counted as full as soon as one call named it. Less urgent queues claimed capacity against more urgent ones, too.

A candidate now has the tasks that fit and, apart from that, the average number of them that calls in flight will take. It lowers the chance that the worker runs a task, and puts the worker after unclaimed ones, but does not make it full. Only claims of the same or of more urgent priorities count.

TestQueriesInFlightDoNotMakeFreeWorkersLookFull failed before: "job5: got: 33 workers named, want: about the 14 of the first query".

--- a/internal/dispatch/permission.go
+++ b/internal/dispatch/permission.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -68,9 +69,10 @@
 }
 
 func (e *Engine) planQuery(s *step, policy *order.PermissionPolicy, missing int, isAhead bool) {
+	q := e.queues[s.job.spec.Queue]
 	r := permit.Request{
-		ID: s.id, Customer: s.customer(), Queue: s.job.spec.Queue, Policy: policy, Missing: missing, AtOnce: 1, Need: s.spec.Charge(),
-		IsPoolUnderused: e.poolUsage[e.queues[s.job.spec.Queue].Service] < underusedShare, IsAhead: isAhead,
+		ID: s.id, Customer: s.customer(), Queue: q.Name, Priority: q.Priority, Policy: policy, Missing: missing, AtOnce: 1, Need: s.spec.Charge(),
+		IsPoolUnderused: e.poolUsage[q.Service] < underusedShare, IsAhead: isAhead,
 	}
 	if s.spec.IsGang {
 		r.AtOnce = len(s.tasks)
@@ -128,7 +130,7 @@
 		if !e.isUsable(w, s) || !e.mayRun(w, s, pool) || needsHealthy && !w.health.IsHealthy(e.now) || !charge.FitsIn(w.Capacity) {
 			continue
 		}
-		fits := e.fitCountBeside(w, s, e.planner.Claimed(id))
+		fits := e.fitCount(w, s)
 		if fits == 0 && (withoutCapacity >= permit.MaxWorkersPerCall || !e.isEnabled(MechanismEarlyPermission) || !mayFitLater(w, s)) {
 			continue
 		}
@@ -139,7 +141,7 @@
 		if _, ok := s.permissions.ValidPermit(id, renewAt); ok {
 			continue
 		}
-		found = append(found, permit.Candidate{ID: id, Fits: fits, IsPermitted: isGood, IsDegraded: w.speed.IsSuspectedSlow || w.health.IsPaused(e.now), IsRemote: e.isRemote(w, s)})
+		found = append(found, permit.Candidate{ID: id, Fits: fits, Claimed: e.claimedTasks(w, s, fits), IsPermitted: isGood, IsDegraded: w.speed.IsSuspectedSlow || w.health.IsPaused(e.now), IsRemote: e.isRemote(w, s)})
 		if fits == 0 {
 			withoutCapacity++
 			continue
@@ -151,6 +153,28 @@
 	return found
 }
 
+// claimedTasks returns how many of the tasks of the step that fit on the worker will on average have no
+// capacity left, because of the steps whose queries are in flight.
+func (e *Engine) claimedTasks(w *worker, s *step, fits int) float64 {
+	claimed := e.planner.Claimed(w.ID, s.priority)
+	if fits == 0 || claimed == (leverdyke.Resources{}) {
+		return 0
+	}
+	left := timesThatFit(s.spec.Charge(), e.freeCapacityFor(w, s).Sub(claimed))
+	return min(max(float64(fits)-left, 0), float64(fits))
+}
+
+// timesThatFit returns how many times the need fits in the free capacity, fractions included.
+func timesThatFit(need, free leverdyke.Resources) float64 {
+	n := math.Inf(1)
+	for _, d := range [...][2]int64{{need.MilliCPU, free.MilliCPU}, {need.MemoryMiB, free.MemoryMiB}, {need.Accelerators, free.Accelerators}} {
+		if d[0] > 0 {
+			n = min(n, float64(d[1])/float64(d[0]))
+		}
+	}
+	return n
+}
+
 // mayFitLater reports whether a task of the step would fit on the worker once all other attempts
 // there have ended, except those of long-running tasks.
 func mayFitLater(w *worker, s *step) bool {
--- /dev/null
+++ b/internal/dispatch/permission_backlog_test.go
@@ -0,0 +1,64 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/work"
+)
+
+var (
+	slowPolicy = order.PermissionPolicy{BaseTime: 560 * time.Millisecond, TimePerWorker: 8 * time.Millisecond, ValidFor: 2 * time.Second}
+	widePolicy = order.PermissionPolicy{BaseTime: 130 * time.Millisecond, TimePerWorker: 2 * time.Millisecond, ValidFor: 2 * time.Second}
+)
+
+// newBacklogSim returns a simulation of workers with 32 cores, on each of which a task runs that leaves
+// freeCores. Queue "slow" goes before "wide"; both require permits.
+func newBacklogSim(workers, channels int, freeCores int64) *sim {
+	w := newSim(1)
+	slow, wide, running := testQueue, testQueue, testQueue
+	slow.Name, slow.Priority, slow.Permission = "slow", 1, &slowPolicy
+	wide.Name, wide.Priority, wide.Permission = "wide", 2, &widePolicy
+	running.Name = "running"
+	w.queues = []order.Queue{slow, wide, running}
+	for i := range channels {
+		w.channels = append(w.channels, fmt.Sprintf("n%d", i))
+	}
+	w.takeOver()
+	w.addWorkers(workers, loadWorkerCapacity)
+	w.run(time.Second)
+	if occupied := 32 - freeCores; occupied > 0 {
+		w.submitTo("running", "running", work.Step{Count: workers, Need: cores(occupied), Estimate: time.Hour, MaxPerWorker: 1, MaxUnavailable: -1})
+	}
+	w.run(time.Second)
+	return w
+}
+
+func cores(n int64) leverdyke.Resources { return leverdyke.Resources{MilliCPU: 1000 * n} }
+
+// A query uses a part of the workers that it names. The others must not count as full for the queries that
+// are made meanwhile: these then named many times the workers that they needed.
+func TestQueriesInFlightDoNotMakeFreeWorkersLookFull(t *testing.T) {
+	const workers, steps, tasks = 60, 8, 3
+	w := newBacklogSim(workers, 12, 32)
+	queried := map[work.JobID]int{}
+	w.onPermissionQuery = func(q order.QueryPermission) { queried[q.Step.Job] = len(q.Workers) }
+	for i := range steps {
+		w.submitTo("slow", fmt.Sprintf("job%d", i), work.Step{Count: tasks, Need: cores(30), Estimate: time.Hour, MaxUnavailable: -1})
+	}
+	w.run(100 * time.Millisecond)
+	if len(queried) != steps {
+		t.Fatalf("steps that query: got: %d, want: %d", len(queried), steps)
+	}
+	for id, named := range queried {
+		if id != "job0" && named > 2*queried["job0"] {
+			t.Errorf("%s: got: %d workers named, want: about the %d of the first query, since %d tasks leave most of the %d workers empty", id, named, queried["job0"], steps*tasks, workers)
+		}
+	}
+}
--- a/internal/permit/choose.go
+++ b/internal/permit/choose.go
@@ -32,6 +32,9 @@
 	ID order.WorkerID
 	// Fits is how many tasks fit on the worker now; 0 means that some would fit if it were empty.
 	Fits int
+	// Claimed is how many of these tasks will on average have no capacity left, because of the steps
+	// whose calls are in flight. It is at most Fits.
+	Claimed float64
 	// IsPermitted means that the worker is known to be permitted.
 	IsPermitted bool
 	// IsDegraded means that the worker is or was slow, or gets no tasks now because of its
@@ -49,6 +52,9 @@
 	// staysFree is the probability that capacity that is free when the call is made is still free
 	// when it is answered.
 	staysFree = 0.9
+	// minChance is the least probability with which a permitted worker that has free capacity takes
+	// tasks, however many calls name it: most of these do not use all that they name.
+	minChance = 0.2
 )
 
 // ChooseWorkers picks the workers that a call names: as few as will run the missing tasks with high
@@ -73,9 +79,9 @@
 
 // chance returns the probability that the worker runs tasks when a call has named it.
 func (c *Candidate) chance(share float64) float64 {
-	chance := staysFree
-	if c.Fits == 0 {
-		chance = freedTasks
+	chance := freedTasks
+	if c.Fits > 0 {
+		chance = max(staysFree*c.free()/float64(c.Fits), minChance)
 	}
 	if c.IsPermitted {
 		return chance
@@ -83,6 +89,13 @@
 	return share * chance
 }
 
+// free returns how many tasks fit on the worker on average once the steps whose calls are in flight
+// have started theirs.
+func (c *Candidate) free() float64 { return float64(c.Fits) - c.Claimed }
+
+// isFree reports whether a task is more likely than not to fit on the worker.
+func (c *Candidate) isFree() bool { return c.free() >= 0.5 }
+
 // canStart reports whether the workers have the capacity to take a task now, or, of tasks that must
 // start together, whether they can be expected to take all if share is the share of workers that are
 // permitted.
@@ -92,7 +105,7 @@
 	}
 	expected := 0.0
 	for i := range found {
-		fits := float64(found[i].Fits)
+		fits := found[i].free()
 		if !found[i].IsPermitted {
 			fits *= share
 		}
@@ -120,7 +133,7 @@
 
 // expected returns how many tasks the worker is likely to run when a call has named it.
 func (c *Candidate) expected() float64 {
-	tasks := max(float64(c.Fits), freedTasks)
+	tasks := max(c.free(), freedTasks)
 	if c.IsPermitted {
 		return tasks
 	}
@@ -130,16 +143,16 @@
 // compare is negative when a is to be named before b.
 func compare(a, b *Candidate) int {
 	switch {
-	case a.Fits == 0 != (b.Fits == 0):
-		return prefer(a.Fits > 0)
+	case a.isFree() != b.isFree():
+		return prefer(a.isFree())
 	case a.IsPermitted != b.IsPermitted:
 		return prefer(a.IsPermitted)
 	case a.IsDegraded != b.IsDegraded:
 		return prefer(b.IsDegraded)
 	case a.IsRemote != b.IsRemote:
 		return prefer(b.IsRemote)
-	case a.Fits != b.Fits:
-		return b.Fits - a.Fits
+	case a.free() != b.free():
+		return cmp.Compare(b.free(), a.free())
 	}
 	return cmp.Compare(a.ID, b.ID)
 }
--- a/internal/permit/claims.go
+++ b/internal/permit/claims.go
@@ -4,6 +4,8 @@
 package permit
 
 import (
+	"slices"
+
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -15,30 +17,48 @@
 // wasted. The zero value has no claims.
 type Claims struct {
 	byStep   map[work.StepID]claim
-	byWorker map[order.WorkerID]leverdyke.Resources
+	byWorker map[order.WorkerID][]claimed
+}
+
+// claimed is what steps of queues of one priority are likely to use of a worker.
+type claimed struct {
+	priority int
+	capacity leverdyke.Resources
 }
 
 // claim is what a step is likely to use of each worker that its call names.
 type claim struct {
 	workers   []order.WorkerID
+	priority  int
 	perWorker leverdyke.Resources
 }
 
-// Add records a call of a step that names the queried workers, for a number of tasks that use need
-// each. It replaces the step's former claim.
-func (c *Claims) Add(id work.StepID, queried []order.WorkerID, tasks int, need leverdyke.Resources) {
+// Add records a call of a step of a queue with the priority. The call names the queried workers, for a
+// number of tasks that use need each. It replaces the step's former claim.
+func (c *Claims) Add(id work.StepID, priority int, queried []order.WorkerID, tasks int, need leverdyke.Resources) {
 	if c.byStep == nil {
-		c.byStep, c.byWorker = map[work.StepID]claim{}, map[order.WorkerID]leverdyke.Resources{}
+		c.byStep, c.byWorker = map[work.StepID]claim{}, map[order.WorkerID][]claimed{}
 	}
 	c.Drop(id)
 	if len(queried) == 0 {
 		return
 	}
 	perWorker := scale(need, tasks, len(queried))
-	c.byStep[id] = claim{queried, perWorker}
+	c.byStep[id] = claim{queried, priority, perWorker}
 	for _, w := range queried {
-		c.byWorker[w] = c.byWorker[w].Add(perWorker)
+		c.add(w, priority, perWorker)
+	}
+}
+
+// add adds capacity to what steps of the priority claim of a worker.
+func (c *Claims) add(id order.WorkerID, priority int, capacity leverdyke.Resources) {
+	claims := c.byWorker[id]
+	i := slices.IndexFunc(claims, func(c claimed) bool { return c.priority == priority })
+	if i < 0 {
+		c.byWorker[id] = append(claims, claimed{priority, capacity})
+		return
 	}
+	claims[i].capacity = claims[i].capacity.Add(capacity)
 }
 
 // scale returns tasks/workers times need, and need at most.
@@ -55,13 +75,22 @@
 	}
 	delete(c.byStep, id)
 	for _, w := range old.workers {
-		if left := c.byWorker[w].Sub(old.perWorker); left != (leverdyke.Resources{}) {
-			c.byWorker[w] = left
-		} else {
+		c.add(w, old.priority, leverdyke.Resources{}.Sub(old.perWorker))
+		c.byWorker[w] = slices.DeleteFunc(c.byWorker[w], func(c claimed) bool { return c.capacity == (leverdyke.Resources{}) })
+		if len(c.byWorker[w]) == 0 {
 			delete(c.byWorker, w)
 		}
 	}
 }
 
-// OnWorker returns the capacity of a worker that is likely to be used.
-func (c *Claims) OnWorker(id order.WorkerID) leverdyke.Resources { return c.byWorker[id] }
+// OnWorker returns the capacity of a worker that steps of the priority or of more urgent ones are likely
+// to use. Those of less urgent queues go after them.
+func (c *Claims) OnWorker(id order.WorkerID, priority int) leverdyke.Resources {
+	sum := leverdyke.Resources{}
+	for _, claim := range c.byWorker[id] {
+		if claim.priority <= priority {
+			sum = sum.Add(claim.capacity)
+		}
+	}
+	return sum
+}
--- a/internal/permit/planner.go
+++ b/internal/permit/planner.go
@@ -52,6 +52,7 @@
 	ID       work.StepID
 	Customer work.CustomerName
 	Queue    string
+	Priority int
 	Policy   *order.PermissionPolicy
 	// Missing is how many tasks need workers; AtOnce is how many must start together: 1, or all of a
 	// gang. Need is that of each.
@@ -85,9 +86,11 @@
 // Occupancy returns how much of the channels' time the customers take.
 func (p *Planner) Occupancy() *Occupancy { return &p.occupancy }
 
-// Claimed returns the capacity of a worker that is likely to be used by the steps whose calls are in
-// flight.
-func (p *Planner) Claimed(id order.WorkerID) leverdyke.Resources { return p.claims.OnWorker(id) }
+// Claimed returns the capacity of a worker that is likely to be used by the steps of the priority, or of
+// more urgent ones, whose calls are in flight.
+func (p *Planner) Claimed(id order.WorkerID, priority int) leverdyke.Resources {
+	return p.claims.OnWorker(id, priority)
+}
 
 // BeginPass allows as many calls as a scheduling pass may prepare.
 func (p *Planner) BeginPass() { p.callsLeft, p.deferralsLeft = maxCallsPerPass, maxDeferralsPerPass }
@@ -166,7 +169,7 @@
 	s.BeginQuery()
 	p.occupancy.Record(r.Customer, callTime(r.Policy, len(workers)), now)
 	if !p.options.IgnoresClaims {
-		p.claims.Add(r.ID, workers, r.Missing, r.Need)
+		p.claims.Add(r.ID, r.Priority, workers, r.Missing, r.Need)
 	}
 	u := p.usages.of(r.Queue)
 	u.Calls++
