internal/permit: leave channels to steps that can start

A step that could not start left the channels to others only if the pool was used by less than 60 % and another step of such a pool had found no channel; and in such a pool it called all the same. That says nothing about whether a step can start: gangs call again and again for workers that are full for them, as their permits expire, while smaller tasks find no channel. After five deferrals each step called in any case.

The planner now goes by whether the step could start on the answer. If not, its call may take at most half of the channels; a gang makes one only until it knows enough permitted workers (verdicts never change) and then asks once all members fit; other steps make one only while channels are not scarce. While they are scarce, calls name only workers with free capacity. Tasks that can start with permits that the step holds are not asked for again. Request.IsPoolUnderused had no other use.

TestGangsThatCannotStartLeaveChannelsToTasksThatCan failed before: "tasks started within 10.48s: got: 0, want: all 160". New in internal/permit: TestCallsThatPrepareLeaveHalfOfTheChannels, TestGangThatKnowsItsWorkersAsksOnceItCanStart and TestStepDoesNotAskForWhatItsPermitsCover. TestPlannerTracksOccupancy drops the field that is gone.

--- a/internal/dispatch/permission.go
+++ b/internal/dispatch/permission.go
@@ -72,10 +72,10 @@
 	q := e.queues[s.job.spec.Queue]
 	r := permit.Request{
 		ID: s.id, Customer: s.customer(), Queue: q.Name, Priority: q.Priority, Policy: policy, Missing: missing, AtOnce: 1, Need: s.spec.Charge(),
-		IsPoolUnderused: e.poolUsage[q.Service] < underusedShare, IsAhead: isAhead,
+		IsAhead: isAhead,
 	}
 	if s.spec.IsGang {
-		r.AtOnce = len(s.tasks)
+		r.AtOnce, r.IsExplored = len(s.tasks), e.isExplored(s)
 	}
 	find := func() []permit.Candidate { return e.queryCandidates(s, policy) }
 	if call, ok := e.planner.Plan(&s.permissions, &r, e.now, find); ok {
@@ -84,6 +84,22 @@
 	}
 }
 
+// exploredFactor is how many times the tasks of a gang the workers that are known to be permitted must be
+// able to take once they are empty. Then the gang can wait for capacity there.
+const exploredFactor = 2
+
+// isExplored reports whether enough workers are known to be permitted for all tasks of the step.
+func (e *Engine) isExplored(s *step) bool {
+	tasks, charge := int64(0), s.spec.Charge()
+	charge.Slots = 0
+	s.permissions.EachAllowed(func(id order.WorkerID) {
+		if w := e.workers.Get(id); w != nil && e.isUsable(w, s) {
+			tasks += charge.Count(w.Capacity)
+		}
+	})
+	return tasks >= exploredFactor*int64(len(s.tasks))
+}
+
 // permissionLogInterval is the time between two log lines about the permission queries of a queue.
 const permissionLogInterval = 10 * time.Second
 
@@ -111,8 +127,7 @@
 const queryCandidateFactor = 3
 
 // queryCandidates returns the workers to consider for a permission query. A worker that is known
-// not to be permitted is left out, and so is one whose permit is still valid by the time at which
-// the next one could arrive. Workers without free capacity are included if capacity may become free
+// not to be permitted is left out. Workers without free capacity are included if capacity may become free
 // there: then it is already known whether they are permitted.
 func (e *Engine) queryCandidates(s *step, policy *order.PermissionPolicy) []permit.Candidate {
 	found := []permit.Candidate{}
@@ -138,10 +153,11 @@
 		if isKnown && !isGood {
 			continue
 		}
-		if _, ok := s.permissions.ValidPermit(id, renewAt); ok {
-			continue
-		}
-		found = append(found, permit.Candidate{ID: id, Fits: fits, Claimed: e.claimedTasks(w, s, fits), IsPermitted: isGood, IsDegraded: w.speed.IsSuspectedSlow || w.health.IsPaused(e.now), IsRemote: e.isRemote(w, s)})
+		_, hasPermit := s.permissions.ValidPermit(id, renewAt)
+		found = append(found, permit.Candidate{
+			ID: id, Fits: fits, Claimed: e.claimedTasks(w, s, fits), IsPermitted: isGood, HasPermit: hasPermit,
+			IsDegraded: w.speed.IsSuspectedSlow || w.health.IsPaused(e.now), IsRemote: e.isRemote(w, s),
+		})
 		if fits == 0 {
 			withoutCapacity++
 			continue
--- a/internal/dispatch/permission_backlog_test.go
+++ b/internal/dispatch/permission_backlog_test.go
@@ -42,6 +42,34 @@
 
 func cores(n int64) leverdyke.Resources { return leverdyke.Resources{MilliCPU: 1000 * n} }
 
+func gangOf(n int, need leverdyke.Resources) work.Step {
+	return work.Step{Count: n, Need: need, Estimate: time.Hour, MaxUnavailable: -1, IsGang: true}
+}
+
+// Gangs of a pool with much free capacity that fit on no worker must not occupy all channels before
+// smaller tasks of a less urgent queue that could start: large jobs of that queue were never served.
+func TestGangsThatCannotStartLeaveChannelsToTasksThatCan(t *testing.T) {
+	const workers, channels, gangs, wideSteps, wideTasks = 40, 8, 60, 8, 20
+	w := newBacklogSim(workers, channels, 18)
+	for i := range gangs {
+		w.submitTo("slow", fmt.Sprintf("gang%d", i), gangOf(4, cores(20)))
+	}
+	w.run(time.Second)
+	started := 0
+	w.onStart = func(order.Start) { started++ }
+	for i := range wideSteps {
+		w.submitTo("wide", fmt.Sprintf("wide%d", i), work.Step{Count: wideTasks, Need: cores(3), Estimate: 500 * time.Millisecond, MaxUnavailable: -1})
+	}
+	// Each gang may ask about all workers once, through the channels that are not kept for short queries.
+	exploring := time.Duration(gangs) * (slowPolicy.BaseTime + workers*slowPolicy.TimePerWorker) / (channels - 2)
+	asking := time.Duration(wideSteps) * (widePolicy.BaseTime + workers*widePolicy.TimePerWorker)
+	w.run(exploring + asking)
+	if started != wideSteps*wideTasks {
+		t.Errorf("tasks started within %v: got: %d, want: all %d, which fit side by side", exploring+asking, started, wideSteps*wideTasks)
+	}
+	expectNoViolations(t, w)
+}
+
 // A query uses a part of the workers that it names. The others must not count as full for the queries that
 // are made meanwhile: these then named many times the workers that they needed.
 func TestQueriesInFlightDoNotMakeFreeWorkersLookFull(t *testing.T) {
--- a/internal/permit/channels.go
+++ b/internal/permit/channels.go
@@ -50,8 +50,9 @@
 	step      work.StepID
 	// timeout is how long that call may take.
 	timeout time.Duration
-	// isFast means that it is a fast call.
-	isFast bool
+	// isFast means that it is a fast call, isPreparing that nothing could start on its answer when it was
+	// made.
+	isFast, isPreparing bool
 }
 
 // Channels are the routes to the permission service. The zero value has none.
@@ -155,11 +156,26 @@
 	return 2*free > channels
 }
 
+// MayPrepare reports whether a further call may be made on whose answer nothing could start now: these
+// leave half of the channels to others.
+func (l *Channels) MayPrepare() bool {
+	preparing := 0
+	for i := range l.channels {
+		if c := &l.channels[i]; c.isPreparing && !c.busySince.IsZero() {
+			preparing++
+		}
+	}
+	return 2*(preparing+1) <= len(l.channels)
+}
+
+// MarkPreparing records that nothing could start on the answer to the call that a channel makes.
+func (l *Channels) MarkPreparing(name string) { l.find(name).isPreparing = true }
+
 // BeginCall records that a call about that many workers is made through a channel, and returns
 // how long it may take.
 func (l *Channels) BeginCall(name string, step work.StepID, policy *order.PermissionPolicy, workers int, now time.Time) time.Duration {
 	c := l.find(name)
-	c.busySince, c.step, c.isFast = now, step, isFast(policy)
+	c.busySince, c.step, c.isFast, c.isPreparing = now, step, isFast(policy), false
 	c.timeout = timeoutFactor*callTime(policy, workers) + RoundTripMargin
 	return c.timeout
 }
--- a/internal/permit/choose.go
+++ b/internal/permit/choose.go
@@ -37,6 +37,9 @@
 	Claimed float64
 	// IsPermitted means that the worker is known to be permitted.
 	IsPermitted bool
+	// HasPermit means that the step has a permit of the worker that is still valid when a call could be
+	// answered.
+	HasPermit bool
 	// IsDegraded means that the worker is or was slow, or gets no tasks now because of its
 	// health.
 	IsDegraded bool
@@ -98,14 +101,17 @@
 
 // canStart reports whether the workers have the capacity to take a task now, or, of tasks that must
 // start together, whether they can be expected to take all if share is the share of workers that are
-// permitted.
-func canStart(found []Candidate, tasks int, share float64) bool {
+// permitted. It may ignore the claims of the calls in flight, which not all use what they name.
+func canStart(found []Candidate, tasks int, share float64, ignoresClaims bool) bool {
 	if tasks == 1 {
 		share = 1
 	}
 	expected := 0.0
 	for i := range found {
 		fits := found[i].free()
+		if ignoresClaims {
+			fits = float64(found[i].Fits)
+		}
 		if !found[i].IsPermitted {
 			fits *= share
 		}
--- a/internal/permit/occupancy.go
+++ b/internal/permit/occupancy.go
@@ -56,6 +56,11 @@
 // RecordNoChannel records that a step found no channel for its call.
 func (o *Occupancy) RecordNoChannel(now time.Time) { o.scarceAt = now }
 
+// IsScarce reports whether a step found no channel recently.
+func (o *Occupancy) IsScarce(now time.Time) bool {
+	return !o.scarceAt.IsZero() && now.Sub(o.scarceAt) < scarcityTime
+}
+
 // Fraction returns the fraction of the recent time of all calls that those of a customer took. While
 // channels are not scarce it is 0: what a customer uses of them then, it takes from nobody.
 func (o *Occupancy) Fraction(name work.CustomerName, now time.Time) float64 {
--- a/internal/permit/occupancy_test.go
+++ b/internal/permit/occupancy_test.go
@@ -73,7 +73,7 @@
 	p.BeginPass()
 	plan := func(id work.JobID, customer work.CustomerName) bool {
 		r := permit.Request{
-			ID: work.StepID{Job: id}, Customer: customer, Queue: "q", Policy: policy, Missing: 1, AtOnce: 1, Need: leverdyke.Resources{MilliCPU: 1000}, IsPoolUnderused: true,
+			ID: work.StepID{Job: id}, Customer: customer, Queue: "q", Policy: policy, Missing: 1, AtOnce: 1, Need: leverdyke.Resources{MilliCPU: 1000},
 		}
 		_, ok := p.Plan(&permit.Step{}, &r, now, func() []permit.Candidate { return []permit.Candidate{{ID: "w", Fits: 1}} })
 		return ok
--- a/internal/permit/planner.go
+++ b/internal/permit/planner.go
@@ -4,6 +4,7 @@
 package permit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
@@ -18,9 +19,6 @@
 	// maxDeferralsPerPass limits the steps whose call a scheduling pass defers without counting them
 	// against maxCallsPerPass. A deferred step makes no call in this pass.
 	maxDeferralsPerPass = 16
-	// yieldTime is how long channels are left to steps whose pools have free capacity, after one of
-	// these steps found no free channel.
-	yieldTime = 300 * time.Millisecond
 )
 
 // Options are what can be switched off in a Planner.
@@ -40,8 +38,6 @@
 	shares    Shares
 	usages    usages
 	occupancy Occupancy
-	// busyAt is when a step whose pool has free capacity last found no free channel.
-	busyAt time.Time
 	// callsLeft is how many calls this pass may still prepare, deferralsLeft how many further steps
 	// it may defer.
 	callsLeft, deferralsLeft int
@@ -58,8 +54,9 @@
 	// gang. Need is that of each.
 	Missing, AtOnce int
 	Need            leverdyke.Resources
-	// IsPoolUnderused means that the pool has much free capacity.
-	IsPoolUnderused bool
+	// IsExplored means that enough workers are known to be permitted for the tasks to wait for capacity
+	// there.
+	IsExplored bool
 	// IsAhead means that the step may not start yet, but is expected to while the permits are valid.
 	IsAhead bool
 }
@@ -104,25 +101,26 @@
 	channel := p.channels.FreeChannel(r.Policy, now)
 	if channel == "" {
 		p.occupancy.RecordNoChannel(now)
-		if r.IsPoolUnderused {
-			p.busyAt = now
-		}
 		return Call{}, false
 	}
 	p.callsLeft--
-	found := find()
-	if !canStart(found, r.AtOnce, p.startShare(r.Queue)) && !p.mayPrepare(r, now) && s.MayDefer() {
-		p.postpone(s, r, now)
-		return Call{}, false
-	}
+	found, isStartable := p.useful(s, r, now, find())
 	workers := p.choose(found, r)
 	if len(workers) == 0 {
 		s.RecordNoCandidates(now)
 		return Call{}, false
 	}
+	if !isStartable && !p.mayPrepare(r, now, found) {
+		p.postpone(s, r, now)
+		return Call{}, false
+	}
 	// The workers that are named are sorted to the front.
 	p.record(s, r, found[:len(workers)], workers, now)
-	return Call{channel, workers, p.channels.BeginCall(channel, r.ID, r.Policy, len(workers), now)}, true
+	timeout := p.channels.BeginCall(channel, r.ID, r.Policy, len(workers), now)
+	if !isStartable {
+		p.channels.MarkPreparing(channel)
+	}
+	return Call{channel, workers, timeout}, true
 }
 
 // startShare returns the share of workers to expect when it is decided whether a step could start.
@@ -133,14 +131,52 @@
 	return p.shares.Of(queue)
 }
 
-// mayPrepare reports whether a step may make a call although nothing could start on the answer now:
-// then no step that has free capacity waits for a channel.
-func (p *Planner) mayPrepare(r *Request, now time.Time) bool {
-	if r.IsAhead {
+// useful returns the candidates that a call may name now, and whether the step could start if it named
+// them. It reduces the missing tasks of the request by those that are expected to start with permits that
+// the step holds.
+func (p *Planner) useful(s *Step, r *Request, now time.Time, found []Candidate) (rest []Candidate, isStartable bool) {
+	isStartable = canStart(found, r.AtOnce, p.startShare(r.Queue), !s.MayDefer())
+	rest, held := withoutPermits(found, r.AtOnce)
+	if r.Missing -= held; r.Missing <= 0 {
+		return nil, false
+	}
+	if isStartable && r.AtOnce == 1 && p.areScarce(now) {
+		rest = slices.DeleteFunc(rest, func(c Candidate) bool { return c.Fits == 0 })
+	}
+	return rest, isStartable
+}
+
+// withoutPermits returns the candidates of which the step holds no permit, and how many tasks are expected
+// to start with the permits that it holds, if atOnce must start together. It reorders its argument.
+func withoutPermits(found []Candidate, atOnce int) (rest []Candidate, held int) {
+	tasks := 0.0
+	rest = slices.DeleteFunc(found, func(c Candidate) bool {
+		switch {
+		case !c.HasPermit:
+			return false
+		case c.Fits == 0 && atOnce == 1:
+			tasks += freedTasks
+		default:
+			tasks += c.free()
+		}
+		return true
+	})
+	return rest, int(tasks)
+}
+
+// areScarce reports whether a step found no channel recently and few are free.
+func (p *Planner) areScarce(now time.Time) bool {
+	return p.occupancy.IsScarce(now) && !p.channels.HasSpare()
+}
+
+// mayPrepare reports whether a step may make a call although nothing could start on the answer now: a gang
+// that does not know enough workers yet must find some, and others may ask while channels are not scarce.
+func (p *Planner) mayPrepare(r *Request, now time.Time, found []Candidate) bool {
+	if r.IsAhead || !p.channels.MayPrepare() {
 		return false
 	}
-	isContended := !p.busyAt.IsZero() && now.Sub(p.busyAt) < yieldTime
-	return !isContended || r.IsPoolUnderused || p.channels.HasSpare()
+	mustExplore := r.AtOnce > 1 && !r.IsExplored && slices.ContainsFunc(found, func(c Candidate) bool { return !c.IsPermitted })
+	return mustExplore || !p.areScarce(now)
 }
 
 // postpone makes a step leave the channels to others for a while. A step that asks ahead asks again
--- a/internal/permit/planner_test.go
+++ b/internal/permit/planner_test.go
@@ -199,3 +199,89 @@
 		t.Errorf("got: %+v, want: %+v", got, want)
 	}
 }
+
+// gangRequest is a request of a gang that needs n tasks at once.
+func gangRequest(id string, n int) *permit.Request {
+	r := requestOf(id, slow)
+	r.Missing, r.AtOnce = n, n
+	return r
+}
+
+// Calls on whose answers nothing can start must leave half of the channels to those that can start.
+func TestCallsThatPrepareLeaveHalfOfTheChannels(t *testing.T) {
+	const channels = 12
+	p, made := newPlanner(channels), 0
+	for i := range channels {
+		p.BeginPass()
+		if _, ok := p.Plan(&permit.Step{}, gangRequest(fmt.Sprintf("gang%d", i), 4), now, func() []permit.Candidate { return freeWorkers(30, 0) }); ok {
+			made++
+		}
+	}
+	if made != channels/2 {
+		t.Errorf("calls on whose answers nothing can start: got: %d of %d channels, want: %d", made, channels, channels/2)
+	}
+	p.BeginPass()
+	if _, ok := p.Plan(&permit.Step{}, requestOf("wide", slow), now, func() []permit.Candidate { return freeWorkers(30, 1) }); !ok {
+		t.Error("a step that can start: got: no call, want: one")
+	}
+}
+
+// While channels are scarce, a gang that knows enough workers must ask again only once it can start on them,
+// however long it waits, and then name no others.
+func TestGangThatKnowsItsWorkersAsksOnceItCanStart(t *testing.T) {
+	const tasks = 6
+	p, s := newPlanner(8), &permit.Step{}
+	known := func(fits int) []permit.Candidate {
+		found := freeWorkers(20, fits)
+		for i := range found {
+			found[i].IsPermitted = i < 12
+		}
+		return found
+	}
+	occupy := func(at time.Time) {
+		for i := range 5 {
+			p.Channels().BeginCall(nodeNames(5)[i], work.StepID{Job: "other"}, slow, 1, at)
+		}
+		p.Occupancy().RecordNoChannel(at)
+	}
+	for i := range 20 {
+		at := now.Add(time.Duration(i) * time.Second)
+		p.BeginPass()
+		occupy(at)
+		r := gangRequest("gang", tasks)
+		r.IsExplored = true
+		if call, ok := p.Plan(s, r, at, func() []permit.Candidate { return known(0) }); ok {
+			t.Fatalf("%d s without free capacity: got: %v, want: no call", i, call)
+		}
+	}
+	at := now.Add(time.Minute)
+	p.BeginPass()
+	occupy(at)
+	r := gangRequest("gang", tasks)
+	r.IsExplored = true
+	call, ok := p.Plan(s, r, at, func() []permit.Candidate { return known(1) })
+	if !ok || len(call.Workers) > 12 || len(call.Workers) < tasks {
+		t.Errorf("with free capacity: got: %v, %v, want: a call that names from %d to 12 workers", call.Workers, ok, tasks)
+	}
+}
+
+// A step must not ask again for tasks that can start with the permits that it holds.
+func TestStepDoesNotAskForWhatItsPermitsCover(t *testing.T) {
+	named := func(missing int) int {
+		found := freeWorkers(60, 2)
+		for i := range 10 {
+			found[i].HasPermit, found[i].IsPermitted = true, true
+		}
+		r := requestOf("j", slow)
+		r.Missing = missing
+		call, _ := newPlanner(8).Plan(&permit.Step{}, r, now, func() []permit.Candidate { return found })
+		return len(call.Workers)
+	}
+	if got := named(20); got != 0 {
+		t.Errorf("20 tasks, 10 permits of workers that fit 2 each: got: %d workers named, want: no call", got)
+	}
+	without := len(permit.ChooseWorkers(freeWorkers(50, 2), slow, 1, 0.35))
+	if got := named(21); got == 0 || got > without {
+		t.Errorf("21 tasks: got: %d workers named, want: from 1 to the %d for one task", got, without)
+	}
+}
