internal/dispatch: keep capacity from equals only for steps with permits

Callers of rebid-batch waited while the workers were used to half. Up to twelve steps hold reservations, whether or not they have permits to use them, and a gang that waits for its own permits keeps capacity from one that has them while these expire.

Capacity reserved for a step without a permit for the worker is now kept only from less urgent queues, and for the first step in order from all, so that a large gang does not starve behind smaller ones.

TestGangWithPermitsStartsBesideOneThatWaitsWithoutPermits failed before: "started: got: map[], want: the 5 tasks of the small gang".

--- a/internal/dispatch/permission_backlog_test.go
+++ b/internal/dispatch/permission_backlog_test.go
@@ -90,3 +90,29 @@
 		}
 	}
 }
+
+// A gang that holds permits must not wait for capacity that is reserved for one of the same priority that
+// holds none, unless that is the first in order: the capacity stood idle.
+func TestGangWithPermitsStartsBesideOneThatWaitsWithoutPermits(t *testing.T) {
+	const workers = 20
+	w := newBacklogSim(workers, 6, 30)
+	policy := slowPolicy
+	policy.ValidFor = 600 * time.Millisecond
+	w.queues[0].Permission = &policy
+	w.engine.SetQueues(w.queues)
+	w.isStepPermitted = func(_ *order.Queue, s work.StepID, id order.WorkerID) bool { return s.Job != "first" || id < "w05" }
+	w.submitTo("running", "busy", work.Step{Count: 8, Need: cores(20), Estimate: time.Hour, MaxPerWorker: 1, MaxUnavailable: -1})
+	w.run(time.Second)
+	w.submitTo("slow", "first", gangOf(4, cores(31)))
+	w.run(2 * time.Second)
+	w.submitTo("slow", "large", gangOf(14, cores(20)))
+	w.run(2 * time.Second)
+	started := map[work.JobID]int{}
+	w.onStart = func(a order.Start) { started[a.Task.Job]++ }
+	w.submitTo("slow", "small", gangOf(5, cores(20)))
+	w.run(10 * time.Second)
+	if started["small"] != 5 || started["large"]+started["first"] != 0 {
+		t.Errorf("started: got: %v, want: the 5 tasks of the small gang", started)
+	}
+	expectNoViolations(t, w)
+}
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -82,6 +82,15 @@
 	step     *step
 	priority int
 	capacity leverdyke.Resources
+	// isFirst means that the step is the first one for which capacity is reserved.
+	isFirst bool
+}
+
+// holdsAgainst reports whether the capacity must be left by other steps of that priority. Steps without
+// permits can't use it yet and hold it only against less urgent queues, except for the first one: a large
+// gang that always had to wait for smaller ones would starve.
+func (r *reservation) holdsAgainst(priority int, hasPermit bool) bool {
+	return r.priority < priority || r.priority == priority && (hasPermit || r.isFirst)
 }
 
 // reservedAgainst returns the capacity of the worker that is reserved for other steps and that the
@@ -90,13 +99,22 @@
 	priority := e.queues[s.job.spec.Queue].Priority
 	sum := leverdyke.Resources{}
 	for i := range w.reservations {
-		if r := &w.reservations[i]; r.step != s && r.priority <= priority {
+		if r := &w.reservations[i]; r.step != s && r.holdsAgainst(priority, e.holdsPermit(r.step, w)) {
 			sum = sum.Add(r.capacity)
 		}
 	}
 	return sum
 }
 
+// holdsPermit reports whether the step may start a task on the worker now as far as permits matter.
+func (e *Engine) holdsPermit(s *step, w *worker) bool {
+	if e.queues[s.job.spec.Queue].Permission == nil {
+		return true
+	}
+	_, ok := s.permissions.ValidPermit(w.ID, e.now)
+	return ok
+}
+
 // reserveFor reserves capacity for waiting tasks of a step, and preempts the tasks that have to be
 // stopped for it.
 func (e *Engine) reserveFor(s *step, q *order.Queue, count int) {
@@ -117,7 +135,7 @@
 		if w.reservationsReadyAt.IsZero() {
 			e.reservedWorkers = append(e.reservedWorkers, w)
 		}
-		w.reservations = append(w.reservations, reservation{s, q.Priority, need})
+		w.reservations = append(w.reservations, reservation{s, q.Priority, need, e.reservedSteps == 1})
 		if readyAt := e.now.Add(p.ReadyIn); w.reservationsReadyAt.Before(readyAt) {
 			w.reservationsReadyAt = readyAt
 		}
