--- a/internal/dispatch/permission.go
+++ b/internal/dispatch/permission.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -41,7 +42,7 @@
 // PermissionAnswered processes the answer to a permission query. permits are those that were
 // granted; each is valid for the time valid. isKnown is false if there was no answer.
 func (e *Engine) PermissionAnswered(channel string, id work.StepID, queried []order.WorkerID, permits []order.Permit, valid time.Duration, isKnown bool) {
-	e.planner.End(channel, id, e.now)
+	took := e.planner.End(channel, id, e.now)
 	e.needsScheduling = true
 	s := e.findStep(id)
 	if s == nil {
@@ -54,6 +55,9 @@
 		return
 	}
 	isWanted := !s.job.state.IsFinal() && s.waiting+s.copiesWanted > 0
+	if q := e.queues[s.job.spec.Queue]; q.Permission != nil {
+		e.planner.RecordDuration(q.Name, q.Permission, len(queried), took)
+	}
 	e.planner.Learn(s.job.spec.Queue, &s.permissions, queried, permits, isWanted)
 	s.permissions.RecordAnswer(queried, permits, valid, e.now)
 }
@@ -65,12 +69,13 @@
 }
 
 func (e *Engine) planQuery(s *step, policy *order.PermissionPolicy, missing int, isAhead bool) {
+	q := e.queues[s.job.spec.Queue]
 	r := permit.Request{
-		ID: s.id, Customer: s.customer(), Queue: s.job.spec.Queue, Policy: policy, Missing: missing, AtOnce: 1, Need: s.spec.Charge(),
-		IsPoolUnderused: e.poolUsage[e.queues[s.job.spec.Queue].Service] < underusedShare, IsAhead: isAhead,
+		ID: s.id, Customer: s.customer(), Queue: q.Name, Priority: q.Priority, Policy: policy, Missing: missing, AtOnce: 1, Need: s.spec.Charge(),
+		IsAhead: isAhead,
 	}
 	if s.spec.IsGang {
-		r.AtOnce = len(s.tasks)
+		r.AtOnce, r.IsExplored = len(s.tasks), e.isExplored(s)
 	}
 	find := func() []permit.Candidate { return e.queryCandidates(s, policy) }
 	if call, ok := e.planner.Plan(&s.permissions, &r, e.now, find); ok {
@@ -79,6 +84,22 @@
 	}
 }
 
+// exploredFactor is how many times the tasks of a gang the workers that are known to be permitted must be
+// able to take once they are empty. Then the gang can wait for capacity there.
+const exploredFactor = 2
+
+// isExplored reports whether enough workers are known to be permitted for all tasks of the step.
+func (e *Engine) isExplored(s *step) bool {
+	tasks, charge := int64(0), s.spec.Charge()
+	charge.Slots = 0
+	s.permissions.EachAllowed(func(id order.WorkerID) {
+		if w := e.workers.Get(id); w != nil && e.isUsable(w, s) {
+			tasks += charge.Count(w.Capacity)
+		}
+	})
+	return tasks >= exploredFactor*int64(len(s.tasks))
+}
+
 // permissionLogInterval is the time between two log lines about the permission queries of a queue.
 const permissionLogInterval = 10 * time.Second
 
@@ -91,7 +112,8 @@
 	usage := e.planner.TakeUsage()
 	for i := range usage {
 		u := &usage[i]
-		e.options.Log(events.PermissionsQueried, "queue", u.Queue, "share", u.Share, "queries", u.Calls, "ahead", u.Ahead, "named", u.Named, "granted", u.Granted, "wasted", u.Wasted, "failed", u.Failed)
+		e.options.Log(events.PermissionsQueried, "queue", u.Queue, "share", u.Share, "queries", u.Calls, "ahead", u.Ahead, "deferred", u.Deferred, "missing", u.Missing,
+			"named", u.Named, "full", u.Full, "known", u.Known, "granted", u.Granted, "used", u.Used, "wasted", u.Wasted, "failed", u.Failed, "expected", u.Expected, "took", u.Took)
 	}
 	if len(usage) > 0 {
 		channels, free := e.planner.Channels().Len()
@@ -105,8 +127,7 @@
 const queryCandidateFactor = 3
 
 // queryCandidates returns the workers to consider for a permission query. A worker that is known
-// not to be permitted is left out, and so is one whose permit is still valid by the time at which
-// the next one could arrive. Workers without free capacity are included if capacity may become free
+// not to be permitted is left out. Workers without free capacity are included if capacity may become free
 // there: then it is already known whether they are permitted.
 func (e *Engine) queryCandidates(s *step, policy *order.PermissionPolicy) []permit.Candidate {
 	found := []permit.Candidate{}
@@ -124,7 +145,7 @@
 		if !e.isUsable(w, s) || !e.mayRun(w, s, pool) || needsHealthy && !w.health.IsHealthy(e.now) || !charge.FitsIn(w.Capacity) {
 			continue
 		}
-		fits := e.fitCountBeside(w, s, e.planner.Claimed(id))
+		fits := e.fitCount(w, s)
 		if fits == 0 && (withoutCapacity >= permit.MaxWorkersPerCall || !e.isEnabled(MechanismEarlyPermission) || !mayFitLater(w, s)) {
 			continue
 		}
@@ -132,10 +153,11 @@
 		if isKnown && !isGood {
 			continue
 		}
-		if _, ok := s.permissions.ValidPermit(id, renewAt); ok {
-			continue
-		}
-		found = append(found, permit.Candidate{ID: id, Fits: fits, IsPermitted: isGood, IsDegraded: w.speed.IsSuspectedSlow || w.health.IsPaused(e.now), IsRemote: e.isRemote(w, s)})
+		_, hasPermit := s.permissions.ValidPermit(id, renewAt)
+		found = append(found, permit.Candidate{
+			ID: id, Fits: fits, Claimed: e.claimedTasks(w, s, fits), IsPermitted: isGood, HasPermit: hasPermit,
+			IsDegraded: w.speed.IsSuspectedSlow || w.health.IsPaused(e.now), IsRemote: e.isRemote(w, s),
+		})
 		if fits == 0 {
 			withoutCapacity++
 			continue
@@ -147,6 +169,28 @@
 	return found
 }
 
+// claimedTasks returns how many of the tasks of the step that fit on the worker will on average have no
+// capacity left, because of the steps whose queries are in flight.
+func (e *Engine) claimedTasks(w *worker, s *step, fits int) float64 {
+	claimed := e.planner.Claimed(w.ID, s.priority)
+	if fits == 0 || claimed == (leverdyke.Resources{}) {
+		return 0
+	}
+	left := timesThatFit(s.spec.Charge(), e.freeCapacityFor(w, s).Sub(claimed))
+	return min(max(float64(fits)-left, 0), float64(fits))
+}
+
+// timesThatFit returns how many times the need fits in the free capacity, fractions included.
+func timesThatFit(need, free leverdyke.Resources) float64 {
+	n := math.Inf(1)
+	for _, d := range [...][2]int64{{need.MilliCPU, free.MilliCPU}, {need.MemoryMiB, free.MemoryMiB}, {need.Accelerators, free.Accelerators}} {
+		if d[0] > 0 {
+			n = min(n, float64(d[1])/float64(d[0]))
+		}
+	}
+	return n
+}
+
 // mayFitLater reports whether a task of the step would fit on the worker once all other attempts
 // there have ended, except those of long-running tasks.
 func mayFitLater(w *worker, s *step) bool {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -486,6 +486,9 @@
 	t := &a.step.tasks[a.id.Index]
 	t.orderedRun, t.orderedOn = a.run, a.worker.ID
 	e.counts.Starts++
+	if hasPermit {
+		e.planner.RecordStart(q.Name, &a.step.permissions, a.worker.ID)
+	}
 	e.startsInFlight++
 	e.startsInActions = append(e.startsInActions, a)
 	e.emit(order.Start{
--- a/internal/permit/planner.go
+++ b/internal/permit/planner.go
@@ -4,6 +4,7 @@
 package permit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
@@ -18,9 +19,6 @@
 	// maxDeferralsPerPass limits the steps whose call a scheduling pass defers without counting them
 	// against maxCallsPerPass. A deferred step makes no call in this pass.
 	maxDeferralsPerPass = 16
-	// yieldTime is how long channels are left to steps whose pools have free capacity, after one of
-	// these steps found no free channel.
-	yieldTime = 300 * time.Millisecond
 )
 
 // Options are what can be switched off in a Planner.
@@ -40,8 +38,6 @@
 	shares    Shares
 	usages    usages
 	occupancy Occupancy
-	// busyAt is when a step whose pool has free capacity last found no free channel.
-	busyAt time.Time
 	// callsLeft is how many calls this pass may still prepare, deferralsLeft how many further steps
 	// it may defer.
 	callsLeft, deferralsLeft int
@@ -52,13 +48,15 @@
 	ID       work.StepID
 	Customer work.CustomerName
 	Queue    string
+	Priority int
 	Policy   *order.PermissionPolicy
 	// Missing is how many tasks need workers; AtOnce is how many must start together: 1, or all of a
 	// gang. Need is that of each.
 	Missing, AtOnce int
 	Need            leverdyke.Resources
-	// IsPoolUnderused means that the pool has much free capacity.
-	IsPoolUnderused bool
+	// IsExplored means that enough workers are known to be permitted for the tasks to wait for capacity
+	// there.
+	IsExplored bool
 	// IsAhead means that the step may not start yet, but is expected to while the permits are valid.
 	IsAhead bool
 }
@@ -85,9 +83,11 @@
 // Occupancy returns how much of the channels' time the customers take.
 func (p *Planner) Occupancy() *Occupancy { return &p.occupancy }
 
-// Claimed returns the capacity of a worker that is likely to be used by the steps whose calls are in
-// flight.
-func (p *Planner) Claimed(id order.WorkerID) leverdyke.Resources { return p.claims.OnWorker(id) }
+// Claimed returns the capacity of a worker that is likely to be used by the steps of the priority, or of
+// more urgent ones, whose calls are in flight.
+func (p *Planner) Claimed(id order.WorkerID, priority int) leverdyke.Resources {
+	return p.claims.OnWorker(id, priority)
+}
 
 // BeginPass allows as many calls as a scheduling pass may prepare.
 func (p *Planner) BeginPass() { p.callsLeft, p.deferralsLeft = maxCallsPerPass, maxDeferralsPerPass }
@@ -101,24 +101,26 @@
 	channel := p.channels.FreeChannel(r.Policy, now)
 	if channel == "" {
 		p.occupancy.RecordNoChannel(now)
-		if r.IsPoolUnderused {
-			p.busyAt = now
-		}
 		return Call{}, false
 	}
 	p.callsLeft--
-	found := find()
-	if !canStart(found, r.AtOnce, p.startShare(r.Queue)) && !p.mayPrepare(r, now) && s.MayDefer() {
-		p.postpone(s, r, now)
-		return Call{}, false
-	}
+	found, isStartable := p.useful(s, r, now, find())
 	workers := p.choose(found, r)
 	if len(workers) == 0 {
 		s.RecordNoCandidates(now)
 		return Call{}, false
 	}
-	p.record(s, r, workers, now)
-	return Call{channel, workers, p.channels.BeginCall(channel, r.ID, r.Policy, len(workers), now)}, true
+	if !isStartable && !p.mayPrepare(r, now, found) {
+		p.postpone(s, r, now)
+		return Call{}, false
+	}
+	// The workers that are named are sorted to the front.
+	p.record(s, r, found[:len(workers)], workers, now)
+	timeout := p.channels.BeginCall(channel, r.ID, r.Policy, len(workers), now)
+	if !isStartable {
+		p.channels.MarkPreparing(channel)
+	}
+	return Call{channel, workers, timeout}, true
 }
 
 // startShare returns the share of workers to expect when it is decided whether a step could start.
@@ -129,14 +131,52 @@
 	return p.shares.Of(queue)
 }
 
-// mayPrepare reports whether a step may make a call although nothing could start on the answer now:
-// then no step that has free capacity waits for a channel.
-func (p *Planner) mayPrepare(r *Request, now time.Time) bool {
-	if r.IsAhead {
+// useful returns the candidates that a call may name now, and whether the step could start if it named
+// them. It reduces the missing tasks of the request by those that are expected to start with permits that
+// the step holds.
+func (p *Planner) useful(s *Step, r *Request, now time.Time, found []Candidate) (rest []Candidate, isStartable bool) {
+	isStartable = canStart(found, r.AtOnce, p.startShare(r.Queue), !s.MayDefer())
+	rest, held := withoutPermits(found, r.AtOnce)
+	if r.Missing -= held; r.Missing <= 0 {
+		return nil, false
+	}
+	if isStartable && r.AtOnce == 1 && p.areScarce(now) {
+		rest = slices.DeleteFunc(rest, func(c Candidate) bool { return c.Fits == 0 })
+	}
+	return rest, isStartable
+}
+
+// withoutPermits returns the candidates of which the step holds no permit, and how many tasks are expected
+// to start with the permits that it holds, if atOnce must start together. It reorders its argument.
+func withoutPermits(found []Candidate, atOnce int) (rest []Candidate, held int) {
+	tasks := 0.0
+	rest = slices.DeleteFunc(found, func(c Candidate) bool {
+		switch {
+		case !c.HasPermit:
+			return false
+		case c.Fits == 0 && atOnce == 1:
+			tasks += freedTasks
+		default:
+			tasks += c.free()
+		}
+		return true
+	})
+	return rest, int(tasks)
+}
+
+// areScarce reports whether a step found no channel recently and few are free.
+func (p *Planner) areScarce(now time.Time) bool {
+	return p.occupancy.IsScarce(now) && !p.channels.HasSpare()
+}
+
+// mayPrepare reports whether a step may make a call although nothing could start on the answer now: a gang
+// that does not know enough workers yet must find some, and others may ask while channels are not scarce.
+func (p *Planner) mayPrepare(r *Request, now time.Time, found []Candidate) bool {
+	if r.IsAhead || !p.channels.MayPrepare() {
 		return false
 	}
-	isContended := !p.busyAt.IsZero() && now.Sub(p.busyAt) < yieldTime
-	return !isContended || r.IsPoolUnderused || p.channels.HasSpare()
+	mustExplore := r.AtOnce > 1 && !r.IsExplored && slices.ContainsFunc(found, func(c Candidate) bool { return !c.IsPermitted })
+	return mustExplore || !p.areScarce(now)
 }
 
 // postpone makes a step leave the channels to others for a while. A step that asks ahead asks again
@@ -146,6 +186,7 @@
 		return
 	}
 	s.Defer(now)
+	p.usages.of(r.Queue).Deferred++
 	if p.deferralsLeft > 0 {
 		p.deferralsLeft--
 		p.callsLeft++
@@ -160,24 +201,42 @@
 }
 
 // record records that a call is made.
-func (p *Planner) record(s *Step, r *Request, workers []order.WorkerID, now time.Time) {
+func (p *Planner) record(s *Step, r *Request, named []Candidate, workers []order.WorkerID, now time.Time) {
 	s.BeginQuery()
 	p.occupancy.Record(r.Customer, callTime(r.Policy, len(workers)), now)
 	if !p.options.IgnoresClaims {
-		p.claims.Add(r.ID, workers, r.Missing, r.Need)
+		p.claims.Add(r.ID, r.Priority, workers, r.Missing, r.Need)
 	}
 	u := p.usages.of(r.Queue)
 	u.Calls++
 	u.Named += len(workers)
+	u.Missing += r.Missing
 	if r.IsAhead {
 		u.Ahead++
 	}
+	for i := range named {
+		if named[i].Fits == 0 {
+			u.Full++
+		}
+		if named[i].IsPermitted {
+			u.Known++
+		}
+	}
 }
 
-// End records that the call of a step has ended, answered or not.
-func (p *Planner) End(channel string, id work.StepID, now time.Time) {
-	p.channels.EndCall(channel, id, now)
+// RecordStart counts a start of a task of the step with the permit of a worker.
+func (p *Planner) RecordStart(queue string, s *Step, id order.WorkerID) {
+	if s.use(id) {
+		p.usages.of(queue).Used++
+	}
+}
+
+// End records that the call of a step has ended, answered or not, and returns how long it has occupied
+// its channel; 0 if it was counted as lost before.
+func (p *Planner) End(channel string, id work.StepID, now time.Time) time.Duration {
+	took := p.channels.EndCall(channel, id, now)
 	p.claims.Drop(id)
+	return took
 }
 
 // Lost records that the call of a step was lost with its channel.
@@ -186,6 +245,16 @@
 // Failed counts a call for a queue that was not answered.
 func (p *Planner) Failed(queue string) { p.usages.of(queue).Failed++ }
 
+// RecordDuration counts how long an answered call about that many workers occupied its channel.
+func (p *Planner) RecordDuration(queue string, policy *order.PermissionPolicy, workers int, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	u := p.usages.of(queue)
+	u.Expected += callTime(policy, workers)
+	u.Took += took
+}
+
 // Learn learns from an answer, before it is recorded in the step. isWanted is false if the step has no
 // use for it any more.
 func (p *Planner) Learn(queue string, s *Step, queried []order.WorkerID, permits []order.Permit, isWanted bool) {
