internal/shortfall: count no open job for a request never accepted

Open jobs counted as owed in place of requests that were never accepted: the number of open jobs that are owed was that of all requests of the kind that failed, but those that no node accepted are in no log.

Those missing from the log, other than refused ones, are now left out. TestRequestsThatWereNeverAcceptedMakeNoOpenJobOwed failed before with "3 failed: owed: got: 7, want: 5".

--- a/internal/shortfall/play.go
+++ b/internal/shortfall/play.go
@@ -25,10 +25,12 @@
 
 // Kind is what became of a kind of request.
 type Kind struct {
-	Name    string  `json:"name"`
-	Asked   int     `json:"n"`
-	InTime  int     `json:"in_aim"`
-	Late    int     `json:"late"`
+	Name   string `json:"name"`
+	Asked  int    `json:"n"`
+	InTime int    `json:"in_aim"`
+	Late   int    `json:"late"`
+	// Refused were answered so at last; Failed are all others that were owed and not served.
+	Refused int     `json:"refused"`
 	Failed  int     `json:"failed"`
 	NotOwed int     `json:"not_owed"`
 	Worth   float64 `json:"worth"`
--- a/internal/shortfall/shortfall_test.go
+++ b/internal/shortfall/shortfall_test.go
@@ -145,6 +145,20 @@
 	}
 }
 
+// Requests that were never accepted are in no log, and no open job takes their place.
+func TestRequestsThatWereNeverAcceptedMakeNoOpenJobOwed(t *testing.T) {
+	for failed, want := range map[int]int{3: 5, 4: 6, 6: 8} {
+		owed := 0
+		// Of five that are in no log, three were refused.
+		for _, s := range sizesOf(t, newLog(), []shortfall.Kind{{Name: "k", Asked: 15, Refused: 3, Failed: failed}}) {
+			owed += s.Owed
+		}
+		if owed != want {
+			t.Errorf("%d failed: owed: got: %d, want: %d", failed, owed, want)
+		}
+	}
+}
+
 // A queue must never get the name of another kind: alike numbers are no match.
 func TestKindsOfQueuesOfAlikeNumbers(t *testing.T) {
 	kinds := []shortfall.Kind{{Name: "few", Asked: 10}, {Name: "many", Asked: 40}}
--- a/internal/shortfall/sizes.go
+++ b/internal/shortfall/sizes.go
@@ -110,10 +110,10 @@
 
 // Sizes returns what became of the jobs by queue and size class, the largest queue first. Owed are the
 // jobs that succeeded, and of those that did not end the ones that are oldest compared with their
-// objectives: as many as were not served of the queue's kind, or, if the kind is not known, all for
-// which three times the objective has passed at the last line. The objective of an open job is taken to
-// be the median of its queue. Cancelled and failed jobs are left out: a log does not tell whether a
-// failed one could be done.
+// objectives: as many as were accepted and not served of the queue's kind, or, if the kind is not
+// known, all for which three times the objective has passed at the last line. The objective of an open
+// job is taken to be the median of its queue. Cancelled and failed jobs are left out: a log does not
+// tell whether a failed one could be done.
 func (l *Log) Sizes(kinds []Kind) []Size {
 	byQueue := map[string][]*loggedJob{}
 	for _, id := range slices.Sorted(maps.Keys(l.jobs)) {
@@ -190,7 +190,8 @@
 		n++
 	}
 	if kind != nil {
-		n = min(max(kind.Failed-tooLate, 0), len(open))
+		neverAccepted := max(kind.Asked-len(jobs)-kind.Refused, 0)
+		n = min(max(kind.Failed-tooLate-neverAccepted, 0), len(open))
 	}
 	out := map[*loggedJob]bool{}
 	for _, j := range open[:n] {
