internal/reserve: preempt for a gang only where that lets it start earlier

Callers of a less urgent queue lost work without anybody's gain: on a worker where a member of a gang could start at once by preemption, running tasks were stopped although another member had to wait longer for its capacity.

Cause: Plan weighed time against lost work for each worker alone. The members of a gang start together, so only the last one's time counts.

The plan of a gang is now made twice: the first gives the time at which it can start, the second preempts only on workers that would otherwise take fewer members by then. The gang starts no later than before.

The first of the two new cases of TestPlan failed before: 'placement 0: got: {Worker:0 ReadyIn:400ms Preempted:[0] cost:}, want: {Worker:0 ReadyIn:5s Preempted:[] cost:0}'.

--- a/internal/reserve/reserve.go
+++ b/internal/reserve/reserve.go
@@ -73,7 +73,12 @@
 			return waiting
 		}
 	}
-	return planWith(r, workers, func(i int) []Placement { return planWorker(r, i, &workers[i]) })
+	placements := planWith(r, workers, func(i int) []Placement { return planWorker(r, i, &workers[i]) })
+	if !r.IsGang || len(placements) == 0 {
+		return placements
+	}
+	startsIn := placements[len(placements)-1].ReadyIn
+	return planWith(r, workers, func(i int) []Placement { return planWorkerBy(r, i, &workers[i], startsIn) })
 }
 
 // planWith chooses from the placements that planOne returns for each worker.
@@ -104,6 +109,27 @@
 	return waiting
 }
 
+// planWorkerBy is planWorker for a gang that starts after the time startsIn. Tasks are preempted only if
+// the worker would otherwise take fewer members by then.
+func planWorkerBy(r *Request, index int, w *Worker, startsIn time.Duration) []Placement {
+	waiting, preempting := fill(r, index, w, false), planWorker(r, index, w)
+	if readyBy(waiting, startsIn) >= readyBy(preempting, startsIn) {
+		return waiting
+	}
+	return preempting
+}
+
+// readyBy returns how many of the placements are free by a time.
+func readyBy(placements []Placement, by time.Duration) int {
+	n := 0
+	for i := range placements {
+		if placements[i].ReadyIn <= by {
+			n++
+		}
+	}
+	return n
+}
+
 // totalCost returns the waiting time and the lost work of the placements together.
 func totalCost(placements []Placement) time.Duration {
 	sum := time.Duration(0)
--- a/internal/reserve/reserve_test.go
+++ b/internal/reserve/reserve_test.go
@@ -93,6 +93,22 @@
 			[]reserve.Worker{{Free: accelerators(8), MaxTasks: 1}},
 			nil,
 		},
+		"a gang preempts nothing where it has to wait for another member anyway": {
+			gang,
+			[]reserve.Worker{
+				{Free: accelerators(7), MaxTasks: 1, Occupants: []reserve.Occupant{preemptible(1, 5*second, second)}},
+				{MaxTasks: 1, Occupants: []reserve.Occupant{occupant(8, 6*second)}},
+			},
+			[]reserve.Placement{{ReadyIn: 5 * second}, {Worker: 1, ReadyIn: 6 * second}},
+		},
+		"a gang preempts what it would have to wait for": {
+			gang,
+			[]reserve.Worker{
+				{Free: accelerators(7), MaxTasks: 1, Occupants: []reserve.Occupant{preemptible(1, 7*second, second)}},
+				{MaxTasks: 1, Occupants: []reserve.Occupant{occupant(8, 6*second)}},
+			},
+			[]reserve.Placement{{ReadyIn: 400 * time.Millisecond, Preempted: []int{0}}, {Worker: 1, ReadyIn: 6 * second}},
+		},
 		"two tasks on one worker": {
 			reserve.Request{Count: 2, Need: accelerators(4)},
 			[]reserve.Worker{{Free: accelerators(4), MaxTasks: 2, Occupants: []reserve.Occupant{occupant(4, second)}}},
