internal/dispatch: keep each reservation until its own time, that of a gang until all of it can start

Cause, two faults of one kind: capacity that is reserved was lent by the wrong time. - The capacity of a gang's member counted as needed as soon as it was free, although the gang had to wait for other members, seconds more in most plans. It stood idle until then. - A worker had one time for all its reservations, the latest. A task that ended before that could take the capacity of another reservation there, which was needed earlier: the large task or gang then waited for it.

Each reservation now has its own time, and that of a gang's member is the time at which the whole gang can start. A step may take what is not needed before it is expected to end.

--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -39,7 +39,7 @@
 	}
 	e.reservationDueAt = e.now.Add(reservationInterval)
 	for _, w := range e.reservedWorkers {
-		w.reservations, w.reservationsReadyAt = w.reservations[:0], time.Time{}
+		w.reservations = w.reservations[:0]
 	}
 	e.reservedWorkers, e.reservedSteps = e.reservedWorkers[:0], 0
 	clear(e.largestCapacity)
@@ -66,31 +66,35 @@
 // needed.
 func (e *Engine) freeCapacityFor(w *worker, s *step) leverdyke.Resources {
 	free := w.Capacity.Sub(w.used)
-	if w.reservationsReadyAt.IsZero() {
+	if len(w.reservations) == 0 {
 		return free
 	}
-	expected := e.expectedOn(s, w)
-	if expected > 0 && !s.spec.IsLongRunning && !s.spec.IsBestEffort && e.now.Add(expected).Before(w.reservationsReadyAt) {
-		return free
+	endsAt := time.Time{}
+	if expected := e.expectedOn(s, w); expected > 0 && !s.spec.IsLongRunning && !s.spec.IsBestEffort {
+		endsAt = e.now.Add(expected)
 	}
-	return free.Sub(e.reservedAgainst(w, s))
+	return free.Sub(e.reservedAgainst(w, s, endsAt))
 }
 
 // reservation is capacity on a worker that is reserved for one task of a step, with the priority of
-// the step's queue.
+// the step's queue. neededAt is when the task can start; that of a gang's member is the time at which
+// all members can.
 type reservation struct {
 	step     *step
 	priority int
 	capacity leverdyke.Resources
+	neededAt time.Time
 }
 
 // reservedAgainst returns the capacity of the worker that is reserved for other steps and that the
-// step must not take. Reservations of less urgent queues do not hold against it.
-func (e *Engine) reservedAgainst(w *worker, s *step) leverdyke.Resources {
+// step must not take until the time endsAt; the zero time means that it would keep it.
+// Reservations of less urgent queues do not hold against it.
+func (e *Engine) reservedAgainst(w *worker, s *step, endsAt time.Time) leverdyke.Resources {
 	priority := e.queues[s.job.spec.Queue].Priority
 	sum := leverdyke.Resources{}
 	for i := range w.reservations {
-		if r := &w.reservations[i]; r.step != s && r.priority <= priority {
+		r := &w.reservations[i]
+		if r.step != s && r.priority <= priority && (endsAt.IsZero() || !endsAt.Before(r.neededAt)) {
 			sum = sum.Add(r.capacity)
 		}
 	}
@@ -114,13 +118,14 @@
 	for i := range reservations {
 		p := &reservations[i]
 		w := workers[p.Worker].worker
-		if w.reservationsReadyAt.IsZero() {
+		if len(w.reservations) == 0 {
 			e.reservedWorkers = append(e.reservedWorkers, w)
 		}
-		w.reservations = append(w.reservations, reservation{s, q.Priority, need})
-		if readyAt := e.now.Add(p.ReadyIn); w.reservationsReadyAt.Before(readyAt) {
-			w.reservationsReadyAt = readyAt
+		neededIn := p.ReadyIn
+		if s.spec.IsGang {
+			neededIn = reservations[len(reservations)-1].ReadyIn
 		}
+		w.reservations = append(w.reservations, reservation{s, q.Priority, need, e.now.Add(neededIn)})
 		for _, k := range p.Preempted {
 			e.preempt(workers[p.Worker].occupants[k], s)
 		}
@@ -188,7 +193,7 @@
 // it will likely end or what stopping it costs.
 func (e *Engine) capacityModel(r *reservableWorker, s *step, q *order.Queue) reserve.Worker {
 	w := r.worker
-	m := reserve.Worker{Free: w.Capacity.Sub(w.used).Sub(e.reservedAgainst(w, s)), MaxTasks: len(s.tasks)}
+	m := reserve.Worker{Free: w.Capacity.Sub(w.used).Sub(e.reservedAgainst(w, s, time.Time{})), MaxTasks: len(s.tasks)}
 	if s.spec.MaxPerWorker > 0 {
 		m.MaxTasks = min(m.MaxTasks, s.spec.MaxPerWorker-w.attemptCountOf(s))
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -24,10 +24,8 @@
 	attempts ordered.Map[work.TaskID, *attempt]
 	// used is the sum of the charges of its attempts.
 	used leverdyke.Resources
-	// reservations are the resources kept free for waiting steps. All of them are available at
-	// reservationsReadyAt, which is zero if there are none.
-	reservations        []reservation
-	reservationsReadyAt time.Time
+	// reservations are the resources kept free for waiting steps.
+	reservations []reservation
 	// unknownRuns has the runs, by task, that the worker reports of tasks unknown to this engine.
 	// What they need is not known either, so the worker gets nothing new while there are any.
 	unknownRuns ordered.Map[work.TaskID, *unknownRun]
