internal/owner: an ended owner does not stand for the owners before it

Cause: a successor whose predecessor has certainly stopped (it handed over, or another process answers at its address) waits 6.54 s for leases instead of 9.54 s, and does not wait for an owner that most nodes may follow. The proof is about the last owner only. If that one claimed the shard from an owner that was cut off and ended soon after, the first one still renews leases for up to 3 s after its last confirmed record, or for longer in an outage of the store. A weak node that claims and hands over to a stronger one as soon as that one has linked does this. Tasks that the first owner's workers still ran could then start elsewhere.

A record now says whether its owner is the only one that can still act: all before it had ended, or it has owned the shard for ConfirmationTimeout and need not wait for one that most nodes may follow. Only the end of such an owner shortens the wait. Records of earlier versions do not say so; then the longer wait applies.

TestLeasesOfAnOwnerBeforeThePreviousOneAreNotExpiredWhileItMayRenewThem failed before: it_ended_at_once: leases of the first owner after 8.5s: got: expired, want: waited for and, with the claim's number of nodes set as a claim sets it, was not run on the code before for the case of an owner that most nodes follow; without it that case failed before, too: it_ended_while_the_first_may_act_longer: leases of the first owner after 12s: got: expired, want: waited for

Passed: go test -race ./internal/owner ./internal/cluster, make lint.

--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -64,10 +64,16 @@
 	// each task before it ordered the start.
 	HasAllPlacements bool
 	// HasPreviousEnded means that the previous owner is known to have stopped, so that it renews no
-	// more leases.
+	// more leases. Owners before that one may still do so; see areAllPreviousEnded.
 	HasPreviousEnded bool
 }
 
+// areAllPreviousEnded reports whether the previous owner and all owners before it are known to have
+// stopped.
+func (c *Claim) areAllPreviousEnded() bool {
+	return c.Previous == nil || c.HasPreviousEnded && c.Previous.IsOnlyOwner
+}
+
 // Options configures an Owner. All fields but Log, Delegates, DirectWorkers, KnownNodes and LinkedNodes are
 // required.
 type Options struct {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -383,6 +383,12 @@
 	return previous != nil && o.options.LinkedNodes != nil && 2*o.options.LinkedNodes() < previous.KnownNodes
 }
 
+// isOnlyOwner reports whether no previous owner acts at that time any more: none was confirmed after
+// this one's claim.
+func (o *Owner) isOnlyOwner(at time.Time) bool {
+	return o.options.Claim.areAllPreviousEnded() || o.IsLoaded() && !o.mayPreviousAct.Load() && at.Sub(o.claimedAt) >= ConfirmationTimeout
+}
+
 // awaitPrevious extends the leases of a previous owner that may act during an outage of the store,
 // until most nodes cannot be linked to it any more.
 func (o *Owner) awaitPrevious() {
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -45,11 +45,11 @@
 	previous := o.options.Claim.Previous
 	if previous != nil {
 		leaseLeft := maxInheritedLease
-		if o.options.Claim.HasPreviousEnded {
+		if o.options.Claim.areAllPreviousEnded() {
 			leaseLeft = maxLease
 		}
 		o.loadedAt = o.now
-		o.mayPreviousAct.Store(!o.options.Claim.HasPreviousEnded)
+		o.mayPreviousAct.Store(!o.options.Claim.areAllPreviousEnded())
 		o.engine.Inherit(o.now.Add(leaseLeft), o.options.Claim.HasAllPlacements, previous.ListedWorkers)
 	}
 	o.options.Log(events.JobsLoaded, "epoch", o.Epoch(), "jobs", len(jobs), "records", len(newest.Records), "end", newest.End, "took", o.now.Sub(startedAt))
@@ -448,7 +448,7 @@
 	r.SentAt = o.options.Clock.TimeOfDay()
 	r.MaxStrength = o.options.MaxStrength()
 	r.ListedWorkers = int(o.listedWorkers.Load())
-	r.KnownNodes = o.knownNodes(sentAt)
+	r.KnownNodes, r.IsOnlyOwner = o.knownNodes(sentAt), o.isOnlyOwner(sentAt)
 	o.mu.Lock()
 	r.MayHaveUnpersisted, r.WritesBehindByFlagOnly = o.writeBehind.nextFlag(), true
 	o.mu.Unlock()
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -36,6 +36,8 @@
 	// WritesBehindByFlagOnly means that the owner runs write-behind only while its newest record in
 	// the store carries the flag. Owners of earlier versions also do so by the age of a record.
 	WritesBehindByFlagOnly bool `msgpack:"f"`
+	// IsOnlyOwner means that no owner before this one acts or renews leases any more.
+	IsOnlyOwner bool `msgpack:"o"`
 	// ListedWorkers is how many workers the owner's list had; 0 when it had none yet.
 	ListedWorkers int `msgpack:"w"`
 	// KnownNodes is how many nodes the owner knew; 0 when that is not known.
--- a/internal/owner/two_owners_test.go
+++ b/internal/owner/two_owners_test.go
@@ -209,6 +209,99 @@
 	})
 }
 
+// An owner that ended soon after its claim was taken as proof that the owner before it, which was cut
+// off, renewed no more leases either.
+func TestLeasesOfAnOwnerBeforeThePreviousOneAreNotExpiredWhileItMayRenewThem(t *testing.T) {
+	for name, tc := range map[string]struct {
+		// ownedFor is how long the owner in between owned the shard.
+		ownedFor time.Duration
+		// mayHaveMajority means that most nodes may follow the first owner all the time.
+		mayHaveMajority bool
+		// waits is for how long the last owner has to wait at least.
+		waits time.Duration
+	}{
+		"it ended at once":                        {time.Second, false, 8500 * time.Millisecond},
+		"it outlived the first owner":             {5 * time.Second, false, 6 * time.Second},
+		"it ended while the first may act longer": {5 * time.Second, true, 12 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log, pool := fakestore.NewLog(), newWorkerPool(2)
+			gate := make(chan struct{})
+			pool.byID["w00"].gate = gate
+			t.Cleanup(func() { close(gate) })
+			first := startOwnerInPartition(t, log, pool, "w00", func(o *owner.Options) { o.KnownNodes = func(time.Time) int { return 3 } })
+			job := newJob("a")
+			job.Steps[0].Count = 1
+			if err := first.Submit(t.Context(), job); err != nil {
+				t.Fatal(err)
+			}
+			await.True(t, "the placement is persisted", func() bool {
+				first.clock.Advance(tick)
+				r, _, err := owner.ReadRecord(t.Context(), log)
+				return err == nil && r.KnownNodes == 3 && pool.hasStarted("w00")
+			})
+			first.log.isSevered.Store(true)
+			linked := 3
+			if tc.mayHaveMajority {
+				linked = 1
+			}
+			setLinked := func(o *owner.Options) {
+				o.LinkedNodes = func() int { return linked }
+				o.Claim.Record.KnownNodes = o.Claim.Previous.KnownNodes
+			}
+			second := startOwnerInPartition(t, log, pool, "w01", setLinked)
+			second.advance(t, tc.ownedFor)
+			second.awaitRecord(t)
+			second.Stop()
+			<-second.Done()
+			isExpired := atomic.Bool{}
+			third := startOwnerInPartition(t, log, pool, "w01", setLinked, func(o *owner.Options) {
+				o.Claim.HasPreviousEnded = true
+				o.Log = func(e events.Event, _ ...any) {
+					if e == events.PreviousAttemptsEnded {
+						isExpired.Store(true)
+					}
+				}
+			})
+			third.advance(t, tc.waits)
+			if isExpired.Load() {
+				t.Errorf("leases of the first owner after %v: got: expired, want: waited for", tc.waits)
+			}
+			if tc.mayHaveMajority {
+				return
+			}
+			third.advance(t, 10*time.Second-tc.waits)
+			await.True(t, "they have expired", func() bool {
+				third.clock.Advance(tick)
+				return isExpired.Load()
+			})
+		})
+	}
+}
+
+// advance advances the owner's clock by d, while the store confirms the owner.
+func (p *ownerInPartition) advance(t *testing.T, d time.Duration) {
+	t.Helper()
+	for range int(d / tick) {
+		p.clock.Advance(tick)
+		await.True(t, "the owner is confirmed", func() bool {
+			_, _, err := p.State(t.Context(), "a", work.Caller{})
+			return err == nil
+		})
+	}
+}
+
+// awaitRecord waits for a record of the owner that is sent from now on.
+func (p *ownerInPartition) awaitRecord(t *testing.T) {
+	t.Helper()
+	before, _ := p.LastRecord()
+	await.True(t, "two more records", func() bool {
+		p.clock.Advance(tick)
+		n, _ := p.LastRecord()
+		return n >= before+2
+	})
+}
+
 // hasStarted reports whether a worker has got an order to start.
 func (p *workerPool) hasStarted(id order.WorkerID) bool {
 	w := p.byID[id]
