internal/owner: write the write-behind flag as soon as it is needed

Callers would have seen tasks stand still for a whole outage of the store that begins within 0.3 s of a takeover. Found by internal/integration on: TestSiteAcknowledgedEndsSurviveLossOfNodesAndWorkers, TestSiteRefusesJobsDuringStoreOutage and TestSiteWriteBehindStartsSurviveLossOfAllNodes failed in all cases ("the second step runs: not met within 40s").

An owner needs the flag from the moment at which all workers respond, 23 ms after its claim in a trace of TestSiteRefusesJobsDuringStoreOutage, but wrote it with its next heartbeat only, 0.3 s after the claim. The store was out by then, and the flag could not be written.

The heartbeat loop is now woken when the flag becomes needed and the newest record does not carry it. That is one more record at most for each one without the flag. The three tests pass as they are.

TestWriteBehindFlagIsWrittenAsSoonAsNeeded failed before: timed out waiting for condition: the newest record carries the flag before the next heartbeat is due

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -37,6 +37,9 @@
 	wg     sync.WaitGroup
 	// writes passes batches to runWrites; at most one is in flight.
 	writes chan *write
+	// flagNeeded receives when the newest record does not carry the write-behind flag and the next one
+	// does.
+	flagNeeded chan struct{}
 	// loaded is closed once the jobs have been read from the store.
 	loaded chan struct{}
 
@@ -138,7 +141,7 @@
 		}),
 		router: delegate.NewRouter(options.DirectWorkers, options.Claim.Record.Epoch),
 		inbox:  boundedqueue.NewQueue[event](inboxSize), ctx: ctx, cancel: cancel,
-		writes: make(chan *write, 1), loaded: make(chan struct{}), zonesKnown: make(chan struct{}),
+		writes: make(chan *write, 1), flagNeeded: make(chan struct{}, 1), loaded: make(chan struct{}), zonesKnown: make(chan struct{}),
 		pendingSubmits: map[work.JobID][]chan error{}, pendingCancels: map[work.JobID][]chan error{},
 		recordOffset: options.Claim.Offset, heartbeatSeq: options.Claim.Record.HeartbeatSeq, persistedAt: options.Clock.Now(), claimedAt: options.Clock.Now(),
 		writeBehind: newWriteBehindGate(&options.Claim.Record),
@@ -298,7 +301,12 @@
 	if isSlow {
 		o.writeBehind.recordSlow(o.now)
 	}
-	o.writeBehind.update(o.now, hasUnpersisted, o.engine.AllResponsive())
+	if o.writeBehind.update(o.now, hasUnpersisted, o.engine.AllResponsive()) {
+		select {
+		case o.flagNeeded <- struct{}{}:
+		default:
+		}
+	}
 	isWriteBehind := o.writeBehind.mayWriteBehind(o.now)
 	o.mu.Unlock()
 	if isWriteBehind != o.isWriteBehind {
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -419,12 +419,17 @@
 	o.refuseAllHeld(errStoreRefuses(why))
 }
 
-// runHeartbeats appends a record that names this node as the owner every HeartbeatPeriod.
+// runHeartbeats appends a record that names this node as the owner every HeartbeatPeriod, and one at
+// once when the write-behind flag is needed: it cannot be written any more once the store is down.
 func (o *Owner) runHeartbeats() {
 	defer o.wg.Done()
 	for o.ctx.Err() == nil {
 		o.sendHeartbeat()
-		o.sleep(HeartbeatPeriod)
+		select {
+		case <-o.ctx.Done():
+		case <-o.flagNeeded:
+		case <-o.options.Clock.After(HeartbeatPeriod):
+		}
 	}
 }
 
--- a/internal/owner/two_owners_test.go
+++ b/internal/owner/two_owners_test.go
@@ -216,3 +216,19 @@
 	defer w.mu.Unlock()
 	return len(w.starts) > 0
 }
+
+// An owner wrote the write-behind flag with its next heartbeat only. It started nothing during an outage
+// of the store that began before that.
+func TestWriteBehindFlagIsWrittenAsSoonAsNeeded(t *testing.T) {
+	log := fakestore.NewLog()
+	o := startFakeClockOwner(t, log)
+	advanced := time.Duration(0)
+	await.True(t, "the newest record carries the flag before the next heartbeat is due", func() bool {
+		if advanced+tick < owner.HeartbeatPeriod {
+			advanced += tick
+			o.clock.Advance(tick)
+		}
+		r, _, err := owner.ReadRecord(t.Context(), log)
+		return err == nil && r.MayHaveUnpersisted
+	})
+}
--- a/internal/owner/write_behind.go
+++ b/internal/owner/write_behind.go
@@ -43,9 +43,12 @@
 // update decides whether the next record carries the flag. hasUnpersisted means that tasks may run
 // on placements that are not in the store. allResponding means that all workers respond: the next
 // owner then learns soon what they run, so that the flag costs it little. Setting it early has the
-// advantage that it is already stored when the store goes down.
-func (g *writeBehindGate) update(now time.Time, hasUnpersisted, allResponding bool) {
+// advantage that it is already stored when the store goes down. It reports whether the flag has
+// become needed and the newest record does not carry it.
+func (g *writeBehindGate) update(now time.Time, hasUnpersisted, allResponding bool) bool {
+	wantedFlag := g.wantsFlag
 	g.wantsFlag = hasUnpersisted || allResponding || now.Before(g.slowUntil)
+	return g.wantsFlag && !wantedFlag && !g.isFlagged
 }
 
 // mayWriteBehind reports whether the owner may run write-behind.
