internal/dispatch: await partial listings beyond inherited leases

A new owner counts all that its predecessor started as over when the inherited leases have expired, also on a worker that answers: this owner renews that worker's lease, and an end that is not listed yet is confirmed later.

The uncertainty about a previous owner's starts now lasts while a worker whose lease goes on has not listed all its ends.

TestNewOwnerAwaitsAllEndsBeyondThePreviousOwnersLeases on the code before: "16.56s a.0.0.11 started on w01 after its end on w00, which is confirmed now", "starts: got: 15, want: 14".

--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -71,7 +71,7 @@
 func (e *Engine) isUncertaintyResolved() bool {
 	d := e.inherited
 	if !e.now.Before(d.leasesExpireAt) {
-		return true
+		return !e.hasPartialListing()
 	}
 	isListComplete := d.currentlyListed > 0 && (d.currentlyListed >= d.previouslyListed && !d.hasUnclear || !e.now.Before(d.listCompleteAt))
 	if !isListComplete || e.now.Before(d.unlistedLeasesUntil) {
@@ -85,6 +85,17 @@
 	return true
 }
 
+// hasPartialListing reports whether a worker answers, so that its lease goes on, and has not listed all
+// its ends yet.
+func (e *Engine) hasPartialListing() bool {
+	for _, w := range e.workers.All() {
+		if !w.session.IsListed() && !w.session.LastHeardAt().IsZero() && !w.session.HasExpired(e.now) {
+			return true
+		}
+	}
+	return false
+}
+
 // addInheritedTask records that a task may run on a worker by a previous owner's order.
 func (e *Engine) addInheritedTask(id work.TaskID, worker order.WorkerID) {
 	s, t := e.findTask(id)
--- a/internal/dispatch/partial_listing_test.go
+++ b/internal/dispatch/partial_listing_test.go
@@ -58,6 +58,29 @@
 	}
 }
 
+// Guards against a task that a new owner starts again because the previous owner's leases have expired,
+// while a worker that answers has not listed its end yet.
+func TestNewOwnerAwaitsAllEndsBeyondThePreviousOwnersLeases(t *testing.T) {
+	w := newSim(1)
+	w.addWorkers(2, workerCapacity)
+	w.isWriteBehind = true
+	w.run(time.Second)
+	w.submit("a", newStep(14, 300*time.Millisecond))
+	w.run(100 * time.Millisecond)
+	w.isStoreDown = true
+	w.run(2 * time.Second)
+	w.endsPerListing = 1
+	w.takeOver()
+	w.run(13 * time.Second)
+	w.isStoreDown = false
+	w.run(10 * time.Second)
+	expectState(t, w, "a", work.JobSucceeded)
+	expectNoViolations(t, w)
+	if w.startCount != 14 {
+		t.Errorf("starts: got: %d, want: 14", w.startCount)
+	}
+}
+
 // Guards against ends that are passed over because a listing has them out of order.
 func TestEndsListedOutOfOrderAreAllHandled(t *testing.T) {
 	c := newRetryCluster("v")
