internal/dispatch: count a worker as shut down after four failed polls

Callers: a task could run twice at a time. The removal of a draining worker's entry beside one failed poll ended its incarnation, and all that ran there was placed anew at once. The platform may remove the entry of a worker that runs ("at times also while the store is down"), and a single answer may be lost.

Four polls in a row that were sent after the removal must now fail; an answer refutes the shutdown. A failed poll is followed by the next at once; TestTasksOfADrainedAndRemovedWorkerRestartElsewhere still finds workers that have left within 0.5 s, with polls that fail at once. Where the machine is silent it takes four poll timeouts (150 ms or more each), which was not measured.

The engine's model gains workers that drain: they shut down; run on cut off from the store, and some of them from the owner, until their entry goes; or run on while their entry goes for 3 s in spite of heartbeats.

--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -34,6 +34,10 @@
 	// reported so far are persisted. The store may be unavailable for longer, and progress and new
 	// ends are needed even if the worker reports the old ends again with them.
 	maxConfirmWait = 400 * time.Millisecond
+	// pollsUntilShutDown is how many polls in a row must fail after a draining worker's entry was
+	// removed until it counts as shut down: the platform may remove the entry of a worker that runs,
+	// and single answers may be lost.
+	pollsUntilShutDown = 4
 	// firstListingTimeout is how long the first listing of a worker may take until another poll is
 	// sent beside it: until a listing has arrived, it is not known what a previous owner started
 	// on the worker.
@@ -100,8 +104,12 @@
 		return
 	}
 	if w.hasShutDown && !poll.AskedAt.Before(w.entryRemovedAt) {
-		e.IncarnationEnded(w.ID)
-		return
+		w.pollsFailedSince++
+		if w.pollsFailedSince >= pollsUntilShutDown {
+			e.IncarnationEnded(w.ID)
+			return
+		}
+		defer e.pollNow(w)
 	}
 	if !poll.IsImmediate {
 		if !w.session.HasMissed() {
--- a/internal/dispatch/random_test.go
+++ b/internal/dispatch/random_test.go
@@ -31,7 +31,7 @@
 func TestSameSeedGivesSameTrace(t *testing.T) {
 	t.Parallel()
 	for name, run := range map[string]func(uint64) *sim{
-		"days": runRandomFaults, "days with permission": runRandomFaultsWithPermission, "workers that start again": simulateRestarts, "rooms that change": simulateResizing, "crashes": simulateCrashes, "partial listings": runPartialListings, "repeated orders": runRepeatedOrders,
+		"days": runRandomFaults, "days with permission": runRandomFaultsWithPermission, "workers that start again": simulateRestarts, "rooms that change": simulateResizing, "crashes": simulateCrashes, "partial listings": runPartialListings, "repeated orders": runRepeatedOrders, "workers that leave": simulateLeaving,
 		"cancellations": func(seed uint64) *sim {
 			return simulateCancels(seed, cancelFaults{hasRestarts: true, hasLateOrders: true}).sim
 		},
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -123,6 +123,10 @@
 	writeCounts map[work.JobID]int
 	// runTimeRatio is how many times as long as estimated a run of a task takes; nil stands for 1.
 	runTimeRatio func(work.TaskID) float64
+	// heartbeatInterval is the engine's; 0 if it does not know it. removedEntries are those whose
+	// removal the engine's list has not shown yet.
+	heartbeatInterval time.Duration
+	removedEntries    []order.Worker
 	// repeatedOrderShare of the orders to start are delivered twice; only the second delivery is
 	// answered.
 	repeatedOrderShare float64
@@ -202,7 +206,7 @@
 	}
 	w.inFlightBatch = nil
 	areStartsPersisted := !w.mayHaveUnpersistedStarts && (w.engine == nil || !w.engine.HasUnpersisted())
-	w.engine = dispatch.NewEngine(dispatch.Options{Disabled: w.disabledMechanisms, StopTime: modelStopTime, Log: w.log})
+	w.engine = dispatch.NewEngine(dispatch.Options{Disabled: w.disabledMechanisms, StopTime: modelStopTime, HeartbeatInterval: w.heartbeatInterval, Log: w.log})
 	w.engine.Advance(w.clock.Now())
 	w.engine.SetQueues(w.queues)
 	w.engine.SetCustomers(w.customers)
@@ -228,7 +232,7 @@
 func (w *sim) workerList() []order.Worker {
 	out := []order.Worker{}
 	for _, m := range w.allWorkers() {
-		if !m.isDead || m.isRestarting {
+		if (!m.isDead || m.isRestarting) && !m.isUnlisted {
 			out = append(out, m.listedEntry(w.clock.Now()))
 		}
 	}
@@ -271,7 +275,8 @@
 func (w *sim) runTick() {
 	w.engine.Advance(w.clock.Now())
 	w.stepWorkers()
-	w.engine.SetWorkers(w.workerList(), true)
+	w.engine.SetWorkers(append(w.removedEntries, w.workerList()...), true)
+	w.removedEntries = nil
 	w.engine.SetWriteBehind(w.isStoreDown && w.isWriteBehind || w.isStoreSlow)
 	w.engine.Tick()
 	w.engine.Schedule()
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -35,9 +35,11 @@
 	session session.Session
 	// isUnlisted means that the platform's list no longer has the worker, or that this incarnation
 	// has ended. hasShutDown means that its entry was removed, at entryRemovedAt, because it shut
-	// down as planned; a poll that was sent later and is answered refutes that.
+	// down as planned; a poll that was sent later and is answered refutes that. pollsFailedSince
+	// counts those that were not.
 	isUnlisted, hasShutDown bool
 	entryRemovedAt          time.Time
+	pollsFailedSince        int
 	// isShuttingDown means that its entry disappeared while it still answered polls: it shuts down
 	// as planned.
 	isShuttingDown bool
@@ -267,7 +269,7 @@
 	if sinceHeartbeat >= heartbeatsUntilRemoval*e.options.HeartbeatInterval-removalSlack {
 		return
 	}
-	w.hasShutDown, w.entryRemovedAt = true, e.now
+	w.hasShutDown, w.entryRemovedAt, w.pollsFailedSince = true, e.now, 0
 	e.options.Log(events.WorkerLeft, "worker", w.ID, "attempts", w.attempts.Len(), "heartbeat", sinceHeartbeat)
 	e.pollNow(w)
 }
--- a/internal/dispatch/worker_model_test.go
+++ b/internal/dispatch/worker_model_test.go
@@ -61,6 +61,8 @@
 	isPartitioned bool
 	now           time.Time
 	isDead        bool
+	// isUnlisted means that the worker's entry was removed from the list.
+	isUnlisted bool
 	// isRestarting means that the worker is dead and is about to start again under its name: its
 	// entry stays in the list.
 	isRestarting bool
