internal/owner: claim again in a test when a heartbeat comes between

The test's claim reads the owner's record and appends on the condition that it is still the last; a heartbeat of the previous owner, which runs on the real clock, came between. Nodes claim again in this case, and the test does now; any other failure of the claim still fails it.

--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -49,22 +49,35 @@
 	return runOwner(t, log, workers, oneWorkerList{}, clk, logLine)
 }
 
+// claimShard claims the shard. A heartbeat of the previous owner may come between the read and the
+// claim, which is then made again, as nodes do.
+func claimShard(t *testing.T, log store.Log) owner.Claim {
+	t.Helper()
+	for {
+		previous, at, err := owner.ReadRecord(t.Context(), log)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if previous != nil {
+			at++
+		}
+		r := owner.Record{Node: "n", Incarnation: "l", Epoch: at + 1}
+		_, err = owner.AppendRecord(t.Context(), log, &r, at)
+		if err == nil {
+			return owner.Claim{Record: r, Offset: at, Previous: previous, HasAllPlacements: true}
+		}
+		if store.FailureOf(err) != store.ConditionFailed {
+			t.Fatal(err)
+		}
+	}
+}
+
 // runOwner claims the shard and runs an owner until the test ends.
 func runOwner(t *testing.T, log store.Log, workers *fakeWorkers, list owner.List, clk clock.Service, logLine func(events.Event, ...any), change ...func(*owner.Options)) *owner.Owner {
 	t.Helper()
-	previous, at, err := owner.ReadRecord(t.Context(), log)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if previous != nil {
-		at++
-	}
-	r := owner.Record{Node: "n", Incarnation: "l", Epoch: at + 1}
-	if _, err := owner.AppendRecord(t.Context(), log, &r, at); err != nil {
-		t.Fatal(err)
-	}
+	claim := claimShard(t, log)
 	options := owner.Options{
-		Claim: owner.Claim{Record: r, Offset: at, Previous: previous, HasAllPlacements: true}, Store: log, Workers: workers, List: list,
+		Claim: claim, Store: log, Workers: workers, List: list,
 		PermissionChannels: noChannels{}, Clock: clk, Metrics: noMetrics{}, HasStoreOutage: func(time.Time, int) bool { return false }, MaxStrength: func() float64 { return 1 },
 		Log: logLine,
 	}
