internal/dispatch: let the model of leaving workers run longer tasks

Tasks of up to 4 s ended before a worker that is cut off from the store loses its entry, so that the model could not tell a removal after three missing heartbeats from a shutdown. They now take up to 8 s.

--- a/internal/dispatch/leave_simulation_test.go
+++ b/internal/dispatch/leave_simulation_test.go
@@ -71,7 +71,7 @@
 	w.addWorkers(8, workerCapacity)
 	w.run(time.Second)
 	for i := range 30 {
-		w.submit(fmt.Sprintf("j%02d", i), newStep(1+w.rng.IntN(9), time.Duration(100+w.rng.IntN(4000))*time.Millisecond), newStep(1+w.rng.IntN(3), 300*time.Millisecond))
+		w.submit(fmt.Sprintf("j%02d", i), newStep(1+w.rng.IntN(9), time.Duration(100+w.rng.IntN(8000))*time.Millisecond), newStep(1+w.rng.IntN(3), 300*time.Millisecond))
 		switch w.rng.IntN(6) {
 		case 0, 1, 2:
 			w.drainRandomWorker(i)
