internal/permit: let gangs ask through half of the channels before they fit

With the planner of a gang that knows enough workers asks only once all its members fit, while channels are scarce.

The bound of half of the channels on calls that can't lead to a start stays and is enough to leave the others to steps that can start.

--- a/internal/dispatch/permission.go
+++ b/internal/dispatch/permission.go
@@ -75,7 +75,7 @@
 		IsAhead: isAhead,
 	}
 	if s.spec.IsGang {
-		r.AtOnce, r.IsExplored = len(s.tasks), e.isExplored(s)
+		r.AtOnce = len(s.tasks)
 	}
 	find := func() []permit.Candidate { return e.queryCandidates(s, policy) }
 	if call, ok := e.planner.Plan(&s.permissions, &r, e.now, find); ok {
@@ -84,22 +84,6 @@
 	}
 }
 
-// exploredFactor is how many times the tasks of a gang the workers that are known to be permitted must be
-// able to take once they are empty. Then the gang can wait for capacity there.
-const exploredFactor = 2
-
-// isExplored reports whether enough workers are known to be permitted for all tasks of the step.
-func (e *Engine) isExplored(s *step) bool {
-	tasks, charge := int64(0), s.spec.Charge()
-	charge.Slots = 0
-	s.permissions.EachAllowed(func(id order.WorkerID) {
-		if w := e.workers.Get(id); w != nil && e.isUsable(w, s) {
-			tasks += charge.Count(w.Capacity)
-		}
-	})
-	return tasks >= exploredFactor*int64(len(s.tasks))
-}
-
 // permissionLogInterval is the time between two log lines about the permission queries of a queue.
 const permissionLogInterval = 10 * time.Second
 
--- a/internal/permit/planner.go
+++ b/internal/permit/planner.go
@@ -54,9 +54,6 @@
 	// gang. Need is that of each.
 	Missing, AtOnce int
 	Need            leverdyke.Resources
-	// IsExplored means that enough workers are known to be permitted for the tasks to wait for capacity
-	// there.
-	IsExplored bool
 	// IsAhead means that the step may not start yet, but is expected to while the permits are valid.
 	IsAhead bool
 }
@@ -110,7 +107,7 @@
 		s.RecordNoCandidates(now)
 		return Call{}, false
 	}
-	if !isStartable && !p.mayPrepare(r, now, found) {
+	if !isStartable && !p.mayPrepare(r, now) {
 		p.postpone(s, r, now)
 		return Call{}, false
 	}
@@ -169,14 +166,10 @@
 	return p.occupancy.IsScarce(now) && !p.channels.HasSpare()
 }
 
-// mayPrepare reports whether a step may make a call although nothing could start on the answer now: a gang
-// that does not know enough workers yet must find some, and others may ask while channels are not scarce.
-func (p *Planner) mayPrepare(r *Request, now time.Time, found []Candidate) bool {
-	if r.IsAhead || !p.channels.MayPrepare() {
-		return false
-	}
-	mustExplore := r.AtOnce > 1 && !r.IsExplored && slices.ContainsFunc(found, func(c Candidate) bool { return !c.IsPermitted })
-	return mustExplore || !p.areScarce(now)
+// mayPrepare reports whether a step may make a call although nothing could start on the answer now: through
+// at most half of the channels, and if it is not a gang, while channels are not scarce.
+func (p *Planner) mayPrepare(r *Request, now time.Time) bool {
+	return !r.IsAhead && p.channels.MayPrepare() && (r.AtOnce > 1 || !p.areScarce(now))
 }
 
 // postpone makes a step leave the channels to others for a while. A step that asks ahead asks again
