internal/dispatch: a draining worker that leaves the list before it reports may still run

Cause: after a takeover from an owner that may have run write-behind, nothing starts until all workers have reported. A draining worker that was removed from the list before it reported counted as ended at once, whatever the age of its last heartbeat and without a poll. Tasks that the previous owner had started there could start elsewhere while they ran.

Such a worker is now waited for like any other, unless its entry was removed soon after a heartbeat and a poll that was sent after that has failed. A worker that seems to have shut down is kept until that poll ends.

TestUncertaintyRemainsUntilLeaseOfUnreportedDrainingWorkerExpires failed before: old heartbeat: its lease may be valid: got: 1 starts, want: 0 recent heartbeat, not polled yet: its lease may be valid: got: 1 starts, want: 0

Passed: go test ./internal/dispatch ./internal/session ./internal/owner, make lint.

--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -69,10 +69,11 @@
 }
 
 // extendUncertainty extends the uncertainty for a worker that was removed from the list before it
-// sent a listing. One that drained has ended. Any other was silent for two heartbeats at least,
-// and if it is only unreachable, it continues to run until its lease expires.
+// sent a listing. The next poll tells whether one that seems to have shut down has ended. Any other
+// was silent for two heartbeats at least, and if it is only unreachable, it continues to run until
+// its lease expires.
 func (e *Engine) extendUncertainty(w *worker) {
-	if e.inherited == nil || w.session.IsListed() || w.IsDraining {
+	if e.inherited == nil || w.session.IsListed() || w.hasShutDown {
 		return
 	}
 	e.inherited.unlistedLeasesUntil = e.now.Add(session.OwnLeaseBound - (heartbeatsUntilRemoval-1)*e.options.HeartbeatInterval)
@@ -90,7 +91,7 @@
 		return false
 	}
 	for _, w := range e.workers.All() {
-		if !w.session.IsListed() && !w.isUnlisted {
+		if !w.session.IsListed() && (!w.isUnlisted || w.hasShutDown) {
 			return false
 		}
 	}
--- a/internal/dispatch/inherit_test.go
+++ b/internal/dispatch/inherit_test.go
@@ -115,6 +115,43 @@
 	}
 }
 
+// Guards against tasks that start elsewhere because a draining worker that never reported was removed
+// from the list: it may be cut off, and run until its lease expires.
+func TestUncertaintyRemainsUntilLeaseOfUnreportedDrainingWorkerExpires(t *testing.T) {
+	for name, tc := range map[string]struct {
+		heartbeatAge time.Duration
+		// isFailed means that a poll that was sent after the removal has failed.
+		isFailed bool
+		// wants is how many starts are wanted before its lease can have expired.
+		wants int
+	}{
+		"old heartbeat":                         {5 * time.Second, true, 0},
+		"recent heartbeat, not polled yet":      {time.Second, false, 0},
+		"recent heartbeat, the next poll fails": {time.Second, true, 1},
+	} {
+		owner := newSuccessor(2)
+		v := order.Worker{ID: "v", Service: "pool", Capacity: workerCapacity}
+		w := order.Worker{ID: "w", Service: "pool", Capacity: workerCapacity, IsDraining: true}
+		owner.SetWorkers([]order.Worker{v, w}, true)
+		owner.reportIdle("v")
+		w.IsRemoved, w.HeartbeatAfter = true, owner.clock.Now().Add(-tc.heartbeatAge)
+		owner.SetWorkers([]order.Worker{v, w}, true)
+		if tc.isFailed {
+			owner.PollFailed(&order.Poll{Worker: "w", AskedAt: owner.clock.Now(), IsImmediate: true})
+		}
+		owner.startsAfter(2900 * time.Millisecond)
+		owner.reportIdle("v")
+		if got := owner.startsAfter(100 * time.Millisecond); got != tc.wants {
+			t.Errorf("%s: its lease may be valid: got: %d starts, want: %d", name, got, tc.wants)
+		}
+		owner.reportIdle("v")
+		owner.PollFailed(&order.Poll{Worker: "w", AskedAt: owner.clock.Now(), IsImmediate: true})
+		if got := owner.startsAfter(time.Second); got != 1-tc.wants {
+			t.Errorf("%s: its lease has expired, or it has ended: got: %d starts, want: %d", name, got, 1-tc.wants)
+		}
+	}
+}
+
 // What workers report of a previous owner's orders is unpersisted until the store has it. An owner
 // learned from workers which tasks the previous owner had started in write-behind mode, and that
 // one of them had ended. It declared everything persisted when the last worker had reported, before
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -113,12 +113,16 @@
 	if w.session.HasMissed() {
 		e.silences.Remove(w.ID)
 	}
-	if !poll.AskedAt.Before(w.entryRemovedAt) {
+	isRefuted := w.hasShutDown && !poll.AskedAt.Before(w.entryRemovedAt)
+	if isRefuted {
 		w.hasShutDown = false
 	}
 	w.session.RecordAnswer(listing.At, e.now)
 	w.session.MarkEndsForgotten(poll.Confirmed)
 	e.handleListing(w, listing, poll.AskedAt)
+	if isRefuted {
+		e.extendUncertainty(w)
+	}
 	e.finishPoll(w, poll.IsImmediate)
 	e.dropIfEmpty(w)
 }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -302,7 +302,7 @@
 	}
 	e.endAllAttempts(w, endedWithIncarnation)
 	e.failCrashingJobs(id, tasks)
-	w.isUnlisted = true
+	w.isUnlisted, w.hasShutDown = true, false
 	e.dropIfEmpty(w)
 }
 
@@ -311,6 +311,9 @@
 	if !w.isUnlisted || w.attempts.Len() > 0 || w.unknownRuns.Len() > 0 {
 		return
 	}
+	if e.inherited != nil && w.hasShutDown && !w.session.IsListed() {
+		return
+	}
 	if e.uncertainTasks.has(w.ID) {
 		return
 	}
