internal/owner: count the time of the only owner from when it has read the jobs

A previous owner whose own claim was answered late counts as confirmed from when it began to run, which may be later than its successor's claim, but is never later than the successor's fencing append (read; no test shows the difference).

Passed: go test -race ./internal/owner -run 'TestLeasesOf|TwoOwners|WriteBehind'.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -383,10 +383,10 @@
 	return previous != nil && o.options.LinkedNodes != nil && 2*o.options.LinkedNodes() < previous.KnownNodes
 }
 
-// isOnlyOwner reports whether no previous owner acts at that time any more: none was confirmed after
-// this one's claim.
+// isOnlyOwner reports whether no previous owner acts at that time any more: none counts as confirmed
+// after the jobs were read.
 func (o *Owner) isOnlyOwner(at time.Time) bool {
-	return o.options.Claim.areAllPreviousEnded() || o.IsLoaded() && !o.mayPreviousAct.Load() && at.Sub(o.claimedAt) >= ConfirmationTimeout
+	return o.options.Claim.areAllPreviousEnded() || o.IsLoaded() && !o.mayPreviousAct.Load() && at.Sub(o.loadedAt) >= ConfirmationTimeout
 }
 
 // awaitPrevious extends the leases of a previous owner that may act during an outage of the store,
