internal/dispatch: check that a poll from before the removal does not confirm a shutdown

The new case without the condition: recent heartbeat, an earlier poll fails: its lease may be valid: got: 1 starts, want: 0

--- a/internal/dispatch/inherit_test.go
+++ b/internal/dispatch/inherit_test.go
@@ -120,14 +120,16 @@
 func TestUncertaintyRemainsUntilLeaseOfUnreportedDrainingWorkerExpires(t *testing.T) {
 	for name, tc := range map[string]struct {
 		heartbeatAge time.Duration
-		// isFailed means that a poll that was sent after the removal has failed.
-		isFailed bool
+		// isFailed means that a poll has failed, which was sent askedBefore the removal was seen.
+		isFailed    bool
+		askedBefore time.Duration
 		// wants is how many starts are wanted before its lease can have expired.
 		wants int
 	}{
-		"old heartbeat":                         {5 * time.Second, true, 0},
-		"recent heartbeat, not polled yet":      {time.Second, false, 0},
-		"recent heartbeat, the next poll fails": {time.Second, true, 1},
+		"old heartbeat":                           {5 * time.Second, true, 0, 0},
+		"recent heartbeat, not polled yet":        {time.Second, false, 0, 0},
+		"recent heartbeat, an earlier poll fails": {time.Second, true, time.Millisecond, 0},
+		"recent heartbeat, the next poll fails":   {time.Second, true, 0, 1},
 	} {
 		owner := newSuccessor(2)
 		v := order.Worker{ID: "v", Service: "pool", Capacity: workerCapacity}
@@ -137,7 +139,7 @@
 		w.IsRemoved, w.HeartbeatAfter = true, owner.clock.Now().Add(-tc.heartbeatAge)
 		owner.SetWorkers([]order.Worker{v, w}, true)
 		if tc.isFailed {
-			owner.PollFailed(&order.Poll{Worker: "w", AskedAt: owner.clock.Now(), IsImmediate: true})
+			owner.PollFailed(&order.Poll{Worker: "w", AskedAt: owner.clock.Now().Add(-tc.askedBefore), IsImmediate: true})
 		}
 		owner.startsAfter(2900 * time.Millisecond)
 		owner.reportIdle("v")
