--- a/internal/dispatch/export_test.go
+++ b/internal/dispatch/export_test.go
@@ -92,3 +92,7 @@
 		report("%s is planned on %s, but its start is neither in a batch nor ready to be ordered", a.id, a.worker.ID)
 	}
 }
+
+// PollsUntilShutDown is how many polls in a row must fail until a worker whose entry was removed counts as
+// shut down.
+const PollsUntilShutDown = pollsUntilShutDown
