internal/connbudget: bound what lost nodes leave open at workers over all owners

Cause: a worker accepts 64 connections, and keeps those of a node that lost power as long as it owes no response on them. Each owner kept up to 12 to each worker; nothing bounded the sum over the nodes that were ever owners.

Evidence: with each connection logged (trial), 28 of 48 workers reset connections for the first time when 63 to 77 were open or left behind. With orders on connections that the worker closes after its response and polls kept open (trial), none was reset after 10, 14 and 40 losses: only idle connections add up. A returning node that used the same address and port again freed nothing.

Change: the owner's record hands on how many connections lost nodes may have left at each worker. Each owner and its delegates keep at most an eighth of what remains of 40, up to four; other requests go over connections that the worker closes. So the sum is at most 40 on any number of nodes, and 24 remain for two running ones. A handover or a closed link counts as no loss; a delegate that falls silent counts as one.

--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -252,6 +252,7 @@
 	age := n.options.Clock.Now().Sub(persistedAt)
 	for _, name := range n.peers.closeSilent() {
 		n.options.Log(events.PeerSuspected, "peer", name, "epoch", o.Epoch(), "silent", maxPeerSilence, "link", "closed")
+		o.FollowerLost(name)
 	}
 	for _, p := range n.peers.all() {
 		p.conn.Notify(kindOwnerHeartbeat, ownerHeartbeat{Epoch: o.Epoch(), Record: record, RecordAge: age, ConfigVersion: version, MayHaveUnpersisted: o.MayHaveUnpersisted()})
--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -121,7 +121,9 @@
 		// The previous owner's values count too, because stronger nodes may not be linked to this
 		// one yet.
 		r.MaxStrength, r.ListedWorkers, r.KnownNodes = max(r.MaxStrength, previous.MaxStrength), previous.ListedWorkers, previous.KnownNodes
+		r.LeftConns = previous.LeftConnsAfter(n.closedEpoch == previous.Epoch)
 	}
+	r.KeptConns = r.LeftConns.Kept()
 	at, err := owner.AppendRecord(n.ctx, n.log, &r, end)
 	if err != nil {
 		n.options.Log(events.ClaimRefused, "epoch", r.Epoch, "err", err)
@@ -216,7 +218,8 @@
 		from, previous = c.Previous.Node, c.Previous
 	}
 	n.options.Log(events.ShardOwned, "epoch", c.Record.Epoch, "from", from, "placements", c.HasAllPlacements, "ended", c.HasPreviousEnded,
-		"flagged", previous.MayHaveUnpersisted, "beat", previous.HeartbeatSeq, "age", previous.Age(now), "claimed", c.Record.Age(now))
+		"flagged", previous.MayHaveUnpersisted, "beat", previous.HeartbeatSeq, "age", previous.Age(now), "claimed", c.Record.Age(now),
+		"left", int(c.Record.LeftConns), "kept", c.Record.KeptConns)
 }
 
 // followOrClaim connects to the owner and follows it until the link ends. If the owner's process
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -56,6 +56,7 @@
 	case <-f.node.ctx.Done():
 		return false
 	case <-f.conn.Done():
+		f.linkClosed()
 		return false
 	case epoch := <-f.node.claimRequests:
 		return !f.handleClaimRequest(epoch)
@@ -67,6 +68,14 @@
 	}
 }
 
+// linkClosed records that the owner's node closed the link, as the kernel also does for a process that
+// was killed. After a power loss the owner is silent first.
+func (f *followSession) linkClosed() {
+	if !f.node.isOwnerSilent() {
+		f.node.closedEpoch = f.record.Epoch
+	}
+}
+
 // handleClaimRequest claims the shard if the request names the epoch of this owner, which has then
 // stopped. A request with another epoch was sent by a previous owner and is ignored. It reports
 // whether it claimed.
@@ -161,6 +170,7 @@
 	if err != nil || newest == nil || newest.Epoch != r.Epoch {
 		return
 	}
+	n.closedEpoch = newest.Epoch
 	n.claim(newest, at+1, true)
 }
 
--- /dev/null
+++ b/internal/cluster/kept_conns_test.go
@@ -0,0 +1,71 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster_test
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/leverdyke/leverdyke/internal/await"
+	"github.com/leverdyke/leverdyke/internal/connbudget"
+	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store/fakestore"
+)
+
+// awaitRecordOf waits until a node owns the shard, and returns its record.
+func awaitRecordOf(t *testing.T, log *fakestore.Log, node string) *owner.Record {
+	t.Helper()
+	record := &owner.Record{}
+	await.True(t, node+" owns the shard", func() bool {
+		r, _, err := owner.ReadRecord(t.Context(), log)
+		if err != nil || r == nil || r.Node != node {
+			return false
+		}
+		record = r
+		return true
+	})
+	return record
+}
+
+// Guards against owners that hand over or are killed being counted as nodes that lost power, which
+// makes orders expensive for good.
+func TestConnectionsOfAnOwnerThatEndsAreNotCounted(t *testing.T) {
+	for name, end := range map[string]func(n *testNode){
+		"handed over": func(n *testNode) { n.Leave(t.Context()) },
+		"killed":      func(n *testNode) { n.Close() },
+	} {
+		log := fakestore.NewLog()
+		first, _ := newPair(t, log)
+		end(first)
+		if got := awaitRecordOf(t, log, "n1").LeftConns; got != 0 {
+			t.Errorf("%s: connections left open: got: %d, want: 0", name, got)
+		}
+	}
+}
+
+// Guards against connections of owners that lost power being forgotten when the owner changes: their
+// sum then exceeds what a worker accepts.
+func TestConnectionsOfALostOwnerAreCounted(t *testing.T) {
+	log := fakestore.NewLog()
+	// Nothing answers at this address any more.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	lost := owner.Record{Node: "lost", Addr: addr, Incarnation: "1", Epoch: 1, LeftConns: 8, KeptConns: 4}
+	if _, err := owner.AppendRecord(t.Context(), log, &lost, 0); err != nil {
+		t.Fatal(err)
+	}
+	newNode(t, log, "n0", "1")
+	want := connbudget.Left(12)
+	r := awaitRecordOf(t, log, "n0")
+	if r.LeftConns != want || r.KeptConns != want.Kept() {
+		t.Errorf("got: %d left, %d kept, want: %d, %d", r.LeftConns, r.KeptConns, want, want.Kept())
+	}
+}
--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -53,6 +53,8 @@
 
 func (inactivePlatform) Close() {}
 
+func (inactivePlatform) SetKeptConns(int) {}
+
 func (inactivePlatform) Pace(context.Context, uint64, *order.Pace) error { return nil }
 
 func (inactivePlatform) Poll(context.Context, uint64, *order.Poll) (*order.Listing, order.PollOutcome) {
--- a/internal/delegate/delegate.go
+++ b/internal/delegate/delegate.go
@@ -20,6 +20,9 @@
 	Stop(ctx context.Context, fence uint64, s *order.Stop) (order.WorkerTime, bool)
 	Poll(ctx context.Context, fence uint64, h *order.Poll) (*order.Listing, order.PollOutcome)
 	Pace(ctx context.Context, fence uint64, p *order.Pace) error
+	// SetKeptConns sets how many connections to each worker may stay open between orders; at first
+	// none. See package connbudget.
+	SetKeptConns(n int)
 }
 
 const (
@@ -115,6 +118,9 @@
 func (s *Session) Execute(ctx context.Context, b *Batch) {
 	isFenced, isStale := s.delegate.admit(b.Fence)
 	s.storePayloads(b)
+	if !isFenced {
+		s.delegate.workers.SetKeptConns(b.KeptConns)
+	}
 	for i := range b.Orders {
 		o := &b.Orders[i]
 		switch {
--- a/internal/delegate/delegate_test.go
+++ b/internal/delegate/delegate_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +23,8 @@
 	starts []order.Start
 	polls  []order.Poll
 	fences []uint64
+	// keptConns is how many connections may be kept open.
+	keptConns atomic.Int64
 }
 
 func (r *recordingWorkers) Start(_ context.Context, fence uint64, s *order.Start) (order.StartOutcome, order.WorkerTime) {
@@ -44,6 +47,8 @@
 
 func (*recordingWorkers) Pace(context.Context, uint64, *order.Pace) error { return nil }
 
+func (r *recordingWorkers) SetKeptConns(n int) { r.keptConns.Store(int64(n)) }
+
 // testDelegate is a delegate with one session, whose outcomes it collects.
 type testDelegate struct {
 	*delegate.Session
--- a/internal/delegate/messages.go
+++ b/internal/delegate/messages.go
@@ -37,6 +37,9 @@
 	// Payloads are those of the orders that were not yet sent to the delegate over this link.
 	Payloads []string
 	Orders   []Order
+	// KeptConns is how many connections to each worker the delegate may keep open between orders.
+	// Owners of earlier versions do not set it.
+	KeptConns int
 }
 
 // Outcome is the result of an order.
--- a/internal/delegate/router.go
+++ b/internal/delegate/router.go
@@ -63,8 +63,10 @@
 	unansweredPolls map[string]int
 	// sentPayloads holds, by node, the payloads that were sent over the current link to it.
 	sentPayloads map[string]*fifoCache[struct{}]
-	fence        uint64
-	batches      map[string]*Batch
+	// used are the nodes that were handed orders since TakeUsed was last called for them.
+	used    map[string]struct{}
+	fence   uint64
+	batches map[string]*Batch
 	// lastExpireAt is when Expire was called last. majorityLateSince is since when most delegates
 	// have been late, or zero when they are not.
 	lastExpireAt      time.Time
@@ -96,7 +98,7 @@
 func NewRouter(directWorkers int, fence uint64) *Router {
 	return &Router{
 		directWorkers: directWorkers, fence: fence, lastID: fence << orderIDBits, unansweredPolls: map[string]int{}, sentPayloads: map[string]*fifoCache[struct{}]{}, plan: &plan{}, zoneByWorker: map[string]string{}, workersPerZone: map[string]int{},
-		delegateByWorker: map[string]string{}, pending: map[uint64]pendingOrder{}, ejections: map[string]*ejection{}, batches: map[string]*Batch{}, moves: newMoves(),
+		delegateByWorker: map[string]string{}, pending: map[uint64]pendingOrder{}, ejections: map[string]*ejection{}, batches: map[string]*Batch{}, used: map[string]struct{}{}, moves: newMoves(),
 	}
 }
 
@@ -199,6 +201,7 @@
 	if b == nil {
 		b = &Batch{Fence: r.fence}
 		r.batches[node] = b
+		r.used[node] = struct{}{}
 	}
 	o := newOrder(r.lastID, a)
 	if o.Start != nil && o.Start.Payload != "" {
@@ -250,6 +253,14 @@
 	return out
 }
 
+// TakeUsed reports whether a node was handed orders since the last call for that node. Such a node
+// has connections to workers.
+func (r *Router) TakeUsed(node string) bool {
+	_, isUsed := r.used[node]
+	delete(r.used, node)
+	return isUsed
+}
+
 // Result is an outcome together with its action. Duration is the time from Add to the outcome's
 // arrival.
 type Result struct {
--- a/internal/owner/delegates_test.go
+++ b/internal/owner/delegates_test.go
@@ -14,6 +14,7 @@
 	"github.com/leverdyke/leverdyke/internal/delegate"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/store/fakestore"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -79,9 +80,15 @@
 
 // startDelegatingOwner returns an owner that leaves its workers to a delegate.
 func startDelegatingOwner(t *testing.T, workers *fakeWorkers) (*owner.Owner, *fakeDelegates) {
+	t.Helper()
+	return startDelegatingOwnerOn(t, fakestore.NewLog(), workers)
+}
+
+// startDelegatingOwnerOn is startDelegatingOwner with a store.
+func startDelegatingOwnerOn(t *testing.T, log store.Log, workers *fakeWorkers) (*owner.Owner, *fakeDelegates) {
 	t.Helper()
 	f := newFakeDelegates(workers)
-	o := runOwner(t, fakestore.NewLog(), workers, twoWorkerList{}, clock.Real{}, nil, func(options *owner.Options) {
+	o := runOwner(t, log, workers, twoWorkerList{}, clock.Real{}, nil, func(options *owner.Options) {
 		options.Delegates, options.DirectWorkers = f, 1
 	})
 	f.mu.Lock()
--- a/internal/owner/fakes_test.go
+++ b/internal/owner/fakes_test.go
@@ -27,6 +27,8 @@
 	ended     chan struct{}
 	// isClosed means that the owner has closed its connections.
 	isClosed atomic.Bool
+	// keptConns is how many connections may be kept open.
+	keptConns atomic.Int64
 }
 
 func newFakeWorkers() *fakeWorkers {
@@ -71,6 +73,8 @@
 
 func (w *fakeWorkers) Close() { w.isClosed.Store(true) }
 
+func (w *fakeWorkers) SetKeptConns(n int) { w.keptConns.Store(int64(n)) }
+
 func (w *fakeWorkers) Pace(context.Context, uint64, *order.Pace) error { return nil }
 
 func (w *fakeWorkers) Poll(ctx context.Context, _ uint64, h *order.Poll) (*order.Listing, order.PollOutcome) {
--- a/internal/owner/late_delegate_test.go
+++ b/internal/owner/late_delegate_test.go
@@ -67,6 +67,8 @@
 	return p.byID[a.Worker].Pace(ctx, fence, a)
 }
 
+func (*workerPool) SetKeptConns(int) {}
+
 // runsPerTask returns how often each task has run.
 func (p *workerPool) runsPerTask() map[work.TaskID]int {
 	out := map[work.TaskID]int{}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -52,6 +52,7 @@
 	mayPreviousAct atomic.Bool
 	// listedWorkers is how many workers the list had when it was last read.
 	listedWorkers atomic.Int64
+	keptConns     keptConns
 	// customerUse is the result of CustomerUse; nil before the first sample.
 	customerUse atomic.Pointer[[]quota.CustomerUtilization]
 	// served is the result of Served; nil before the first sample.
@@ -136,7 +137,7 @@
 	if options.Log == nil {
 		options.Log = func(events.Event, ...any) {}
 	}
-	return &Owner{
+	o := &Owner{
 		options: options,
 		engine: dispatch.NewEngine(dispatch.Options{
 			Log: options.Log, NodeZone: options.NodeZone, StopTime: options.StopTime, HeartbeatInterval: options.Heartbeat,
@@ -149,6 +150,10 @@
 		recordOffset: options.Claim.Offset, heartbeatSeq: options.Claim.Record.HeartbeatSeq, persistedAt: options.Clock.Now(), claimedAt: options.Clock.Now(),
 		writeBehind: newWriteBehindGate(&options.Claim.Record),
 	}
+	o.keptConns.setLeft(options.Claim.Record.LeftConns)
+	_, kept := o.keptConns.get()
+	options.Workers.SetKeptConns(kept)
+	return o
 }
 
 // isEnabled reports whether a mechanism is in use.
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -454,6 +454,7 @@
 	r.MaxStrength = o.options.MaxStrength()
 	r.ListedWorkers = int(o.listedWorkers.Load())
 	r.KnownNodes, r.IsOnlyOwner = o.knownNodes(sentAt), o.isOnlyOwner(sentAt)
+	r.LeftConns, r.KeptConns = o.keptConns.get()
 	o.mu.Lock()
 	r.MayHaveUnpersisted, r.WritesBehindByFlagOnly = o.writeBehind.nextFlag(), true
 	o.mu.Unlock()
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/codec"
+	"github.com/leverdyke/leverdyke/internal/connbudget"
 	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -42,6 +43,25 @@
 	ListedWorkers int `msgpack:"w"`
 	// KnownNodes is how many nodes the owner knew; 0 when that is not known.
 	KnownNodes int `msgpack:"k"`
+	// LeftConns is how many connections to each worker were left open by nodes that were lost before
+	// this record was written. KeptConns is how many this owner and its delegates keep open; 0 in
+	// records of earlier versions, too.
+	LeftConns connbudget.Left `msgpack:"c"`
+	KeptConns int             `msgpack:"q"`
+}
+
+// LeftConnsAfter returns how many connections to each worker lost nodes have left open once the owner
+// has ended. areClosed means that the owner is known to have closed its own. A delegate that is lost
+// together with the owner adds nothing, as either of them talks to a worker, not both.
+func (r *Record) LeftConnsAfter(areClosed bool) connbudget.Left {
+	switch {
+	case areClosed:
+		return r.LeftConns
+	case r.KeptConns == 0:
+		// An owner of an earlier version keeps up to connbudget.MaxOpen.
+		return r.LeftConns.AfterLoss(connbudget.MaxOpen)
+	}
+	return r.LeftConns.AfterLoss(r.KeptConns)
 }
 
 // Age returns the age of the record at that time of day.
