internal/dispatch: wait for the workers on which tasks may run, not for a number of entries

Cause: a new owner starts no inherited task before it knows what all workers run on which its predecessor may have started tasks ahead of the store. It took its list for complete once that had as many entries as the predecessor's last one, which had just begun and had written 0.

Change: tasks start ahead of the store only on workers whose IDs are in the store, written with the next batch after a worker becomes known. The successor waits until each of these has reported, has ended, or its lease has ended. Entries of other workers and the age of the list no longer matter, so that added workers and one that misses the store do no harm either. A record never lowers the number that earlier versions use.

--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -125,6 +125,7 @@
 		r.LeftConns = previous.LeftConnsAfter(n.closedEpoch == previous.Epoch)
 	}
 	r.KeptConns = r.LeftConns.Kept()
+	r.AreWorkersStored = previous == nil || previous.AreWorkersStored
 	at, err := owner.AppendRecord(n.ctx, n.log, &r, end)
 	if err != nil {
 		n.options.Log(events.ClaimRefused, "epoch", r.Epoch, "err", err)
--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/ordered"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -18,6 +19,9 @@
 	Progress map[work.JobID]*work.Progress
 	// ExpiredJobs are ended jobs whose state is no longer retained.
 	ExpiredJobs []work.JobID
+	// AddedWorkers and RemovedWorkers change the set of workers whose IDs are in the store. The removals come
+	// first.
+	AddedWorkers, RemovedWorkers []order.WorkerID
 
 	// jobs are those whose progress is written with the batch.
 	jobs []*job
@@ -37,7 +41,7 @@
 
 // IsEmpty reports whether the batch has nothing to persist.
 func (b *Batch) IsEmpty() bool {
-	return len(b.NewJobs) == 0 && len(b.Progress) == 0 && len(b.ExpiredJobs) == 0
+	return len(b.NewJobs) == 0 && len(b.Progress) == 0 && len(b.ExpiredJobs) == 0 && len(b.AddedWorkers) == 0 && len(b.RemovedWorkers) == 0
 }
 
 // currentBatch returns the batch that collects changes for the store.
@@ -63,6 +67,7 @@
 	} else {
 		e.batch = b.splitDeferrable()
 	}
+	e.stored.takeInto(b)
 	b.Progress = map[work.JobID]*work.Progress{}
 	// A job that has been refused since is not persisted; by now another job may have its ID.
 	b.jobs = slices.DeleteFunc(b.jobs, func(j *job) bool { return e.jobs[j.spec.ID] != j })
@@ -115,6 +120,7 @@
 	for _, j := range b.jobs {
 		e.progressPersisted(j, b.Progress[j.spec.ID].State)
 	}
+	e.workersCommitted(b)
 	for w, n := range b.handledEnds.All() {
 		e.confirmEnds(w, n)
 	}
@@ -145,6 +151,7 @@
 	next := e.currentBatch()
 	next.ExpiredJobs = append(next.ExpiredJobs, b.ExpiredJobs...)
 	next.planned = append(next.planned, b.planned...)
+	e.stored.putBack(b)
 	for _, j := range b.jobs {
 		if e.jobs[j.spec.ID] == j {
 			e.markUrgent(j)
--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -77,7 +77,7 @@
 // while the store is slow or unavailable: the next owner would otherwise not know of the start,
 // and would run the task again as if nothing had happened.
 func (e *Engine) mayStartUnpersisted(a *attempt) bool {
-	return e.isWriteBehind && !crash.HasEvidence(a.step.tasks[a.id.Index].crashes)
+	return e.isWriteBehind && e.isWorkerStored(a.worker.ID) && !crash.HasEvidence(a.step.tasks[a.id.Index].crashes)
 }
 
 // clearRefutedCrashes clears the crashes recorded for a long-running task that its current run has
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -150,6 +150,8 @@
 	inherited *inheritedUncertainty
 	// silent is what is known and handed on of the leases of workers that do not answer.
 	silent silentWorkers
+	// stored are the workers whose IDs are in the store.
+	stored storedWorkers
 	// hasUnpersistedReports means that workers have reported attempts of the previous owner that
 	// are not in the store yet.
 	hasUnpersistedReports bool
@@ -380,6 +382,7 @@
 	e.queryNextSteps()
 	e.logPermissionQueries()
 	e.abandonedStarts.DropExpired(e.now)
+	e.removeStoredWorkers()
 	for id, j := range e.jobs {
 		if j.state.IsFinal() && j.isFinalPersisted && e.now.Sub(j.endedAt) > finalStateRetention && j.attempts == 0 {
 			delete(e.jobs, id)
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -63,6 +63,11 @@
 	// so that it is not known what these run. Each worker writes its entry again with its next
 	// heartbeat, so that this does not last.
 	hasUnclear bool
+	// areWorkersKnown means that only workers matter whose IDs are in the store. unreported has those of them
+	// that may run what the previous owner started and have not reported it. The fields below and the two
+	// above that concern the list are then not used.
+	areWorkersKnown bool
+	unreported      unreported
 	// unlistedLeasesUntil is when the leases have expired of workers that were removed from the
 	// list before they sent a listing.
 	unlistedLeasesUntil time.Time
@@ -92,6 +97,10 @@
 	if !e.now.Before(d.leasesExpireAt) {
 		return !e.hasPartialListing()
 	}
+	if d.areWorkersKnown {
+		d.unreported.dropExpired(e.now, e.inheritedUntil)
+		return d.unreported.isEmpty()
+	}
 	isListComplete := d.currentlyListed > 0 && (d.currentlyListed >= d.previouslyListed && !d.hasUnclear || !e.now.Before(d.listCompleteAt))
 	if !isListComplete || e.now.Before(d.unlistedLeasesUntil) || e.mayRunUnlisted() {
 		return false
@@ -176,7 +185,7 @@
 // reached and whose leases have expired.
 func (e *Engine) tickInherited() {
 	if e.inherited != nil && e.isUncertaintyResolved() {
-		e.options.Log(events.UncertaintyEnded, "entries", e.inherited.currentlyListed, "earlier", e.inherited.previouslyListed, "left", e.inherited.leasesExpireAt.Sub(e.now))
+		e.options.Log(events.UncertaintyEnded, "entries", e.inherited.currentlyListed, "earlier", e.inherited.previouslyListed, "known", e.inherited.areWorkersKnown, "left", e.inherited.leasesExpireAt.Sub(e.now))
 		e.inherited = nil
 		e.needsScheduling = true
 		e.hasUnpersistedReports = true
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -159,6 +159,9 @@
 		if !w.session.IsListed() {
 			w.session.SetListed(true)
 			e.needsScheduling = true
+			if e.inherited != nil {
+				e.inherited.unreported.reported(w.ID)
+			}
 		}
 		e.resolveIncarnations(w)
 	}
--- a/internal/dispatch/owner_changes_simulation_test.go
+++ b/internal/dispatch/owner_changes_simulation_test.go
@@ -68,12 +68,32 @@
 	w.workers[next.name] = next
 }
 
+// toggleStore begins or ends an outage of the store. Most entries lapse meanwhile, and are back within two
+// seconds of its end. Then several owners may follow one another at once.
+func (w *sim) toggleStore() {
+	w.isStoreDown = !w.isStoreDown
+	for _, m := range w.allWorkers() {
+		switch {
+		case m.isDead || m.isPartitioned || m.entry.IsDraining:
+		case w.isStoreDown:
+			m.isUnlisted = w.rng.IntN(5) > 0
+		default:
+			w.schedule(time.Duration(w.rng.IntN(2000))*time.Millisecond, func() { m.isUnlisted = w.isStoreDown && m.isUnlisted })
+		}
+	}
+	for !w.isStoreDown && w.rng.IntN(3) > 0 {
+		w.takeOver()
+		w.run(time.Duration(w.rng.IntN(500)) * time.Millisecond)
+	}
+}
+
 // simulateOwnerChanges lets owners follow one another within 0.2 to 6 s, beside workers that are cut
 // off, leave and crash, and outages of the store.
 func simulateOwnerChanges(seed uint64) *sim {
 	w := newSim(seed)
 	w.heartbeatInterval, w.maxStoreDelay = simulatedHeartbeat, time.Duration(w.rng.IntN(100))*time.Millisecond
 	w.records.period = time.Duration(w.rng.IntN(3000)) * time.Millisecond
+	w.isListInStore = true
 	w.isWriteBehind = w.rng.IntN(2) == 0
 	w.takeOver()
 	w.addWorkers(8, workerCapacity)
@@ -88,7 +108,7 @@
 		case 3:
 			w.crashForGood(i)
 		case 4:
-			w.isStoreDown = !w.isStoreDown
+			w.toggleStore()
 		case 5:
 			w.lostAnswerShare, w.lateOrderShare = 0.1*w.rng.Float64(), w.rng.Float64()
 		default:
@@ -101,6 +121,9 @@
 	}
 	w.run(12 * time.Second)
 	w.clearFaults()
+	for _, m := range w.allWorkers() {
+		m.isUnlisted = m.isUnlisted && m.isDead
+	}
 	w.run(60 * time.Second)
 	return w
 }
--- a/internal/dispatch/record_model_test.go
+++ b/internal/dispatch/record_model_test.go
@@ -4,6 +4,8 @@
 package dispatch_test
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/leasebound"
@@ -51,4 +53,5 @@
 	}
 	r.isInFlight = false
 	w.engine.InheritBounds(r.newest)
+	w.engine.InheritWorkers(slices.Sorted(maps.Keys(w.storedWorkers)), true)
 }
--- /dev/null
+++ b/internal/dispatch/stored_workers.go
@@ -0,0 +1,106 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package dispatch
+
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/ordered"
+)
+
+// storedWorkers are the workers whose IDs are in the store. Only on these are tasks started before their
+// placements are persisted, so that the next owner knows on which workers such tasks may run, also while
+// the platform's list lacks entries. The zero value has none.
+type storedWorkers struct {
+	// isStored has the workers that are in the store or in a batch for it; true once the batch is
+	// committed.
+	isStored ordered.Map[order.WorkerID, bool]
+	// added and removed are written with the next batch. They cause none by themselves: without jobs no
+	// task is started ahead of the store.
+	added, removed []order.WorkerID
+	// nextScan is when workers to remove are next looked for.
+	nextScan time.Time
+}
+
+// storedScanInterval is the time between two scans for workers to remove from the store.
+const storedScanInterval = time.Second
+
+// InheritWorkers takes over the workers whose IDs are in the store. areAllStored means that the previous
+// owner started tasks ahead of the store on no other workers. It is called after Inherit.
+func (e *Engine) InheritWorkers(ids []order.WorkerID, areAllStored bool) {
+	for _, id := range ids {
+		e.stored.isStored.Set(id, true)
+	}
+	if e.inherited == nil || !areAllStored {
+		return
+	}
+	e.inherited.areWorkersKnown, e.inherited.unreported = true, newUnreported(ids)
+}
+
+// IsInheritanceKnown reports whether it is known on which workers tasks may run that previous owners
+// started.
+func (e *Engine) IsInheritanceKnown() bool { return e.inherited == nil }
+
+// storeWorker has the ID of a worker persisted.
+func (e *Engine) storeWorker(id order.WorkerID) {
+	if _, isKnown := e.stored.isStored.Find(id); isKnown {
+		return
+	}
+	e.stored.isStored.Set(id, false)
+	e.stored.added = append(e.stored.added, id)
+}
+
+// removeStoredWorkers removes the workers from the store that are not known any more and on which nothing
+// can run that a previous owner started.
+func (e *Engine) removeStoredWorkers() {
+	if e.now.Before(e.stored.nextScan) {
+		return
+	}
+	e.stored.nextScan = e.now.Add(storedScanInterval)
+	for id, isStored := range e.stored.isStored.All() {
+		if !isStored || e.workers.Get(id) != nil || e.mayRunUnreported(id) {
+			continue
+		}
+		e.stored.isStored.Delete(id)
+		e.stored.removed = append(e.stored.removed, id)
+	}
+}
+
+// mayRunUnreported reports whether tasks may run on a worker that a previous owner started, and that the
+// worker has not reported.
+func (e *Engine) mayRunUnreported(id order.WorkerID) bool {
+	if e.inherited == nil {
+		return false
+	}
+	if e.inherited.areWorkersKnown {
+		return e.inherited.unreported.has(id)
+	}
+	return true
+}
+
+// workersCommitted records that the changes of a batch to the stored workers are in the store.
+func (e *Engine) workersCommitted(b *Batch) {
+	for _, id := range b.AddedWorkers {
+		if _, isKnown := e.stored.isStored.Find(id); isKnown {
+			e.stored.isStored.Set(id, true)
+		}
+	}
+}
+
+// takeInto moves the changes to a batch.
+func (s *storedWorkers) takeInto(b *Batch) {
+	b.AddedWorkers, b.RemovedWorkers = s.added, s.removed
+	s.added, s.removed = nil, nil
+}
+
+// putBack takes the changes of a batch that was refused. A worker of the batch that is in both lists is
+// added after it is removed.
+func (s *storedWorkers) putBack(b *Batch) {
+	s.added = append(b.AddedWorkers, s.added...)
+	s.removed = append(b.RemovedWorkers, s.removed...)
+}
+
+// isWorkerStored reports whether tasks may be started on a worker ahead of the store.
+func (e *Engine) isWorkerStored(id order.WorkerID) bool { return e.stored.isStored.Get(id) }
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -232,6 +232,7 @@
 	e.updateZoneDrain(w)
 	e.workers.Set(entry.ID, w)
 	e.index.add(w)
+	e.storeWorker(entry.ID)
 	e.abandonedStarts.NextGeneration(entry.ID)
 	e.refuseAbandoned(w)
 	e.longPoll(w)
@@ -248,7 +249,10 @@
 // mayRunInherited reports whether a worker for which only an uncertain entry is known can be polled,
 // and may run tasks that a previous owner started.
 func (e *Engine) mayRunInherited(entry *order.Worker) bool {
-	return entry.Addr.IsValid() && e.hasUnresolved(entry.ID)
+	if !entry.Addr.IsValid() {
+		return false
+	}
+	return e.hasUnresolved(entry.ID) || e.inherited != nil && e.inherited.areWorkersKnown && e.mayRunUnreported(entry.ID)
 }
 
 const (
@@ -301,6 +305,10 @@
 		// If the successor is another incarnation of the same worker, orders of a previous owner
 		// may have reached that one: its listing has to show it first.
 		e.resolveInherited(id, resolvedByIncarnationEnd)
+		e.recordLeaseEnd(id)
+	}
+	if e.inherited != nil {
+		e.inherited.unreported.ended(id)
 	}
 	e.endedIncarnations[id] = true
 	w := e.workers.Get(id)
@@ -323,7 +331,7 @@
 	if !w.isUnlisted || w.attempts.Len() > 0 || w.unknownRuns.Len() > 0 {
 		return
 	}
-	if e.inherited != nil && w.hasShutDown && !w.session.IsListed() {
+	if e.inherited != nil && (w.hasShutDown && !w.session.IsListed() || e.inherited.unreported.has(w.ID)) {
 		return
 	}
 	if e.uncertainTasks.has(w.ID) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -50,6 +50,8 @@
 	mayAct atomic.Bool
 	// mayPreviousAct means that the previous owner may still act during an outage of the store.
 	mayPreviousAct atomic.Bool
+	// isInheritanceKnown means that it is known what previous owners started.
+	isInheritanceKnown atomic.Bool
 	// listedWorkers is how many workers the list had when it was last read.
 	listedWorkers atomic.Int64
 	keptConns     keptConns
@@ -342,6 +344,7 @@
 		o.options.Log(events.WriteBehindChanged, "epoch", o.Epoch(), "ahead", isWriteBehind, "confirmed", o.now.Sub(o.confirmedAt), "out", o.isStoreDown)
 	}
 	o.mayHaveUnpersisted.Store(isWriteBehind || hasUnpersisted)
+	o.isInheritanceKnown.Store(o.engine.IsInheritanceKnown())
 	o.engine.SetWriteBehind(isWriteBehind)
 }
 
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -53,6 +53,7 @@
 		o.engine.Inherit(o.now.Add(leaseLeft), o.options.Claim.HasAllPlacements, previous.ListedWorkers)
 		o.engine.InheritBounds(previous.Silent)
 	}
+	o.engine.InheritWorkers(parseWorkers(newest.Records), previous == nil || previous.AreWorkersStored)
 	o.options.Log(events.JobsLoaded, "epoch", o.Epoch(), "jobs", len(jobs), "records", len(newest.Records), "end", newest.End, "took", o.now.Sub(startedAt))
 	return 1, nil
 }
@@ -454,6 +455,11 @@
 	r.SentAt = o.options.Clock.TimeOfDay()
 	r.MaxStrength = o.options.MaxStrength()
 	r.ListedWorkers = int(o.listedWorkers.Load())
+	if o.isInheritanceKnown.Load() {
+		r.AreWorkersStored = true
+	} else {
+		r.ListedWorkers = max(r.ListedWorkers, o.options.Claim.Record.ListedWorkers)
+	}
 	r.KnownNodes, r.IsOnlyOwner = o.knownNodes(sentAt), o.isOnlyOwner(sentAt)
 	r.LeftConns, r.KeptConns = o.keptConns.get()
 	o.mu.Lock()
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -13,6 +13,7 @@
 	"github.com/leverdyke/leverdyke/internal/connbudget"
 	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/leasebound"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -40,8 +41,12 @@
 	WritesBehindByFlagOnly bool `msgpack:"f"`
 	// IsOnlyOwner means that no owner before this one acts or renews leases any more.
 	IsOnlyOwner bool `msgpack:"o"`
-	// ListedWorkers is how many workers the owner's list had; 0 when it had none yet.
+	// ListedWorkers is how many workers the owner's list had, or that of the previous owner as long as it is
+	// not known what that one started; 0 when there was no list yet.
 	ListedWorkers int `msgpack:"w"`
+	// AreWorkersStored means that tasks may run on placements that are not in the store only on workers
+	// whose IDs are there. Owners of earlier versions do not store them.
+	AreWorkersStored bool `msgpack:"i"`
 	// KnownNodes is how many nodes the owner knew; 0 when that is not known.
 	KnownNodes int `msgpack:"k"`
 	// LeftConns is how many connections to each worker were left open by nodes that were lost before
@@ -80,10 +85,11 @@
 	return r, nil
 }
 
-// Prefixes of the keys in TopicJobs.
+// Prefixes of the keys in TopicJobs. The record of a worker says only that it is known.
 const (
 	specPrefix     = "j/"
 	progressPrefix = "p/"
+	workerPrefix   = "w/"
 )
 
 // encodeBatch returns the records of a batch, split into parts that fit one append each.
@@ -103,6 +109,12 @@
 		add(specPrefix+string(id), nil)
 		add(progressPrefix+string(id), nil)
 	}
+	for _, id := range b.RemovedWorkers {
+		add(workerPrefix+string(id), nil)
+	}
+	for _, id := range b.AddedWorkers {
+		add(workerPrefix+string(id), []byte{1})
+	}
 	for _, spec := range b.NewJobs {
 		data, err := codec.Marshal(spec)
 		if err != nil {
@@ -124,6 +136,17 @@
 	return parts, nil
 }
 
+// parseWorkers returns the workers whose IDs are in the store.
+func parseWorkers(records []store.Record) []order.WorkerID {
+	ids := []order.WorkerID{}
+	for i := range records {
+		if id, ok := strings.CutPrefix(records[i].Key, workerPrefix); ok && len(records[i].Value) > 0 {
+			ids = append(ids, order.WorkerID(id))
+		}
+	}
+	return ids
+}
+
 // storedJob is a job as it is in the store.
 type storedJob struct {
 	// spec has only the ID and the customer when the job has ended.
