internal/dispatch: store the policies of queues that have jobs

What callers saw: an accepted job whose queue had left the configuration stood still after a change of owner, until the queue was back.

Cause: an owner keeps the last policy of such a queue in memory; the next one has never seen it, and skips the job's steps.

Change: the policy is stored beside the jobs with the queue's first accepted job and when it changes, and a new owner puts it in force if its configuration lacks the queue.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -19,6 +19,8 @@
 	Progress map[work.JobID]*work.Progress
 	// ExpiredJobs are ended jobs whose state is no longer retained.
 	ExpiredJobs []work.JobID
+	// Queues are policies of queues that have changed since they were last written.
+	Queues []order.Queue
 	// AddedWorkers and RemovedWorkers change the set of workers whose IDs are in the store. The removals come
 	// first.
 	AddedWorkers, RemovedWorkers []order.WorkerID
@@ -41,7 +43,7 @@
 
 // IsEmpty reports whether the batch has nothing to persist.
 func (b *Batch) IsEmpty() bool {
-	return len(b.NewJobs) == 0 && len(b.Progress) == 0 && len(b.ExpiredJobs) == 0 && len(b.AddedWorkers) == 0 && len(b.RemovedWorkers) == 0
+	return len(b.NewJobs) == 0 && len(b.Progress) == 0 && len(b.ExpiredJobs) == 0 && len(b.Queues) == 0 && len(b.AddedWorkers) == 0 && len(b.RemovedWorkers) == 0
 }
 
 // currentBatch returns the batch that collects changes for the store.
@@ -68,6 +70,7 @@
 		e.batch = b.splitDeferrable()
 	}
 	e.stored.takeInto(b)
+	b.Queues = e.changedQueues(b)
 	b.Progress = map[work.JobID]*work.Progress{}
 	// A job that has been refused since is not persisted; by now another job may have its ID.
 	b.jobs = slices.DeleteFunc(b.jobs, func(j *job) bool { return e.jobs[j.spec.ID] != j })
@@ -152,6 +155,7 @@
 	next.ExpiredJobs = append(next.ExpiredJobs, b.ExpiredJobs...)
 	next.planned = append(next.planned, b.planned...)
 	e.stored.putBack(b)
+	e.forgetQueues(b)
 	for _, j := range b.jobs {
 		if e.jobs[j.spec.ID] == j {
 			e.markUrgent(j)
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -150,6 +150,8 @@
 	inherited *inheritedUncertainty
 	// silent is what is known and handed on of the leases of workers that do not answer.
 	silent silentWorkers
+	// storedQueues are the policies that the store has beside the jobs.
+	storedQueues storedQueues
 	// stored are the workers whose IDs are in the store.
 	stored storedWorkers
 	// hasUnpersistedReports means that workers have reported attempts of the previous owner that
@@ -316,6 +318,7 @@
 	for _, q := range queues {
 		e.queues[q.Name] = q
 	}
+	e.queuesConfigured()
 	e.needsScheduling = true
 }
 
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -56,6 +56,16 @@
 	TargetLatency time.Duration
 }
 
+// Equal reports whether both have the same policy.
+func (q *Queue) Equal(other *Queue) bool {
+	a, b := *q, *other
+	a.Permission, b.Permission = nil, nil
+	if a != b || (q.Permission == nil) != (other.Permission == nil) {
+		return false
+	}
+	return q.Permission == nil || *q.Permission == *other.Permission
+}
+
 // PermissionPolicy describes the permission service, which answers which workers may run a step.
 type PermissionPolicy struct {
 	// A call takes BaseTime, plus TimePerWorker for each worker that it names.
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -35,8 +35,10 @@
 	o.jobsEnd = newest.End
 	o.tick()
 	o.engine.SetTimeOfDay(o.options.Clock.TimeOfDay())
+	logBadRecord := func(key string, err error) { o.options.Log(events.BadRecord, "key", key, "err", err) }
+	o.engine.RestoreQueues(parseQueues(newest.Records, logBadRecord))
 	o.applyPolicy()
-	jobs := parseJobs(newest.Records, func(key string, err error) { o.options.Log(events.BadRecord, "key", key, "err", err) })
+	jobs := parseJobs(newest.Records, logBadRecord)
 	slices.SortFunc(jobs, func(a, b *storedJob) int { return cmp.Compare(a.offset, b.offset) })
 	for _, k := range jobs {
 		o.engine.RestoreJob(k.spec, k.progress)
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -90,6 +90,7 @@
 	specPrefix     = "j/"
 	progressPrefix = "p/"
 	workerPrefix   = "w/"
+	queuePrefix    = "q/"
 )
 
 // encodeBatch returns the records of a batch, split into parts that fit one append each.
@@ -109,6 +110,13 @@
 		add(specPrefix+string(id), nil)
 		add(progressPrefix+string(id), nil)
 	}
+	for i := range b.Queues {
+		data, err := codec.Marshal(&b.Queues[i])
+		if err != nil {
+			return nil, err
+		}
+		add(queuePrefix+b.Queues[i].Name, data)
+	}
 	for _, id := range b.RemovedWorkers {
 		add(workerPrefix+string(id), nil)
 	}
@@ -136,6 +144,25 @@
 	return parts, nil
 }
 
+// parseQueues returns the policies of queues that are stored beside the jobs. A record that cannot be
+// decoded is passed to onBadRecord and left out.
+func parseQueues(records []store.Record, onBadRecord func(key string, err error)) []order.Queue {
+	queues := []order.Queue{}
+	for i := range records {
+		r := &records[i]
+		if !strings.HasPrefix(r.Key, queuePrefix) || len(r.Value) == 0 {
+			continue
+		}
+		q := order.Queue{}
+		if err := codec.Unmarshal(r.Value, &q); err != nil {
+			onBadRecord(r.Key, err)
+			continue
+		}
+		queues = append(queues, q)
+	}
+	return queues
+}
+
 // parseWorkers returns the workers whose IDs are in the store.
 func parseWorkers(records []store.Record) []order.WorkerID {
 	ids := []order.WorkerID{}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -210,8 +210,13 @@
 
 // ConfigureQueue publishes a configuration in which the queue has another path prefix.
 func (s *Site) ConfigureQueue(version int, prefix string) {
+	s.ConfigureNamedQueue(version, "q", prefix)
+}
+
+// ConfigureNamedQueue publishes a configuration whose only queue has that name and path prefix.
+func (s *Site) ConfigureNamedQueue(version int, name, prefix string) {
 	route := map[string]any{
-		"name": "q", "host": QueueHost, "pathPrefix": prefix, "service": serviceName, "priority": 0,
+		"name": name, "host": QueueHost, "pathPrefix": prefix, "service": serviceName, "priority": 0,
 		"maxAttempts": 3, "stretch": Stretch, "targetLatencyMs": TargetLatency.Milliseconds(),
 	}
 	if s.options.HasPermissionService {
