--- a/internal/dispatch/crash_test.go
+++ b/internal/dispatch/crash_test.go
@@ -299,6 +299,33 @@
 	}
 }
 
+// Guards against jobs that are failed although no task of theirs has failed: many workers crash at the
+// moment in which the owner ends, again and again, and the next owner took each for evidence against what
+// had run there.
+func TestCrashesOfManyWorkersAsTheOwnerEndsFailNoJob(t *testing.T) {
+	for seed := range uint64(4) {
+		w := newSim(seed)
+		w.addWorkers(24, workerCapacity)
+		w.run(time.Second)
+		w.crashWorkersOf(func(work.TaskID) bool { return false })
+		w.crashFaults.restartDelay, w.crashFaults.unlistDelay = time.Second, time.Second
+		for i := range 12 {
+			w.submit(fmt.Sprintf("j%02d", i), newStep(8, 9*time.Second))
+		}
+		w.run(time.Second)
+		for range 10 {
+			w.crashRandomWorkers(7)
+			w.takeOver()
+			w.run(4500 * time.Millisecond)
+		}
+		w.run(90 * time.Second)
+		for _, id := range w.jobOrder {
+			expectState(t, w, id, work.JobSucceeded)
+		}
+		expectNoViolations(t, w)
+	}
+}
+
 // The limit on crashes holds together with the random faults of random_test.go.
 func TestInvariantsHoldWithTasksThatCrashWorkers(t *testing.T) {
 	parameters := gopter.DefaultTestParametersWithSeed(20261203)
