internal/dispatch: wait for workers that report in parts, and poll named ones less often

A worker that was handed on as silent, answers and lists its ends in parts has a lease of the new owner; it counted as ended once the old bound was over, so that tasks that it runs could start elsewhere (TestUncertaintyRemainsForAWorkerThatReportsInParts: 1 start before, none now). A worker that answers while a record names it was polled every 20 ms for as long as the store is out; the pause now doubles up to 320 ms.

--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -63,11 +63,10 @@
 	// so that it is not known what these run. Each worker writes its entry again with its next
 	// heartbeat, so that this does not last.
 	hasUnclear bool
-	// areWorkersKnown means that only workers matter whose IDs are in the store. unreported has those of them
-	// that may run what the previous owner started and have not reported it. The fields below and the two
-	// above that concern the list are then not used.
+	// areWorkersKnown means that the previous owner stored the IDs of the workers concerned. Then unreported
+	// has those that have not reported yet, and of the other fields only leasesExpireAt is used.
 	areWorkersKnown bool
-	unreported      unreported
+	unreported      unreportedWorkers
 	// unlistedLeasesUntil is when the leases have expired of workers that were removed from the
 	// list before they sent a listing.
 	unlistedLeasesUntil time.Time
@@ -98,7 +97,7 @@
 		return !e.hasPartialListing()
 	}
 	if d.areWorkersKnown {
-		d.unreported.dropExpired(e.now, e.inheritedUntil)
+		d.unreported.dropExpired(e.now, e.unreportedUntil)
 		return d.unreported.isEmpty()
 	}
 	isListComplete := d.currentlyListed > 0 && (d.currentlyListed >= d.previouslyListed && !d.hasUnclear || !e.now.Before(d.listCompleteAt))
@@ -106,7 +105,7 @@
 		return false
 	}
 	for _, w := range e.workers.All() {
-		if !w.session.IsListed() && (!w.isUnlisted || w.hasShutDown) && e.now.Before(e.inheritedUntil(w.ID)) {
+		if !w.session.IsListed() && (!w.isUnlisted || w.hasShutDown) && e.now.Before(e.unreportedUntil(w.ID)) {
 			return false
 		}
 	}
--- a/internal/dispatch/silent.go
+++ b/internal/dispatch/silent.go
@@ -20,9 +20,12 @@
 	listedSilence   = 2 * time.Second
 	// maxSilentWorkers bounds the workers that are handed on. The next owner waits anew for any more.
 	maxSilentWorkers = 512
-	// namedPollDelay is the time between two long polls of a worker that answers and is still named in
-	// a record.
-	namedPollDelay = 20 * time.Millisecond
+	// namedPollDelay is the pause before a worker that answers and is still named in a record is polled
+	// again. It doubles up to maxNamedPollDelay, as no record can be written in an outage of the store.
+	namedPollDelay    = 20 * time.Millisecond
+	maxNamedPollDelay = 320 * time.Millisecond
+	// maxDeferralDoublings is how often that pause doubles.
+	maxDeferralDoublings = 4
 	// endedRetention is how long a worker is handed on after its lease has ended, so that the
 	// progress of its jobs is stored before.
 	endedRetention = 10 * time.Second
@@ -82,7 +85,8 @@
 	}
 	for id, until := range s.inheritedUntil.All() {
 		// It may run what a previous owner started before the placement was persisted.
-		if e.workers.Get(id) == nil && !e.uncertainTasks.has(id) && !e.endedIncarnations[id] && e.now.Before(until) {
+		_, hasEnded := s.endedAt.Find(id)
+		if e.workers.Get(id) == nil && !e.uncertainTasks.has(id) && !hasEnded && e.now.Before(until) {
 			add(id, until)
 		}
 	}
@@ -149,6 +153,16 @@
 // recordLeaseEnd records that the lease of a worker ended without an answer.
 func (e *Engine) recordLeaseEnd(id order.WorkerID) { e.silent.endedAt.Set(id, e.now) }
 
+// unreportedUntil returns when nothing runs any more that a previous owner started on a worker, if the
+// worker does not report it. A worker that has reported in part has a lease of this owner.
+func (e *Engine) unreportedUntil(id order.WorkerID) time.Time {
+	until := e.inheritedUntil(id)
+	if w := e.workers.Get(id); w != nil && w.session.ExpiresAt().After(until) {
+		return w.session.ExpiresAt()
+	}
+	return until
+}
+
 // mayRunUnlisted reports whether a worker that the previous owner handed on may still run what that one
 // started, and has not reported it.
 func (e *Engine) mayRunUnlisted() bool {
@@ -165,9 +179,10 @@
 // did; the worker is then polled again.
 func (e *Engine) deferAnswer(w *worker, poll *order.Poll) bool {
 	if !e.silent.ledger.Names(w.ID) {
+		w.deferredAnswers = 0
 		return false
 	}
-	if e.now.Sub(w.answeredNamedAt) > unlistedSilence {
+	if w.deferredAnswers == 0 {
 		e.options.Log(events.SilentWorkerAnswers, "worker", w.ID, "attempts", w.attempts.Len())
 	}
 	w.answeredNamedAt, e.silent.hasAnswer, w.needsTick = e.now, true, true
@@ -177,6 +192,7 @@
 		return true
 	}
 	w.session.EndLongPoll()
-	w.session.DelayLongPollUntil(e.now.Add(namedPollDelay))
+	w.session.DelayLongPollUntil(e.now.Add(min(namedPollDelay<<min(w.deferredAnswers, maxDeferralDoublings), maxNamedPollDelay)))
+	w.deferredAnswers++
 	return true
 }
--- a/internal/dispatch/stored_workers.go
+++ b/internal/dispatch/stored_workers.go
@@ -36,7 +36,7 @@
 	if e.inherited == nil || !areAllStored {
 		return
 	}
-	e.inherited.areWorkersKnown, e.inherited.unreported = true, newUnreported(ids)
+	e.inherited.areWorkersKnown, e.inherited.unreported = true, newUnreportedWorkers(ids)
 }
 
 // IsInheritanceKnown reports whether it is known on which workers tasks may run that previous owners
--- a/internal/dispatch/stored_workers_test.go
+++ b/internal/dispatch/stored_workers_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/clock"
 	"github.com/leverdyke/leverdyke/internal/leasebound"
 	"github.com/leverdyke/leverdyke/internal/order"
 )
@@ -107,3 +108,28 @@
 		t.Errorf("got: %v, want: [w00]", got)
 	}
 }
+
+// Guards against a worker that counts as ended while it reports in parts: it runs on under the lease of
+// the new owner.
+func TestUncertaintyRemainsForAWorkerThatReportsInParts(t *testing.T) {
+	owner := newSuccessor(2)
+	owner.InheritBounds([]leasebound.Bound{{Worker: "w", Left: time.Second}})
+	owner.InheritWorkers([]order.WorkerID{"v", "w"}, true)
+	owner.setWorkerList("v", "w")
+	owner.SilentWorkersPersisted(owner.answeredVersion("w"))
+	for range 4 {
+		owner.reportIdle("v")
+		at := order.WorkerTime(owner.clock.Now().Sub(clock.NewFake().Now()) + time.Second)
+		owner.PollAnswered(&order.Poll{Worker: "w", AskedAt: owner.clock.Now()}, &order.Listing{At: at, MayLackEnds: true})
+		if got := owner.startsAfter(500 * time.Millisecond); got != 0 {
+			t.Errorf("it has reported in part: got: %d starts, want: none", got)
+		}
+	}
+}
+
+// answeredVersion lets a worker answer that a record names, and returns the version of the set without it.
+func (s *successor) answeredVersion(id order.WorkerID) uint64 {
+	s.reportIdle(id)
+	_, version := s.UpdateSilentWorkers(true)
+	return version
+}
--- a/internal/dispatch/unreported.go
+++ b/internal/dispatch/unreported_workers.go
@@ -10,9 +10,9 @@
 	"github.com/leverdyke/leverdyke/internal/order"
 )
 
-// unreported are the workers that may run what a previous owner started and have not reported it. The
+// unreportedWorkers are the workers that may run what a previous owner started and have not reported it. The
 // zero value has none.
-type unreported struct {
+type unreportedWorkers struct {
 	// byName has them by the name of the worker, as a listing of one incarnation tells of all.
 	byName map[string][]order.WorkerID
 	// nextCheck is when dropExpired next looks through them.
@@ -22,29 +22,31 @@
 // expiryCheckInterval is the time between two looks for expired leases.
 const expiryCheckInterval = 100 * time.Millisecond
 
-func newUnreported(ids []order.WorkerID) unreported {
-	u := unreported{byName: make(map[string][]order.WorkerID, len(ids))}
+func newUnreportedWorkers(ids []order.WorkerID) unreportedWorkers {
+	u := unreportedWorkers{byName: make(map[string][]order.WorkerID, len(ids))}
 	for _, id := range ids {
 		u.byName[id.Name()] = append(u.byName[id.Name()], id)
 	}
 	return u
 }
 
-func (u *unreported) isEmpty() bool { return len(u.byName) == 0 }
+func (u *unreportedWorkers) isEmpty() bool { return len(u.byName) == 0 }
 
-func (u *unreported) has(id order.WorkerID) bool { return slices.Contains(u.byName[id.Name()], id) }
+func (u *unreportedWorkers) has(id order.WorkerID) bool {
+	return slices.Contains(u.byName[id.Name()], id)
+}
 
 // reported records that a worker has reported all that it runs: its earlier incarnations have ended.
-func (u *unreported) reported(worker order.WorkerID) {
+func (u *unreportedWorkers) reported(worker order.WorkerID) {
 	u.remove(worker.Name(), func(id order.WorkerID) bool { return id == worker || id.IsOtherIncarnation(worker) })
 }
 
 // ended records that an incarnation has ended.
-func (u *unreported) ended(worker order.WorkerID) {
+func (u *unreportedWorkers) ended(worker order.WorkerID) {
 	u.remove(worker.Name(), func(id order.WorkerID) bool { return id == worker })
 }
 
-func (u *unreported) remove(name string, isRemoved func(order.WorkerID) bool) {
+func (u *unreportedWorkers) remove(name string, isRemoved func(order.WorkerID) bool) {
 	ids, isKnown := u.byName[name]
 	if !isKnown {
 		return
@@ -57,7 +59,7 @@
 }
 
 // dropExpired drops the workers whose leases have expired at now, by the given function.
-func (u *unreported) dropExpired(now time.Time, expiresAt func(order.WorkerID) time.Time) {
+func (u *unreportedWorkers) dropExpired(now time.Time, expiresAt func(order.WorkerID) time.Time) {
 	if now.Before(u.nextCheck) {
 		return
 	}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -39,8 +39,10 @@
 	// addedAt is when the worker became known, answeredNamedAt when it last answered while a record of
 	// this owner said that it does not.
 	addedAt, answeredNamedAt time.Time
-	entryRemovedAt           time.Time
-	pollsFailedSince         int
+	// deferredAnswers counts the last long polls in a row that were answered so.
+	deferredAnswers  int
+	entryRemovedAt   time.Time
+	pollsFailedSince int
 	// isShuttingDown means that its entry disappeared while it still answered polls: it shuts down
 	// as planned.
 	isShuttingDown bool
