internal/dispatch: order a pace again until the worker has answered

What callers could see: a best-effort task stands still for good.

Cause: the pace that was ordered last counted as that of the task, also if the order got no answer; and a new owner took each task that it found for running at full speed, whatever the previous one had ordered.

Change: a pace is unknown until its order is answered, and for tasks that a new owner finds; the order is sent again with the next listing, every 0.5 s at most. Delegates report whether the worker answered.

--- a/internal/delegate/delegate.go
+++ b/internal/delegate/delegate.go
@@ -208,9 +208,7 @@
 	case o.Poll != nil:
 		out.Listing, out.Poll = w.Poll(ctx, fence, o.Poll)
 	case o.Pace != nil:
-		// An error is ignored: the engine sets the pace again when the worker's resource usage
-		// requires it.
-		_ = w.Pace(ctx, fence, o.Pace)
+		out.IsPaced = w.Pace(ctx, fence, o.Pace) == nil
 	}
 	s.add(out)
 }
--- a/internal/delegate/messages.go
+++ b/internal/delegate/messages.go
@@ -55,4 +55,7 @@
 	// Poll is set for a poll. Listing is set in addition when the worker's listing arrived.
 	Poll    order.PollOutcome
 	Listing *order.Listing
+	// IsPaced reports that the worker carried out an order to pace. Delegates of earlier versions do not
+	// set it.
+	IsPaced bool
 }
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -222,7 +222,7 @@
 	}
 	a := &attempt{
 		id: running.Task, step: s, run: running.Run, worker: w, charge: s.spec.Charge(), phase: phaseRunning,
-		orderedAt: e.now, startConfirmedClock: w.session.Clock(), startConfirmedAt: e.now, percentChangedAt: e.now, pace: fullPace, isAdopted: true,
+		orderedAt: e.now, startConfirmedClock: w.session.Clock(), startConfirmedAt: e.now, percentChangedAt: e.now, pace: fullPace, isPaceUnknown: true, isAdopted: true,
 	}
 	w.session.RecordOtherLeases(e.inheritedLeasesUntil)
 	e.charge(a)
--- a/internal/dispatch/pace.go
+++ b/internal/dispatch/pace.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/throttle"
 )
@@ -35,11 +37,30 @@
 	}
 }
 
+// paceRetryInterval is how long an order to pace may stay unanswered until it is sent again.
+const paceRetryInterval = 500 * time.Millisecond
+
+// setPace orders the pace of an attempt if it changes, or if it is not known whether the worker has got
+// the last order.
 func (e *Engine) setPace(a *attempt, worstRatio float64) {
 	newPace := throttle.Next(a.pace, e.now.Sub(a.paceChangedAt), worstRatio)
-	if newPace == a.pace {
+	if newPace != a.pace {
+		a.paceChangedAt = e.now
+	} else if !a.isPaceUnknown || e.now.Sub(a.paceSentAt) < paceRetryInterval {
 		return
 	}
-	a.pace, a.paceChangedAt = newPace, e.now
+	a.pace, a.isPaceUnknown, a.paceSentAt = newPace, true, e.now
 	e.emit(order.Pace{Worker: a.worker.ID, Addr: a.worker.Addr, Generation: e.abandonedStarts.Generation(a.worker.ID), Task: a.id, Run: a.run, Percent: newPace})
 }
+
+// PaceAnswered handles the answer to an order to pace; isDone is false if there was none, or the worker
+// refused.
+func (e *Engine) PaceAnswered(p *order.Pace, isDone bool) {
+	w := e.workers.Get(p.Worker)
+	if w == nil || !isDone {
+		return
+	}
+	if a := w.attempts.Get(p.Task); a != nil && a.run == p.Run && a.pace == p.Percent {
+		a.isPaceUnknown = false
+	}
+}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -414,6 +414,7 @@
 	case order.QueryPermission:
 		w.answerPermissionQuery(a)
 	case order.Pace:
+		w.engine.PaceAnswered(&a, true)
 	}
 }
 
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -129,6 +129,10 @@
 	// at.
 	pace          int
 	paceChangedAt time.Time
+	// isPaceUnknown means that the worker may run the attempt at another pace: the last order, sent at
+	// paceSentAt, is not answered, or a previous owner has ordered a pace.
+	isPaceUnknown bool
+	paceSentAt    time.Time
 	// isAcknowledged means that the order to start is known to have arrived at this incarnation of
 	// the worker, which has reported or refused the attempt.
 	isAcknowledged bool
--- a/internal/owner/delegates.go
+++ b/internal/owner/delegates.go
@@ -122,6 +122,8 @@
 			startEvent{a, order.StartUnknown, 0}.apply(o)
 		case order.Stop:
 			stopEvent{stop: a}.apply(o)
+		case order.Pace:
+			paceEvent{pace: a}.apply(o)
 		case order.Poll:
 			// The worker may have restarted since this poll was created. A new incarnation numbers
 			// its ends anew, so none may be confirmed.
@@ -145,6 +147,8 @@
 		case order.Stop:
 			o.options.Metrics.OrderAnswered("stop", stopOutcome(r.Outcome.IsStopKnown), r.Duration)
 			stopEvent{a, r.Outcome.At, r.Outcome.IsStopKnown}.apply(o)
+		case order.Pace:
+			paceEvent{a, r.Outcome.IsPaced}.apply(o)
 		case order.Poll:
 			pollEvent{a, r.Outcome.Listing, r.Outcome.Poll}.apply(o)
 		}
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -140,6 +140,13 @@
 	o.engine.StopAnswered(ev.stop.Worker, ev.stop.Task, ev.stop.Run, ev.isAnswered, ev.at)
 }
 
+type paceEvent struct {
+	pace   order.Pace
+	isDone bool
+}
+
+func (ev paceEvent) apply(o *Owner) { o.engine.PaceAnswered(&ev.pace, ev.isDone) }
+
 type pollEvent struct {
 	poll    order.Poll
 	listing *order.Listing
--- a/internal/owner/orders.go
+++ b/internal/owner/orders.go
@@ -92,9 +92,11 @@
 func (o *Owner) runPace(p order.Pace) {
 	ctx, cancel := o.withTimeout(delegate.StopTimeout)
 	defer cancel()
-	if err := o.options.Workers.Pace(ctx, o.Epoch(), &p); err != nil {
+	err := o.options.Workers.Pace(ctx, o.Epoch(), &p)
+	if err != nil {
 		o.options.Log(events.PaceFailed, "task", p.Task, "run", p.Run, "worker", p.Worker, "percent", p.Percent, "err", err)
 	}
+	o.enqueue(paceEvent{p, err == nil})
 }
 
 func (o *Owner) runPermissionQuery(a order.QueryPermission) {
