--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -122,7 +122,7 @@
 		// one yet.
 		r.MaxStrength, r.ListedWorkers, r.KnownNodes = max(r.MaxStrength, previous.MaxStrength), previous.ListedWorkers, previous.KnownNodes
 		r.Silent = previous.Silent
-		r.LeftConns = previous.LeftConnsAfter(n.closedEpoch == previous.Epoch)
+		r.LeftConns = previous.LeftConnsAfter(n.closed.is(previous.Epoch))
 	}
 	r.KeptConns = r.LeftConns.Kept()
 	r.AreWorkersStored = previous == nil || previous.AreWorkersStored
--- a/internal/cluster/export_test.go
+++ b/internal/cluster/export_test.go
@@ -133,3 +133,15 @@
 	n.mu.Unlock()
 	n.handleOwnerHeartbeat(conn, ownerHeartbeat{Epoch: 1})
 }
+
+// ClosedOwner gives tests access to a closedOwner.
+type ClosedOwner struct{ c closedOwner }
+
+// LinkClosed records that the owner of that epoch closed its link.
+func (o *ClosedOwner) LinkClosed(epoch uint64) { o.c.linkClosed(epoch) }
+
+// Linked records a link to the owner of that epoch.
+func (o *ClosedOwner) Linked(epoch uint64) { o.c.linked(epoch) }
+
+// Is reports whether the owner of that epoch has closed its connections.
+func (o *ClosedOwner) Is(epoch uint64) bool { return o.c.is(epoch) }
--- a/internal/cluster/follow.go
+++ b/internal/cluster/follow.go
@@ -37,6 +37,7 @@
 func (n *Node) followOverLink(conn *link.Conn, r *owner.Record) {
 	f := &followSession{node: n, record: r, conn: conn}
 	n.setOwnerLink(conn, r.Node)
+	n.closed.linked(r.Epoch)
 	n.options.Log(events.OwnerFollowed, "owner", r.Node, "epoch", r.Epoch)
 	n.sendFollowerHeartbeat()
 	defer func() { f.conn.Close() }()
@@ -68,11 +69,10 @@
 	}
 }
 
-// linkClosed records that the owner's node closed the link, as the kernel also does for a process that
-// was killed. After a power loss the owner is silent first.
+// linkClosed records that the link was closed: by the owner's node, unless the owner was silent before.
 func (f *followSession) linkClosed() {
 	if !f.node.isOwnerSilent() {
-		f.node.closedEpoch = f.record.Epoch
+		f.node.closed.linkClosed(f.record.Epoch)
 	}
 }
 
@@ -170,7 +170,7 @@
 	if err != nil || newest == nil || newest.Epoch != r.Epoch {
 		return
 	}
-	n.closedEpoch = newest.Epoch
+	n.closed.linkClosed(newest.Epoch)
 	n.claim(newest, at+1, true)
 }
 
--- a/internal/cluster/kept_conns_test.go
+++ b/internal/cluster/kept_conns_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/leverdyke/leverdyke/internal/await"
+	"github.com/leverdyke/leverdyke/internal/cluster"
 	"github.com/leverdyke/leverdyke/internal/connbudget"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store/fakestore"
@@ -74,3 +75,20 @@
 		t.Errorf("got: %d left, %d kept, want: %d, %d", r.LeftConns, r.KeptConns, want, want.Kept())
 	}
 }
+
+// Guards against a power loss that is not counted, because the owner had closed a link before and gone on.
+func TestOwnerThatIsLinkedAgainHasNotClosedItsConnections(t *testing.T) {
+	closed := cluster.ClosedOwner{}
+	if closed.Is(0) {
+		t.Error("no owner: got: closed, want: not closed")
+	}
+	closed.LinkClosed(7)
+	closed.Linked(6)
+	if !closed.Is(7) || closed.Is(6) {
+		t.Errorf("after its link was closed: got: %v, and %v of another one, want: true, false", closed.Is(7), closed.Is(6))
+	}
+	closed.Linked(7)
+	if closed.Is(7) {
+		t.Error("after a new link: got: closed, want: not closed")
+	}
+}
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -168,9 +168,9 @@
 
 	// lastRecord is the owner's record as it was read last. Only the election goroutine uses it.
 	lastRecord *owner.Record
-	// closedEpoch is the epoch of the last owner that is known to have closed its connections: it handed
-	// over, or closed its link to this node. Only the election goroutine uses it.
-	closedEpoch uint64
+	// closed is the last owner that is known to have closed its connections. Only the election goroutine
+	// uses it.
+	closed closedOwner
 	// storeLatency is how long the store took for that read. Only the election goroutine uses it.
 	storeLatency time.Duration
 }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -364,7 +364,7 @@
 		o.execute(a)
 	}
 	o.sendDelegated()
-	o.hurrySilent()
+	o.requestSilentUpdate()
 	o.write()
 	o.answerHeld()
 	o.finishHandOver()
--- a/internal/owner/silent.go
+++ b/internal/owner/silent.go
@@ -38,8 +38,9 @@
 	o.mu.Unlock()
 }
 
-// hurrySilent has the next record written at once if a worker has answered that is said to be silent.
-func (o *Owner) hurrySilent() {
+// requestSilentUpdate has the next record written at once if a worker has answered that the last one
+// names.
+func (o *Owner) requestSilentUpdate() {
 	if !o.engine.NeedsSilentUpdate() {
 		return
 	}
