--- a/internal/dispatch/stored_workers_test.go
+++ b/internal/dispatch/stored_workers_test.go
@@ -77,16 +77,16 @@
 	next := newModelWorker("w01", workerCapacity, 0, 0)
 	w.workers["w01"] = next
 	w.run(2 * time.Second)
-	if w.workers["w00"].endsCount() == 0 {
+	if w.workers["w00"].begunCount() == 0 {
 		t.Error("on the stored worker: got: no start, want: some")
 	}
-	if got := next.endsCount(); got != 0 {
+	if got := next.begunCount(); got != 0 {
 		t.Errorf("on the other one: got: %d starts, want: none", got)
 	}
 }
 
-// endsCount returns how many runs have begun on the worker.
-func (m *modelWorker) endsCount() int { return len(m.running) + len(m.finished) }
+// begunCount returns how many runs have begun on the worker.
+func (m *modelWorker) begunCount() int { return len(m.running) + len(m.finished) }
 
 // Guards against stored workers that pile up, and for which each new owner would wait.
 func TestWorkersThatAreGoneAreRemovedFromTheStore(t *testing.T) {
