internal/dispatch, internal/cluster: let tests share how they draw a worker and find a closed port

Cause: the model of owners that change drew a worker in three places, and newNodeWith had the lines of the new closedAddr; two comments told of values in place of reasons.

Change: drawWorker and closedAddr serve both; tests only, the order of the draws and all assertions stay.

--- a/internal/cluster/node_test.go
+++ b/internal/cluster/node_test.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -158,14 +157,7 @@
 
 func newNodeWith(t *testing.T, log *fakestore.Log, name, incarnation string, clk clock.Service, modify ...func(o *cluster.Options)) *testNode {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := netip.MustParseAddrPort(l.Addr().String())
-	if err := l.Close(); err != nil {
-		t.Fatal(err)
-	}
+	addr := closedAddr(t)
 	c := newConfig()
 	options := cluster.Options{
 		Name: name, Zone: "z", LinkAddr: addr, Incarnation: incarnation, Clock: clk, Direct: inactivePlatform{}, PermissionService: inactivePlatform{}, Config: c,
--- a/internal/dispatch/owner_changes_simulation_test.go
+++ b/internal/dispatch/owner_changes_simulation_test.go
@@ -15,15 +15,20 @@
 	"github.com/leanovate/gopter/prop"
 )
 
-// cutOffRandomWorker cuts a worker off from all nodes for some seconds. Its entry may be removed
-// meanwhile, and comes back some time after the worker.
-func (w *sim) cutOffRandomWorker() {
+// drawWorker draws a live worker; nil if there are too few to lose one.
+func (w *sim) drawWorker() *modelWorker {
 	names := w.liveWorkers()
 	if len(names) < 3 {
-		return
+		return nil
 	}
-	m := w.workers[names[w.rng.IntN(len(names))]]
-	if m.isPartitioned || m.isUnlisted || m.entry.IsDraining {
+	return w.workers[names[w.rng.IntN(len(names))]]
+}
+
+// cutOffRandomWorker cuts a worker off from all nodes for some seconds. Its entry may be removed
+// meanwhile, and comes back some time after the worker.
+func (w *sim) cutOffRandomWorker() {
+	m := w.drawWorker()
+	if m == nil || m.isPartitioned || m.isUnlisted || m.entry.IsDraining {
 		return
 	}
 	m.isPartitioned = true
@@ -38,12 +43,8 @@
 // drainConnectedWorker lets a worker drain and shut down. It is not cut off: a draining worker that is
 // cut off as its entry goes cannot be told from one that has shut down.
 func (w *sim) drainConnectedWorker(i int) {
-	names := w.liveWorkers()
-	if len(names) < 3 {
-		return
-	}
-	m := w.workers[names[w.rng.IntN(len(names))]]
-	if m.isPartitioned || m.isUnlisted || m.entry.IsDraining {
+	m := w.drawWorker()
+	if m == nil || m.isPartitioned || m.isUnlisted || m.entry.IsDraining {
 		return
 	}
 	m.entry.IsDraining = true
@@ -53,11 +54,10 @@
 // crashForGood lets a worker crash for good, and removes its entry. One of another name starts on its
 // machine or on another one.
 func (w *sim) crashForGood(i int) {
-	names := w.liveWorkers()
-	if len(names) < 3 {
+	m := w.drawWorker()
+	if m == nil {
 		return
 	}
-	m := w.workers[names[w.rng.IntN(len(names))]]
 	if w.rng.IntN(2) == 0 {
 		w.crashAndReplace(m.entry.ID, fmt.Sprintf("x%02d", i))
 		return
@@ -87,8 +87,8 @@
 	}
 }
 
-// simulateOwnerChanges lets owners follow one another within 0.2 to 6 s, beside workers that are cut
-// off, leave and crash, and outages of the store.
+// simulateOwnerChanges changes the owner again and again, beside workers that are cut off, leave and
+// crash, and outages of the store.
 func simulateOwnerChanges(seed uint64) *sim {
 	w := newSim(seed)
 	w.heartbeatInterval, w.maxStoreDelay = simulatedHeartbeat, time.Duration(w.rng.IntN(100))*time.Millisecond
--- a/internal/dispatch/silent_test.go
+++ b/internal/dispatch/silent_test.go
@@ -24,8 +24,7 @@
 // Guards against tasks that do not run as long as owners keep changing: each new owner waited anew
 // for the leases of workers that were gone.
 func TestTasksOfGoneWorkersRestartWhileOwnersChange(t *testing.T) {
-	// ownerTime is less than a lease lasts. The lease of a worker that the owner has heard lasts 6.6 s,
-	// that of one it has not up to 10 s.
+	// No owner lasts until the leases of its predecessor have expired.
 	const ownerTime = 5 * time.Second
 	for name, tc := range map[string]struct {
 		// isPartitioned means that the worker runs on, cut off from all nodes, isListed that its entry stays.
