internal/cluster: give an owner no policy before its node has a configuration

Cause: a node that becomes the owner before it has a configuration handed on the zero policy. Since the engine takes that for a configuration that lacks all queues and puts their stored policies in force, but no limits of customers. In the logs of the failed runs tasks are placed 1 to 4 ms before the owner's first configuration is in force.

Change: the policy is handed on only when the node has a configuration. Until then an owner knows no queue and starts nothing, as before. Later configurations reach the owner through installConfig, from the store as from a peer.

--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -192,10 +192,12 @@
 	n.owner = o
 	n.fitness.ownedAt = n.options.Clock.Now()
 	n.notifyOwnerChange()
-	version, policy := n.configVersion, n.policy
+	if n.config != nil {
+		// Without a configuration the owner would take the zero policy for one that has no limits.
+		o.SetPolicy(n.configVersion, n.policy)
+	}
 	n.mu.Unlock()
 	n.logOwned(&c)
-	o.SetPolicy(version, policy)
 	normalPercent := debug.SetGCPercent(ownerGCPercent)
 	err := o.Run(n.ctx)
 	debug.SetGCPercent(normalPercent)
