internal/dispatch: store the limits of customers that have jobs

What users would see: the jobs of a customer that has left the configuration keep its last limit, but only until the owner changes, also by a planned restart. Then its tasks take all the room.

Cause: the ledger keeps the limit in memory, and the next owner reads only a configuration without the customer.

Change: the customers of active jobs are stored as the policies of queues are (c/NAME), by the same code, and a new owner puts a stored limit in force for a customer that its configuration lacks. stored_queues.go becomes stored_policies.go.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -19,8 +19,9 @@
 	Progress map[work.JobID]*work.Progress
 	// ExpiredJobs are ended jobs whose state is no longer retained.
 	ExpiredJobs []work.JobID
-	// Queues are policies of queues that have changed since they were last written.
-	Queues []order.Queue
+	// Queues and Customers are policies that have changed since they were last written.
+	Queues    []order.Queue
+	Customers []order.Customer
 	// AddedWorkers and RemovedWorkers change the set of workers whose IDs are in the store. The removals come
 	// first.
 	AddedWorkers, RemovedWorkers []order.WorkerID
@@ -43,7 +44,7 @@
 
 // IsEmpty reports whether the batch has nothing to persist.
 func (b *Batch) IsEmpty() bool {
-	return len(b.NewJobs) == 0 && len(b.Progress) == 0 && len(b.ExpiredJobs) == 0 && len(b.Queues) == 0 && len(b.AddedWorkers) == 0 && len(b.RemovedWorkers) == 0
+	return len(b.NewJobs) == 0 && len(b.Progress) == 0 && len(b.ExpiredJobs) == 0 && len(b.Queues) == 0 && len(b.Customers) == 0 && len(b.AddedWorkers) == 0 && len(b.RemovedWorkers) == 0
 }
 
 // currentBatch returns the batch that collects changes for the store.
@@ -70,7 +71,7 @@
 		e.batch = b.splitDeferrable()
 	}
 	e.stored.takeInto(b)
-	b.Queues = e.changedQueues(b)
+	e.addPolicies(b)
 	b.Progress = map[work.JobID]*work.Progress{}
 	// A job that has been refused since is not persisted; by now another job may have its ID.
 	b.jobs = slices.DeleteFunc(b.jobs, func(j *job) bool { return e.jobs[j.spec.ID] != j })
@@ -155,7 +156,7 @@
 	next.ExpiredJobs = append(next.ExpiredJobs, b.ExpiredJobs...)
 	next.planned = append(next.planned, b.planned...)
 	e.stored.putBack(b)
-	e.forgetQueues(b)
+	e.forgetPolicies(b)
 	for _, j := range b.jobs {
 		if e.jobs[j.spec.ID] == j {
 			e.markUrgent(j)
--- a/internal/dispatch/customer.go
+++ b/internal/dispatch/customer.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
@@ -20,9 +22,16 @@
 // limits of their customers.
 const limitLogInterval = time.Second
 
-// SetCustomers applies the limits and shares of a configuration.
+// SetCustomers applies the limits and shares of a configuration. A customer that is missing from it keeps
+// its last limit for the jobs that it still has.
 func (e *Engine) SetCustomers(customers []order.Customer) {
-	e.quota.SetLimits(customers)
+	for i := range customers {
+		e.knownCustomers[string(customers[i].Name)] = customers[i]
+	}
+	if e.storedCustomers.configured(e.knownCustomers) {
+		e.currentBatch()
+	}
+	e.quota.SetLimits(slices.Collect(maps.Values(e.knownCustomers)))
 	e.customers, e.sharesDueAt = customers, time.Time{}
 	e.needsScheduling = true
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -99,6 +99,8 @@
 	// the platform's list.
 	endedIncarnations map[order.WorkerID]bool
 	queues            map[string]order.Queue
+	// knownCustomers has the last policy of each customer that was configured, or stored beside the jobs.
+	knownCustomers map[string]order.Customer
 	// drainedZones are the availability zones in which nothing may be started, sorted.
 	drainedZones []string
 	// quota counts the resources that may be in use by each customer.
@@ -150,8 +152,9 @@
 	inherited *inheritedUncertainty
 	// silent is what is known and handed on of the leases of workers that do not answer.
 	silent silentWorkers
-	// storedQueues are the policies that the store has beside the jobs.
-	storedQueues storedQueues
+	// storedQueues and storedCustomers are the policies that the store has beside the jobs.
+	storedQueues    storedPolicies[order.Queue]
+	storedCustomers storedPolicies[order.Customer]
 	// stored are the workers whose IDs are in the store.
 	stored storedWorkers
 	// hasUnpersistedReports means that workers have reported attempts of the previous owner that
@@ -248,7 +251,7 @@
 	}
 	e := &Engine{
 		options: options, jobs: map[work.JobID]*job{}, index: newWorkerIndex(),
-		queues: map[string]order.Queue{}, endedIncarnations: map[order.WorkerID]bool{}, largestCapacity: map[string]leverdyke.Resources{}, estimates: map[string]*estimate.RunTimes{},
+		queues: map[string]order.Queue{}, knownCustomers: map[string]order.Customer{}, endedIncarnations: map[order.WorkerID]bool{}, largestCapacity: map[string]leverdyke.Resources{}, estimates: map[string]*estimate.RunTimes{},
 		overShare: map[work.CustomerName]bool{}, poolUsage: map[string]float64{},
 	}
 	e.planner = permit.NewPlanner(permit.Options{IsFixed: !e.isEnabled(MechanismPermissionPlan), IgnoresClaims: !e.isEnabled(MechanismClaims)})
@@ -318,7 +321,9 @@
 	for _, q := range queues {
 		e.queues[q.Name] = q
 	}
-	e.queuesConfigured()
+	if e.storedQueues.configured(e.queues) {
+		e.currentBatch()
+	}
 	e.needsScheduling = true
 }
 
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -86,9 +86,11 @@
 	// before their placements are persisted.
 	isWriteBehind bool
 	records       recordStore
-	// storedQueues are the policies in the store, which were written policyWrites times.
-	storedQueues map[string]order.Queue
-	policyWrites int
+	// storedQueues and storedCustomers are the policies in the store; those of queues were written
+	// policyWrites times.
+	storedQueues    map[string]order.Queue
+	storedCustomers map[work.CustomerName]order.Customer
+	policyWrites    int
 	// storedWorkers are the workers whose IDs are in the store.
 	storedWorkers map[order.WorkerID]bool
 	// acknowledged are the job states that callers were answered.
@@ -196,7 +198,7 @@
 	w := &sim{
 		clock: c, startedAt: c.Now(), rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*modelWorker{},
 		specs: map[work.JobID]*work.Spec{}, submitted: map[work.JobID]*work.Spec{}, progress: map[work.JobID]*work.Progress{},
-		storedQueues: map[string]order.Queue{}, storedWorkers: map[order.WorkerID]bool{}, persistedDone: map[work.TaskID]bool{}, failures: map[work.TaskID]int{},
+		storedQueues: map[string]order.Queue{}, storedCustomers: map[work.CustomerName]order.Customer{}, storedWorkers: map[order.WorkerID]bool{}, persistedDone: map[work.TaskID]bool{}, failures: map[work.TaskID]int{},
 		pollCounts: map[order.WorkerID]int{}, acknowledged: map[work.JobID]work.JobState{},
 		queues: []order.Queue{testQueue}, endedAt: map[work.JobID]time.Duration{},
 	}
@@ -221,6 +223,9 @@
 	for _, name := range slices.Sorted(maps.Keys(w.storedQueues)) {
 		w.engine.RestoreQueues([]order.Queue{w.storedQueues[name]})
 	}
+	for _, name := range slices.Sorted(maps.Keys(w.storedCustomers)) {
+		w.engine.RestoreCustomers([]order.Customer{w.storedCustomers[name]})
+	}
 	w.engine.SetQueues(w.queues)
 	w.engine.SetCustomers(w.customers)
 	w.engine.SetChannels(w.channels)
@@ -374,6 +379,9 @@
 		w.storedQueues[q.Name] = q
 		w.policyWrites++
 	}
+	for _, c := range b.Customers {
+		w.storedCustomers[c.Name] = c
+	}
 	for _, id := range b.RemovedWorkers {
 		delete(w.storedWorkers, id)
 	}
--- a/internal/dispatch/stored_queues_test.go
+++ b/internal/dispatch/stored_policies_test.go
@@ -63,3 +63,42 @@
 		t.Errorf("writes after a takeover: got: %d, want: 1", got)
 	}
 }
+
+// Guards against a limit that ends with the owner: a customer leaves the configuration while it has jobs, and
+// the next owner has never seen its limit.
+func TestJobsKeepTheLastLimitOfTheirCustomer(t *testing.T) {
+	w := newLimitedWorld(limitOf("a", 5))
+	w.submitFor("a", "q", "j", newStep(40, time.Second))
+	w.run(200 * time.Millisecond)
+	w.limit(limitOf("a", 3))
+	w.run(3 * time.Second)
+	w.limit()
+	w.run(200 * time.Millisecond)
+	for range 3 {
+		w.takeOver()
+		for range 10 {
+			w.run(100 * time.Millisecond)
+			if got := runningTasksOf(w, "a"); got > 3 {
+				t.Fatalf("running at %v: got: %d, want: 3 at most", w.elapsed(), got)
+			}
+		}
+	}
+	w.run(20 * time.Second)
+	expectState(t, w, "j", work.JobSucceeded)
+}
+
+// Guards against a customer without a limit that gets an earlier one back after it has left the configuration.
+func TestLimitThatWasLiftedStaysLifted(t *testing.T) {
+	w := newLimitedWorld(limitOf("a", 1))
+	w.submitFor("a", "q", "j", newStep(8, 2*time.Second))
+	w.run(200 * time.Millisecond)
+	w.limit(limitOf("a", 0))
+	w.run(200 * time.Millisecond)
+	w.limit()
+	w.run(200 * time.Millisecond)
+	w.takeOver()
+	w.run(time.Second)
+	if got := runningTasksOf(w, "a"); got != 8 {
+		t.Errorf("running: got: %d, want: 8", got)
+	}
+}
--- a/internal/order/customer.go
+++ b/internal/order/customer.go
@@ -21,6 +21,9 @@
 	Limit leverdyke.Resources
 }
 
+// Equal reports whether both have the same policy.
+func (c Customer) Equal(other Customer) bool { return c == other }
+
 // Policy is the part of a configuration that the owner applies.
 type Policy struct {
 	Queues    []Queue
--- a/internal/order/order.go
+++ b/internal/order/order.go
@@ -57,8 +57,8 @@
 }
 
 // Equal reports whether both have the same policy.
-func (q *Queue) Equal(other *Queue) bool {
-	a, b := *q, *other
+func (q Queue) Equal(other Queue) bool {
+	a, b := q, other
 	a.Permission, b.Permission = nil, nil
 	if a != b || (q.Permission == nil) != (other.Permission == nil) {
 		return false
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -14,6 +14,7 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
@@ -36,7 +37,8 @@
 	o.tick()
 	o.engine.SetTimeOfDay(o.options.Clock.TimeOfDay())
 	logBadRecord := func(key string, err error) { o.options.Log(events.BadRecord, "key", key, "err", err) }
-	o.engine.RestoreQueues(parseQueues(newest.Records, logBadRecord))
+	o.engine.RestoreQueues(parsePolicies[order.Queue](newest.Records, queuePrefix, logBadRecord))
+	o.engine.RestoreCustomers(parsePolicies[order.Customer](newest.Records, customerPrefix, logBadRecord))
 	o.applyPolicy()
 	jobs := parseJobs(newest.Records, logBadRecord)
 	slices.SortFunc(jobs, func(a, b *storedJob) int { return cmp.Compare(a.offset, b.offset) })
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -91,6 +91,7 @@
 	progressPrefix = "p/"
 	workerPrefix   = "w/"
 	queuePrefix    = "q/"
+	customerPrefix = "c/"
 )
 
 // encodeBatch returns the records of a batch, split into parts that fit one append each.
@@ -117,6 +118,13 @@
 		}
 		add(queuePrefix+b.Queues[i].Name, data)
 	}
+	for i := range b.Customers {
+		data, err := codec.Marshal(&b.Customers[i])
+		if err != nil {
+			return nil, err
+		}
+		add(customerPrefix+string(b.Customers[i].Name), data)
+	}
 	for _, id := range b.RemovedWorkers {
 		add(workerPrefix+string(id), nil)
 	}
@@ -144,23 +152,23 @@
 	return parts, nil
 }
 
-// parseQueues returns the policies of queues that are stored beside the jobs. A record that cannot be
-// decoded is passed to onBadRecord and left out.
-func parseQueues(records []store.Record, onBadRecord func(key string, err error)) []order.Queue {
-	queues := []order.Queue{}
+// parsePolicies returns the policies that are stored beside the jobs under keys with a prefix. A record
+// that cannot be decoded is passed to onBadRecord and left out.
+func parsePolicies[P any](records []store.Record, prefix string, onBadRecord func(key string, err error)) []P {
+	policies := []P{}
 	for i := range records {
 		r := &records[i]
-		if !strings.HasPrefix(r.Key, queuePrefix) || len(r.Value) == 0 {
+		if !strings.HasPrefix(r.Key, prefix) || len(r.Value) == 0 {
 			continue
 		}
-		q := order.Queue{}
-		if err := codec.Unmarshal(r.Value, &q); err != nil {
+		var p P
+		if err := codec.Unmarshal(r.Value, &p); err != nil {
 			onBadRecord(r.Key, err)
 			continue
 		}
-		queues = append(queues, q)
+		policies = append(policies, p)
 	}
-	return queues
+	return policies
 }
 
 // parseWorkers returns the workers whose IDs are in the store.
