internal/owner: give what the connection budget is its own name

Two types were named keptConns, in owner and in platform, with different meanings. mayRunInherited asked for areWorkersKnown, which unreported.has implies. No change of behaviour: the tests of internal/owner pass.

--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -258,7 +258,7 @@
 	if !entry.Addr.IsValid() {
 		return false
 	}
-	return e.hasUnresolved(entry.ID) || e.inherited != nil && e.inherited.areWorkersKnown && e.mayRunUnreported(entry.ID)
+	return e.hasUnresolved(entry.ID) || e.inherited != nil && e.inherited.unreported.has(entry.ID)
 }
 
 const (
--- a/internal/owner/kept_conns.go
+++ b/internal/owner/conn_budget.go
@@ -10,16 +10,16 @@
 	"github.com/leverdyke/leverdyke/internal/events"
 )
 
-// keptConns is how many connections to each worker this owner and its delegates keep open. Only the
+// connBudget is how many connections to each worker this owner and its delegates keep open. Only the
 // loop changes it; it may be read by any goroutine.
-type keptConns struct {
+type connBudget struct {
 	left atomic.Int64
 }
 
-func (k *keptConns) setLeft(l connbudget.Left) { k.left.Store(int64(l)) }
+func (k *connBudget) setLeft(l connbudget.Left) { k.left.Store(int64(l)) }
 
 // get returns how many connections lost nodes have left open, and how many may be kept therefore.
-func (k *keptConns) get() (left connbudget.Left, kept int) {
+func (k *connBudget) get() (left connbudget.Left, kept int) {
 	left = connbudget.Left(k.left.Load())
 	return left, left.Kept()
 }
@@ -34,9 +34,9 @@
 	if !o.router.TakeUsed(ev.name) {
 		return
 	}
-	left, kept := o.keptConns.get()
-	o.keptConns.setLeft(left.AfterLoss(kept))
-	left, kept = o.keptConns.get()
+	left, kept := o.connBudget.get()
+	o.connBudget.setLeft(left.AfterLoss(kept))
+	left, kept = o.connBudget.get()
 	o.options.Workers.SetKeptConns(kept)
 	o.options.Log(events.DelegateLost, "epoch", o.Epoch(), "node", ev.name, "left", int(left), "kept", kept)
 }
--- a/internal/owner/delegates.go
+++ b/internal/owner/delegates.go
@@ -102,7 +102,7 @@
 // sendDelegated sends the orders that this cycle has handed to delegates.
 func (o *Owner) sendDelegated() {
 	for node, b := range o.router.Batches() {
-		_, b.KeptConns = o.keptConns.get()
+		_, b.KeptConns = o.connBudget.get()
 		if !o.options.Delegates.Send(node, b) {
 			o.handleFailed(o.router.HandleUnsent(node, o.now), "the node is not linked")
 		}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -54,7 +54,7 @@
 	isInheritanceKnown atomic.Bool
 	// listedWorkers is how many workers the list had when it was last read.
 	listedWorkers atomic.Int64
-	keptConns     keptConns
+	connBudget    connBudget
 	// customerUse is the result of CustomerUse; nil before the first sample.
 	customerUse atomic.Pointer[[]quota.CustomerUtilization]
 	// served is the result of Served; nil before the first sample.
@@ -153,9 +153,9 @@
 		recordOffset: options.Claim.Offset, heartbeatSeq: options.Claim.Record.HeartbeatSeq, persistedAt: options.Clock.Now(), claimedAt: options.Clock.Now(),
 		writeBehind: newWriteBehindGate(&options.Claim.Record),
 	}
-	o.keptConns.setLeft(options.Claim.Record.LeftConns)
+	o.connBudget.setLeft(options.Claim.Record.LeftConns)
 	o.silent.bounds = options.Claim.Record.Silent
-	_, kept := o.keptConns.get()
+	_, kept := o.connBudget.get()
 	options.Workers.SetKeptConns(kept)
 	return o
 }
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -465,7 +465,7 @@
 		r.ListedWorkers = max(r.ListedWorkers, o.options.Claim.Record.ListedWorkers)
 	}
 	r.KnownNodes, r.IsOnlyOwner = o.knownNodes(sentAt), o.isOnlyOwner(sentAt)
-	r.LeftConns, r.KeptConns = o.keptConns.get()
+	r.LeftConns, r.KeptConns = o.connBudget.get()
 	o.mu.Lock()
 	r.MayHaveUnpersisted, r.WritesBehindByFlagOnly = o.writeBehind.nextFlag(), true
 	r.Silent = o.silent.next()
