internal/dispatch: fail the jobs of waiting tasks that have no attempt left

Cause: a killed node that claims at once has no configuration, so that a queue has no limit of attempts. Whether a task has one left was decided only when an attempt failed, not when the configuration came or a later owner read the failures. Ruled out: lost or repeated ends.

Change: each scheduling pass fails such jobs before it places anything, so that the paths do not matter: a configuration, a change of owner, a lost attempt, fewer attempts allowed.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -122,6 +122,8 @@
 	speeds throughput.Step
 	// permissions is what is known about which workers may run the step.
 	permissions permit.Step
+	// hasFailures means that a task of the step has failed, now or before.
+	hasFailures bool
 	// failedGangRuns has the runs of a gang in which a member failed.
 	failedGangRuns map[uint64]bool
 }
@@ -402,6 +404,7 @@
 		}
 	}
 	t.failures = append(t.failures, f)
+	s.hasFailures = true
 	if s.spec.IsGang {
 		if s.failedGangRuns == nil {
 			s.failedGangRuns = map[uint64]bool{}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -359,9 +359,8 @@
 		s.tasks[i].failures = nil
 		return
 	}
-	limit := e.queues[s.job.spec.Queue].MaxAttempts
-	if limit > 0 && s.failureCount(i) >= limit && s.tasks[i].state != taskDone {
-		e.endJob(s.job, work.JobFailed, "a task failed as often as it may")
+	if s.tasks[i].state != taskDone && e.isExhausted(s, &s.tasks[i]) {
+		e.endJob(s.job, work.JobFailed, reasonExhausted)
 	}
 	if s.spec.IsGang {
 		e.stopGang(s, end.Run, "a member failed")
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -23,7 +23,7 @@
 	e.resetReservations()
 	e.planner.BeginPass()
 	e.updateUncertainUsage()
-	waiting := e.stepsInOrder()
+	waiting := e.failExhausted(e.stepsInOrder())
 	steps := e.withinLimits(waiting)
 	isWaiting := len(steps) < len(waiting)
 	for _, i := range e.rotation.Next(len(steps)) {
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -91,6 +91,8 @@
 	storedQueues    map[string]order.Queue
 	storedCustomers map[work.CustomerName]order.Customer
 	policyWrites    int
+	// isUnconfigured means that the node of the next owner has no configuration.
+	isUnconfigured bool
 	// storedWorkers are the workers whose IDs are in the store.
 	storedWorkers map[order.WorkerID]bool
 	// acknowledged are the job states that callers were answered.
@@ -226,8 +228,10 @@
 	for _, name := range slices.Sorted(maps.Keys(w.storedCustomers)) {
 		w.engine.RestoreCustomers([]order.Customer{w.storedCustomers[name]})
 	}
-	w.engine.SetQueues(w.queues)
-	w.engine.SetCustomers(w.customers)
+	if !w.isUnconfigured {
+		w.engine.SetQueues(w.queues)
+		w.engine.SetCustomers(w.customers)
+	}
 	w.engine.SetChannels(w.channels)
 	w.engine.SetDrainedZones(w.drainedZones)
 	for _, id := range append(slices.Clone(w.jobOrder), w.storedEnds...) {
