internal/dispatch: write no progress at a takeover that the store has

Cause: each task of which a worker has told was marked as changed, so that a worker whose lease has ended leaves the placements. Where the worker runs the task the placement is what the store says.

Change: only tasks without an attempt on that worker are marked.

--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -150,7 +150,8 @@
 		if s, t := e.findTask(task); t != nil {
 			t.mayRunOn = slices.DeleteFunc(t.mayRunOn, func(w order.WorkerID) bool { return w == id })
 			e.releaseCustomer(s)
-			if !s.job.state.IsFinal() {
+			if !s.job.state.IsFinal() && !t.isPlacedOn(id) {
+				// The store still says that the task may run there.
 				e.markDirty(s.job)
 			}
 			if w := e.workers.Get(id); w == nil || w.attempts.Get(task) == nil {
@@ -173,6 +174,11 @@
 	}
 }
 
+// isPlacedOn reports whether the task has an attempt on the worker, as its placements say.
+func (t *task) isPlacedOn(id order.WorkerID) bool {
+	return t.attempt != nil && t.attempt.worker.ID == id || t.copy != nil && t.copy.worker.ID == id
+}
+
 // Reasons why it is known what a worker runs; they are logged.
 const (
 	resolvedByListing        = "told what it runs"
