internal/dispatch: start long-running tasks only once their placements are stored

Cause: a successor holds back all inherited tasks that may have been started ahead of the store until each stored worker has reported or its lease has ended. A worker that is gone after the predecessor's last record costs a whole lease (9.5 s), and the next owner begins anew with the next ones. Ruled out: bounds of silent workers (they fall from owner to owner).

Change: long-running tasks wait for the store also in an outage, so that a successor need not hold them back; they wait only for the worker on which the store says that they may run.

--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -77,6 +77,11 @@
 // while the store is slow or unavailable: the next owner would otherwise not know of the start,
 // and would run the task again as if nothing had happened.
 func (e *Engine) mayStartUnpersisted(a *attempt) bool {
+	if a.step.spec.IsLongRunning {
+		// The next owner would hold it back until all workers have reported, which takes as long as
+		// their leases last where some are lost.
+		return false
+	}
 	return e.isWriteBehind && e.isWorkerStored(a.worker.ID) && !crash.HasEvidence(a.step.tasks[a.id.Index].crashes)
 }
 
--- a/internal/dispatch/customer.go
+++ b/internal/dispatch/customer.go
@@ -104,19 +104,19 @@
 		return
 	}
 	for _, j := range e.activeJobs {
-		if e.isBlocked(j) {
-			e.quota.AddUncertain(j.spec.Customer, j.unplacedNeed())
-		}
+		e.quota.AddUncertain(j.spec.Customer, e.blockedNeed(j))
 	}
 }
 
-// unplacedNeed returns the resources needed by the job's tasks that are neither done nor have an
-// attempt.
-func (j *job) unplacedNeed() leverdyke.Resources {
+// blockedNeed returns the resources needed by the job's tasks that are neither done nor have an
+// attempt, and that may run all the same.
+func (e *Engine) blockedNeed(j *job) leverdyke.Resources {
 	sum := leverdyke.Resources{}
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
-			sum = sum.Add(s.spec.Need.Times(int64(s.waiting)))
+			if e.isBlocked(s) {
+				sum = sum.Add(s.spec.Need.Times(int64(s.waiting)))
+			}
 		}
 	}
 	return sum
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -63,8 +63,9 @@
 	// so that it is not known what these run. Each worker writes its entry again with its next
 	// heartbeat, so that this does not last.
 	hasUnclear bool
-	// areWorkersKnown means that the previous owner stored the IDs of the workers concerned. Then unreported
-	// has those that have not reported yet, and of the other fields only leasesExpireAt is used.
+	// areWorkersKnown means that the previous owner stored the IDs of the workers concerned, and the placements
+	// of long-running tasks. Then unreported has the workers that have not reported yet, and of the other
+	// fields only leasesExpireAt is used.
 	areWorkersKnown bool
 	unreported      unreportedWorkers
 	// unlistedLeasesUntil is when the leases have expired of workers that were removed from the
@@ -134,10 +135,13 @@
 	e.uncertainTasks.add(worker, id)
 }
 
-// isBlocked reports whether tasks of the job may run on any worker by a previous owner's order, so
+// mayHaveUnknownStarts reports whether tasks of the job may run on any worker by a previous owner's order.
+func (e *Engine) mayHaveUnknownStarts(j *job) bool { return j.isInherited && e.inherited != nil }
+
+// isBlocked reports whether tasks of the step may run on any worker by a previous owner's order, so
 // that none of them may be started.
-func (e *Engine) isBlocked(j *job) bool {
-	return j.isInherited && e.inherited != nil
+func (e *Engine) isBlocked(s *step) bool {
+	return e.mayHaveUnknownStarts(s.job) && !(s.spec.IsLongRunning && e.inherited.areWorkersKnown)
 }
 
 // resolveInherited records that it is now known which of a previous owner's tasks the worker runs.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -66,7 +66,7 @@
 	if e.inherited == nil {
 		return e.stepQueue
 	}
-	return slices.DeleteFunc(slices.Clone(e.stepQueue), func(s *step) bool { return e.isBlocked(s.job) })
+	return slices.DeleteFunc(slices.Clone(e.stepQueue), func(s *step) bool { return e.isBlocked(s) })
 }
 
 // arrivedAt is the time from which the age of a step is counted: the due time of its round, or for
--- a/internal/dispatch/query_ahead.go
+++ b/internal/dispatch/query_ahead.go
@@ -33,7 +33,7 @@
 		return
 	}
 	for _, j := range e.activeJobs {
-		if j.state.IsFinal() || len(j.spec.Steps) < 2 || j.rounds[0] == nil || j.spec.Rounds > 0 || e.isBlocked(j) {
+		if j.state.IsFinal() || len(j.spec.Steps) < 2 || j.rounds[0] == nil || j.spec.Rounds > 0 || e.mayHaveUnknownStarts(j) {
 			continue
 		}
 		q := e.queues[j.spec.Queue]
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -46,7 +46,7 @@
 	// not known what that one started; 0 when there was no list yet.
 	ListedWorkers int `msgpack:"w"`
 	// AreWorkersStored means that tasks may run on placements that are not in the store only on workers
-	// whose IDs are there. Owners of earlier versions do not store them.
+	// whose IDs are there, and no long-running tasks. Owners of earlier versions do not store them.
 	AreWorkersStored bool `msgpack:"i"`
 	// KnownNodes is how many nodes the owner knew; 0 when that is not known.
 	KnownNodes int `msgpack:"k"`
