--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -19,8 +19,8 @@
 //
 // areStartsPersisted means that the previous owner persisted each placement of a task before it
 // ordered the start. Otherwise any task may run anywhere, and none is started before all workers
-// have sent their listings, or before until. listedWorkers is how many workers the previous
-// owner's list had.
+// have sent their listings, or before until; InheritWorkers narrows that down. listedWorkers is how
+// many workers the previous owner's list had.
 func (e *Engine) Inherit(until time.Time, areStartsPersisted bool, listedWorkers int) {
 	e.inheritedLeasesUntil = until
 	if !areStartsPersisted {
--- a/internal/dispatch/stored_workers.go
+++ b/internal/dispatch/stored_workers.go
@@ -28,7 +28,8 @@
 const storedScanInterval = time.Second
 
 // InheritWorkers takes over the workers whose IDs are in the store. areAllStored means that the previous
-// owner started tasks ahead of the store on no other workers. It is called after Inherit.
+// owner started tasks ahead of the store on no other workers, and no long-running ones. It is called
+// after Inherit.
 func (e *Engine) InheritWorkers(ids []order.WorkerID, areAllStored bool) {
 	for _, id := range ids {
 		e.stored.isStored.Set(id, true)
