internal/owner, internal/dispatch: let new tests share their setup

Cause: the tests of handed-on runs and of takeovers repeated how a first owner starts a job and ends, and the tests of the last attempt how it fails without a configuration. Tests only, with the same assertions.

--- a/internal/dispatch/exhausted_test.go
+++ b/internal/dispatch/exhausted_test.go
@@ -30,9 +30,9 @@
 	return w
 }
 
-// Guards against a task that is started more often than it may: its last attempt failed while a new owner had
-// no configuration yet, and nothing was decided when that came.
-func TestLastFailureCountsBeforeTheConfigurationIsKnown(t *testing.T) {
+// newUnconfiguredOwner returns a world in which the last attempt of a job's task has failed while the owner had
+// no configuration.
+func newUnconfiguredOwner() *sim {
 	w := newFailingJob(2)
 	w.run(time.Second)
 	for w.startCount < 2 {
@@ -41,32 +41,34 @@
 	w.isUnconfigured = true
 	w.takeOver()
 	w.run(2 * time.Second)
-	w.engine.SetQueues(w.queues)
+	return w
+}
+
+// expectFailedAfter checks that the job of newFailingJob fails after a number of starts.
+func expectFailedAfter(t *testing.T, w *sim, starts int) {
+	t.Helper()
 	w.run(5 * time.Second)
 	expectState(t, w, "a", work.JobFailed)
-	if got, want := w.startCount, 2; got != want {
-		t.Errorf("starts: got: %d, want: %d", got, want)
+	if got := w.startCount; got != starts {
+		t.Errorf("starts: got: %d, want: %d", got, starts)
 	}
 }
 
+// Guards against a task that is started more often than it may: its last attempt failed while a new owner had
+// no configuration yet, and nothing was decided when that came.
+func TestLastFailureCountsBeforeTheConfigurationIsKnown(t *testing.T) {
+	w := newUnconfiguredOwner()
+	w.engine.SetQueues(w.queues)
+	expectFailedAfter(t, w, 2)
+}
+
 // Guards against the same when several owners follow each other: the one that has a configuration reads of the
 // last failure in the store.
 func TestLastFailureCountsAfterAnotherChangeOfOwner(t *testing.T) {
-	w := newFailingJob(2)
-	w.run(time.Second)
-	for w.startCount < 2 {
-		w.run(tick)
-	}
-	w.isUnconfigured = true
-	w.takeOver()
-	w.run(2 * time.Second)
+	w := newUnconfiguredOwner()
 	w.isUnconfigured = false
 	w.takeOver()
-	w.run(5 * time.Second)
-	expectState(t, w, "a", work.JobFailed)
-	if got, want := w.startCount, 2; got != want {
-		t.Errorf("starts: got: %d, want: %d", got, want)
-	}
+	expectFailedAfter(t, w, 2)
 }
 
 // Guards against a job that fails while an attempt runs that may still succeed, because a new configuration
@@ -82,9 +84,5 @@
 	if got := jobState(w, "a"); got != work.JobRunning {
 		t.Errorf("while the attempt runs: got: %v, want: %v", got, work.JobRunning)
 	}
-	w.run(5 * time.Second)
-	expectState(t, w, "a", work.JobFailed)
-	if got, want := w.startCount, 3; got != want {
-		t.Errorf("starts: got: %d, want: %d", got, want)
-	}
+	expectFailedAfter(t, w, 3)
 }
--- a/internal/owner/outlasted_test.go
+++ b/internal/owner/outlasted_test.go
@@ -18,16 +18,7 @@
 // Guards against a young owner that writes records without the runs that were handed on to it.
 func TestOwnerHandsOnOutlastedRunsUntilItsWorkersReport(t *testing.T) {
 	log := fakestore.NewLog()
-	workers := newFakeWorkers()
-	workers.gate = make(chan struct{})
-	first := runOwner(t, log, workers, oneWorkerList{}, clock.Real{}, nil)
-	if err := first.Submit(t.Context(), newJob("a")); err != nil {
-		t.Fatal(err)
-	}
-	await.True(t, "the tasks run", func() bool { return workers.startsOf("a") == 2 })
-	first.Stop()
-	<-first.Done()
-
+	workers := newWorkersOfEndedOwner(t, log)
 	inherited := []crash.OutlastedRun{{Task: work.TaskID{Job: "a", Index: 1}, Run: 1, Worker: "w"}}
 	second := runOwner(t, log, newFakeWorkers(), emptyList{}, clock.Real{}, nil, func(o *owner.Options) {
 		o.Claim.Previous.Outlasted, o.Claim.Record.Outlasted = inherited, inherited
