--- /dev/null
+++ b/internal/integration/outage_test.go
@@ -0,0 +1,308 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package integration_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/standin/site"
+)
+
+// outagePlan is a series of outages of the store in which the workers' entries lapse, and about whose
+// ends one owner after the other is lost.
+type outagePlan struct {
+	nodes, workers int
+	outages        []outage
+	// settleTime is how long jobs are submitted before each outage, and after the last one.
+	settleTime time.Duration
+}
+
+// outage is one outage of the store.
+type outage struct {
+	mode   site.StoreMode
+	length time.Duration
+	// losses are in the order of their times.
+	losses []ownerLoss
+	// maxEntryDelay is how long after the store's return the last entry is back. One entry in
+	// lateEntryOdds comes lateEntryDelay later than that; none does if it is 0.
+	maxEntryDelay  time.Duration
+	lateEntryOdds  int
+	lateEntryDelay time.Duration
+}
+
+// lossKind is how an owner is lost.
+type lossKind string
+
+const (
+	// lossKilled kills the process and starts it again after the downtime.
+	lossKilled lossKind = "killed"
+	// lossPaused pauses the process for the downtime.
+	lossPaused lossKind = "paused"
+	// lossStopped ends the process in order and starts it again after the downtime.
+	lossStopped lossKind = "stopped"
+)
+
+// ownerLoss is the loss of the process that owns the shard.
+type ownerLoss struct {
+	// at is relative to the store's return.
+	at       time.Duration
+	kind     lossKind
+	downtime time.Duration
+}
+
+// twoOwnersLost is a plan of review/1: the owner is killed just before the store returns, and the next one
+// soon after it has taken over.
+func twoOwnersLost(rng *rand.Rand) *outagePlan {
+	const downtime = 500 * time.Millisecond
+	return &outagePlan{nodes: 7, workers: 24, settleTime: 6 * time.Second, outages: []outage{{
+		mode: site.StoreBusy, length: 4500 * time.Millisecond, maxEntryDelay: 2 * time.Second,
+		losses: []ownerLoss{{-100 * time.Millisecond, lossKilled, downtime}, {time.Duration(250+rng.IntN(400)) * time.Millisecond, lossKilled, downtime}},
+	}}}
+}
+
+// drawnOutages returns a random plan.
+func drawnOutages(rng *rand.Rand) *outagePlan {
+	p := &outagePlan{nodes: 7, workers: 24, settleTime: 6 * time.Second}
+	if rng.IntN(4) == 0 {
+		p.nodes, p.workers = 9, 48
+	}
+	for range 3 {
+		p.outages = append(p.outages, drawnOutage(rng))
+	}
+	return p
+}
+
+func drawnOutage(rng *rand.Rand) outage {
+	between := func(a, b int) time.Duration { return time.Duration(a+rng.IntN(b-a)) * time.Millisecond }
+	o := outage{mode: []site.StoreMode{site.StoreBusy, site.StoreSilent}[rng.IntN(2)], length: between(2500, 8000), maxEntryDelay: 2 * time.Second}
+	if rng.IntN(2) == 0 {
+		o.lateEntryOdds, o.lateEntryDelay = 2+rng.IntN(6), between(500, 6000)
+	}
+	at := between(-1500, 0)
+	for range 2 + rng.IntN(5) {
+		kind := []lossKind{lossKilled, lossKilled, lossPaused, lossStopped}[rng.IntN(4)]
+		o.losses = append(o.losses, ownerLoss{at, kind, between(300, 5000)})
+		at += between(100, 1300)
+	}
+	return o
+}
+
+// outagePlay plays a plan while callers submit jobs and ask for their states.
+type outagePlay struct {
+	*soak
+	plan *outagePlan
+	wg   sync.WaitGroup
+	stop chan struct{}
+	// lost is the node whose process was lost last.
+	lost *site.Node
+}
+
+// Guards against tasks that run twice: a second owner in a row took a list of workers for complete that had as many entries
+// as its predecessor, which had just begun, had read.
+func TestSiteNothingRunsTwiceAfterTwoOwnersAreLostAsTheStoreReturns(t *testing.T) {
+	playOutages(t, 1, twoOwnersLost)
+}
+
+// Guards against tasks that run twice around outages that are drawn anew for each seed. LEVERDYKE_OUTAGE_SEED and
+// LEVERDYKE_OUTAGE_SEEDS play other seeds, of these and the plans above.
+func TestSiteNothingRunsTwiceAroundDrawnOutages(t *testing.T) { playOutages(t, 1000, drawnOutages) }
+
+// playOutages plays the plans of a seed, or of those that the environment names.
+func playOutages(t *testing.T, seed uint64, newPlan func(*rand.Rand) *outagePlan) {
+	t.Helper()
+	first, count := seed, uint64(1)
+	if n, err := strconv.ParseUint(os.Getenv("LEVERDYKE_OUTAGE_SEED"), 10, 64); err == nil {
+		first = n
+	}
+	if n, err := strconv.ParseUint(os.Getenv("LEVERDYKE_OUTAGE_SEEDS"), 10, 64); err == nil {
+		count = n
+	}
+	for seed := first; seed < first+count; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playOutagesOf(t, seed, newPlan) })
+	}
+}
+
+func playOutagesOf(t *testing.T, seed uint64, newPlan func(*rand.Rand) *outagePlan) {
+	rng := rand.New(rand.NewPCG(seed, 5))
+	p := &outagePlay{stop: make(chan struct{}), plan: newPlan(rng), soak: &soak{rng: rng, version: 1}}
+	p.siteCluster = newSiteCluster(t, p.plan.nodes, site.Options{Workers: p.plan.workers, MilliCPU: soakWorkerMilliCPU, MemoryMiB: soakWorkerMemoryMiB})
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("actions:\n%s", strings.Join(p.actions, "\n"))
+		}
+	})
+	longRunning := p.submitLongRunning()
+	p.startPolling(seed)
+	p.wg.Add(1)
+	go p.runSubmits(rand.New(rand.NewPCG(seed, 6)))
+	for i := range p.plan.outages {
+		p.playOutage(&p.plan.outages[i])
+	}
+	p.waitUntil(time.Now().Add(p.plan.settleTime))
+	close(p.stop)
+	p.wg.Wait()
+	p.await("all nodes run", func() bool {
+		p.runDueActions(time.Now())
+		return len(p.scheduled) == 0
+	})
+	p.awaitReady(p.nodes...)
+	p.awaitAll()
+	p.await("each long-running task runs once", func() bool { return p.running() == longRunning })
+	t.Logf("%d jobs accepted, %d starts, %d violations", len(p.accepted), p.Starts(), len(p.Violations()))
+}
+
+// submitLongRunning submits jobs whose tasks take an eighth of the workers' capacity until the end, and returns how many
+// tasks they have.
+func (p *outagePlay) submitLongRunning() int {
+	const perJob = 4
+	step := smallStep(perJob, 0)
+	step.Perpetual = true
+	count := p.plan.workers
+	for range count / perJob {
+		p.mustSubmit(step)
+	}
+	p.accepted = nil
+	p.await("the long-running tasks run", func() bool { return p.running() == count })
+	return count
+}
+
+// runSubmits submits jobs until stop is closed: as many as keep half of the workers' capacity in use.
+func (p *outagePlay) runSubmits(rng *rand.Rand) {
+	defer p.wg.Done()
+	ticker := time.NewTicker(6 * time.Second / time.Duration(p.plan.workers))
+	defer ticker.Stop()
+	const firstNumber = 1 << 16
+	for number := firstNumber; ; number++ {
+		select {
+		case <-p.stop:
+			return
+		case <-ticker.C:
+		}
+		id, node := fmt.Sprintf("%016x", number), p.nodes[rng.IntN(len(p.nodes))]
+		steps := []jobStep{}
+		for i := range 8 {
+			step := smallStep(4, float64(300+rng.IntN(900)))
+			if i > 0 {
+				step.DependsOn = []int{i - 1}
+			}
+			steps = append(steps, step)
+		}
+		p.wg.Go(func() { p.submitSteps(node, id, steps) })
+	}
+}
+
+// submitSteps submits a job at a node, which may be down.
+func (p *outagePlay) submitSteps(n *site.Node, id string, steps []jobStep) {
+	body, err := json.Marshal(map[string]any{"spec": "", "steps": steps})
+	if err != nil {
+		p.t.Error(err)
+		return
+	}
+	if err := p.RegisterJob(id, body); err != nil {
+		p.t.Error(err)
+		return
+	}
+	if status, _, err := n.Do(p.t.Context(), http.MethodPost, site.QueuePrefix+id, body); err != nil || status != http.StatusOK {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.accepted = append(p.accepted, id)
+	p.unfinished = append(p.unfinished, id)
+}
+
+// playOutage lets jobs begin, and plays one outage with its losses of owners.
+func (p *outagePlay) playOutage(o *outage) {
+	p.waitUntil(time.Now().Add(p.plan.settleTime))
+	p.logAction("store %s for %v, entries lapse", o.mode, o.length)
+	p.Store.SetMode(o.mode)
+	returnAt := time.Now().Add(o.length)
+	hasReturned := false
+	for _, loss := range o.losses {
+		if loss.at >= 0 && !hasReturned {
+			p.endOutage(o, returnAt)
+			hasReturned = true
+		}
+		p.waitUntil(returnAt.Add(loss.at))
+		p.loseOwner(loss)
+	}
+	if !hasReturned {
+		p.endOutage(o, returnAt)
+	}
+}
+
+// endOutage ends an outage at a time. The workers' entries come back in the next seconds.
+func (p *outagePlay) endOutage(o *outage, at time.Time) {
+	p.waitUntil(at)
+	p.LapseEntries()
+	p.Store.SetMode(site.StoreUp)
+	for _, w := range p.Workers() {
+		delay := p.randomDuration(0, o.maxEntryDelay)
+		if o.lateEntryOdds > 0 && p.rng.IntN(o.lateEntryOdds) == 0 {
+			delay = o.maxEntryDelay + o.lateEntryDelay
+		}
+		w.RestoreEntry(delay)
+	}
+	p.logAction("the store is back")
+}
+
+// ownerWait bounds the wait for a new owner after the last one was lost.
+const ownerWait = 3 * time.Second
+
+// loseOwner ends or pauses the process that owns the shard. If no new one has taken over since the last
+// loss, it waits for that.
+func (p *outagePlay) loseOwner(loss ownerLoss) {
+	node := p.owner()
+	for until := time.Now().Add(ownerWait); node == p.lost && time.Now().Before(until); node = p.owner() {
+		p.waitUntil(time.Now().Add(10 * time.Millisecond))
+	}
+	if node.HasEnded() {
+		p.logAction("no owner is left")
+		return
+	}
+	p.lost = node
+	p.logAction("the owner, %s, is %s", node.Name, loss.kind)
+	switch loss.kind {
+	case lossKilled:
+		p.signal(node, syscall.SIGKILL)
+		p.schedule(loss.downtime, func() { p.startOnceEnded(node) })
+	case lossStopped:
+		p.signal(node, syscall.SIGTERM)
+		p.schedule(loss.downtime, func() { p.startOnceEnded(node) })
+	case lossPaused:
+		p.signal(node, syscall.SIGSTOP)
+		// Another loss may have ended the process meanwhile.
+		p.schedule(loss.downtime, func() { _ = node.Signal(syscall.SIGCONT) })
+	}
+}
+
+// startOnceEnded starts a node again as soon as its process has ended.
+func (p *outagePlay) startOnceEnded(n *site.Node) {
+	if !n.HasEnded() {
+		p.schedule(10*time.Millisecond, func() { p.startOnceEnded(n) })
+		return
+	}
+	if err := n.Start(); err != nil {
+		p.t.Error(err)
+	}
+}
+
+// waitUntil waits for a time and meanwhile runs the actions that are due.
+func (p *outagePlay) waitUntil(at time.Time) {
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for now := time.Now(); now.Before(at); now = <-ticker.C {
+		p.runDueActions(now)
+	}
+}
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -64,6 +64,8 @@
 	changed   chan struct{}
 	isDead    bool
 	isLeaving bool
+	// hasLapsedEntry means that the worker does not reach the store, so that it writes no entry.
+	hasLapsedEntry bool
 	// listingRequests counts the requests for a listing, starts the runs that were started.
 	listingRequests, starts int
 	// failsLongRunning means that each long-running task started from now on fails after longRunningFailDelay.
@@ -171,16 +173,16 @@
 	return len(w.running)
 }
 
-// heartbeat writes the worker's entry into the store, unless the worker is dead.
+// heartbeat writes the worker's entry into the store, unless the worker is dead or does not reach the store.
 func (w *Worker) heartbeat() {
 	w.mu.Lock()
 	state := "ready"
 	if w.isLeaving {
 		state = "draining"
 	}
-	isDead, available := w.isDead, w.capacity
+	isSilent, available := w.isDead || w.hasLapsedEntry, w.capacity
 	w.mu.Unlock()
-	if isDead {
+	if isSilent {
 		return
 	}
 	data, err := json.Marshal(map[string]any{
