internal/owner: find out whether an owner may act before its events are handled

What callers saw: long-running tasks run on two workers at once (TWICE) where an owner is paused as the store returns and wakes up 5 s later, while workers that it reaches are unknown to its successor.

Cause: events and ticks renewed leases and sent starts by what the previous cycle of the loop had found, and the check came after them. In the first cycle after a pause that is as old as the pause, so leases were renewed long after the 3 s for which the successor allows.

Change: Owner.beginCycle checks with the time of which the cycle's leases are counted.

--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -242,14 +242,14 @@
 				// Another node may be the owner: no more requests are answered.
 				return
 			}
-			o.tick()
+			o.beginCycle()
 			ev.apply(o)
 			o.drainInbox()
 		case <-o.pauseEnds:
 			o.pauseEnds = nil
-			o.tick()
+			o.beginCycle()
 		case <-ticks:
-			o.tick()
+			o.beginCycle()
 			// Outcomes that have already arrived are not overdue, so they are handled first.
 			o.drainInbox()
 			o.lag.tick(o.now, tickPeriod)
@@ -264,6 +264,13 @@
 	}
 }
 
+// beginCycle sets the time and whether this node may act as the owner at that time. Events renew leases as soon as they are
+// handled, and this process may have been paused since the last cycle.
+func (o *Owner) beginCycle() {
+	o.tick()
+	o.engine.SetOwnershipConfirmed(o.mayActAsOwner())
+}
+
 // maxEventsPerCycle is how many queued events are handled before the next scheduling pass.
 const maxEventsPerCycle = 256
 
