internal/cluster: count followers as linked only once they answer after a pause

Cause: a paused owner that wakes up finds calls of the store that have timed out, which looks like an outage, and in its sockets what its followers sent before they left, which counted as heard now. For a millisecond it was the owner in an outage beside its successor, renewed leases and started tasks.

Change: a follower counts towards the majority once it has answered a probe that was sent since this process was last paused for longer than followers stay. No message changes its form; followers of earlier versions refuse the probe, which shows the same.

TestPeersOfAPausedOwnerAreNoMajorityBeforeTheyAnswer fails without the condition.

--- a/internal/cluster/export_test.go
+++ b/internal/cluster/export_test.go
@@ -111,8 +111,27 @@
 // NewPeers returns no peers.
 func NewPeers(c clock.Service) *Peers { return &Peers{newPeers(c)} }
 
-// Add adds a peer that has made a link.
-func (p *Peers) Add(name string, c *link.Conn) { p.p.add(hello{Name: name}, c) }
+// Add adds a peer that has made a link and has answered a probe.
+func (p *Peers) Add(name string, c *link.Conn) {
+	p.AddUnverified(name, c)
+	_, pauses := p.p.beginProbes()
+	p.p.endProbe(c, pauses, true)
+}
+
+// AddUnverified adds a peer that has made a link.
+func (p *Peers) AddUnverified(name string, c *link.Conn) { p.p.add(hello{Name: name}, c) }
+
+// Heartbeat records a heartbeat of the follower with that link.
+func (p *Peers) Heartbeat(c *link.Conn) { p.p.recordHeartbeat(c, followerHeartbeat{}) }
+
+// BeginProbes returns how many peers are to be probed, and the number of pauses that the answers are for.
+func (p *Peers) BeginProbes() (count int, pauses uint64) {
+	conns, pauses := p.p.beginProbes()
+	return len(conns), pauses
+}
+
+// ProbeAnswered records the answer to a probe that was sent after so many pauses.
+func (p *Peers) ProbeAnswered(c *link.Conn, pauses uint64) { p.p.endProbe(c, pauses, true) }
 
 // Remove removes the peer with that link.
 func (p *Peers) Remove(c *link.Conn) { p.p.remove(c) }
@@ -145,3 +164,6 @@
 
 // Is reports whether the owner of that epoch has closed its connections.
 func (o *ClosedOwner) Is(epoch uint64) bool { return o.c.is(epoch) }
+
+// HasMajority reports whether this node and its verified peers are the majority of at least minNodes nodes.
+func (n *Node) HasMajority(minNodes int) bool { return n.peers.IsMajority(time.Time{}, minNodes) }
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -28,6 +28,9 @@
 	kindOwnerHeartbeat link.Kind = "beat"
 	// kindFollowerHeartbeat is a follower's heartbeat, a notification. Body: followerHeartbeat.
 	kindFollowerHeartbeat link.Kind = "alive"
+	// kindProbe asks a follower whether it still follows this owner. Body: empty, reply: ownerReply. A
+	// follower of an earlier version replies that it is not the owner, which also shows that it uses the link.
+	kindProbe link.Kind = "probe"
 	// kindConfig fetches the active configuration. Body: empty, reply: configMessage.
 	kindConfig link.Kind = "config"
 	// kindClaim asks a follower to become the owner. Body: claimRequest, reply: empty, once it is.
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -39,6 +39,9 @@
 	startedAt time.Time
 	// heardAt is when its last heartbeat was received, or when it was linked.
 	heardAt time.Time
+	// isVerified means that the follower has answered a probe that was sent over this link since this process
+	// was last paused. isProbing means that a probe is not answered yet.
+	isVerified, isProbing bool
 	// silentHeartbeats counts this node's heartbeats since something arrived over the link, which had
 	// delivered receivedBytes then.
 	silentHeartbeats int
@@ -63,6 +66,10 @@
 	nextSample int
 	// links counts the links that were made; it provides linkID.
 	links uint64
+	// ranAt is when this process is last known to have run. pauses counts the times after which that was so
+	// long ago that followers may have left this owner meanwhile.
+	ranAt  time.Time
+	pauses uint64
 }
 
 func newPeers(c clock.Service) *peers {
@@ -73,6 +80,7 @@
 func (p *peers) add(h hello, c *link.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.detectPause()
 	now := p.clock.Now()
 	if old := p.byName[h.Name]; old != nil {
 		old.conn.Close()
@@ -98,6 +106,7 @@
 func (p *peers) recordHeartbeat(c *link.Conn, a followerHeartbeat) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.detectPause()
 	for _, peer := range p.byName {
 		if peer.conn == c {
 			peer.heardAt, peer.isLeaving, peer.isStoreUnavailable = p.clock.Now(), a.IsLeaving, a.IsStoreUnavailable
@@ -113,6 +122,7 @@
 func (p *peers) closeSilent() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.detectPause()
 	closed := []string{}
 	for name, peer := range p.byName {
 		if received := peer.conn.ReceivedBytes(); received != peer.receivedBytes || peer.conn.IsHandling() {
@@ -212,7 +222,7 @@
 	return out
 }
 
-// IsMajority reports whether this node and its usable peers are the majority of the nodes that this
+// IsMajority reports whether this node and its verified peers are the majority of the nodes that this
 // one has known since asOf, the last time at which the store is known to have named it as the owner.
 // Nodes that were lost after that are counted however long ago it is: a node that is cut off from
 // all others must not become the majority of the nodes that it still remembers. minNodes is at least
@@ -221,8 +231,19 @@
 	return 2*p.linked() > max(p.known(asOf), minNodes)
 }
 
-// linked returns the number of this node and its usable peers.
-func (p *peers) linked() int { return len(p.usable()) + 1 }
+// linked returns the number of this node and its usable peers that are verified.
+func (p *peers) linked() int {
+	p.mu.Lock()
+	p.detectPause()
+	p.mu.Unlock()
+	linked := 1
+	for _, q := range p.usable() {
+		if q.isVerified {
+			linked++
+		}
+	}
+	return linked
+}
 
 // known returns the number of nodes that this one has known since asOf: itself, its linked peers, and
 // the peers whose links ended after peerRetention before asOf.
--- /dev/null
+++ b/internal/cluster/probe.go
@@ -0,0 +1,84 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/link"
+)
+
+// probeTimeout bounds the wait for the answer to a probe. Round trips within a region take milliseconds.
+const probeTimeout = 500 * time.Millisecond
+
+// detectPause finds out whether this process was paused. What followers sent before they left it then still waits in its
+// sockets and looks new, so none of them counts as linked before it has answered a probe. The caller holds mu.
+func (p *peers) detectPause() {
+	now := p.clock.Now()
+	if now.Sub(p.ranAt) > maxPeerSilence {
+		p.pauses++
+		for _, peer := range p.byName {
+			peer.isVerified = false
+		}
+	}
+	p.ranAt = now
+}
+
+// beginProbes returns the links of the peers to probe now, and the number of pauses that the answers are for.
+func (p *peers) beginProbes() (conns []*link.Conn, pauses uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.detectPause()
+	for _, peer := range p.byName {
+		if !peer.isVerified && !peer.isProbing {
+			peer.isProbing = true
+			conns = append(conns, peer.conn)
+		}
+	}
+	return conns, p.pauses
+}
+
+// endProbe records the outcome of a probe that was sent after so many pauses. An answer to one that was sent before the
+// last pause proves nothing.
+func (p *peers) endProbe(c *link.Conn, pauses uint64, isAnswered bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.detectPause()
+	for _, peer := range p.byName {
+		if peer.conn == c {
+			peer.isProbing = false
+			peer.isVerified = peer.isVerified || isAnswered && pauses == p.pauses
+		}
+	}
+}
+
+// probePeers probes the peers that are not verified. It is called with each heartbeat to the followers.
+func (n *Node) probePeers() {
+	conns, pauses := n.peers.beginProbes()
+	for _, c := range conns {
+		go n.runProbe(c, pauses)
+	}
+}
+
+// runProbe asks a follower whether it still follows this owner.
+func (n *Node) runProbe(c *link.Conn, pauses uint64) {
+	ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
+	defer cancel()
+	err := c.Call(ctx, kindProbe, empty{}, &ownerReply{})
+	n.peers.endProbe(c, pauses, err == nil)
+}
+
+var errNotFollowing = errors.New("cluster: this node does not follow the owner over this link")
+
+// handleProbe confirms that this node follows the owner over a link.
+func (n *Node) handleProbe(from *link.Conn) (any, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if from != n.ownerLink {
+		return nil, errNotFollowing
+	}
+	return replyFor(nil), nil
+}
--- /dev/null
+++ b/internal/cluster/probe_test.go
@@ -0,0 +1,73 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package cluster_test
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/await"
+	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/cluster"
+	"github.com/leverdyke/leverdyke/internal/link"
+	"github.com/leverdyke/leverdyke/internal/store/fakestore"
+)
+
+// Guards against tasks that run twice: an owner that woke up took the heartbeats that waited in its sockets for new ones,
+// and acted beside its successor as in an outage of the store.
+func TestPeersOfAPausedOwnerAreNoMajorityBeforeTheyAnswer(t *testing.T) {
+	c := clock.NewFake()
+	peers := cluster.NewPeers(c)
+	conns := make([]*link.Conn, 4)
+	for i := range conns {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close() })
+		conns[i] = link.NewConn(near, nil)
+		peers.Add(fmt.Sprintf("n%d", i), conns[i])
+	}
+	asOf := c.Now()
+	isMajority := func() bool { return peers.IsMajority(asOf, 0) }
+	if !isMajority() {
+		t.Fatal("all have answered: got: no majority, want: one")
+	}
+	_, beforePause := peers.BeginProbes()
+	c.Advance(4 * time.Second)
+	for i, conn := range conns {
+		// What waited in the sockets: heartbeats, answers to probes, and the hellos of links that were made in vain.
+		peers.Heartbeat(conn)
+		peers.ProbeAnswered(conn, beforePause)
+		if i == 0 {
+			peers.AddUnverified("n0", conn)
+		}
+	}
+	if isMajority() {
+		t.Error("after a pause of 4 s: got: a majority, want: none before the peers have answered")
+	}
+	count, pauses := peers.BeginProbes()
+	if count != len(conns) {
+		t.Errorf("peers to probe: got: %d, want: %d", count, len(conns))
+	}
+	for _, conn := range conns {
+		peers.ProbeAnswered(conn, pauses)
+	}
+	if !isMajority() {
+		t.Error("all have answered again: got: no majority, want: one")
+	}
+}
+
+// The nodes that follow an owner have to answer its probes, or it had no majority in an outage of the store.
+func TestFollowersAnswerProbes(t *testing.T) {
+	log := fakestore.NewLog()
+	nodes := []*testNode{}
+	for i := range 3 {
+		nodes = append(nodes, newNode(t, log, fmt.Sprintf("n%d", i), "1"))
+	}
+	await.True(t, "a node has two followers that answer", func() bool {
+		// Three nodes are the majority of five.
+		return slices.ContainsFunc(nodes, func(n *testNode) bool { return n.HasMajority(5) })
+	})
+}
--- a/internal/cluster/serve.go
+++ b/internal/cluster/serve.go
@@ -30,6 +30,8 @@
 			return nil, err
 		}
 		return n.handleClaim(ctx, c)
+	case kindProbe:
+		return n.handleProbe(from)
 	case kindConfig:
 		return n.activeConfig(), nil
 	case kindPermission:
--- a/internal/integration/outage_test.go
+++ b/internal/integration/outage_test.go
@@ -71,6 +71,15 @@
 	}}}
 }
 
+// pausedOwner is a plan in which the owner is paused as the store returns, and wakes while some workers
+// that it reaches are unknown to its successor.
+func pausedOwner(*rand.Rand) *outagePlan {
+	return &outagePlan{nodes: 7, workers: 24, settleTime: 13 * time.Second, outages: []outage{{
+		mode: site.StoreBusy, length: 4500 * time.Millisecond, maxEntryDelay: 2 * time.Second, lateEntryOdds: 2, lateEntryDelay: 10 * time.Second,
+		losses: []ownerLoss{{-600 * time.Millisecond, lossPaused, 5100 * time.Millisecond}},
+	}}}
+}
+
 // drawnOutages returns a random plan.
 func drawnOutages(rng *rand.Rand) *outagePlan {
 	p := &outagePlan{nodes: 7, workers: 24, settleTime: 6 * time.Second}
@@ -114,6 +123,9 @@
 	playOutages(t, 1, twoOwnersLost)
 }
 
+// Guards against tasks that run twice: an owner that woke up renewed leases that its successor counted as expired.
+func TestSiteNothingRunsTwiceAfterAPausedOwnerWakes(t *testing.T) { playOutages(t, 2, pausedOwner) }
+
 // Guards against tasks that run twice around outages that are drawn anew for each seed. LEVERDYKE_OUTAGE_SEED and
 // LEVERDYKE_OUTAGE_SEEDS play other seeds, of these and the plans above.
 func TestSiteNothingRunsTwiceAroundDrawnOutages(t *testing.T) { playOutages(t, 1000, drawnOutages) }
