internal/owner: write the removals of workers after what ran there

What callers would see: a task runs twice (TWICE) after an outage of the store, if the owner ends while it writes a backlog of more than 1 MB.

Cause: such a batch is written in parts, and the removals of workers came in the first one, before the progress of the jobs. A successor that reads only the first part does not wait for a removed worker (decision 0029), and knows no placement of the tasks that were started there ahead of the store.

Change: the records of workers come last. The same records are written.

--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -129,12 +129,6 @@
 		}
 		add(customerPrefix+string(b.Customers[i].Name), data)
 	}
-	for _, id := range b.RemovedWorkers {
-		add(workerPrefix+string(id), nil)
-	}
-	for _, id := range b.AddedWorkers {
-		add(workerPrefix+string(id), []byte{1})
-	}
 	for _, spec := range b.NewJobs {
 		data, err := codec.Marshal(spec)
 		if err != nil {
@@ -153,6 +147,14 @@
 			add(specPrefix+string(id), nil)
 		}
 	}
+	// Workers come last: the next owner does not wait for a worker that is removed, and must then read what ran there, also
+	// if this owner ends between two parts.
+	for _, id := range b.RemovedWorkers {
+		add(workerPrefix+string(id), nil)
+	}
+	for _, id := range b.AddedWorkers {
+		add(workerPrefix+string(id), []byte{1})
+	}
 	return parts, nil
 }
 
