internal/dispatch: remove leaving workers from the store once all that runs there is in it

Cause: nine workers had drained for 8 s, ended while the nodes were dark, and their entries went. Their IDs stayed in the store (decision 0029), so that the successor held back all inherited jobs until their leases had ended. Nothing starts on a worker that drains, so that there was nothing to be in doubt about.

Change: workers that drain, or whose zone is drained, leave the store as soon as all that runs or has ended there is in it. Nothing starts ahead of the store on a worker that is not stored, as before.

TestLeavingWorkersAreRemovedFromTheStore failed before; TestLeavingWorkersStayStoredUntilTheirTasksAre fails if they leave at once.

--- a/internal/dispatch/stored_workers.go
+++ b/internal/dispatch/stored_workers.go
@@ -44,6 +44,13 @@
 // started.
 func (e *Engine) IsInheritanceKnown() bool { return e.inherited == nil }
 
+// storeWorkerInUse has the ID of a worker persisted, unless the worker gets nothing new.
+func (e *Engine) storeWorkerInUse(w *worker) {
+	if !w.isLeaving() {
+		e.storeWorker(w.ID)
+	}
+}
+
 // storeWorker has the ID of a worker persisted.
 func (e *Engine) storeWorker(id order.WorkerID) {
 	if _, isKnown := e.stored.isStored.Find(id); isKnown {
@@ -53,15 +60,15 @@
 	e.stored.added = append(e.stored.added, id)
 }
 
-// removeStoredWorkers removes the workers from the store that are not known any more and on which nothing
-// can run that a previous owner started.
+// removeStoredWorkers removes the workers from the store that are not known any more, or leave, and on which nothing
+// can run that is not in the store.
 func (e *Engine) removeStoredWorkers() {
 	if e.now.Before(e.stored.nextScan) {
 		return
 	}
 	e.stored.nextScan = e.now.Add(storedScanInterval)
 	for id, isStored := range e.stored.isStored.All() {
-		if !isStored || e.workers.Get(id) != nil || e.mayRunUnreported(id) {
+		if w := e.workers.Get(id); !isStored || w != nil && !w.hasLeft() || e.mayRunUnreported(id) {
 			continue
 		}
 		e.stored.isStored.Delete(id)
@@ -69,6 +76,23 @@
 	}
 }
 
+// isLeaving reports whether the worker gets nothing new because it, or its availability zone, is drained.
+func (w *worker) isLeaving() bool { return w.IsDraining || w.isZoneDrained }
+
+// hasLeft reports whether the worker is leaving, and all that runs on it, has ended there or may still begin is in the
+// store. If it ends together with its owner, the next one waits for the tasks that are placed there, and for no others.
+func (w *worker) hasLeft() bool {
+	if !w.isLeaving() || !w.session.IsListed() || !w.session.AreEndsStored() || w.refusals.HasPending() || w.unknownRuns.Len() > 0 {
+		return false
+	}
+	for _, a := range w.attempts.All() {
+		if !a.isPersisted {
+			return false
+		}
+	}
+	return true
+}
+
 // mayRunUnreported reports whether tasks may run on a worker that a previous owner started, and that the
 // worker has not reported.
 func (e *Engine) mayRunUnreported(id order.WorkerID) bool {
--- a/internal/dispatch/stored_workers_test.go
+++ b/internal/dispatch/stored_workers_test.go
@@ -133,3 +133,42 @@
 	_, version := s.UpdateSilentWorkers(true)
 	return version
 }
+
+// Guards against all inherited jobs waiting for workers that had left as planned together with their owner: nothing had
+// been started there since they began to drain.
+func TestLeavingWorkersAreRemovedFromTheStore(t *testing.T) {
+	w := newSim(1)
+	w.addWorkers(2, workerCapacity)
+	w.submit("a", newStep(1, 100*time.Millisecond))
+	w.run(2 * time.Second)
+	w.workers["w01"].entry.IsDraining = true
+	w.submit("b", newStep(1, 100*time.Millisecond))
+	w.run(2 * time.Second)
+	if !w.storedWorkers["w00"] || w.storedWorkers["w01"] {
+		t.Errorf("after w01 has begun to drain: got: %v, want: w00 only", w.storedWorkers)
+	}
+	w.workers["w01"].entry.IsDraining = false
+	w.submit("c", newStep(1, 100*time.Millisecond))
+	w.run(2 * time.Second)
+	if !w.storedWorkers["w00"] || !w.storedWorkers["w01"] {
+		t.Errorf("after it has gone on: got: %v, want: both", w.storedWorkers)
+	}
+}
+
+// A leaving worker on which tasks run that are not in the store must stay there, or the next owner starts them again.
+func TestLeavingWorkersStayStoredUntilTheirTasksAre(t *testing.T) {
+	w := newSim(1)
+	w.addWorkers(1, workerCapacity)
+	w.submit("a", newStep(1, 100*time.Millisecond), newStep(1, 20*time.Second))
+	w.run(tick)
+	w.isStoreDown, w.isWriteBehind = true, true
+	w.run(2 * time.Second)
+	if w.workers["w00"].begunCount() != 2 {
+		t.Fatal("got: the second step has not begun ahead of the store, want: begun")
+	}
+	w.workers["w00"].entry.IsDraining = true
+	w.run(2 * time.Second)
+	if len(w.engine.TakeBatch().RemovedWorkers) != 0 {
+		t.Error("got: the worker is removed, want: stored, as its task is not")
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -229,6 +229,7 @@
 	}
 	w.Worker = entry
 	e.updateZoneDrain(w)
+	e.storeWorkerInUse(w)
 	w.isUnlisted, w.isShuttingDown, w.isSuperseded, w.hasShutDown = false, false, false, false
 }
 
--- a/internal/dispatch/zone_drain.go
+++ b/internal/dispatch/zone_drain.go
@@ -25,6 +25,7 @@
 		if w.isZoneDrained {
 			e.dropUnsentStarts(w)
 		}
+		e.storeWorkerInUse(w)
 	}
 	e.logZoneChanges(events.ZoneDrained, e.drainedZones, previous)
 	e.logZoneChanges(events.ZoneReturned, previous, e.drainedZones)
