internal/cluster: count followers anew after each pause in which they may leave

What callers would see: a task runs twice (TWICE) where an owner is kept from running for about a second in an outage of the store, while its followers turn to a successor.

Cause: followers were probed again after pauses of more than 1.5 s only. They may leave an owner that is silent for 0.3 s, and a successor allows 1.5 s from then on for the leases that its predecessor renews. An owner that handles their heartbeats a second late counted them for a second too long.

Change: every pause of more than ownerSilenceTimeout counts.

TestPeersOfAPausedOwnerAreNoMajorityBeforeTheyAnswer, now with a pause of 0.5 s in place of 4 s, failed before.

--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -66,8 +66,8 @@
 	nextSample int
 	// links counts the links that were made; it provides linkID.
 	links uint64
-	// ranAt is when this process is last known to have run. pauses counts the times after which that was so
-	// long ago that followers may have left this owner meanwhile.
+	// ranAt is when this process is last known to have run, which is at most ownerHeartbeatPeriod ago while it
+	// is not paused. pauses counts the pauses in which followers may have left this owner.
 	ranAt  time.Time
 	pauses uint64
 }
--- a/internal/cluster/probe.go
+++ b/internal/cluster/probe.go
@@ -14,11 +14,12 @@
 // probeTimeout bounds the wait for the answer to a probe. Round trips within a region take milliseconds.
 const probeTimeout = 500 * time.Millisecond
 
-// detectPause finds out whether this process was paused. What followers sent before they left it then still waits in its
-// sockets and looks new, so none of them counts as linked before it has answered a probe. The caller holds mu.
+// detectPause finds out whether this process was paused for so long that followers may have left it. What they sent before
+// then still waits in its sockets and looks new, so none of them counts as linked before it has answered a probe. The
+// caller holds mu.
 func (p *peers) detectPause() {
 	now := p.clock.Now()
-	if now.Sub(p.ranAt) > maxPeerSilence {
+	if now.Sub(p.ranAt) > ownerSilenceTimeout {
 		p.pauses++
 		for _, peer := range p.byName {
 			peer.isVerified = false
--- a/internal/cluster/probe_test.go
+++ b/internal/cluster/probe_test.go
@@ -35,7 +35,7 @@
 		t.Fatal("all have answered: got: no majority, want: one")
 	}
 	_, beforePause := peers.BeginProbes()
-	c.Advance(4 * time.Second)
+	c.Advance(500 * time.Millisecond)
 	for i, conn := range conns {
 		// What waited in the sockets: heartbeats, answers to probes, and the hellos of links that were made in vain.
 		peers.Heartbeat(conn)
@@ -45,7 +45,7 @@
 		}
 	}
 	if isMajority() {
-		t.Error("after a pause of 4 s: got: a majority, want: none before the peers have answered")
+		t.Error("after a pause of half a second: got: a majority, want: none before the peers have answered")
 	}
 	count, pauses := peers.BeginProbes()
 	if count != len(conns) {
