internal/integration: let workers leave around drawn outages, and pauses and entries last longer

Cause: the drawn outages had no workers that leave, which the store's list of workers now depends on, and no pause or late entry as long as those in which an owner that wakes up renewed leases.

Change: up to four workers drain as an outage begins and end within 8 s; pauses and downtimes last up to 7 s, late entries come up to 14 s after the return.

--- a/internal/integration/outage_test.go
+++ b/internal/integration/outage_test.go
@@ -39,8 +39,13 @@
 	maxEntryDelay  time.Duration
 	lateEntryOdds  int
 	lateEntryDelay time.Duration
+	// leaving workers have begun to drain when the outage begins. They end within maxLeaveTime, and others come.
+	leaving int
 }
 
+// maxLeaveTime is the longest time that a worker drains.
+const maxLeaveTime = 8 * time.Second
+
 // lossKind is how an owner is lost.
 type lossKind string
 
@@ -96,12 +101,15 @@
 	between := func(a, b int) time.Duration { return time.Duration(a+rng.IntN(b-a)) * time.Millisecond }
 	o := outage{mode: []site.StoreMode{site.StoreBusy, site.StoreSilent}[rng.IntN(2)], length: between(2500, 8000), maxEntryDelay: 2 * time.Second}
 	if rng.IntN(2) == 0 {
-		o.lateEntryOdds, o.lateEntryDelay = 2+rng.IntN(6), between(500, 6000)
+		o.lateEntryOdds, o.lateEntryDelay = 2+rng.IntN(6), between(500, 12000)
+	}
+	if rng.IntN(2) == 0 {
+		o.leaving = 1 + rng.IntN(4)
 	}
 	at := between(-1500, 0)
 	for range 2 + rng.IntN(5) {
 		kind := []lossKind{lossKilled, lossKilled, lossPaused, lossStopped}[rng.IntN(4)]
-		o.losses = append(o.losses, ownerLoss{at, kind, between(300, 5000)})
+		o.losses = append(o.losses, ownerLoss{at, kind, between(300, 7000)})
 		at += between(100, 1300)
 	}
 	return o
@@ -147,7 +155,7 @@
 
 func playOutagesOf(t *testing.T, seed uint64, newPlan func(*rand.Rand) *outagePlan) {
 	rng := rand.New(rand.NewPCG(seed, 5))
-	p := &outagePlay{stop: make(chan struct{}), plan: newPlan(rng), soak: &soak{rng: rng, version: 1}}
+	p := &outagePlay{stop: make(chan struct{}), plan: newPlan(rng), soak: &soak{rng: rng, version: 1, lastWorkerNumber: 100}}
 	p.siteCluster = newSiteCluster(t, p.plan.nodes, site.Options{Workers: p.plan.workers, MilliCPU: soakWorkerMilliCPU, MemoryMiB: soakWorkerMemoryMiB})
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -237,7 +245,12 @@
 // playOutage lets jobs begin, and plays one outage with its losses of owners.
 func (p *outagePlay) playOutage(o *outage) {
 	p.waitUntil(time.Now().Add(p.plan.settleTime))
-	p.logAction("store %s for %v, entries lapse", o.mode, o.length)
+	p.logAction("store %s for %v, entries lapse, %d workers leave", o.mode, o.length, o.leaving)
+	for range o.leaving {
+		w := p.liveWorker()
+		w.Drain()
+		p.schedule(p.randomDuration(0, maxLeaveTime), func() { p.replaceWorker(w) })
+	}
 	p.Store.SetMode(o.mode)
 	returnAt := time.Now().Add(o.length)
 	hasReturned := false
