internal/cluster: log pauses of the owner; internal/dispatch: name what a leaving worker is checked for

Cause: that an owner had been paused could only be guessed from gaps in its log, and hasLeft read as if nothing ran on the worker any more.

Change: LD0325 says how long an owner was paused, and how many followers it probes. isNeededInStore and hasUnstoredWork take the place of hasLeft. Nothing else changes.

--- a/internal/cluster/export_test.go
+++ b/internal/cluster/export_test.go
@@ -114,8 +114,7 @@
 // Add adds a peer that has made a link and has answered a probe.
 func (p *Peers) Add(name string, c *link.Conn) {
 	p.AddUnverified(name, c)
-	_, pauses := p.p.beginProbes()
-	p.p.endProbe(c, pauses, true)
+	p.p.endProbe(c, p.p.beginProbes().pauses, true)
 }
 
 // AddUnverified adds a peer that has made a link.
@@ -126,8 +125,8 @@
 
 // BeginProbes returns how many peers are to be probed, and the number of pauses that the answers are for.
 func (p *Peers) BeginProbes() (count int, pauses uint64) {
-	conns, pauses := p.p.beginProbes()
-	return len(conns), pauses
+	r := p.p.beginProbes()
+	return len(r.conns), r.pauses
 }
 
 // ProbeAnswered records the answer to a probe that was sent after so many pauses.
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -67,9 +67,11 @@
 	// links counts the links that were made; it provides linkID.
 	links uint64
 	// ranAt is when this process is last known to have run, which is at most ownerHeartbeatPeriod ago while it
-	// is not paused. pauses counts the pauses in which followers may have left this owner.
-	ranAt  time.Time
-	pauses uint64
+	// is not paused. pauses counts the pauses in which followers may have left this owner; lastPause is the
+	// length of the last one until it is logged.
+	ranAt     time.Time
+	pauses    uint64
+	lastPause time.Duration
 }
 
 func newPeers(c clock.Service) *peers {
--- a/internal/cluster/probe.go
+++ b/internal/cluster/probe.go
@@ -8,6 +8,7 @@
 	"errors"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/link"
 )
 
@@ -19,8 +20,11 @@
 // caller holds mu.
 func (p *peers) detectPause() {
 	now := p.clock.Now()
-	if now.Sub(p.ranAt) > ownerSilenceTimeout {
+	if pause := now.Sub(p.ranAt); pause > ownerSilenceTimeout {
 		p.pauses++
+		if len(p.byName) > 0 {
+			p.lastPause = pause
+		}
 		for _, peer := range p.byName {
 			peer.isVerified = false
 		}
@@ -28,18 +32,30 @@
 	p.ranAt = now
 }
 
-// beginProbes returns the links of the peers to probe now, and the number of pauses that the answers are for.
-func (p *peers) beginProbes() (conns []*link.Conn, pauses uint64) {
+// probeRound is what one round of probes is sent for.
+type probeRound struct {
+	// conns are the links of the peers to probe.
+	conns []*link.Conn
+	// pauses is how many pauses there were before the probes.
+	pauses uint64
+	// pause is the length of a pause since the last round; 0 if there was none.
+	pause time.Duration
+}
+
+// beginProbes returns whom to probe now.
+func (p *peers) beginProbes() probeRound {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.detectPause()
+	r := probeRound{pauses: p.pauses, pause: p.lastPause}
+	p.lastPause = 0
 	for _, peer := range p.byName {
 		if !peer.isVerified && !peer.isProbing {
 			peer.isProbing = true
-			conns = append(conns, peer.conn)
+			r.conns = append(r.conns, peer.conn)
 		}
 	}
-	return conns, p.pauses
+	return r
 }
 
 // endProbe records the outcome of a probe that was sent after so many pauses. An answer to one that was sent before the
@@ -57,10 +73,13 @@
 }
 
 // probePeers probes the peers that are not verified. It is called with each heartbeat to the followers.
-func (n *Node) probePeers() {
-	conns, pauses := n.peers.beginProbes()
-	for _, c := range conns {
-		go n.runProbe(c, pauses)
+func (n *Node) probePeers(epoch uint64) {
+	r := n.peers.beginProbes()
+	if r.pause > 0 {
+		n.options.Log(events.OwnerPaused, "epoch", epoch, "pause", r.pause, "probed", len(r.conns))
+	}
+	for _, c := range r.conns {
+		go n.runProbe(c, r.pauses)
 	}
 }
 
--- a/internal/dispatch/stored_workers.go
+++ b/internal/dispatch/stored_workers.go
@@ -60,15 +60,14 @@
 	e.stored.added = append(e.stored.added, id)
 }
 
-// removeStoredWorkers removes the workers from the store that are not known any more, or leave, and on which nothing
-// can run that is not in the store.
+// removeStoredWorkers removes the workers from the store that are not needed there any more.
 func (e *Engine) removeStoredWorkers() {
 	if e.now.Before(e.stored.nextScan) {
 		return
 	}
 	e.stored.nextScan = e.now.Add(storedScanInterval)
 	for id, isStored := range e.stored.isStored.All() {
-		if w := e.workers.Get(id); !isStored || w != nil && !w.hasLeft() || e.mayRunUnreported(id) {
+		if !isStored || e.isNeededInStore(id) {
 			continue
 		}
 		e.stored.isStored.Delete(id)
@@ -76,21 +75,31 @@
 	}
 }
 
+// isNeededInStore reports whether something may run on a worker, or be started there ahead of the store, that the store
+// does not have. Without it, a successor waits for the tasks that are placed there, and for no others.
+func (e *Engine) isNeededInStore(id order.WorkerID) bool {
+	if e.mayRunUnreported(id) {
+		return true
+	}
+	w := e.workers.Get(id)
+	return w != nil && (!w.isLeaving() || w.hasUnstoredWork())
+}
+
 // isLeaving reports whether the worker gets nothing new because it, or its availability zone, is drained.
 func (w *worker) isLeaving() bool { return w.IsDraining || w.isZoneDrained }
 
-// hasLeft reports whether the worker is leaving, and all that runs on it, has ended there or may still begin is in the
-// store. If it ends together with its owner, the next one waits for the tasks that are placed there, and for no others.
-func (w *worker) hasLeft() bool {
-	if !w.isLeaving() || !w.session.IsListed() || !w.session.AreEndsStored() || w.refusals.HasPending() || w.unknownRuns.Len() > 0 {
-		return false
+// hasUnstoredWork reports whether something runs on the worker, has ended there or may still begin that is not in the
+// store.
+func (w *worker) hasUnstoredWork() bool {
+	if !w.session.IsListed() || !w.session.AreEndsStored() || w.refusals.HasPending() || w.unknownRuns.Len() > 0 {
+		return true
 	}
 	for _, a := range w.attempts.All() {
 		if !a.isPersisted {
-			return false
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // mayRunUnreported reports whether tasks may run on a worker that a previous owner started, and that the
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -69,6 +69,7 @@
 	ClaimRefused          = add(306, "claim came too late", LevelInfo)
 	HandedOver            = add(307, "shard handed over", LevelInfo)
 	OwnerFollowed         = add(308, "node follows the owner", LevelInfo)
+	OwnerPaused           = add(325, "owner was paused", LevelWarning)
 	OwnerTooSlow          = add(312, "owner is too slow and hands over", LevelWarning)
 	PreviousAttemptsEnded = add(465, "what an earlier owner started on a worker is over", LevelInfo)
 	UncertaintyEnded      = add(468, "no task can run where nobody knows any more", LevelInfo)
