--- a/internal/cluster/majority_test.go
+++ b/internal/cluster/majority_test.go
@@ -14,6 +14,19 @@
 	"github.com/leverdyke/leverdyke/internal/link"
 )
 
+// newLinkedPeers returns four peers that have answered a probe, and their links.
+func newLinkedPeers(t *testing.T, c clock.Service) (*cluster.Peers, []*link.Conn) {
+	t.Helper()
+	peers, conns := cluster.NewPeers(c), make([]*link.Conn, 4)
+	for i := range conns {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = far.Close() })
+		conns[i] = link.NewConn(near, nil)
+		peers.Add(fmt.Sprintf("n%d", i), conns[i])
+	}
+	return peers, conns
+}
+
 // A node that is cut off from all others was the majority of the nodes that it still remembered after
 // 8 s, and acted as the owner beside its successor.
 func TestNodeThatIsCutOffIsNoMajority(t *testing.T) {
@@ -36,14 +49,7 @@
 	} {
 		c := clock.NewFake()
 		begin := c.Now()
-		peers := cluster.NewPeers(c)
-		conns := make([]*link.Conn, 4)
-		for i := range conns {
-			near, far := net.Pipe()
-			t.Cleanup(func() { _ = far.Close() })
-			conns[i] = link.NewConn(near, nil)
-			peers.Add(fmt.Sprintf("n%d", i), conns[i])
-		}
+		peers, conns := newLinkedPeers(t, c)
 		c.Advance(time.Second)
 		for _, conn := range conns[:tc.lost] {
 			peers.Remove(conn)
--- a/internal/cluster/probe_test.go
+++ b/internal/cluster/probe_test.go
@@ -5,15 +5,12 @@
 
 import (
 	"fmt"
-	"net"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/await"
 	"github.com/leverdyke/leverdyke/internal/clock"
-	"github.com/leverdyke/leverdyke/internal/cluster"
-	"github.com/leverdyke/leverdyke/internal/link"
 	"github.com/leverdyke/leverdyke/internal/store/fakestore"
 )
 
@@ -21,14 +18,7 @@
 // and acted beside its successor as in an outage of the store.
 func TestPeersOfAPausedOwnerAreNoMajorityBeforeTheyAnswer(t *testing.T) {
 	c := clock.NewFake()
-	peers := cluster.NewPeers(c)
-	conns := make([]*link.Conn, 4)
-	for i := range conns {
-		near, far := net.Pipe()
-		t.Cleanup(func() { _ = far.Close() })
-		conns[i] = link.NewConn(near, nil)
-		peers.Add(fmt.Sprintf("n%d", i), conns[i])
-	}
+	peers, conns := newLinkedPeers(t, c)
 	asOf := c.Now()
 	isMajority := func() bool { return peers.IsMajority(asOf, 0) }
 	if !isMajority() {
