--- a/internal/dispatch/exhausted_test.go
+++ b/internal/dispatch/exhausted_test.go
@@ -18,7 +18,7 @@
 	return q
 }
 
-// newFailingJob returns a world with a job of one task that runs for 500 ms and always fails.
+// newFailingJob returns a world with a job of one task that always fails.
 func newFailingJob(attempts int) *sim {
 	w := newSim(1)
 	w.queues = []order.Queue{queueWithAttempts(attempts)}
