--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -204,6 +204,14 @@
 	w.removeEntry()
 }
 
+// CrashSilently is Crash, but the entry stays until the worker has missed heartbeats for unlistDelay.
+func (w *Worker) CrashSilently() {
+	w.mu.Lock()
+	w.terminate()
+	w.mu.Unlock()
+	time.AfterFunc(unlistDelay, w.removeEntry)
+}
+
 // terminate marks the worker as dead and drops all its runs. Callers must hold the lock.
 func (w *Worker) terminate() {
 	w.isDead = true
