internal/witness: let other nodes witness that nothing ran ahead of the store

Callers saw (LOST): where a worker crashed beside the loss of the owner, killed or stopped in order, every accepted job stood still for 9.5 s, also those that had nothing on that worker.

Cause: the write-behind flag is set in calm, so that it is stored when the store goes out. A successor took it for the event, distrusted all placements and waited for each stored worker, and the crashed one says nothing until its lease ends.

Change (decision 0031): an owner's record names up to nine other nodes. It starts nothing ahead of the store without the consent of most of them, and they tell its successor whether they consented. Once too many have not, the stored placements are relied on at once. Nothing is stored but the names; where most consented or too few are left, the successor waits as before.

--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -122,6 +122,9 @@
 		// one yet.
 		r.MaxStrength, r.ListedWorkers, r.KnownNodes = max(r.MaxStrength, previous.MaxStrength), previous.ListedWorkers, previous.KnownNodes
 		r.Silent, r.Outlasted = previous.Silent, previous.Outlasted
+		if r.MayHaveUnpersisted {
+			r.Witnesses = previous.Witnesses
+		}
 		r.LeftConns = previous.LeftConnsAfter(n.closed.is(previous.Epoch))
 	}
 	r.KeptConns = r.LeftConns.Kept()
@@ -185,7 +188,7 @@
 		Claim: c, Store: n.options.NewStore(n.fallback), Workers: workers, List: list, PermissionChannels: &permissionChannels{n},
 		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasStoreOutage: n.fallback.HasOutage, KnownNodes: n.peers.known, LinkedNodes: n.peers.linked, NodeZone: n.options.Zone,
 		StopTime: n.options.StopTime, Heartbeat: n.options.Heartbeat, MaxStrength: n.maxKnownStrength,
-		Delegates: &delegates{n}, DirectWorkers: n.options.MaxWorkers, Disabled: n.options.Disabled,
+		Delegates: &delegates{n}, Witnesses: &witnesses{n}, DirectWorkers: n.options.MaxWorkers, Disabled: n.options.Disabled,
 	})
 	n.mu.Lock()
 	n.lastOwnedEpoch = c.Record.Epoch
@@ -197,6 +200,7 @@
 		o.SetPolicy(n.configVersion, n.policy)
 	}
 	n.mu.Unlock()
+	o.WitnessTestified(n.options.Incarnation, n.testify(c.Record.Epoch))
 	n.logOwned(&c)
 	normalPercent := debug.SetGCPercent(ownerGCPercent)
 	err := o.Run(n.ctx)
@@ -222,7 +226,7 @@
 		from, previous = c.Previous.Node, c.Previous
 	}
 	n.options.Log(events.ShardOwned, "epoch", c.Record.Epoch, "from", from, "placements", c.HasAllPlacements, "ended", c.HasPreviousEnded,
-		"flagged", previous.MayHaveUnpersisted, "beat", previous.HeartbeatSeq, "age", previous.Age(now), "claimed", c.Record.Age(now),
+		"flagged", previous.MayHaveUnpersisted, "witnesses", len(previous.Witnesses.Witnesses), "beat", previous.HeartbeatSeq, "age", previous.Age(now), "claimed", c.Record.Age(now),
 		"left", int(c.Record.LeftConns), "kept", c.Record.KeptConns)
 }
 
@@ -275,7 +279,7 @@
 		return nil, notEnded
 	}
 	w := &welcome{}
-	if err := conn.Call(ctx, kindHello, n.hello(), w); err != nil {
+	if err := conn.Call(ctx, kindHello, n.hello(r.Epoch), w); err != nil {
 		conn.Close()
 		return nil, notEnded
 	}
@@ -289,10 +293,12 @@
 	return nil, notEnded
 }
 
-func (n *Node) hello() hello {
+// hello returns the greeting for the owner of an epoch.
+func (n *Node) hello(epoch uint64) hello {
 	return hello{
 		Name: n.options.Name, Zone: n.options.Zone, Addr: n.options.AdvertiseAddr, Incarnation: n.options.Incarnation,
 		Age: n.options.Clock.Now().Sub(n.startedAt), Strength: n.options.Strength, Workers: n.delegateCapacity(),
+		IsWitness: true, ConsentedEpoch: n.testify(epoch),
 	}
 }
 
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -31,6 +31,10 @@
 	// kindProbe asks a follower whether it still follows this owner. Body: empty, reply: ownerReply. A
 	// follower of an earlier version replies that it is not the owner, which also shows that it uses the link.
 	kindProbe link.Kind = "probe"
+	// kindConsent asks a follower, as a witness, to consent to write-behind. Body: consentRequest, reply: consentReply.
+	kindConsent link.Kind = "consent"
+	// kindWithdraw tells a witness that its consent is not needed any more, a notification. Body: consentRequest.
+	kindWithdraw link.Kind = "withdraw"
 	// kindConfig fetches the active configuration. Body: empty, reply: configMessage.
 	kindConfig link.Kind = "config"
 	// kindClaim asks a follower to become the owner. Body: claimRequest, reply: empty, once it is.
@@ -72,8 +76,20 @@
 	// Workers is how many workers the node can talk to as a delegate of the owner; 0 means that it
 	// is no delegate.
 	Workers int
+	// IsWitness means that the node can be a witness; nodes of earlier versions cannot. ConsentedEpoch is the highest
+	// epoch to whose owner it has consented as one. It consents to none before the owner to whom it says hello.
+	IsWitness      bool
+	ConsentedEpoch uint64
 }
 
+// consentRequest names the owner that needs the consent of a witness, and the round of its request.
+type consentRequest struct {
+	Epoch, Round uint64
+}
+
+// consentReply says whether the witness consents.
+type consentReply struct{ IsGiven bool }
+
 // welcome is the reply to hello. Epoch is only set by the owner.
 type welcome struct {
 	Incarnation string
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -24,6 +24,7 @@
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/served"
 	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/witness"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -155,6 +156,8 @@
 	// unpersistedEpoch is the epoch of the followed owner if its last heartbeat said that tasks may
 	// run on placements that are not in the store, else 0.
 	unpersistedEpoch uint64
+	// witness is what this process has said as a witness of owners.
+	witness witness.Ledger
 	// lastOwnedEpoch is the last epoch in which this process was the owner.
 	lastOwnedEpoch uint64
 	wg             sync.WaitGroup
--- a/internal/cluster/serve.go
+++ b/internal/cluster/serve.go
@@ -32,6 +32,8 @@
 		return n.handleClaim(ctx, c)
 	case kindProbe:
 		return n.handleProbe(from)
+	case kindConsent:
+		return n.handleConsent(body)
 	case kindConfig:
 		return n.activeConfig(), nil
 	case kindPermission:
@@ -122,6 +124,9 @@
 	if o != nil {
 		w.IsOwner, w.Epoch = true, o.Epoch()
 		n.peers.add(h, from)
+		if h.IsWitness {
+			o.WitnessTestified(h.Incarnation, h.ConsentedEpoch)
+		}
 	}
 	return w, nil
 }
@@ -210,6 +215,8 @@
 			n.handlePeerVersion(from, a.ConfigVersion)
 			n.mu.Unlock()
 		}
+	case kindWithdraw:
+		n.handleWithdraw(body)
 	case kindDelegatedOrders:
 		n.handleDelegatedOrders(from, body)
 	case kindOutcomes:
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -31,6 +31,32 @@
 	}
 }
 
+// ConfirmPlacements records that the previous owner is known, after all, to have persisted each placement of a task before it
+// ordered the start, and to do so as long as it acts.
+func (e *Engine) ConfirmPlacements() {
+	if e.inherited == nil {
+		return
+	}
+	e.logUncertaintyEnded(uncertaintyRuledOut)
+	e.inherited = nil
+	for _, j := range e.activeJobs {
+		j.mayHaveUnpersistedStarts = false
+	}
+	e.needsScheduling = true
+}
+
+// Reasons why the uncertainty about a previous owner's starts has ended; they are logged.
+const (
+	uncertaintyRuledOut = "nothing was started ahead of the store"
+	uncertaintyResolved = "all workers told what they run, or their leases lapsed"
+)
+
+func (e *Engine) logUncertaintyEnded(why string) {
+	d := e.inherited
+	e.options.Log(events.UncertaintyEnded, "why", why, "entries", d.currentlyListed, "earlier", d.previouslyListed, "known", d.areWorkersKnown,
+		"missing", len(d.unreported.byName), "left", d.leasesExpireAt.Sub(e.now))
+}
+
 // ExtendInheritedLeases records that the previous owner may still renew leases, so that these expire
 // no earlier than until.
 func (e *Engine) ExtendInheritedLeases(until time.Time) {
@@ -194,7 +220,7 @@
 // reached and whose leases have expired.
 func (e *Engine) tickInherited() {
 	if e.inherited != nil && e.isUncertaintyResolved() {
-		e.options.Log(events.UncertaintyEnded, "entries", e.inherited.currentlyListed, "earlier", e.inherited.previouslyListed, "known", e.inherited.areWorkersKnown, "left", e.inherited.leasesExpireAt.Sub(e.now))
+		e.logUncertaintyEnded(uncertaintyResolved)
 		e.inherited = nil
 		e.needsScheduling = true
 		e.hasUnpersistedReports = true
--- a/internal/dispatch/inherit_test.go
+++ b/internal/dispatch/inherit_test.go
@@ -224,3 +224,22 @@
 	}
 	expectState(t, w, "a", work.JobSucceeded)
 }
+
+// Guards against inherited tasks that wait for a worker on which nothing of theirs can run: the witnesses of the previous owner
+// rule out that it started tasks ahead of the store.
+func TestConfirmedPlacementsEndTheUncertainty(t *testing.T) {
+	owner := newSuccessor(2)
+	owner.InheritWorkers([]order.WorkerID{"v", "w"}, true)
+	owner.setWorkerList("v")
+	owner.reportIdle("v")
+	if got := owner.startsAfter(time.Second); got != 0 {
+		t.Errorf("before the confirmation: got: %d starts, want: none", got)
+	}
+	owner.ConfirmPlacements()
+	if got := owner.startsAfter(100 * time.Millisecond); got != 1 {
+		t.Errorf("after the confirmation: got: %d starts, want: 1", got)
+	}
+	if owner.HasUnpersisted() {
+		t.Error("got: unpersisted placements, want: none")
+	}
+}
--- a/internal/dispatch/owner_changes_simulation_test.go
+++ b/internal/dispatch/owner_changes_simulation_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"strconv"
 	"testing"
@@ -89,8 +90,9 @@
 
 // simulateOwnerChanges changes the owner again and again, beside workers that are cut off, leave and
 // crash, and outages of the store.
-func simulateOwnerChanges(seed uint64) *sim {
-	w := newSim(seed)
+func simulateOwnerChanges(seed uint64) *sim { return simulateOwnerChangesOf(newSim(seed)) }
+
+func simulateOwnerChangesOf(w *sim) *sim {
 	w.heartbeatInterval, w.maxStoreDelay = simulatedHeartbeat, time.Duration(w.rng.IntN(100))*time.Millisecond
 	w.records.period = time.Duration(w.rng.IntN(3000)) * time.Millisecond
 	w.isListInStore = true
@@ -155,3 +157,20 @@
 		func(seed uint64) (bool, error) { return holdsInvariants(simulateOwnerChanges(seed), seed) }, gen.UInt64()))
 	properties.TestingRun(t)
 }
+
+// Guards against tasks that run twice, or not at all, where an owner first waits for all workers and then learns that all
+// placements are in the store.
+func TestInvariantsHoldWhenPlacementsAreConfirmedLate(t *testing.T) {
+	t.Parallel()
+	simulate := func(seed uint64) *sim {
+		w := newSim(seed)
+		w.lateConfirmations = rand.New(rand.NewPCG(seed, 74))
+		return simulateOwnerChangesOf(w)
+	}
+	parameters := gopter.DefaultTestParametersWithSeed(20261206)
+	parameters.MinSuccessfulTests = 20
+	properties := gopter.NewProperties(parameters)
+	properties.Property("no invariant is violated and all jobs end", prop.ForAll(
+		func(seed uint64) (bool, error) { return holdsInvariants(simulate(seed), seed) }, gen.UInt64()))
+	properties.TestingRun(t)
+}
--- a/internal/dispatch/simulation_test.go
+++ b/internal/dispatch/simulation_test.go
@@ -82,6 +82,9 @@
 	// mayHaveUnpersistedStarts means that a previous owner may have started tasks whose placements
 	// are not in the store.
 	mayHaveUnpersistedStarts bool
+	// lateConfirmations, if set, draws the takeovers in which the new owner learns only after some time that all
+	// placements are in the store.
+	lateConfirmations *rand.Rand
 	// isWriteBehind makes the engine run write-behind while the store is down: it starts tasks
 	// before their placements are persisted.
 	isWriteBehind bool
@@ -237,8 +240,12 @@
 	for _, id := range append(slices.Clone(w.jobOrder), w.storedEnds...) {
 		w.engine.RestoreJob(w.storedSpec(id), w.progress[id])
 	}
-	w.engine.Inherit(w.clock.Now().Add(10*time.Second), areStartsPersisted, len(w.workerList()))
+	confirmsLate := areStartsPersisted && w.lateConfirmations != nil && w.lateConfirmations.IntN(2) == 0
+	w.engine.Inherit(w.clock.Now().Add(10*time.Second), areStartsPersisted && !confirmsLate, len(w.workerList()))
 	w.inheritRecord()
+	if confirmsLate {
+		w.deliverToEngine(time.Duration(w.lateConfirmations.IntN(1500))*time.Millisecond, w.engine.ConfirmPlacements)
+	}
 	w.engine.SetOwnershipConfirmed(true)
 }
 
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -74,6 +74,7 @@
 	PreviousAttemptsEnded = add(465, "what an earlier owner started on a worker is over", LevelInfo)
 	UncertaintyEnded      = add(468, "no task can run where nobody knows any more", LevelInfo)
 	OwnerTotals           = add(466, "totals of the owner", LevelInfo)
+	ConsentRequested      = add(498, "owner asks for consent to run ahead of the store", LevelInfo)
 	WriteBehindChanged    = add(309, "owner runs ahead of the store, or no longer", LevelWarning)
 	DelegatesChanged      = add(314, "number of nodes that carry for the owner changes", LevelInfo)
 	DelegateLost          = add(319, "node that carried orders is lost", LevelInfo)
--- a/internal/owner/delegates.go
+++ b/internal/owner/delegates.go
@@ -38,6 +38,7 @@
 	o.nextNodeCheck = o.now.Add(nodeCheckPeriod)
 	o.engine.SetChannels(o.options.PermissionChannels.Names())
 	o.awaitPrevious()
+	o.updateWitnesses()
 	o.updateSilent()
 	o.updateOutlasted()
 	if o.options.Delegates != nil {
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/witness"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -25,22 +26,67 @@
 // NewWriteBehindGate starts from a record without the flag.
 func NewWriteBehindGate() *WriteBehindGate { return &WriteBehindGate{newWriteBehindGate(&Record{})} }
 
+// NewWriteBehindGateFrom starts from the record of a claim.
+func NewWriteBehindGateFrom(r *Record) *WriteBehindGate {
+	return &WriteBehindGate{newWriteBehindGate(r)}
+}
+
 // RecordSlow records a sign that the store is slow.
 func (a *WriteBehindGate) RecordSlow(now time.Time) {
 	a.g.recordSlow(now)
-	a.g.update(now, false, false)
+	a.g.update(now, false, false, nil)
 }
 
 // Update decides whether the next record carries the flag.
 func (a *WriteBehindGate) Update(now time.Time, hasUnpersisted, allResponding bool) {
-	a.g.update(now, hasUnpersisted, allResponding)
+	a.g.update(now, hasUnpersisted, allResponding, nil)
+}
+
+// UpdateWithWitnesses is Update with processes that can be witnesses, at a time at which the store is slow if isSlow.
+func (a *WriteBehindGate) UpdateWithWitnesses(now time.Time, hasUnpersisted, isSlow bool, candidates ...string) {
+	if isSlow {
+		a.g.recordSlow(now)
+	}
+	a.g.update(now, hasUnpersisted, false, candidates)
+}
+
+// WriteRecord writes a record into the store, and returns its witnesses.
+func (a *WriteBehindGate) WriteRecord() witness.Quorum {
+	isFlagged, q := a.g.next()
+	a.g.persisted(isFlagged, q)
+	return q
+}
+
+// SendRecord sends a record of which it is not known whether it reaches the store.
+func (a *WriteBehindGate) SendRecord() { a.g.next() }
+
+// RequestConsent returns the processes to ask for their consent.
+func (a *WriteBehindGate) RequestConsent(now time.Time) []string {
+	asked, _ := a.g.requestConsent(now)
+	return asked
+}
+
+// Consent records that processes consent.
+func (a *WriteBehindGate) Consent(processes ...string) {
+	for _, p := range processes {
+		a.g.consent.Given(p, a.g.consent.Round())
+	}
+}
+
+// WithdrawConsent returns the processes to tell that their consent is not needed.
+func (a *WriteBehindGate) WithdrawConsent(now time.Time, hasUnpersisted bool) []string {
+	asked, _ := a.g.withdrawConsent(now, hasUnpersisted)
+	return asked
 }
 
 // NextFlag returns the flag of a record that is written now.
-func (a *WriteBehindGate) NextFlag() bool { return a.g.nextFlag() }
+func (a *WriteBehindGate) NextFlag() bool {
+	isFlagged, _ := a.g.next()
+	return isFlagged
+}
 
 // Persisted records that a record is in the store.
-func (a *WriteBehindGate) Persisted(isFlagged bool) { a.g.persisted(isFlagged) }
+func (a *WriteBehindGate) Persisted(isFlagged bool) { a.g.persisted(isFlagged, witness.Quorum{}) }
 
 // MayWriteBehind reports whether the owner may run write-behind.
 func (a *WriteBehindGate) MayWriteBehind(now time.Time) bool { return a.g.mayWriteBehind(now) }
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -44,6 +44,17 @@
 	Query(ctx context.Context, channel string, step work.StepID, workers []order.WorkerID) ([]order.Permit, time.Duration, error)
 }
 
+// Witnesses are the processes that consent to write-behind. Implementations are safe for concurrent use.
+type Witnesses interface {
+	// Candidates returns the processes that can be witnesses now, at most witness.MaxWitnesses. It is not nil.
+	Candidates() []string
+	// Request asks processes to consent to write-behind in an epoch, without waiting, and calls given for each one that
+	// does.
+	Request(processes []string, epoch, round uint64, given func(process string))
+	// Withdraw tells processes that the consent of a round is not needed any more.
+	Withdraw(processes []string, epoch, round uint64)
+}
+
 // Metrics receives the measurements of an owner. Implementations are safe for concurrent use.
 type Metrics interface {
 	// OrderAnswered records the outcome of an order to a worker and how long its answer took.
@@ -74,8 +85,8 @@
 	return c.Previous == nil || c.HasPreviousEnded && c.Previous.IsOnlyOwner
 }
 
-// Options configures an Owner. All fields but Log, Delegates, DirectWorkers, KnownNodes and LinkedNodes are
-// required.
+// Options configures an Owner. All fields but Log, Delegates, DirectWorkers, KnownNodes, LinkedNodes and
+// Witnesses are required.
 type Options struct {
 	Claim              Claim
 	Store              store.Log
@@ -87,8 +98,10 @@
 	// DirectWorkers is how many workers this node talks to itself while delegates are available; 0
 	// means all.
 	DirectWorkers int
-	Clock         clock.Service
-	Log           func(e events.Event, keysAndValues ...any)
+	// Witnesses are the processes that consent to write-behind; nil means none.
+	Witnesses Witnesses
+	Clock     clock.Service
+	Log       func(e events.Event, keysAndValues ...any)
 	// Metrics receives measurements.
 	Metrics Metrics
 	// MaxStrength returns the strength of the strongest known node.
@@ -130,6 +143,9 @@
 	maxFollowerSilence = 1500 * time.Millisecond
 	// linkingTime is how long after a claim the other nodes may take to link to the new owner.
 	linkingTime = 8 * time.Second
+	// witnessLinkTime is how long after a claim the other nodes may take to link to the new owner before it goes without
+	// them. A node that looks for the owner reads the record every 80 ms while the store answers.
+	witnessLinkTime = time.Second
 	// maxLease is the longest time that a worker's lease runs from its last renewal: 6 s, 4% and
 	// the worker's own slack. maxInheritedLease is the longest time that a lease granted by a
 	// previous owner may still run: that owner may renew leases until its ConfirmationTimeout ends.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -23,6 +23,7 @@
 	"github.com/leverdyke/leverdyke/internal/quota"
 	"github.com/leverdyke/leverdyke/internal/served"
 	"github.com/leverdyke/leverdyke/internal/statequery"
+	"github.com/leverdyke/leverdyke/internal/witness"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -129,6 +130,10 @@
 	handOverDone      chan bool
 	handOverStartedAt time.Time
 	isWriteBehind     bool
+	// candidates are the processes that can be witnesses.
+	candidates []string
+	// survey has what the witnesses of the previous owner have said; nil when it does not matter.
+	survey *witness.Survey
 	// nextNodeCheck is when the other nodes are checked again.
 	nextNodeCheck time.Time
 	// loopStartedAt is when the loop started; deferredPolls are polls that wait for delegates.
@@ -343,14 +348,16 @@
 	if isSlow {
 		o.writeBehind.recordSlow(o.now)
 	}
-	if o.writeBehind.update(o.now, hasUnpersisted, o.engine.AllResponsive()) {
+	if o.writeBehind.update(o.now, hasUnpersisted, o.engine.AllResponsive() && !o.awaitsWitnesses(), o.nextWitnesses()) {
 		select {
 		case o.recordNeeded <- struct{}{}:
 		default:
 		}
 	}
 	isWriteBehind := o.writeBehind.mayWriteBehind(o.now)
+	asked, round := o.writeBehind.requestConsent(o.now)
 	o.mu.Unlock()
+	o.requestConsent(asked, round)
 	if isWriteBehind != o.isWriteBehind {
 		o.isWriteBehind = isWriteBehind
 		o.options.Log(events.WriteBehindChanged, "epoch", o.Epoch(), "ahead", isWriteBehind, "confirmed", o.now.Sub(o.confirmedAt), "out", o.isStoreDown)
@@ -358,6 +365,7 @@
 	o.mayHaveUnpersisted.Store(isWriteBehind || hasUnpersisted)
 	o.isInheritanceKnown.Store(o.engine.IsInheritanceKnown())
 	o.engine.SetWriteBehind(isWriteBehind)
+	o.withdrawConsent(hasUnpersisted)
 }
 
 // MayHaveUnpersisted reports whether tasks may run on placements that are not in the store.
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -16,6 +16,7 @@
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/witness"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -54,6 +55,9 @@
 		}
 		o.loadedAt = o.now
 		o.mayPreviousAct.Store(!o.options.Claim.areAllPreviousEnded())
+		if !o.options.Claim.HasAllPlacements {
+			o.survey = witness.NewSurvey(previous.Witnesses)
+		}
 		o.engine.Inherit(o.now.Add(leaseLeft), o.options.Claim.HasAllPlacements, previous.ListedWorkers)
 		o.engine.InheritBounds(previous.Silent)
 		o.engine.InheritOutlasted(previous.Outlasted)
@@ -468,7 +472,8 @@
 	r.KnownNodes, r.IsOnlyOwner = o.knownNodes(sentAt), o.isOnlyOwner(sentAt)
 	r.LeftConns, r.KeptConns = o.connBudget.get()
 	o.mu.Lock()
-	r.MayHaveUnpersisted, r.WritesBehindByFlagOnly = o.writeBehind.nextFlag(), true
+	r.MayHaveUnpersisted, r.Witnesses = o.writeBehind.next()
+	r.WritesBehindByFlagOnly = true
 	r.Silent, r.Outlasted = o.silent.next(), o.outlasted
 	o.mu.Unlock()
 	at := o.recordOffset + 1
@@ -491,7 +496,7 @@
 	o.recordOffset = offset
 	o.mu.Lock()
 	o.heartbeatSeq, o.persistedAt = r.HeartbeatSeq, o.options.Clock.Now()
-	o.writeBehind.persisted(r.MayHaveUnpersisted)
+	o.writeBehind.persisted(r.MayHaveUnpersisted, r.Witnesses)
 	silentVersion := o.silent.persisted()
 	o.mu.Unlock()
 	o.enqueue(heartbeatEvent{sentAt, silentVersion})
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -16,6 +16,7 @@
 	"github.com/leverdyke/leverdyke/internal/leasebound"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/witness"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -40,6 +41,10 @@
 	// WritesBehindByFlagOnly means that the owner runs write-behind only while its newest record in
 	// the store carries the flag. Owners of earlier versions also do so by the age of a record.
 	WritesBehindByFlagOnly bool `msgpack:"f"`
+	// Witnesses are the processes without whose consent the owner of their epoch runs no write-behind. If they did not
+	// consent, all placements were in the store when the record was written, and are from then on, whatever the flag
+	// says. A claim takes over those of the previous owner, whose epoch they name. Owners of earlier versions name none.
+	Witnesses witness.Quorum `msgpack:"v"`
 	// IsOnlyOwner means that no owner before this one acts or renews leases any more.
 	IsOnlyOwner bool `msgpack:"o"`
 	// ListedWorkers is how many workers the owner's list had, or that of the previous owner as long as it is
--- a/internal/owner/write_behind.go
+++ b/internal/owner/write_behind.go
@@ -3,7 +3,12 @@
 
 package owner
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/witness"
+)
 
 const (
 	// slowAppendTime is how long an append is in flight until the store counts as slow. The store
@@ -18,56 +23,117 @@
 	heartbeatOverdue = 2 * HeartbeatPeriod
 )
 
+// consentRetryPeriod is the time between two requests to witnesses that have not answered.
+const consentRetryPeriod = 300 * time.Millisecond
+
 // writeBehindGate decides when an owner may run write-behind, that is, start tasks before their
 // placements are in the store. The next owner must be able to detect that, also when this one does
 // not learn of its claim. Write-behind is therefore only allowed while the owner's newest record in
-// the store carries the flag: a claim is conditional on the newest record, so no owner can succeed
-// this one without having seen the flag. Not safe for concurrent use.
+// the store carries the flag, and, if the record names witnesses, with their consent: a claim is
+// conditional on the newest record, so no owner can succeed this one without having seen the flag
+// and the witnesses. Not safe for concurrent use.
 type writeBehindGate struct {
+	epoch     uint64
 	slowUntil time.Time
 	// wantsFlag means that the next record carries the flag.
 	wantsFlag bool
 	// isFlagged means that the newest record in the store carries the flag and that no record
 	// without it is in flight.
 	isFlagged bool
+	// nextQuorum has the witnesses that the next record names. Those of the previous owner may also witness for this
+	// one: the next owner asks them whether they have consented to either.
+	nextQuorum witness.Quorum
+	// quorums has the witnesses of all records that are, or may become, the newest one.
+	quorums []witness.Quorum
+	consent witness.Consent
+	// nextRequest is when witnesses that have not answered are asked again.
+	nextRequest time.Time
 }
 
 // newWriteBehindGate starts from the record of a claim.
 func newWriteBehindGate(r *Record) writeBehindGate {
-	return writeBehindGate{wantsFlag: r.MayHaveUnpersisted, isFlagged: r.MayHaveUnpersisted}
+	return writeBehindGate{
+		epoch: r.Epoch, wantsFlag: r.MayHaveUnpersisted, isFlagged: r.MayHaveUnpersisted, nextQuorum: r.Witnesses, quorums: []witness.Quorum{r.Witnesses},
+	}
 }
 
 // recordSlow records a sign that the store is slow or down.
 func (g *writeBehindGate) recordSlow(now time.Time) { g.slowUntil = now.Add(slowPeriod) }
 
-// update decides whether the next record carries the flag. hasUnpersisted means that tasks may run
-// on placements that are not in the store. allResponding means that all workers respond: the next
-// owner then learns soon what they run, so that the flag costs it little. Setting it early has the
-// advantage that it is already stored when the store goes down. It reports whether the flag has
+// update decides whether the next record carries the flag, and which witnesses it names. hasUnpersisted
+// means that tasks may run on placements that are not in the store, also those of a previous owner.
+// allResponding means that all workers respond: the next owner then learns soon what they run, so that
+// the flag costs it little. candidates are the processes to name as witnesses; nil means that the
+// witnesses stay as they are. With witnesses the flag costs the next owner nothing. Setting it early has
+// the advantage that it is already stored when the store goes down. It reports whether the flag has
 // become needed and the newest record does not carry it.
-func (g *writeBehindGate) update(now time.Time, hasUnpersisted, allResponding bool) bool {
+func (g *writeBehindGate) update(now time.Time, hasUnpersisted, allResponding bool, candidates []string) bool {
 	wantedFlag := g.wantsFlag
-	g.wantsFlag = hasUnpersisted || allResponding || now.Before(g.slowUntil)
+	g.updateQuorum(hasUnpersisted, candidates)
+	g.wantsFlag = hasUnpersisted || allResponding || !g.nextQuorum.IsEmpty() || now.Before(g.slowUntil)
 	return g.wantsFlag && !wantedFlag && !g.isFlagged
 }
 
+// updateQuorum decides which witnesses the next record names: those of a previous owner until it is known what that one
+// started, and none while placements of this owner are missing in the store, as the next one must not rely on the stored
+// ones then, whatever the witnesses say.
+func (g *writeBehindGate) updateQuorum(hasUnpersisted bool, candidates []string) {
+	switch {
+	case !hasUnpersisted && candidates != nil:
+		g.nextQuorum = witness.Quorum{Epoch: g.epoch, Witnesses: candidates}
+	case hasUnpersisted && g.nextQuorum.Epoch == g.epoch:
+		g.nextQuorum = witness.Quorum{}
+	}
+}
+
 // mayWriteBehind reports whether the owner may run write-behind.
 func (g *writeBehindGate) mayWriteBehind(now time.Time) bool {
-	return now.Before(g.slowUntil) && g.wantsFlag && g.isFlagged
+	return now.Before(g.slowUntil) && g.wantsFlag && g.isFlagged && g.hasConsent()
+}
+
+// hasConsent reports whether the next owner, whichever record it finds, learns from the witnesses that
+// this one may run write-behind.
+func (g *writeBehindGate) hasConsent() bool {
+	lacksConsent := func(q witness.Quorum) bool { return !q.IsEmpty() && !g.consent.IsGiven(&q) }
+	return !slices.ContainsFunc(g.quorums, lacksConsent)
+}
+
+// requestConsent returns the witnesses to ask now, and the round of the request; none if no consent is needed.
+func (g *writeBehindGate) requestConsent(now time.Time) ([]string, uint64) {
+	if !now.Before(g.slowUntil) || !g.isFlagged || now.Before(g.nextRequest) || g.hasConsent() {
+		return nil, 0
+	}
+	g.nextRequest = now.Add(consentRetryPeriod)
+	return g.consent.Request(g.quorums...)
 }
 
-// nextFlag returns the flag of the record that is written next.
-func (g *writeBehindGate) nextFlag() bool {
+// withdrawConsent ends the consent once it is not needed, and returns the processes to tell and its round. hasUnpersisted
+// means that placements are missing in the store; no task may be started ahead of it any more.
+func (g *writeBehindGate) withdrawConsent(now time.Time, hasUnpersisted bool) ([]string, uint64) {
+	if hasUnpersisted || now.Before(g.slowUntil) || !g.consent.IsRequested() {
+		return nil, 0
+	}
+	return g.consent.Withdraw()
+}
+
+// next returns the flag and the witnesses of the record that is written next.
+func (g *writeBehindGate) next() (isFlagged bool, q witness.Quorum) {
 	if !g.wantsFlag {
 		g.isFlagged = false
+		return false, witness.Quorum{}
+	}
+	isSame := func(other witness.Quorum) bool { return other.Equal(&g.nextQuorum) }
+	if !slices.ContainsFunc(g.quorums, isSame) {
+		g.quorums = append(g.quorums, g.nextQuorum)
 	}
-	return g.wantsFlag
+	return true, g.nextQuorum
 }
 
 // persisted records that a record is in the store. Records are appended one after the other, each
 // on the condition that the previous one is still the last of its topic.
-func (g *writeBehindGate) persisted(isFlagged bool) {
+func (g *writeBehindGate) persisted(isFlagged bool, q witness.Quorum) {
 	if isFlagged && g.wantsFlag {
 		g.isFlagged = true
 	}
+	g.quorums = []witness.Quorum{q}
 }
--- /dev/null
+++ b/internal/witness/consent.go
@@ -0,0 +1,65 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package witness
+
+import (
+	"maps"
+	"slices"
+)
+
+// Consent is the consent that an owner has. The zero value has none.
+type Consent struct {
+	// round counts the requests; an answer to an earlier one does not count.
+	round uint64
+	// isRequested means that the consent was requested and not withdrawn since.
+	isRequested bool
+	// asked has the processes that were asked, with whether they consent.
+	asked map[string]bool
+}
+
+// Request begins a request, unless there is one. It returns the witnesses of the quorums to ask, which are those that have
+// not consented, and the round of the request.
+func (c *Consent) Request(quorums ...Quorum) ([]string, uint64) {
+	if !c.isRequested {
+		c.round++
+		c.isRequested, c.asked = true, map[string]bool{}
+	}
+	missing := []string{}
+	for i := range quorums {
+		for _, w := range quorums[i].Witnesses {
+			if !c.asked[w] && !slices.Contains(missing, w) {
+				missing = append(missing, w)
+			}
+		}
+	}
+	for _, w := range missing {
+		c.asked[w] = false
+	}
+	return missing, c.round
+}
+
+// Given records that a witness consents to the request of a round.
+func (c *Consent) Given(process string, round uint64) {
+	if c.isRequested && round == c.round {
+		c.asked[process] = true
+	}
+}
+
+// Withdraw ends the request, and returns which processes were asked, and its round.
+func (c *Consent) Withdraw() ([]string, uint64) {
+	asked := slices.Sorted(maps.Keys(c.asked))
+	c.isRequested, c.asked = false, nil
+	return asked, c.round
+}
+
+// Round returns the round of the last request, 0 if there was none.
+func (c *Consent) Round() uint64 { return c.round }
+
+// IsRequested reports whether the consent is requested, and not withdrawn since.
+func (c *Consent) IsRequested() bool { return c.isRequested }
+
+// IsGiven reports whether most of the witnesses consent.
+func (c *Consent) IsGiven(q *Quorum) bool {
+	return !q.IsEmpty() && q.countIn(c.asked) >= q.minConsents()
+}
