internal/owner: end inherited leases sooner once the last process is replaced

Callers saw: a task of a worker that crashed beside a killed owner waits 9.5 s, for the worker's lease and for renewals by an owner that may still act for 3 s.

Cause: whether the previous owner's process has ended was found out at the claim only. A killed process is started again and greets its successor a moment later.

Measured: TestLeasesEndSoonerOnceThePreviousOwnersProcessIsReplaced (fake clock): expired 7 s after the greeting, not before 6.4 s; without the greeting of another process, or with earlier owners, not after 7 s. Not measured with real processes.

--- a/internal/cluster/serve.go
+++ b/internal/cluster/serve.go
@@ -124,6 +124,7 @@
 	if o != nil {
 		w.IsOwner, w.Epoch = true, o.Epoch()
 		n.peers.add(h, from)
+		o.NodeGreeted(h.Name, h.Addr, h.Incarnation)
 		if h.IsWitness {
 			o.WitnessTestified(h.Incarnation, h.ConsentedEpoch)
 		}
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -69,6 +69,17 @@
 	}
 }
 
+// ShortenInheritedLeases records that the previous owner renews no more leases, so that these expire no later than until.
+func (e *Engine) ShortenInheritedLeases(until time.Time) {
+	if !until.Before(e.inheritedLeasesUntil) {
+		return
+	}
+	e.inheritedLeasesUntil = until
+	if e.inherited != nil {
+		e.inherited.leasesExpireAt = until
+	}
+}
+
 // listRecoveryTime is how long after the store's recovery the platform's list may lack entries of
 // running workers; the platform states about two seconds.
 const listRecoveryTime = 2300 * time.Millisecond
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -52,6 +52,8 @@
 	mayAct atomic.Bool
 	// mayPreviousAct means that the previous owner may still act during an outage of the store.
 	mayPreviousAct atomic.Bool
+	// hasPreviousEnded means that the previous owner's process was found to have ended since the claim.
+	hasPreviousEnded atomic.Bool
 	// isInheritanceKnown means that it is known what previous owners started.
 	isInheritanceKnown atomic.Bool
 	// listedWorkers is how many workers the list had when it was last read.
@@ -425,7 +427,7 @@
 // isOnlyOwner reports whether no previous owner acts at that time any more: none counts as confirmed
 // after the jobs were read.
 func (o *Owner) isOnlyOwner(at time.Time) bool {
-	return o.options.Claim.areAllPreviousEnded() || o.IsLoaded() && !o.mayPreviousAct.Load() && at.Sub(o.loadedAt) >= ConfirmationTimeout
+	return o.areAllPreviousEnded() || o.IsLoaded() && !o.mayPreviousAct.Load() && at.Sub(o.loadedAt) >= ConfirmationTimeout
 }
 
 // awaitPrevious extends the leases of a previous owner that may act during an outage of the store,
--- a/internal/owner/two_owners_test.go
+++ b/internal/owner/two_owners_test.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -328,3 +329,58 @@
 		return err == nil && r.MayHaveUnpersisted
 	})
 }
+
+// Guards against tasks of a crashed worker that wait for renewals by an owner whose process has been replaced.
+func TestLeasesEndSoonerOnceThePreviousOwnersProcessIsReplaced(t *testing.T) {
+	for name, tc := range map[string]struct {
+		incarnation string
+		// isOnlyOwner is what the previous owner's record says of those before it.
+		isOnlyOwner bool
+		want        bool
+	}{
+		"another process greets":            {"next", true, true},
+		"the same one greets":               {"first", true, false},
+		"owners before it may renew leases": {"next", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log, pool := fakestore.NewLog(), newWorkerPool(2)
+			gate := make(chan struct{})
+			pool.byID["w00"].gate = gate
+			t.Cleanup(func() { close(gate) })
+			addr := netip.MustParseAddrPort("127.0.0.1:7")
+			first := startOwnerInPartition(t, log, pool, "w00", func(o *owner.Options) {
+				o.Claim.Record.Node, o.Claim.Record.Addr, o.Claim.Record.Incarnation = "a", addr, "first"
+			})
+			job := newJob("a")
+			job.Steps[0].Count = 1
+			if err := first.Submit(t.Context(), job); err != nil {
+				t.Fatal(err)
+			}
+			await.True(t, "the task runs", func() bool {
+				first.clock.Advance(tick)
+				return pool.hasStarted("w00")
+			})
+			first.awaitRecord(t)
+			first.Stop()
+			<-first.Done()
+			isExpired := atomic.Bool{}
+			second := startOwnerInPartition(t, log, pool, "w01", func(o *owner.Options) {
+				o.Claim.Previous.IsOnlyOwner = tc.isOnlyOwner
+				o.Log = func(e events.Event, _ ...any) {
+					if e == events.PreviousAttemptsEnded {
+						isExpired.Store(true)
+					}
+				}
+			})
+			second.NodeGreeted("a", addr, tc.incarnation)
+			second.advance(t, 6400*time.Millisecond)
+			if isExpired.Load() {
+				t.Error("while its last lease may last: got: expired, want: waited for")
+			}
+			second.advance(t, 600*time.Millisecond)
+			if got := isExpired.Load(); got != tc.want {
+				t.Errorf("7 s after the greeting: got: expired: %v, want: %v", got, tc.want)
+			}
+		})
+	}
+}
