--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -4,6 +4,7 @@
 package codec_test
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/leverdyke/leverdyke/internal/codec"
@@ -25,6 +26,26 @@
 	}
 }
 
+// Guards against a value that is nested so deeply that the process ends: a stack overflow cannot be recovered
+// from. The largest is as long as a frame between nodes may be.
+func TestDeepNestingIsRejected(t *testing.T) {
+	const nested, null, field = 0x91, 0xc0, "\x81\xa1x"
+	for _, levels := range []int{200, 10_000, 8<<20 - 10} {
+		for name, data := range map[string][]byte{
+			"whole":     append(bytes.Repeat([]byte{nested}, levels), null),
+			"truncated": bytes.Repeat([]byte{nested}, levels),
+			"maps":      append(bytes.Repeat([]byte("\x81\xa0"), levels/2), null),
+			"a field":   append(append([]byte(field), bytes.Repeat([]byte{nested}, levels)...), null),
+		} {
+			out := struct{}{}
+			var anything any
+			if codec.Unmarshal(data, &out) == nil || codec.Unmarshal(data, &anything) == nil {
+				t.Fatalf("%d levels, %s: got: nil, want: an error", levels, name)
+			}
+		}
+	}
+}
+
 func TestRoundTrip(t *testing.T) {
 	type value struct{ Name string }
 	data, err := codec.Marshal(value{"x"})
