--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -34,7 +34,7 @@
 		for name, data := range map[string][]byte{
 			"whole":     append(bytes.Repeat([]byte{nested}, levels), null),
 			"truncated": bytes.Repeat([]byte{nested}, levels),
-			"maps":      append(bytes.Repeat([]byte("\x81\xa0"), levels/2), null),
+			"maps":      append(bytes.Repeat([]byte("\x81\xa0"), levels), null),
 			"a field":   append(append([]byte(field), bytes.Repeat([]byte{nested}, levels)...), null),
 		} {
 			out := struct{}{}
