--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -237,6 +237,9 @@
 		out := binary.BigEndian.AppendUint64(nil, t.end)
 		out = binary.BigEndian.AppendUint64(out, 0)
 		for _, rec := range t.records[min(from, t.end):] {
+			if len(out)+len(rec.value) > maxAnswerBytes {
+				break
+			}
 			out = appendRecord(out, rec)
 		}
 		changed := s.changed
@@ -258,8 +261,11 @@
 	}
 }
 
-// pageRecords is the maximum number of records in one page of the newest records.
-const pageRecords = 500
+// An answer has at most maxAnswerBytes of records, and one page of the newest records at most pageRecords of them.
+const (
+	maxAnswerBytes = 1 << 20
+	pageRecords    = 500
+)
 
 func (s *Store) serveNewest(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
@@ -267,16 +273,16 @@
 	t := s.topic(r.URL.Query().Get("topic"))
 	after := r.URL.Query().Get("dependsOn")
 	items := []map[string]any{}
-	more := false
+	more, size := false, 0
 	for _, key := range sortedKeys(t.newest) {
 		if key <= after && after != "" {
 			continue
 		}
-		if len(items) == pageRecords {
+		rec := t.newest[key]
+		if size += len(rec.value); len(items) == pageRecords || len(items) > 0 && size > maxAnswerBytes {
 			more = true
 			break
 		}
-		rec := t.newest[key]
 		items = append(items, map[string]any{"key": key, "value": base64.StdEncoding.EncodeToString(rec.value), "offset": rec.offset})
 	}
 	writeJSON(w, http.StatusOK, map[string]any{"items": items, "more": more, "end": t.end})
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -176,24 +176,26 @@
 // heartbeat writes the worker's entry into the store, unless the worker is dead or does not reach the store.
 func (w *Worker) heartbeat() {
 	w.mu.Lock()
+	isSilent := w.isDead || w.hasLapsedEntry
+	w.mu.Unlock()
+	if !isSilent {
+		w.site.Store.Put(topicEntries, w.id, mustEncode(w.entry()))
+	}
+}
+
+// entry returns the worker's entry as it is now.
+func (w *Worker) entry() map[string]any {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	state := "ready"
 	if w.isLeaving {
 		state = "draining"
 	}
-	isSilent, available := w.isDead || w.hasLapsedEntry, w.capacity
-	w.mu.Unlock()
-	if isSilent {
-		return
-	}
-	data, err := json.Marshal(map[string]any{
+	return map[string]any{
 		"service": serviceName, "address": w.addr, "zone": w.machine.zone, "state": state, "machine": w.machine.name, "born": w.started.UnixMilli(),
-		"capacity": map[string]any{"cpu": available.cpu, "memMb": available.mem},
+		"capacity": map[string]any{"cpu": w.capacity.cpu, "memMb": w.capacity.mem},
 		"labels":   []string{"a", w.rack},
-	})
-	if err != nil {
-		panic(err)
 	}
-	w.site.Store.Put("keyed.servers", w.id, data)
 }
 
 // Crash ends the worker with all its runs and removes its entry from the store. It does not answer any more.
@@ -225,7 +227,7 @@
 }
 
 // removeEntry removes the worker's entry from the store.
-func (w *Worker) removeEntry() { w.site.Store.Put("keyed.servers", w.id, nil) }
+func (w *Worker) removeEntry() { w.site.Store.Put(topicEntries, w.id, nil) }
 
 type order struct {
 	Task         string `json:"task"`
