internal/dispatch, internal/owner: hand on the addresses of workers

What callers saw: accepted jobs stand still for 9.5 s after a change of owner, when the entry of one worker is odd and stays so; the tasks of that worker, which runs on, are lost and start again. Cause: a new owner waits until each stored worker has reported, or its lease has ended. It learns the address only from the list, and an odd entry tells neither the address nor the start of the process. Where the entry has another worker's address and the right start, that one is polled: its 421 counts as the end of a worker that runs (read, not seen). Change: the record of a stored worker has its address. An entry without any valid one before it takes the ID and the address by which this owner or a previous one knows the worker; with several incarnations only if it tells which it is of. Records of earlier versions have no address, and are read as before; earlier versions read the new ones as before. TestNewOwnerPollsAWorkerWithUncertainEntryWhereItWasKnown, TestUncertainEntryOfOneOfSeveralIncarnationsIsNotPolled and TestAddressesOfWorkersAreHandedOn pass. internal/dispatch and internal/owner pass but for TestNoSizeOfJobIsServedHalfAsOftenAsItsQueue, which is known red.

--- a/internal/dispatch/batch.go
+++ b/internal/dispatch/batch.go
@@ -4,6 +4,7 @@
 package dispatch
 
 import (
+	"net/netip"
 	"slices"
 
 	"github.com/leverdyke/leverdyke/internal/order"
@@ -25,6 +26,8 @@
 	// AddedWorkers and RemovedWorkers change the set of workers whose IDs are in the store. The removals come
 	// first.
 	AddedWorkers, RemovedWorkers []order.WorkerID
+	// WorkerAddrs has the addresses of the added workers.
+	WorkerAddrs map[order.WorkerID]netip.AddrPort
 
 	// jobs are those whose progress is written with the batch.
 	jobs []*job
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -159,6 +159,9 @@
 	storedCustomers storedPolicies[order.Customer]
 	// stored are the workers whose IDs are in the store.
 	stored storedWorkers
+	// inheritedNames has, by the name of a worker, the incarnation by which a previous owner knew it; "" if there
+	// are several.
+	inheritedNames map[string]order.WorkerID
 	// hasUnpersistedReports means that workers have reported attempts of the previous owner that
 	// are not in the store yet.
 	hasUnpersistedReports bool
--- a/internal/dispatch/stored_workers.go
+++ b/internal/dispatch/stored_workers.go
@@ -4,6 +4,8 @@
 package dispatch
 
 import (
+	"maps"
+	"net/netip"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/order"
@@ -17,6 +19,8 @@
 	// isStored has the workers that are in the store or in a batch for it; true once the batch is
 	// committed.
 	isStored ordered.Map[order.WorkerID, bool]
+	// addrs has the addresses of these workers as far as they are known.
+	addrs map[order.WorkerID]netip.AddrPort
 	// added and removed are written with the next batch. They cause none by themselves: without jobs no
 	// task is started ahead of the store.
 	added, removed []order.WorkerID
@@ -40,6 +44,37 @@
 	e.inherited.areWorkersKnown, e.inherited.unreported = true, newUnreportedWorkers(ids)
 }
 
+// InheritAddrs takes over the addresses of the workers whose IDs are in the store.
+func (e *Engine) InheritAddrs(addrs map[order.WorkerID]netip.AddrPort) {
+	e.stored.addrs = maps.Clone(addrs)
+	e.inheritedNames = make(map[string]order.WorkerID, len(addrs))
+	for id := range addrs {
+		name := id.Name()
+		if _, isKnown := e.inheritedNames[name]; isKnown {
+			// With several incarnations it is not known which one runs.
+			id = ""
+		}
+		e.inheritedNames[name] = id
+	}
+}
+
+// identify returns an entry that may come from another writer with the ID and the address by which this owner or a previous
+// one knows the worker, if it does: the entry may lack them, or have those of another worker, whose answer would show that this
+// one has ended.
+func (e *Engine) identify(entry *order.Worker) order.Worker {
+	id := entry.ID
+	if _, isKnown := e.stored.addrs[id]; !isKnown {
+		id = e.inheritedNames[id.Name()]
+	}
+	addr, isKnown := e.stored.addrs[id]
+	if !isKnown || entry.ID.IsOtherIncarnation(id) {
+		return *entry
+	}
+	known := *entry
+	known.ID, known.Addr = id, addr
+	return known
+}
+
 // IsInheritanceKnown reports whether it is known on which workers tasks may run that previous owners
 // started.
 func (e *Engine) IsInheritanceKnown() bool { return e.inherited == nil }
@@ -47,17 +82,21 @@
 // storeWorkerInUse has the ID of a worker persisted, unless the worker gets nothing new.
 func (e *Engine) storeWorkerInUse(w *worker) {
 	if !w.isLeaving() {
-		e.storeWorker(w.ID)
+		e.storeWorker(w)
 	}
 }
 
-// storeWorker has the ID of a worker persisted.
-func (e *Engine) storeWorker(id order.WorkerID) {
-	if _, isKnown := e.stored.isStored.Find(id); isKnown {
+// storeWorker has the ID and the address of a worker persisted.
+func (e *Engine) storeWorker(w *worker) {
+	if _, isKnown := e.stored.isStored.Find(w.ID); isKnown {
 		return
 	}
-	e.stored.isStored.Set(id, false)
-	e.stored.added = append(e.stored.added, id)
+	if e.stored.addrs == nil {
+		e.stored.addrs = map[order.WorkerID]netip.AddrPort{}
+	}
+	e.stored.addrs[w.ID] = w.Addr
+	e.stored.isStored.Set(w.ID, false)
+	e.stored.added = append(e.stored.added, w.ID)
 }
 
 // removeStoredWorkers removes the workers from the store that are not needed there any more.
@@ -71,6 +110,7 @@
 			continue
 		}
 		e.stored.isStored.Delete(id)
+		delete(e.stored.addrs, id)
 		e.stored.removed = append(e.stored.removed, id)
 	}
 }
@@ -127,6 +167,10 @@
 func (s *storedWorkers) takeInto(b *Batch) {
 	b.AddedWorkers, b.RemovedWorkers = s.added, s.removed
 	s.added, s.removed = nil, nil
+	b.WorkerAddrs = make(map[order.WorkerID]netip.AddrPort, len(b.AddedWorkers))
+	for _, id := range b.AddedWorkers {
+		b.WorkerAddrs[id] = s.addrs[id]
+	}
 }
 
 // putBack takes the changes of a batch that was refused. A worker of the batch that is in both lists is
--- a/internal/dispatch/uncertain_entry_test.go
+++ b/internal/dispatch/uncertain_entry_test.go
@@ -76,6 +76,52 @@
 	expectNoViolations(t, w)
 }
 
+// Guards against jobs that wait for the lease of a worker whose entry was overwritten before the owner changed, and against an
+// answer of another worker, at the address of an odd entry, by which a worker that runs counts as ended.
+func TestNewOwnerPollsAWorkerWithUncertainEntryWhereItWasKnown(t *testing.T) {
+	known, other := netip.MustParseAddrPort("127.0.0.1:80"), netip.MustParseAddrPort("127.0.0.1:81")
+	for name, entry := range map[string]order.Worker{
+		"nothing can be read":       {ID: "w", IsUncertain: true},
+		"another address":           {ID: "w@1", Addr: other, IsUncertain: true},
+		"another address, no start": {ID: "w", Addr: other, IsUncertain: true},
+	} {
+		owner := newSuccessor(0)
+		owner.InheritAddrs(map[order.WorkerID]netip.AddrPort{"w@1": known})
+		owner.InheritWorkers([]order.WorkerID{"w@1"}, true)
+		polls := 0
+		for range 3 {
+			owner.SetWorkers([]order.Worker{entry}, true)
+			owner.clock.Advance(time.Second)
+			owner.Advance(owner.clock.Now())
+			owner.Tick()
+			for _, a := range owner.Actions() {
+				poll, isPoll := a.(order.Poll)
+				if !isPoll || poll.Worker != "w@1" || poll.Addr != known {
+					t.Errorf("%s: got: %+v, want: a poll of w@1 at %v", name, a, known)
+				}
+				polls++
+			}
+		}
+		if polls == 0 {
+			t.Errorf("%s: got: no poll, want: some", name)
+		}
+	}
+}
+
+// Guards against a poll of one incarnation in the place of another: with several, an entry that does not tell which one it is of
+// tells nothing.
+func TestUncertainEntryOfOneOfSeveralIncarnationsIsNotPolled(t *testing.T) {
+	addr := netip.MustParseAddrPort("127.0.0.1:80")
+	owner := newSuccessor(0)
+	owner.InheritAddrs(map[order.WorkerID]netip.AddrPort{"w@1": addr, "w@2": addr, "w@3": addr})
+	owner.InheritWorkers([]order.WorkerID{"w@1", "w@2", "w@3"}, true)
+	owner.SetWorkers([]order.Worker{{ID: "w", IsUncertain: true}}, true)
+	owner.Tick()
+	if got := owner.Actions(); len(got) != 0 {
+		t.Errorf("actions: got: %v, want: none", got)
+	}
+}
+
 // An entry under a key that belongs to no worker has no address, and must not be polled.
 func TestUncertainEntryOfAnUnknownWorkerIsNotPolled(t *testing.T) {
 	owner := newSuccessor(0)
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -159,6 +159,9 @@
 			e.handleEntryRemoved(&entry, isComplete)
 			continue
 		}
+		if entry.IsUncertain && entry.Service == "" {
+			entry = e.identify(&entry)
+		}
 		seen[entry.ID] = true
 		if !e.endedIncarnations[entry.ID] {
 			e.updateWorker(entry)
@@ -239,7 +242,7 @@
 	e.updateZoneDrain(w)
 	e.workers.Set(entry.ID, w)
 	e.index.add(w)
-	e.storeWorker(entry.ID)
+	e.storeWorker(w)
 	e.abandonedStarts.NextGeneration(entry.ID)
 	e.refuseAbandoned(w)
 	e.longPoll(w)
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -126,3 +126,6 @@
 	}
 	return took
 }
+
+// ParseWorkerAddrs returns the addresses of the workers whose IDs are in the store.
+var ParseWorkerAddrs = parseWorkerAddrs
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -62,6 +62,7 @@
 		o.engine.InheritBounds(previous.Silent)
 		o.engine.InheritOutlasted(previous.Outlasted)
 	}
+	o.engine.InheritAddrs(parseWorkerAddrs(newest.Records))
 	o.engine.InheritWorkers(parseWorkers(newest.Records), previous == nil || previous.AreWorkersStored)
 	o.options.Log(events.JobsLoaded, "epoch", o.Epoch(), "jobs", len(jobs), "records", len(newest.Records), "end", newest.End, "took", o.now.Sub(startedAt))
 	return 1, nil
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -94,7 +94,7 @@
 	return r, nil
 }
 
-// Prefixes of the keys in TopicJobs. The record of a worker says only that it is known.
+// Prefixes of the keys in TopicJobs. The record of a worker has its address.
 const (
 	specPrefix     = "j/"
 	progressPrefix = "p/"
@@ -158,7 +158,7 @@
 		add(workerPrefix+string(id), nil)
 	}
 	for _, id := range b.AddedWorkers {
-		add(workerPrefix+string(id), []byte{1})
+		add(workerPrefix+string(id), encodeWorkerAddr(b.WorkerAddrs[id]))
 	}
 	return parts, nil
 }
@@ -193,6 +193,28 @@
 	return ids
 }
 
+// unknownAddr stands for an address that is not known. Owners of earlier versions wrote no other value.
+const unknownAddr = "\x01"
+
+func encodeWorkerAddr(addr netip.AddrPort) []byte {
+	if !addr.IsValid() {
+		return []byte(unknownAddr)
+	}
+	return []byte(addr.String())
+}
+
+// parseWorkerAddrs returns the addresses of the workers whose IDs are in the store, as far as they are known.
+func parseWorkerAddrs(records []store.Record) map[order.WorkerID]netip.AddrPort {
+	addrs := map[order.WorkerID]netip.AddrPort{}
+	for i := range records {
+		id, ok := strings.CutPrefix(records[i].Key, workerPrefix)
+		if addr, err := netip.ParseAddrPort(string(records[i].Value)); ok && err == nil {
+			addrs[order.WorkerID(id)] = addr
+		}
+	}
+	return addrs
+}
+
 // storedJob is a job as it is in the store.
 type storedJob struct {
 	// spec has only the ID and the customer when the job has ended.
--- a/internal/owner/record_test.go
+++ b/internal/owner/record_test.go
@@ -5,12 +5,14 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
+	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -56,3 +58,21 @@
 		}
 	}
 }
+
+// Guards against a worker that a new owner cannot reach because its address was not handed on. Owners of earlier versions
+// hand on none.
+func TestAddressesOfWorkersAreHandedOn(t *testing.T) {
+	addr := netip.MustParseAddrPort("[fe80::1]:8080")
+	b := &dispatch.Batch{AddedWorkers: []order.WorkerID{"w", "unknown"}, WorkerAddrs: map[order.WorkerID]netip.AddrPort{"w": addr}}
+	parts, err := owner.EncodeBatch(b)
+	if err != nil || len(parts) != 1 {
+		t.Fatalf("got: %v, %v, want: one part", parts, err)
+	}
+	records := append(parts[0], store.Record{Key: "w/earlier", Value: []byte{1}}, store.Record{Key: "w/removed"}, store.Record{Key: "j/a", Value: []byte("10.0.0.1:80")})
+	if got := owner.ParseWorkerAddrs(records); len(got) != 1 || got["w"] != addr {
+		t.Errorf("got: %v, want: w at %v", got, addr)
+	}
+	if len(parts[0][1].Value) == 0 {
+		t.Error("a worker without an address: got: removed, want: stored")
+	}
+}
