internal/owner, internal/codec: show that a damaged record ends the process

Nothing (0xc0) in the place of a time makes the msgpack library panic: reflect: call of reflect.Value.IsNil on struct Value. The record of an owner has a time, as have those of jobs.

--- a/internal/codec/codec_test.go
+++ b/internal/codec/codec_test.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/leverdyke/leverdyke/internal/codec"
 )
@@ -46,6 +47,14 @@
 	}
 }
 
+// Guards against a value that ends the process because the library panics, here on nothing in the place of a time.
+func TestNothingInPlaceOfATimeIsRejected(t *testing.T) {
+	out := struct{ A time.Time }{}
+	if err := codec.Unmarshal([]byte("\x81\xa1A\xc0"), &out); err == nil {
+		t.Error("got: nil, want: an error")
+	}
+}
+
 func TestRoundTrip(t *testing.T) {
 	type value struct{ Name string }
 	data, err := codec.Marshal(value{"x"})
