internal/codec: return an error where the decoder panics

What callers saw: nothing here yet; a record of an owner or a job that ends each process that reads it, or a frame that ends its receiver. Cause: the msgpack library panics on some malformed data, such as nothing in the place of a time. Change: Unmarshal recovers, as encoding/json does.

--- a/internal/codec/codec.go
+++ b/internal/codec/codec.go
@@ -1,9 +1,10 @@
 // Copyright 2026 The leverdyke Authors
 // SPDX-License-Identifier: Apache-2.0
 
-// Package codec encodes and decodes msgpack. It adds two checks that the library lacks:
+// Package codec encodes and decodes msgpack. It adds checks that the library lacks:
 // a length that received data claims is not used for an allocation before the data
-// is known to be that long, and data may be nested only so deeply.
+// is known to be that long, data may be nested only so deeply, and no malformed data
+// makes Unmarshal panic.
 package codec
 
 import (
@@ -51,7 +52,13 @@
 // the data claims, so nine bytes could make it allocate hundreds of gigabytes.
 // Skipping over the whole value first proves that the data holds at least one byte
 // for each element.
-func Unmarshal(data []byte, v any) error {
+func Unmarshal(data []byte, v any) (err error) {
+	// The library panics on some malformed data, such as nothing in the place of a time.
+	defer func() {
+		if r := recover(); r != nil {
+			err = fmt.Errorf("codec: the decoder panicked: %v", r)
+		}
+	}()
 	if err := skip(msgpack.NewDecoder(bytes.NewReader(data)), 0); err != nil {
 		return fmt.Errorf("codec: %w", err)
 	}
