--- a/internal/integration/odd_entries_test.go
+++ b/internal/integration/odd_entries_test.go
@@ -23,6 +23,7 @@
 			c := newSiteCluster(t, 3, site.Options{Workers: 6})
 			rng := rand.New(rand.NewPCG(1, uint64(signal)))
 			c.PutOddEntries(rng, oddEntryCount)
+			c.PutOddOperatorRecords(rng, oddEntryCount)
 			before := c.mustSubmit(taskChain(6, 300)...)
 			overwritten := c.Workers()[0]
 			overwritten.Overwrite(rng)
@@ -82,6 +83,8 @@
 func (c *siteCluster) checkListIsFollowed(rng *rand.Rand) {
 	c.t.Helper()
 	c.PutOddEntries(rng, oddEntryCount)
+	c.PutOddOperatorRecords(rng, oddEntryCount)
+	c.Configure(2)
 	added, err := c.AddWorker(100)
 	if err != nil {
 		c.t.Fatal(err)
@@ -97,6 +100,11 @@
 		return added.Starts() > 0
 	})
 	c.awaitAll()
+	for _, n := range c.nodes {
+		c.await(n.Name+" has the configuration, or has ended", func() bool {
+			return n.HasEnded() || strings.Contains(n.Log(), `"LD0320" version=2`)
+		})
+	}
 	if got := drained.Starts(); got != starts {
 		c.t.Errorf("starts on the worker that drains: got: %d, want: %d", got, starts)
 	}
--- a/internal/standin/site/odd_entries.go
+++ b/internal/standin/site/odd_entries.go
@@ -64,6 +64,18 @@
 	"", "/", "@", "i-0@", "i-0/", "i-0\x00", "i-0\n", "\x00", "\xff", "\xfe\xff", "a\xff", "i-\xff", "\ufffd", "servers/i-0", strings.Repeat("k", maxKeyBytes), strings.Repeat("\xff", maxKeyBytes),
 }
 
+// oddOperatorKeys are keys of operators' records that nodes skip or reject. The store rejects invalid configurations itself.
+var oddOperatorKeys = []string{
+	"", "\xff", "wave/1", "wave/\x00", "configs", "config/", "evacuate", "evacuate/", "evacuate/\xff", "evacuate/nowhere", "evacuate/" + strings.Repeat("z", 200), strings.Repeat("k", maxKeyBytes),
+}
+
+// PutOddOperatorRecords writes n records among those of the operators that no operator writes.
+func (s *Site) PutOddOperatorRecords(rng *rand.Rand, n int) {
+	for i := range n {
+		s.Store.Put("keyed.op", oddOperatorKeys[i%len(oddOperatorKeys)], s.oddValue(rng, rng.IntN(len(oddValues))))
+	}
+}
+
 func mustEncode(v any) []byte {
 	data, err := json.Marshal(v)
 	if err != nil {
