internal/witness: count the rounds of two owners separately

Callers would see (LOST): after an owner was lost with its consent outstanding, the consent of its successors was not withdrawn any more, and the next takeover beside a crashed worker waited for its lease again.

Cause: a consent kept the higher round of the two owners, and a withdrawal of a lower round does nothing.

Change: the round begins anew with the epoch. A withdrawal goes to all nodes, so that an owner need not know whom it asked.

--- a/internal/witness/consent.go
+++ b/internal/witness/consent.go
@@ -3,10 +3,7 @@
 
 package witness
 
-import (
-	"maps"
-	"slices"
-)
+import "slices"
 
 // Consent is the consent that an owner has. The zero value has none.
 type Consent struct {
@@ -46,11 +43,10 @@
 	}
 }
 
-// Withdraw ends the request, and returns which processes were asked, and its round.
-func (c *Consent) Withdraw() ([]string, uint64) {
-	asked := slices.Sorted(maps.Keys(c.asked))
+// Withdraw ends the request, and returns its round.
+func (c *Consent) Withdraw() uint64 {
 	c.isRequested, c.asked = false, nil
-	return asked, c.round
+	return c.round
 }
 
 // Round returns the round of the last request, 0 if there was none.
--- a/internal/witness/ledger.go
+++ b/internal/witness/ledger.go
@@ -19,6 +19,10 @@
 	if epoch < l.superseded || epoch < l.consented || epoch == l.withdrawnEpoch && round <= l.withdrawnRound {
 		return false
 	}
+	if epoch > l.consented {
+		// The rounds of two owners do not compare.
+		l.round = 0
+	}
 	l.consented, l.round = epoch, max(round, l.round)
 	return true
 }
--- a/internal/witness/witness_test.go
+++ b/internal/witness/witness_test.go
@@ -92,9 +92,9 @@
 
 // withdraw withdraws the consent while all that the owner has started is in the store.
 func (m *model) withdraw() {
-	asked, round := m.consent.Withdraw()
+	round := m.consent.Withdraw()
 	m.hadConsent = false
-	for _, name := range asked {
+	for _, name := range m.quorum.Witnesses {
 		ledger := m.ledgers[name]
 		m.sendTo(name, func() { ledger.Withdraw(m.quorum.Epoch, round) })
 	}
@@ -154,3 +154,16 @@
 		t.Errorf("got: %v, %v, want: %v", got, err, want)
 	}
 }
+
+// Guards against consents that outlive their withdrawal: the rounds of two owners count separately, and a later owner's first
+// round is below the last one of an owner that was lost in its second outage.
+func TestWithdrawalEndsConsentAfterAnEarlierOwnersHigherRound(t *testing.T) {
+	l := witness.Ledger{}
+	if !l.Consent(5, 2) || !l.Consent(7, 1) {
+		t.Fatal("got: no consent, want: consent")
+	}
+	l.Withdraw(7, 1)
+	if got := l.Testify(8); got != 0 {
+		t.Errorf("after the withdrawal of all consents of the newest owner: got: %d, want: 0", got)
+	}
+}
