--- a/internal/standin/site/node.go
+++ b/internal/standin/site/node.go
@@ -50,7 +50,7 @@
   front: %q
   ready: %q
 portRange: [%d, %d]
-limits: {cpuShare: %g, cores: 1, memoryMb: 200, maxFds: 1000, linkMbps: 1000.0}
+limits: {cpuShare: %g, cores: 1, memoryMb: %d, maxFds: %d, linkMbps: 1000.0}
 bounds: {graceS: 6, stop_ms: 200, early_ms: 250, leaseMs: 3000}
 commands: "rpc"
 advice: %q
@@ -125,7 +125,7 @@
 	if n.advertised, err = s.via(n.Name+"-link", fmt.Sprintf("%s:%d", ip, linkPort)); err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf(settingsText, n.Name, ip, n.Callers, n.ready, linkPort, linkPort, s.cpuShare(), s.PermissionAddr, storeAddr)
+	text := fmt.Sprintf(settingsText, n.Name, ip, n.Callers, n.ready, linkPort, linkPort, s.cpuShare(), s.options.MemoryMb, s.options.MaxFds, s.PermissionAddr, storeAddr)
 	if err := os.WriteFile(n.file, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("site: %w", err)
 	}
@@ -187,6 +187,9 @@
 	return ok && status.Signaled() && status.Signal() == syscall.SIGHUP
 }
 
+// PID returns the ID of the process.
+func (n *Node) PID() int { return n.process.Process.Pid }
+
 // Signal sends a signal to the process.
 func (n *Node) Signal(sig syscall.Signal) error { return n.process.Process.Signal(sig) }
 
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -42,6 +42,9 @@
 	// CPUShare is the fraction of a processor that the settings grant each node; 0.5 by default. It is
 	// written to the settings, but not enforced.
 	CPUShare float64
+	// MemoryMb and MaxFds are the memory and the descriptors that the settings grant each node; 200 and 1,000
+	// by default. They are written to the settings, but not enforced.
+	MemoryMb, MaxFds int
 	// HasPermissionService means that workers refuse start orders without a valid permit.
 	HasPermissionService bool
 	// HasOwnGroup starts each node in a process group of its own, so that signals from the terminal do not
@@ -109,6 +112,12 @@
 	if o.MemoryMiB == 0 {
 		o.MemoryMiB = 4000
 	}
+	if o.MemoryMb == 0 {
+		o.MemoryMb = 200
+	}
+	if o.MaxFds == 0 {
+		o.MaxFds = 1000
+	}
 	s := &Site{Store: newStore(), options: o, steps: map[string][]stepSpec{}, drainedZones: map[string]bool{}, stop: make(chan struct{})}
 	s.oracle = newOracle()
 	var err error
