--- a/internal/work/spec.go
+++ b/internal/work/spec.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"fmt"
 	"time"
+	"unsafe"
 
 	"github.com/leverdyke/leverdyke"
 )
@@ -138,17 +139,34 @@
 	return sum
 }
 
+// MaxSteps is how many steps a job may have.
+const MaxSteps = 256
+
 // Limits of a job's size. A larger job is refused, so that a single request cannot exhaust the
 // memory or the processor time of a node.
 const (
-	maxSteps     = 256
 	maxTasks     = 20_000
 	maxRounds    = 10_000
 	maxPayload   = 4_000
+	// maxNameBytes bounds the labels, racks and images of all steps. A job must fit into one record
+	// of the store.
+	maxNameBytes = 64 << 10
 	maxMilliCPU  = 10_000_000
 	maxMemoryMiB = 100_000_000
 )
 
+// MemoryBytes returns about how much memory the job takes.
+func (s *Spec) MemoryBytes() int64 {
+	n := int(unsafe.Sizeof(*s)) + len(s.Payload) + cap(s.Steps)*int(unsafe.Sizeof(Step{}))
+	for i := range s.Steps {
+		n += s.Steps[i].nameBytes() + cap(s.Steps[i].After)*int(unsafe.Sizeof(0))
+	}
+	return int64(n)
+}
+
+// nameBytes returns how long the names in the step are.
+func (s *Step) nameBytes() int { return len(s.Label) + len(s.DataRack) + len(s.Image) }
+
 // FieldError says which field of a job is wrong and why.
 type FieldError struct {
 	Field  string
@@ -163,8 +181,8 @@
 	if len(s.Payload) > maxPayload {
 		return &FieldError{"payload", fmt.Sprintf("is %d bytes, at most %d are accepted", len(s.Payload), maxPayload)}
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
-		return &FieldError{"steps", fmt.Sprintf("has %d steps, want 1 to %d", len(s.Steps), maxSteps)}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return &FieldError{"steps", fmt.Sprintf("has %d steps, want 1 to %d", len(s.Steps), MaxSteps)}
 	}
 	if s.Rounds < 0 || s.Rounds > maxRounds {
 		return &FieldError{"rounds", fmt.Sprintf("is %d, want 0 to %d", s.Rounds, maxRounds)}
@@ -172,12 +190,16 @@
 	if s.Rounds > 1 && s.Interval <= 0 {
 		return &FieldError{"interval", "must be positive for a job with more than one round"}
 	}
-	tasks := 0
+	tasks, nameBytes := 0, 0
 	for i := range s.Steps {
 		if err := s.Steps[i].validate(i); err != nil {
 			return err
 		}
 		tasks += s.Steps[i].Count
+		nameBytes += s.Steps[i].nameBytes()
+	}
+	if nameBytes > maxNameBytes {
+		return &FieldError{"steps", fmt.Sprintf("have names of %d bytes, at most %d are accepted", nameBytes, maxNameBytes)}
 	}
 	if tasks > maxTasks {
 		return &FieldError{"steps", fmt.Sprintf("have %d tasks, at most %d are accepted", tasks, maxTasks)}
