--- a/internal/work/spec.go
+++ b/internal/work/spec.go
@@ -145,9 +145,9 @@
 // Limits of a job's size. A larger job is refused, so that a single request cannot exhaust the
 // memory or the processor time of a node.
 const (
-	maxTasks     = 20_000
-	maxRounds    = 10_000
-	maxPayload   = 4_000
+	maxTasks   = 20_000
+	maxRounds  = 10_000
+	maxPayload = 4_000
 	// maxNameBytes bounds the labels, racks and images of all steps. A job must fit into one record
 	// of the store.
 	maxNameBytes = 64 << 10
