--- a/cmd/leverdyked/main.go
+++ b/cmd/leverdyked/main.go
@@ -134,7 +134,7 @@
 		server *http.Server
 		addr   netip.AddrPort
 	}{{d.callers, s.CallersAddr}, {d.operators, s.OperatorsAddr}} {
-		if err := d.servers.Open(l.server, l.addr); err != nil {
+		if err := d.servers.Open(l.server, l.addr, nil); err != nil {
 			n.Close()
 			return nil, err
 		}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -157,6 +157,7 @@
 	JobsLoaded             = add(463, "jobs read from the store", LevelInfo)
 	UnexpectedOffset       = add(217, "records in the store that the owner does not know", LevelError)
 	StoreFailed            = add(216, "platform's store did not do what was asked", LevelWarning)
+	CallersLimited         = add(520, "callers meet a limit", LevelWarning)
 	VMListRecovered        = add(311, "list of VMs answers again", LevelInfo)
 )
 
--- a/internal/listen/group.go
+++ b/internal/listen/group.go
@@ -31,8 +31,9 @@
 
 // Open starts listening at addr and serves s in a new goroutine. Its error means that the
 // address cannot be listened at; a later failure is sent to the channel of Failed. It
-// panics if the group has maxServers servers already.
-func (g *Group) Open(s *http.Server, addr netip.AddrPort) error {
+// panics if the group has maxServers servers already. The server accepts connections from the
+// listener that wrap returns, if it is not nil.
+func (g *Group) Open(s *http.Server, addr netip.AddrPort, wrap func(net.Listener) net.Listener) error {
 	if g.count++; g.count > maxServers {
 		panic("listen: too many servers")
 	}
@@ -40,6 +41,9 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if wrap != nil {
+		l = wrap(l)
+	}
 	go g.run(s, l)
 	return nil
 }
--- a/internal/listen/group_test.go
+++ b/internal/listen/group_test.go
@@ -20,7 +20,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = l.Close() }()
-	if err := listen.NewGroup().Open(&http.Server{}, netip.MustParseAddrPort(l.Addr().String())); err == nil {
+	if err := listen.NewGroup().Open(&http.Server{}, netip.MustParseAddrPort(l.Addr().String()), nil); err == nil {
 		t.Error("got: nil, want: an error")
 	}
 }
@@ -30,7 +30,7 @@
 func TestClosingServerReportsNoFailure(t *testing.T) {
 	g := listen.NewGroup()
 	s := &http.Server{}
-	if err := g.Open(s, netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+	if err := g.Open(s, netip.MustParseAddrPort("127.0.0.1:0"), nil); err != nil {
 		t.Fatal(err)
 	}
 	_ = s.Close()
