internal/integration/crowd: add callers whose headers do not end

Cause: the tests had no callers that fill the headers, of which each connection holds up to 16 KiB as text and several times that as values.

Change: a crowd of them, with the crowd's size and the bounds of the others.

--- a/internal/integration/crowd/crowd_test.go
+++ b/internal/integration/crowd/crowd_test.go
@@ -221,13 +221,13 @@
 
 func TestCrowdOfTinyChunksStaysWithinLimits(t *testing.T) { playLargeBodies(t, inChunks(1)) }
 
-// Callers that connect and send nothing.
-func TestCrowdOfIdleConnectionsStaysWithinLimits(t *testing.T) {
+// playRequests lets a crowd send requests that never end to a node and checks the node's limits.
+func playRequests(t *testing.T, pieces ...[]byte) {
 	n := newNode(t)
 	n.mustServe()
 	callers := make([]*misbehaving, crowdSize)
 	for i := range callers {
-		callers[i] = &misbehaving{}
+		callers[i] = &misbehaving{pieces: pieces}
 	}
 	c := newCrowd(n, callers)
 	c.awaitSent()
@@ -236,6 +236,16 @@
 	n.checkLimits()
 }
 
+// Callers that connect and send nothing.
+func TestCrowdOfIdleConnectionsStaysWithinLimits(t *testing.T) { playRequests(t) }
+
+// Callers whose headers, as many as fit into the limit, do not end.
+func TestCrowdOfUnfinishedHeadersStaysWithinLimits(t *testing.T) {
+	const headerBytes = 16 << 10
+	header := "A: b\r\n"
+	playRequests(t, []byte("POST "+site.QueuePrefix+" HTTP/1.1\r\nHost: "+site.QueueHost+"\r\n"+strings.Repeat(header, headerBytes/len(header))))
+}
+
 // Complete bodies of legal size, with as many empty steps as fit into them.
 func TestCrowdOfEmptyStepsStaysWithinLimits(t *testing.T) {
 	const callerCount = 50
