internal/bodybudget: size the first buffer by the announced length

Cause: an ordinary body of 200 bytes took a buffer of 2 KiB.

Change: the first buffer is one byte longer than the announced length, if that is less.

--- a/internal/bodybudget/read.go
+++ b/internal/bodybudget/read.go
@@ -10,14 +10,23 @@
 	"io"
 )
 
-// firstBytes is the size of the first buffer of a body.
+// firstBytes is the size of the first buffer of a body whose length is not known to be smaller.
 const firstBytes = 2 << 10
 
+// firstSize returns the size of the first buffer: one byte more than the body, so that its end is
+// read without growing, but at most firstBytes.
+func firstSize(longest int64) int {
+	if longest < 0 || longest >= firstBytes {
+		return firstBytes
+	}
+	return int(longest) + 1
+}
+
 // ReadAll reads a body to its end. Its buffer grows as bytes arrive, whatever length the sender has
 // announced, and the lease is resized before the buffer grows. longest is the length that the body
 // has at most; negative if that is not known.
 func ReadAll(ctx context.Context, r io.Reader, longest int64, l *Lease) ([]byte, error) {
-	buf := make([]byte, 0, firstBytes)
+	buf := make([]byte, 0, firstSize(longest))
 	for {
 		if len(buf) == cap(buf) {
 			var err error
