internal/connlimit: refuse a request that arrives as its connection is closed

Cause: a connection chosen to make room is closed a moment after it is chosen. A request that arrived in between got a 400 with a body, and without one an implicit 200, although it was not passed on.

Change: 503, which says that nothing of it runs.

--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -9,6 +9,7 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -186,12 +187,19 @@
 		case r.Body != http.NoBody:
 			r.Body = &body{r.Body, c}
 		case !l.setBusy(c):
+			// The answer may still be sent before the connection closes. Without one it would be a 200.
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		h.ServeHTTP(w, r)
 	})
 }
 
+// ErrClosed is the error at the end of a body that arrived after its connection was closed.
+var ErrClosed = errors.New("connlimit: connection closed to make room for others")
+
 // body is the body of a request, which records that it has arrived.
 type body struct {
 	io.ReadCloser
@@ -203,7 +211,7 @@
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF && !b.conn.limiter.setBusy(b.conn) {
-		return n, net.ErrClosed
+		return n, ErrClosed
 	}
 	return n, err
 }
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -167,6 +169,46 @@
 	}
 }
 
+// pipes is a listener that accepts one end of each of its pipes.
+type pipes struct{ net.Listener }
+
+// Accept returns a connection of which nothing is read.
+func (pipes) Accept() (net.Conn, error) {
+	c, _ := net.Pipe()
+	return c, nil
+}
+
+// Guards against a request that arrives while its connection is being closed, and is then answered as
+// if it had been carried out.
+func TestRequestOfClosedConnectionIsRefused(t *testing.T) {
+	for name, text := range map[string]string{"without a body": "", "with a body": "x"} {
+		t.Run(name, func(t *testing.T) {
+			l := connlimit.NewLimiter(1, func() {})
+			listener := l.Listen(pipes{})
+			closed, err := listener.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := listener.Accept(); err != nil {
+				t.Fatal(err)
+			}
+			r := httptest.NewRequest(http.MethodDelete, "/", strings.NewReader(text))
+			if text == "" {
+				r.Body = http.NoBody
+			}
+			w := httptest.NewRecorder()
+			l.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); errors.Is(err, connlimit.ErrClosed) {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})).ServeHTTP(w, r.WithContext(l.ConnContext(t.Context(), closed)))
+			if got, want := w.Code, http.StatusServiceUnavailable; got != want {
+				t.Errorf("got: %v, want: %v", got, want)
+			}
+		})
+	}
+}
+
 // Guards against connections that are counted after their end.
 func TestClosedConnectionsDoNotCount(t *testing.T) {
 	s := newServer(t, 5)
