internal/owner: bound the memory of large jobs that are accepted

Callers saw: crowds of complete jobs of about the largest legal size, which can never run and stay, took a node whose settings grant 100 MB to 169 to 179 MB with the limits for connections and bodies in force.

Cause: the owner keeps each accepted job until some time after its end, and nothing bounded what they take together.

Jobs of ordinary size always pass. The memory of held jobs counts, too.

--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -84,6 +84,9 @@
 	Heartbeat time.Duration
 	// Disabled lists mechanisms that are switched off.
 	Disabled []dispatch.Mechanism
+	// LargeJobMemory is how many bytes the jobs of the owner may take beyond the ordinary size of
+	// each; 0 means without limit.
+	LargeJobMemory int64
 	// ReclaimDelay is how long a node does not claim the shard after it stopped being the owner.
 	ReclaimDelay time.Duration
 	// Workers talks to workers on behalf of the owner when this node is its delegate; with nil the
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -82,6 +82,8 @@
 	// wallClockOffset is added to now to get the time of day, by which the rounds of a job are due.
 	wallClockOffset time.Duration
 	jobs            map[work.JobID]*job
+	// largeJobBytes is the sum of the jobs' largeBytes.
+	largeJobBytes int64
 	// activeJobs are the persisted jobs that have not ended, in order of arrival. A job that has
 	// ended stays here until its last attempt has ended.
 	activeJobs []*job
@@ -398,7 +400,7 @@
 	e.removeStoredWorkers()
 	for id, j := range e.jobs {
 		if j.state.IsFinal() && j.isFinalPersisted && e.now.Sub(j.endedAt) > finalStateRetention && j.attempts == 0 {
-			delete(e.jobs, id)
+			e.removeJob(j)
 			e.currentBatch().ExpiredJobs = append(e.currentBatch().ExpiredJobs, id)
 		}
 	}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -31,8 +31,10 @@
 
 // job is a job and all that is known of its progress.
 type job struct {
-	spec  *work.Spec
-	state work.JobState
+	spec *work.Spec
+	// largeBytes is the memory of spec beyond ordinaryJobBytes.
+	largeBytes int64
+	state      work.JobState
 	// isPersisted means that the job is in the store; nothing of it starts before that.
 	isPersisted bool
 	// isFinalPersisted means that the final state is in the store; until then callers see the job
@@ -214,7 +216,7 @@
 		return false
 	}
 	j := e.newJob(spec)
-	e.jobs[spec.ID] = j
+	e.insertJob(j)
 	b := e.currentBatch()
 	b.NewJobs = append(b.NewJobs, spec)
 	b.isUrgent = true
@@ -229,7 +231,7 @@
 	}
 	j := e.newJob(spec)
 	j.acceptedAt = e.restoredAcceptTime(spec.AcceptedAt)
-	e.jobs[spec.ID] = j
+	e.insertJob(j)
 	if p != nil {
 		e.restoreProgress(j, p)
 	}
@@ -242,9 +244,28 @@
 	e.openRounds(j)
 }
 
+// ordinaryJobBytes is the memory of a job up to which it is not counted as a large one.
+const ordinaryJobBytes = 16 << 10
+
+// LargeBytes returns how much memory a job takes beyond that of a job of ordinary size.
+func LargeBytes(spec *work.Spec) int64 { return max(spec.MemoryBytes()-ordinaryJobBytes, 0) }
+
+// LargeJobBytes returns the sum of LargeBytes of all jobs.
+func (e *Engine) LargeJobBytes() int64 { return e.largeJobBytes }
+
+func (e *Engine) insertJob(j *job) {
+	e.jobs[j.spec.ID] = j
+	e.largeJobBytes += j.largeBytes
+}
+
+func (e *Engine) removeJob(j *job) {
+	delete(e.jobs, j.spec.ID)
+	e.largeJobBytes -= j.largeBytes
+}
+
 func (e *Engine) newJob(spec *work.Spec) *job {
 	return &job{
-		spec: spec, state: work.JobQueued, rounds: map[int]*round{}, acceptedAt: e.now, roundsLeft: max(spec.Rounds, 1),
+		spec: spec, largeBytes: LargeBytes(spec), state: work.JobQueued, rounds: map[int]*round{}, acceptedAt: e.now, roundsLeft: max(spec.Rounds, 1),
 	}
 }
 
@@ -530,7 +551,7 @@
 	j := e.jobs[id]
 	if j == nil {
 		j = e.newJob(&work.Spec{ID: id, Customer: by})
-		e.jobs[id] = j
+		e.insertJob(j)
 		e.recordWithdrawal(j)
 	}
 	e.endJob(j, work.JobCancelled, "cancelled by its caller")
@@ -551,7 +572,7 @@
 		e.recordWithdrawal(j)
 		return
 	}
-	delete(e.jobs, j.spec.ID)
+	e.removeJob(j)
 }
 
 // IsFinalPersisted reports whether the final state of a job is in the store.
--- a/internal/integration/crowd/crowd_test.go
+++ b/internal/integration/crowd/crowd_test.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -37,6 +38,8 @@
 	conn   net.Conn
 	// status is that of the answer; 0 if there was none.
 	status int
+	// answer is the body of the answer.
+	answer string
 }
 
 // crowd is a number of misbehaving callers at one node.
@@ -76,6 +79,8 @@
 	c.sent.Done()
 	if res, err := http.ReadResponse(bufio.NewReader(m.conn), nil); err == nil {
 		m.status = res.StatusCode
+		text, _ := io.ReadAll(res.Body)
+		m.answer = string(text)
 		_ = res.Body.Close()
 	}
 }
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/leverdyke/leverdyke"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -37,6 +38,12 @@
 		ev.reply <- errHandingOver()
 		return
 	}
+	if !isPending && o.lacksMemory(ev.spec) {
+		o.options.Log(events.JobRefused, "job", id, "why", "memory", "customer", ev.spec.Customer, "large", o.engine.LargeJobBytes())
+		o.recordRefusal(ev.spec, "memory", retryAfterSeconds*time.Second)
+		ev.reply <- leverdyke.NotRun("the owner has no memory for another large job", retryAfterSeconds)
+		return
+	}
 	if !isPending && o.isStoreStalled() {
 		if len(o.held) >= maxHeldSubmits {
 			o.refuseForStore(ev, errStoreRefuses("the store does not take new jobs"))
@@ -55,6 +62,20 @@
 	o.engine.AddJob(ev.spec)
 }
 
+// lacksMemory reports whether there is no memory for a job beside those that are accepted or held.
+// Jobs of ordinary size always have some.
+func (o *Owner) lacksMemory(spec *work.Spec) bool {
+	bytes := dispatch.LargeBytes(spec)
+	if bytes == 0 || o.options.LargeJobMemory <= 0 {
+		return false
+	}
+	bytes += o.engine.LargeJobBytes()
+	for _, h := range o.held {
+		bytes += dispatch.LargeBytes(h.spec)
+	}
+	return bytes > o.options.LargeJobMemory
+}
+
 // errIDTaken reports that a job ID belongs to a job of another customer.
 func errIDTaken() error {
 	return &leverdyke.Error{Verdict: leverdyke.VerdictNotRun, Refusal: leverdyke.RefusalTaken, Reason: "the ID names a job of another customer"}
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -86,7 +86,7 @@
 }
 
 // Options configures an Owner. All fields but Log, Delegates, DirectWorkers, KnownNodes, LinkedNodes and
-// Witnesses are required.
+// LargeJobMemory and Witnesses are required.
 type Options struct {
 	Claim              Claim
 	Store              store.Log
@@ -121,6 +121,9 @@
 	StopTime time.Duration
 	// Heartbeat is the time between two heartbeats of a worker; 0 when it is unknown.
 	Heartbeat time.Duration
+	// LargeJobMemory is how many bytes the jobs may take beyond the ordinary size of each; 0 means
+	// without limit.
+	LargeJobMemory int64
 	// Disabled lists mechanisms that are switched off.
 	Disabled []dispatch.Mechanism
 }
