--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -60,20 +60,19 @@
 // ExtendInheritedLeases records that the previous owner may still renew leases, so that these expire
 // no earlier than until.
 func (e *Engine) ExtendInheritedLeases(until time.Time) {
-	if !until.After(e.inheritedLeasesUntil) {
-		return
-	}
-	e.inheritedLeasesUntil = until
-	if e.inherited != nil {
-		e.inherited.leasesExpireAt = until
+	if until.After(e.inheritedLeasesUntil) {
+		e.setInheritedLeases(until)
 	}
 }
 
 // ShortenInheritedLeases records that the previous owner renews no more leases, so that these expire no later than until.
 func (e *Engine) ShortenInheritedLeases(until time.Time) {
-	if !until.Before(e.inheritedLeasesUntil) {
-		return
+	if until.Before(e.inheritedLeasesUntil) {
+		e.setInheritedLeases(until)
 	}
+}
+
+func (e *Engine) setInheritedLeases(until time.Time) {
 	e.inheritedLeasesUntil = until
 	if e.inherited != nil {
 		e.inherited.leasesExpireAt = until
