internal/owner, internal/cluster: shorten three comments

Cause: one told how a value was chosen, one named a decision's number, and the list of optional fields had a word too many after a merge.

Change: comments only.

--- a/internal/cluster/earlier_version_test.go
+++ b/internal/cluster/earlier_version_test.go
@@ -12,8 +12,8 @@
 	"github.com/leverdyke/leverdyke/internal/store/fakestore"
 )
 
-// Guards against nodes of an earlier version that cannot link to one of this version: decision 0031 says that they are no
-// witnesses, but otherwise as before. Messages encode structs as arrays.
+// Guards against nodes of an earlier version that cannot link to this one: a message is an array of fields, and has a fixed
+// length.
 func TestHelloOfAnEarlierVersionIsUnderstood(t *testing.T) {
 	log := fakestore.NewLog()
 	// The node cannot become the owner.
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -85,7 +85,7 @@
 	return c.Previous == nil || c.HasPreviousEnded && c.Previous.IsOnlyOwner
 }
 
-// Options configures an Owner. All fields but Log, Delegates, DirectWorkers, KnownNodes, LinkedNodes and
+// Options configures an Owner. All fields but Log, Delegates, DirectWorkers, KnownNodes, LinkedNodes,
 // LargeJobMemory and Witnesses are required.
 type Options struct {
 	Claim              Claim
@@ -147,7 +147,7 @@
 	// linkingTime is how long after a claim the other nodes may take to link to the new owner.
 	linkingTime = 8 * time.Second
 	// witnessLinkTime is how long after a claim the other nodes may take to link to the new owner before it goes without
-	// them. A node that looks for the owner reads the record every 80 ms while the store answers.
+	// them.
 	witnessLinkTime = time.Second
 	// maxLease is the longest time that a worker's lease runs from its last renewal: 6 s, 4% and
 	// the worker's own slack. maxInheritedLease is the longest time that a lease granted by a
