internal/session, internal/owner, internal/cluster: count leases from when their owner was last confirmed

Callers saw accepted jobs stand still for up to 9.9 s in calm: their tasks were on a worker that fell silent beside the loss of the owner.

Cause: a lease was counted from its renewal. A successor had to assume that the previous owner renews leases until its own ownership runs out, 3 s after the store's last word, and that each lasts for 6.54 s from then.

Now a lease ends 4.5 s after its owner was last known to be the owner: when the last record was sent that the store has confirmed or, in an outage, when the probes were sent that most nodes have answered. Neither is later than the successor's claim, or than the time from which most nodes follow it. So all leases of earlier owners have ended 4.98 s after that, however many there were and whether they are lost, frozen or cut off. The owner's record says so (LeaseBound); after an owner of an earlier version the wait is as before.

The model of owners in a row waits for just the 4.98 s instead of 10 s.

--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -254,7 +254,7 @@
 		n.options.Log(events.PeerSuspected, "peer", name, "epoch", o.Epoch(), "silent", maxPeerSilence, "link", "closed")
 		o.FollowerLost(name)
 	}
-	n.probePeers(o.Epoch())
+	n.probePeers(o)
 	for _, p := range n.peers.all() {
 		p.conn.Notify(kindOwnerHeartbeat, ownerHeartbeat{Epoch: o.Epoch(), Record: record, RecordAge: age, ConfigVersion: version, MayHaveUnpersisted: o.MayHaveUnpersisted()})
 	}
--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -75,6 +75,7 @@
 // readRecord reads the owner's record and measures how long the store takes.
 func (n *Node) readRecord() (*owner.Record, uint64, error) {
 	began := n.options.Clock.Now()
+	n.recordReadAt = began
 	r, at, err := owner.ReadRecord(n.ctx, n.log)
 	n.storeLatency = n.options.Clock.Now().Sub(began)
 	if err == nil {
@@ -91,7 +92,7 @@
 		n.claim(nil, at, false)
 	case r.Node == n.options.Name && r.Incarnation == n.options.Incarnation && r.Epoch > n.lastOwnedEpoch:
 		// The answer to this node's claim was lost.
-		n.runOwner(owner.Claim{Record: *r, Offset: at, Previous: r, HasAllPlacements: !r.MayHaveUnpersisted})
+		n.runOwner(owner.Claim{Record: *r, Offset: at, Previous: r, HasAllPlacements: !r.MayHaveUnpersisted, ConfirmedAt: n.recordReadAt})
 	case r.Node == n.options.Name:
 		n.claim(r, at+1, true)
 	default:
@@ -129,6 +130,8 @@
 	}
 	r.KeptConns = r.LeftConns.Kept()
 	r.AreWorkersStored = previous == nil || previous.AreWorkersStored
+	r.LeaseBound = owner.LeaseBoundAfter(previous)
+	sentAt := n.options.Clock.Now()
 	at, err := owner.AppendRecord(n.ctx, n.log, &r, end)
 	if err != nil {
 		n.options.Log(events.ClaimRefused, "epoch", r.Epoch, "err", err)
@@ -137,7 +140,7 @@
 		}
 		return
 	}
-	n.runOwner(owner.Claim{Record: r, Offset: at, Previous: previous, HasAllPlacements: !r.MayHaveUnpersisted, HasPreviousEnded: hasEnded})
+	n.runOwner(owner.Claim{Record: r, Offset: at, Previous: previous, HasAllPlacements: !r.MayHaveUnpersisted, HasPreviousEnded: hasEnded, ConfirmedAt: sentAt})
 }
 
 // hasAllPlacements reports whether the previous owner persists the placement of each task before it
@@ -186,7 +189,7 @@
 	workers, list := n.options.NewOwner(n.fallback)
 	o := owner.New(owner.Options{
 		Claim: c, Store: n.options.NewStore(n.fallback), Workers: workers, List: list, PermissionChannels: &permissionChannels{n},
-		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasStoreOutage: n.fallback.HasOutage, KnownNodes: n.peers.known, LinkedNodes: n.peers.linked, NodeZone: n.options.Zone,
+		Clock: n.options.Clock, Log: n.options.Log, Metrics: n.options.Metrics, HasStoreOutage: n.fallback.HasOutage, MajorityAnsweredAt: n.peers.majorityAnsweredAt, KnownNodes: n.peers.known, LinkedNodes: n.peers.linked, NodeZone: n.options.Zone,
 		StopTime: n.options.StopTime, Heartbeat: n.options.Heartbeat, MaxStrength: n.maxKnownStrength,
 		Delegates: &delegates{n}, Witnesses: &witnesses{n}, DirectWorkers: n.options.MaxWorkers, LargeJobMemory: n.options.LargeJobMemory, Disabled: n.options.Disabled,
 	})
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -179,6 +179,8 @@
 	closed closedOwner
 	// storeLatency is how long the store took for that read. Only the election goroutine uses it.
 	storeLatency time.Duration
+	// recordReadAt is when that read was sent. Only the election goroutine uses it.
+	recordReadAt time.Time
 }
 
 // NewNode starts a node: it listens for other nodes and begins to search for the owner.
--- a/internal/cluster/peers.go
+++ b/internal/cluster/peers.go
@@ -42,6 +42,8 @@
 	// isVerified means that the follower has answered a probe that was sent over this link since this process
 	// was last paused. isProbing means that a probe is not answered yet.
 	isVerified, isProbing bool
+	// answeredAt is when the last probe was sent that the follower has answered.
+	answeredAt time.Time
 	// silentHeartbeats counts this node's heartbeats since something arrived over the link, which had
 	// delivered receivedBytes then.
 	silentHeartbeats int
@@ -248,6 +250,22 @@
 	return 2*p.linked() > max(p.known(asOf), minNodes)
 }
 
+// majorityAnsweredAt returns when the last probes were sent that most nodes, as IsMajority counts them,
+// have answered, this node included: each of them followed this one at that time or later. It returns
+// zero if there were none.
+func (p *peers) majorityAnsweredAt(asOf time.Time, minNodes int) time.Time {
+	others := max(p.known(asOf), minNodes) / 2
+	if others == 0 {
+		return p.clock.Now()
+	}
+	answered := p.all()
+	if len(answered) < others {
+		return time.Time{}
+	}
+	slices.SortFunc(answered, func(a, b peer) int { return b.answeredAt.Compare(a.answeredAt) })
+	return answered[others-1].answeredAt
+}
+
 // linked returns the number of this node and its usable peers that are verified.
 func (p *peers) linked() int {
 	p.mu.Lock()
--- a/internal/cluster/probe.go
+++ b/internal/cluster/probe.go
@@ -10,8 +10,12 @@
 
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/link"
+	"github.com/leverdyke/leverdyke/internal/owner"
 )
 
+// probePeriod is the time between two probes of a follower while it matters when it last followed this owner.
+const probePeriod = 200 * time.Millisecond
+
 // probeTimeout bounds the wait for the answer to a probe. Round trips within a region take milliseconds.
 const probeTimeout = 500 * time.Millisecond
 
@@ -36,21 +40,25 @@
 type probeRound struct {
 	// conns are the links of the peers to probe.
 	conns []*link.Conn
+	// sentAt is when they are probed.
+	sentAt time.Time
 	// pauses is how many pauses there were before the probes.
 	pauses uint64
 	// pause is the length of a pause since the last round; 0 if there was none.
 	pause time.Duration
 }
 
-// beginProbes returns whom to probe now.
-func (p *peers) beginProbes() probeRound {
+// beginProbes returns whom to probe now: the peers that are not verified, and with isDue those that have not
+// answered for probePeriod.
+func (p *peers) beginProbes(isDue bool) probeRound {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.detectPause()
-	r := probeRound{pauses: p.pauses, pause: p.lastPause}
+	r := probeRound{sentAt: p.clock.Now(), pauses: p.pauses, pause: p.lastPause}
 	p.lastPause = 0
 	for _, peer := range p.byName {
-		if !peer.isVerified && !peer.isProbing {
+		isOutdated := isDue && r.sentAt.Sub(peer.answeredAt) >= probePeriod
+		if (!peer.isVerified || isOutdated) && !peer.isProbing {
 			peer.isProbing = true
 			r.conns = append(r.conns, peer.conn)
 		}
@@ -58,37 +66,40 @@
 	return r
 }
 
-// endProbe records the outcome of a probe that was sent after so many pauses. An answer to one that was sent before the
-// last pause proves nothing.
-func (p *peers) endProbe(c *link.Conn, pauses uint64, isAnswered bool) {
+// endProbe records the outcome of a probe of a round. An answer to one that was sent before the last pause does not prove
+// that the peer follows this owner now.
+func (p *peers) endProbe(c *link.Conn, r probeRound, isAnswered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.detectPause()
 	for _, peer := range p.byName {
 		if peer.conn == c {
 			peer.isProbing = false
-			peer.isVerified = peer.isVerified || isAnswered && pauses == p.pauses
+			peer.isVerified = peer.isVerified || isAnswered && r.pauses == p.pauses
+			if isAnswered {
+				peer.answeredAt = r.sentAt
+			}
 		}
 	}
 }
 
-// probePeers probes the peers that are not verified. It is called with each heartbeat to the followers.
-func (n *Node) probePeers(epoch uint64) {
-	r := n.peers.beginProbes()
+// probePeers probes the peers from which an answer is needed. It is called with each heartbeat to the followers.
+func (n *Node) probePeers(o *owner.Owner) {
+	r := n.peers.beginProbes(o.NeedsProbes())
 	if r.pause > 0 {
-		n.options.Log(events.OwnerPaused, "epoch", epoch, "pause", r.pause, "probed", len(r.conns))
+		n.options.Log(events.OwnerPaused, "epoch", o.Epoch(), "pause", r.pause, "probed", len(r.conns))
 	}
 	for _, c := range r.conns {
-		go n.runProbe(c, r.pauses)
+		go n.runProbe(c, r)
 	}
 }
 
 // runProbe asks a follower whether it still follows this owner.
-func (n *Node) runProbe(c *link.Conn, pauses uint64) {
+func (n *Node) runProbe(c *link.Conn, r probeRound) {
 	ctx, cancel := context.WithTimeout(n.ctx, probeTimeout)
 	defer cancel()
 	err := c.Call(ctx, kindProbe, empty{}, &ownerReply{})
-	n.peers.endProbe(c, pauses, err == nil)
+	n.peers.endProbe(c, r, err == nil)
 }
 
 var errNotFollowing = errors.New("cluster: this node does not follow the owner over this link")
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -208,6 +208,9 @@
 	// isOwnershipConfirmed means that this node is known to still own the shard. Without it no
 	// attempt is started and no lease is renewed.
 	isOwnershipConfirmed bool
+	// ownershipConfirmedAt is when this node was last known to own the shard; zero if leases are
+	// counted from when they are renewed.
+	ownershipConfirmedAt time.Time
 	// isWriteBehind means that attempts are started before their placements are persisted.
 	isWriteBehind bool
 	// unpersisted counts the attempts that were ordered and whose placements are not persisted yet.
@@ -288,6 +291,18 @@
 	e.needsScheduling = true
 }
 
+// SetOwnershipConfirmedAt sets when this node was last known to own the shard. Leases are counted from
+// then.
+func (e *Engine) SetOwnershipConfirmedAt(at time.Time) { e.ownershipConfirmedAt = at }
+
+// confirmedAt returns from when the leases are counted that are renewed now.
+func (e *Engine) confirmedAt() time.Time {
+	if e.ownershipConfirmedAt.IsZero() {
+		return e.now
+	}
+	return e.ownershipConfirmedAt
+}
+
 // SetWriteBehind sets whether tasks are started before their placements are persisted. This is for
 // a store that is slow or unavailable. While HasUnpersisted is true, the next owner would not know
 // everything that this one has started. A task that may crash its workers still waits for the
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -65,6 +65,9 @@
 	}
 }
 
+// HaveInheritedLeasesExpired reports whether all leases of previous owners have expired.
+func (e *Engine) HaveInheritedLeasesExpired() bool { return !e.now.Before(e.inheritedLeasesUntil) }
+
 // ShortenInheritedLeases records that the previous owner renews no more leases, so that these expire no later than until.
 func (e *Engine) ShortenInheritedLeases(until time.Time) {
 	if until.Before(e.inheritedLeasesUntil) {
@@ -117,7 +120,8 @@
 	if e.inherited == nil || w.session.IsListed() || w.hasShutDown {
 		return
 	}
-	until := e.now.Add(session.OwnLeaseBound - (heartbeatsUntilRemoval-1)*e.options.HeartbeatInterval)
+	// Only owners of earlier versions leave workers behind that they have not stored.
+	until := e.now.Add(session.EarlierLeaseBound - (heartbeatsUntilRemoval-1)*e.options.HeartbeatInterval)
 	if handedOn, ok := e.silent.inheritedUntil.Find(w.ID); ok && handedOn.Before(until) {
 		until = handedOn
 	}
--- a/internal/dispatch/owner_changes_simulation_test.go
+++ b/internal/dispatch/owner_changes_simulation_test.go
@@ -14,6 +14,8 @@
 	"github.com/leanovate/gopter"
 	"github.com/leanovate/gopter/gen"
 	"github.com/leanovate/gopter/prop"
+
+	"github.com/leverdyke/leverdyke/internal/session"
 )
 
 // drawWorker draws a live worker; nil if there are too few to lose one.
@@ -93,6 +95,7 @@
 func simulateOwnerChanges(seed uint64) *sim { return simulateOwnerChangesOf(newSim(seed)) }
 
 func simulateOwnerChangesOf(w *sim) *sim {
+	w.inheritedLease = session.OwnLeaseBound
 	w.heartbeatInterval, w.maxStoreDelay = simulatedHeartbeat, time.Duration(w.rng.IntN(100))*time.Millisecond
 	w.records.period = time.Duration(w.rng.IntN(3000)) * time.Millisecond
 	w.isListInStore = true
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -77,6 +77,9 @@
 	// HasPreviousEnded means that the previous owner is known to have stopped, so that it renews no
 	// more leases. Owners before that one may still do so; see areAllPreviousEnded.
 	HasPreviousEnded bool
+	// ConfirmedAt is when the call of the store was sent that showed this node as the owner, by the
+	// node's clock. Zero stands for when the owner runs.
+	ConfirmedAt time.Time
 }
 
 // areAllPreviousEnded reports whether the previous owner and all owners before it are known to have
@@ -86,7 +89,7 @@
 }
 
 // Options configures an Owner. All fields but Log, Delegates, DirectWorkers, KnownNodes, LinkedNodes,
-// LargeJobMemory and Witnesses are required.
+// MajorityAnsweredAt, LargeJobMemory and Witnesses are required.
 type Options struct {
 	Claim              Claim
 	Store              store.Log
@@ -110,6 +113,10 @@
 	// asOf is when the store last confirmed this owner, minNodes at least how many nodes there are.
 	// Only a node that is not linked to this one can become the owner then, so this one continues.
 	HasStoreOutage func(asOf time.Time, minNodes int) bool
+	// MajorityAnsweredAt returns a time at which most nodes still followed this one: that of the last
+	// probes that most of them, as HasStoreOutage counts them, have answered; zero if there were none.
+	// nil if that is not needed. Probes are sent while NeedsProbes returns true.
+	MajorityAnsweredAt func(asOf time.Time, minNodes int) time.Time
 	// KnownNodes returns how many nodes this one has known since asOf; nil if that is not needed.
 	KnownNodes func(asOf time.Time) int
 	// LinkedNodes returns how many nodes are linked to this one, itself included. A node is linked to
@@ -149,12 +156,6 @@
 	// witnessLinkTime is how long after a claim the other nodes may take to link to the new owner before it goes without
 	// them.
 	witnessLinkTime = time.Second
-	// maxLease is the longest time that a worker's lease runs from its last renewal: 6 s, 4% and
-	// the worker's own slack. maxInheritedLease is the longest time that a lease granted by a
-	// previous owner may still run: that owner may renew leases until its ConfirmationTimeout ends.
-	// While most nodes may be linked to it, it may renew them for longer; see awaitPrevious.
-	maxLease          = 6240*time.Millisecond + 300*time.Millisecond
-	maxInheritedLease = ConfirmationTimeout + maxLease
 	// workerListPeriod is the time between two reads of the worker list, well below the time within
 	// which a leaving worker must stop receiving new tasks (2 s).
 	workerListPeriod = 400 * time.Millisecond
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -50,6 +50,10 @@
 	mayHaveUnpersisted atomic.Bool
 	// mayAct is the result of MayActAsOwner.
 	mayAct atomic.Bool
+	// needsProbes is the result of NeedsProbes.
+	needsProbes atomic.Bool
+	// haveInheritedExpired means that no leases of previous owners last any more.
+	haveInheritedExpired atomic.Bool
 	// mayPreviousAct means that the previous owner may still act during an outage of the store.
 	mayPreviousAct atomic.Bool
 	// hasPreviousEnded means that the previous owner's process was found to have ended since the claim.
@@ -209,7 +213,10 @@
 	defer o.cancel()
 	defer context.AfterFunc(ctx, o.cancel)()
 	o.tick()
-	o.confirmedAt = o.now
+	o.confirmedAt = o.options.Claim.ConfirmedAt
+	if o.confirmedAt.IsZero() {
+		o.confirmedAt = o.now
+	}
 	o.mayAct.Store(true)
 	// Reading the jobs may take longer than other nodes wait for a heartbeat, so heartbeats start
 	// first. The worker list and the drained zones are read concurrently: on a slow store that takes
@@ -275,9 +282,35 @@
 // handled, and this process may have been paused since the last cycle.
 func (o *Owner) beginCycle() {
 	o.tick()
-	o.engine.SetOwnershipConfirmed(o.mayActAsOwner())
+	o.updateOwnership()
+}
+
+// updateOwnership passes on whether this node may act as the owner, and from when its leases are counted.
+func (o *Owner) updateOwnership() {
+	mayAct := o.mayActAsOwner()
+	o.mayAct.Store(mayAct)
+	o.needsProbes.Store(o.now.Sub(o.confirmedAt) > heartbeatOverdue)
+	o.engine.SetOwnershipConfirmed(mayAct)
+	o.engine.SetOwnershipConfirmedAt(o.followedAt())
 }
 
+// followedAt returns when this node was last known to be the owner, by the store or by most nodes. A
+// successor counts the leases of this owner from its claim or, if that is later, from when most nodes
+// follow it. So it does not matter when a lease is renewed, or whether this process was paused before.
+func (o *Owner) followedAt() time.Time {
+	if o.options.MajorityAnsweredAt == nil {
+		return o.confirmedAt
+	}
+	if at := o.options.MajorityAnsweredAt(o.confirmedAt, o.knownNodes(o.confirmedAt)); at.After(o.confirmedAt) {
+		return at
+	}
+	return o.confirmedAt
+}
+
+// NeedsProbes reports whether the store is late to confirm this owner, so that it matters which nodes
+// follow it.
+func (o *Owner) NeedsProbes() bool { return o.needsProbes.Load() }
+
 // maxEventsPerCycle is how many queued events are handled before the next scheduling pass.
 const maxEventsPerCycle = 256
 
@@ -366,6 +399,7 @@
 	}
 	o.mayHaveUnpersisted.Store(isWriteBehind || hasUnpersisted)
 	o.isInheritanceKnown.Store(o.engine.IsInheritanceKnown())
+	o.haveInheritedExpired.Store(!o.mayPreviousAct.Load() && o.engine.HaveInheritedLeasesExpired())
 	o.engine.SetWriteBehind(isWriteBehind)
 	o.withdrawConsent(hasUnpersisted)
 }
@@ -378,9 +412,7 @@
 func (o *Owner) runCycle() {
 	o.applyPolicy()
 	o.releaseHeld()
-	mayActAsOwner := o.mayActAsOwner()
-	o.mayAct.Store(mayActAsOwner)
-	o.engine.SetOwnershipConfirmed(mayActAsOwner)
+	o.updateOwnership()
 	o.schedule()
 	for _, a := range o.engine.Actions() {
 		o.execute(a)
@@ -417,34 +449,6 @@
 	return unconfirmed < ConfirmationTimeout || unconfirmed < maxOutageOwnership && o.options.HasStoreOutage(o.confirmedAt, o.knownNodes(o.confirmedAt))
 }
 
-// mayPreviousHaveMajority reports whether most nodes may be linked to the previous owner: it may then
-// act for longer than its ConfirmationTimeout.
-func (o *Owner) mayPreviousHaveMajority() bool {
-	previous := o.options.Claim.Previous
-	return previous != nil && o.options.LinkedNodes != nil && 2*o.options.LinkedNodes() < previous.KnownNodes
-}
-
-// isOnlyOwner reports whether no previous owner acts at that time any more: none counts as confirmed
-// after the jobs were read.
-func (o *Owner) isOnlyOwner(at time.Time) bool {
-	return o.areAllPreviousEnded() || o.IsLoaded() && !o.mayPreviousAct.Load() && at.Sub(o.loadedAt) >= ConfirmationTimeout
-}
-
-// awaitPrevious extends the leases of a previous owner that may act during an outage of the store,
-// until most nodes cannot be linked to it any more.
-func (o *Owner) awaitPrevious() {
-	if !o.mayPreviousAct.Load() {
-		return
-	}
-	o.engine.ExtendInheritedLeases(o.now.Add(maxFollowerSilence + maxLease))
-	mayHaveMajority := o.mayPreviousHaveMajority()
-	if mayHaveMajority && o.now.Before(o.loadedAt.Add(maxOutageOwnership)) {
-		return
-	}
-	o.mayPreviousAct.Store(false)
-	o.options.Log(events.PreviousOwnerStopped, "epoch", o.Epoch(), "took", o.now.Sub(o.loadedAt), "majority", !mayHaveMajority)
-}
-
 // knownNodes returns how many nodes there are as far as this owner knew at a time. Until all of them
 // have had the time to link to it, or while they may be linked to the previous owner, they are at least
 // as many as that owner knew.
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -15,6 +15,7 @@
 	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/session"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/witness"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -49,16 +50,12 @@
 	o.restoreLearned(newest.Records)
 	previous := o.options.Claim.Previous
 	if previous != nil {
-		leaseLeft := maxInheritedLease
-		if o.options.Claim.areAllPreviousEnded() {
-			leaseLeft = maxLease
-		}
 		o.loadedAt = o.now
 		o.mayPreviousAct.Store(!o.options.Claim.areAllPreviousEnded())
 		if !o.options.Claim.HasAllPlacements {
 			o.survey = witness.NewSurvey(previous.Witnesses)
 		}
-		o.engine.Inherit(o.now.Add(leaseLeft), o.options.Claim.HasAllPlacements, previous.ListedWorkers)
+		o.engine.Inherit(o.inheritedLeasesUntil(), o.options.Claim.HasAllPlacements, previous.ListedWorkers)
 		o.engine.InheritBounds(previous.Silent)
 		o.engine.InheritOutlasted(previous.Outlasted)
 	}
@@ -471,6 +468,11 @@
 		r.ListedWorkers = max(r.ListedWorkers, o.options.Claim.Record.ListedWorkers)
 	}
 	r.KnownNodes, r.IsOnlyOwner = o.knownNodes(sentAt), o.isOnlyOwner(sentAt)
+	if o.haveInheritedExpired.Load() {
+		r.LeaseBound = session.OwnLeaseBound
+	} else if r.LeaseBound > 0 {
+		r.LeaseBound = max(r.LeaseBound, session.OwnLeaseBound)
+	}
 	r.LeftConns, r.KeptConns = o.connBudget.get()
 	o.mu.Lock()
 	r.MayHaveUnpersisted, r.Witnesses = o.writeBehind.next()
--- a/internal/owner/previous.go
+++ b/internal/owner/previous.go
@@ -5,8 +5,10 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/session"
 )
 
 // Replaced returns the record of the previous owner if a process that has greeted this owner may have replaced that owner's
@@ -32,7 +34,7 @@
 		return
 	}
 	o.mayPreviousAct.Store(false)
-	o.engine.ShortenInheritedLeases(o.now.Add(maxLease))
+	o.engine.ShortenInheritedLeases(o.now.Add(o.previousLeaseBound()))
 	o.options.Log(events.PreviousOwnerStopped, "epoch", o.Epoch(), "took", o.now.Sub(o.loadedAt), "why", "another process has replaced it")
 }
 
@@ -40,3 +42,59 @@
 func (o *Owner) areAllPreviousEnded() bool {
 	return o.options.Claim.areAllPreviousEnded() || o.hasPreviousEnded.Load()
 }
+
+// mayPreviousHaveMajority reports whether most nodes may be linked to the previous owner: it may then
+// act for longer than its ConfirmationTimeout.
+func (o *Owner) mayPreviousHaveMajority() bool {
+	previous := o.options.Claim.Previous
+	return previous != nil && o.options.LinkedNodes != nil && 2*o.options.LinkedNodes() < previous.KnownNodes
+}
+
+// isOnlyOwner reports whether no previous owner acts at that time any more: none counts as confirmed
+// after the jobs were read.
+func (o *Owner) isOnlyOwner(at time.Time) bool {
+	return o.areAllPreviousEnded() || o.IsLoaded() && !o.mayPreviousAct.Load() && at.Sub(o.loadedAt) >= ConfirmationTimeout
+}
+
+// previousLeaseBound returns how long after its last renewal, or after it was last confirmed, a lease of
+// the previous owner lasts at most.
+func (o *Owner) previousLeaseBound() time.Duration {
+	if bound := o.options.Claim.Previous.LeaseBound; bound > 0 {
+		return bound
+	}
+	return session.EarlierLeaseBound
+}
+
+// inheritedLeasesUntil returns when the leases of previous owners have expired, unless most nodes may
+// still follow the previous one. The store has confirmed none of them after this owner's claim, and they
+// count their leases from their confirmation. An owner of an earlier version counts them from their
+// renewal, which may be any time before its ConfirmationTimeout ends.
+func (o *Owner) inheritedLeasesUntil() time.Time {
+	bound := o.previousLeaseBound()
+	switch {
+	case o.options.Claim.Previous.LeaseBound > 0:
+		return o.claimedAt.Add(bound)
+	case o.areAllPreviousEnded():
+		return o.loadedAt.Add(bound)
+	}
+	return o.loadedAt.Add(ConfirmationTimeout + bound)
+}
+
+// awaitPrevious extends the leases of a previous owner that may act during an outage of the store,
+// until most nodes cannot be linked to it any more.
+func (o *Owner) awaitPrevious() {
+	if !o.mayPreviousAct.Load() {
+		return
+	}
+	until := o.now.Add(o.previousLeaseBound())
+	if o.options.Claim.Previous.LeaseBound == 0 {
+		until = until.Add(maxFollowerSilence)
+	}
+	o.engine.ExtendInheritedLeases(until)
+	mayHaveMajority := o.mayPreviousHaveMajority()
+	if mayHaveMajority && o.now.Before(o.loadedAt.Add(maxOutageOwnership)) {
+		return
+	}
+	o.mayPreviousAct.Store(false)
+	o.options.Log(events.PreviousOwnerStopped, "epoch", o.Epoch(), "took", o.now.Sub(o.loadedAt), "majority", !mayHaveMajority)
+}
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -15,6 +15,7 @@
 	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/leasebound"
 	"github.com/leverdyke/leverdyke/internal/order"
+	"github.com/leverdyke/leverdyke/internal/session"
 	"github.com/leverdyke/leverdyke/internal/store"
 	"github.com/leverdyke/leverdyke/internal/witness"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -60,6 +61,10 @@
 	// records of earlier versions, too.
 	LeftConns connbudget.Left `msgpack:"c"`
 	KeptConns int             `msgpack:"q"`
+	// LeaseBound is how long after the claim of the next owner, or after most nodes have left this one
+	// for it, the leases last at most that this owner and those before it have renewed. Owners of
+	// earlier versions do not say so: it is 0 then, and as long as their leases may last.
+	LeaseBound time.Duration `msgpack:"d"`
 	// Silent are workers that do not answer this owner. It renews their leases only after a record
 	// without them is in the store. A claim takes over those of the previous owner.
 	Silent []leasebound.Bound `msgpack:"x,omitempty"`
@@ -68,6 +73,14 @@
 	Outlasted []crash.OutlastedRun `msgpack:"r,omitempty"`
 }
 
+// LeaseBoundAfter returns the LeaseBound of a claim that replaces a record, which is nil if there is none.
+func LeaseBoundAfter(previous *Record) time.Duration {
+	if previous == nil {
+		return session.OwnLeaseBound
+	}
+	return previous.LeaseBound
+}
+
 // LeftConnsAfter returns how many connections to each worker lost nodes have left open once the owner
 // has ended. areClosed means that the owner is known to have closed its own. A delegate that is lost
 // together with the owner adds nothing, as either of them talks to a worker, not both.
--- a/internal/session/lease.go
+++ b/internal/session/lease.go
@@ -10,10 +10,13 @@
 )
 
 const (
-	// leaseDuration is how long a worker continues without a renewal: longer than a
-	// takeover takes with a slow store (about 3 s), short enough that the tasks of
-	// a worker that is partitioned can soon be started elsewhere.
-	leaseDuration = 6 * time.Second
+	// leaseDuration is how long after its owner was last confirmed a worker continues: longer than
+	// a takeover takes with a slow store (about 3 s), short enough that the tasks of a worker that is
+	// partitioned can soon be started elsewhere, also after a takeover.
+	leaseDuration = 4500 * time.Millisecond
+	// earlierLeaseDuration is how long after a renewal it was in versions whose owners do not say
+	// how long their leases last.
+	earlierLeaseDuration = 6 * time.Second
 	// doubleClockSkew is twice the share by which a worker's clock may be slower than the
 	// owner's.
 	doubleClockSkew = 0.04
@@ -30,9 +33,11 @@
 )
 
 var (
-	// OwnLeaseBound is how long after a renewal, by the owner's clock, all that runs on a worker
-	// has ended, if nothing renews the worker's lease again.
+	// OwnLeaseBound is how long after the owner was last confirmed, by the owner's clock, all that
+	// runs on a worker has ended, if nothing renews the worker's lease again.
 	OwnLeaseBound = localBound(leaseDuration)
+	// EarlierLeaseBound is the same after a renewal by an owner of an earlier version.
+	EarlierLeaseBound = localBound(earlierLeaseDuration)
 	// AnyLeaseBound is the same for a lease that another owner may have given, or whose end was
 	// given by another incarnation's clock.
 	AnyLeaseBound = localBound(maxLeaseDuration)
@@ -107,9 +112,11 @@
 // Clock returns what the worker's clock showed last.
 func (l *Lease) Clock() order.WorkerTime { return l.clock }
 
-// Renew returns the end of the lease to send now, by the worker's clock.
-func (l *Lease) Renew(now time.Time) order.WorkerTime {
-	estimate := l.clock + order.WorkerTime(now.Sub(l.lastHeardAt))
+// Renew returns the end of the lease to send, by the worker's clock. confirmedAt is when the owner was
+// last known to be the owner: the lease ends leaseDuration after that, whenever it is sent, so that a
+// successor need not know for how long this owner goes on.
+func (l *Lease) Renew(confirmedAt time.Time) order.WorkerTime {
+	estimate := l.clock + order.WorkerTime(confirmedAt.Sub(l.lastHeardAt))
 	l.deadline = max(l.deadline, estimate+order.WorkerTime(leaseDuration))
 	return l.deadline
 }
