--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -52,6 +52,9 @@
 	isClosed bool
 }
 
+// NetConn returns the connection that c wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending direction, which the server does so that a client that is still
 // sending can read an answer.
 func (c *conn) CloseWrite() error {
