cmd/leverdyked: answer all requests that have arrived before a planned stop

Callers of a node that stops as planned lost requests that they had pipelined behind one in progress.

Cause: as on the users' platform, Server.Shutdown lets the next answer close a connection whatever has been read behind it, and closes connections that it holds for idle. The operators' server was closed outright.

Change: both servers use internal/draining. Answers close their connections from the hand-over on, so that callers go elsewhere during drain_wait. The operators' requests are finished within the time for leaving.

--- a/cmd/leverdyked/main.go
+++ b/cmd/leverdyked/main.go
@@ -8,6 +8,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -22,6 +23,7 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/caller"
 	"github.com/leverdyke/leverdyke/internal/command"
+	"github.com/leverdyke/leverdyke/internal/draining"
 	"github.com/leverdyke/leverdyke/internal/listen"
 	"github.com/leverdyke/leverdyke/internal/metrics"
 	"github.com/leverdyke/leverdyke/internal/nodeserver"
@@ -82,8 +84,8 @@
 	settings  *settings.Node
 	node      *nodeserver.Node
 	handler   *caller.Handler
-	callers   *http.Server
-	operators *http.Server
+	callers   *draining.Server
+	operators *draining.Server
 	servers   *listen.Group
 }
 
@@ -124,8 +126,10 @@
 	d.handler = caller.NewHandler(caller.NewHandlerOptions{
 		Router: n.Router(), Keys: n, Metrics: m, IsReady: n.IsReady, MaxRequests: s.MaxRequests, MaxTimeout: s.MaxTimeout,
 	})
-	d.callers = caller.NewServer(d.handler)
-	d.operators = &http.Server{Handler: operator.NewServer(n, m.Handler()), ReadHeaderTimeout: leaveTimeout}
+	callers := caller.NewServer(d.handler)
+	operators := &http.Server{Handler: operator.NewServer(n, m.Handler()), ReadHeaderTimeout: leaveTimeout}
+	d.callers = draining.NewServer(callers, draining.NewServerOptions{})
+	d.operators = draining.NewServer(operators, draining.NewServerOptions{})
 	if err := registerGauges(m, n); err != nil {
 		n.Close()
 		return nil, err
@@ -133,8 +137,9 @@
 	for _, l := range []struct {
 		server *http.Server
 		addr   netip.AddrPort
-	}{{d.callers, s.CallersAddr}, {d.operators, s.OperatorsAddr}} {
-		if err := d.servers.Open(l.server, l.addr, nil); err != nil {
+		listen func(net.Listener) net.Listener
+	}{{callers, s.CallersAddr, d.callers.Listen}, {operators, s.OperatorsAddr, d.operators.Listen}} {
+		if err := d.servers.Open(l.server, l.addr, l.listen); err != nil {
 			n.Close()
 			return nil, err
 		}
@@ -149,6 +154,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	d.node.Drain(ctx)
+	d.callers.Begin()
 	time.Sleep(d.settings.DrainWait)
 	finish, cancelFinish := context.WithTimeout(context.Background(), d.settings.MaxTimeout)
 	defer cancelFinish()
@@ -157,7 +163,7 @@
 	defer cancelLeave()
 	d.node.HandOverAnswers(leave)
 	d.node.Leave(leave)
-	_ = d.operators.Close()
+	_ = d.operators.Shutdown(leave)
 	d.node.Close()
 }
 
--- a/internal/integration/pipelined_calls_test.go
+++ b/internal/integration/pipelined_calls_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 
+	"github.com/leverdyke/leverdyke/internal/standin"
+	"github.com/leverdyke/leverdyke/internal/standin/native"
 	"github.com/leverdyke/leverdyke/internal/standin/site"
 )
 
@@ -71,3 +73,36 @@
 	c.t.Fatal("got: no follower, want: one")
 	return nil
 }
+
+// Guards against the same at a node of the other platform.
+func TestPlannedStopAnswersPipelinedRequests(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, "")
+	n := c.Nodes[0]
+	conn, err := net.Dial("tcp", n.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	request := strings.Join([]string{"POST /s/search/long HTTP/1.1", "Host: x", native.DelayHeader + ": 1500", "Content-Length: 1", "", "x"}, "\r\n")
+	if _, err := io.WriteString(conn, request+request); err != nil {
+		t.Fatal(err)
+	}
+	if !standin.Await(waitTimeout, func() bool { return hasRequestInProgress(c, 0) }) {
+		t.Fatal("the first request is not in progress")
+	}
+	n.Signal(syscall.SIGTERM)
+	answers := bufio.NewReader(conn)
+	for i := range 2 {
+		resp, err := http.ReadResponse(answers, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		if err != nil {
+			t.Fatalf("answer to request %d of 2: got: %v, want: a complete answer", i+1, err)
+		}
+	}
+	if !n.Wait(waitTimeout) {
+		t.Fatal("the node does not stop after SIGTERM")
+	}
+}
