internal/dispatch: log jobs that stand still

LD0499 names each step of a job that has had nothing running for 3 s although workers have room for a task, with why these workers are passed over. Long-running tasks have LD0479, and steps that a customer's limit holds back LD0475.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -126,8 +126,8 @@
 	// limit of its customer. There is one such time for all customers.
 	limitLogDueAt time.Time
 	// notRunningLogDueAt is the earliest time of the next log lines about long-running tasks that
-	// do not run.
-	notRunningLogDueAt time.Time
+	// do not run, standstillLogDueAt that of those about jobs that stand still.
+	notRunningLogDueAt, standstillLogDueAt time.Time
 	// planner decides which permission queries are made. permissionLogDueAt is the earliest time of
 	// the next log lines about them.
 	planner            *permit.Planner
@@ -393,6 +393,7 @@
 	e.activeJobs = slices.DeleteFunc(e.activeJobs, func(j *job) bool { return j.state.IsFinal() && j.attempts == 0 })
 	e.expirePossibleCrashes()
 	e.logNotRunning()
+	e.logStandstills()
 	e.updateThroughput()
 	e.queryNextSteps()
 	e.logPermissionQueries()
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -149,6 +149,7 @@
 	PermissionsQueried     = add(486, "permissions were queried", LevelInfo)
 	PermissionChannels     = add(487, "channels to the permission service", LevelInfo)
 	TaskNotRunning         = add(479, "nothing of a task that lasts runs", LevelWarning)
+	JobStandsStill         = add(499, "nothing of a job runs although workers have room", LevelWarning)
 	WorkersBySpeed         = add(482, "workers by speed", LevelInfo)
 	KeyRefused             = add(478, "call carries no key that is in force", LevelInfo)
 	JobOfOtherCustomer     = add(476, "job of another customer was asked for", LevelWarning)
