internal/dispatch: tell steps that no worker may run from those that wait for room

They now wait with reason "denied". A step counts so while all reached workers that are large enough for its tasks are known to be denied; with one that may run it, or was not asked about yet, the reason stays "room".

--- a/internal/dispatch/waits.go
+++ b/internal/dispatch/waits.go
@@ -67,6 +67,24 @@
 		return waits.Permission
 	case e.planner.Channels().FreeChannel(q.Permission, e.now) == "":
 		return waits.Channel
+	case e.isDeniedEverywhere(s, q):
+		return waits.Denied
 	}
 	return waits.Capacity
 }
+
+// isDeniedEverywhere reports whether the permission service lets none of the workers run the step that
+// are reached and large enough for its tasks.
+func (e *Engine) isDeniedEverywhere(s *step, q *order.Queue) bool {
+	hasWorker, charge := false, s.spec.Charge()
+	for id, w := range e.workers.All() {
+		if !e.isReachable(w) || !e.mayRun(w, s, q.Service) || !charge.FitsIn(w.Capacity) {
+			continue
+		}
+		if isAllowed, isKnown := s.permissions.IsAllowed(id); isAllowed || !isKnown {
+			return false
+		}
+		hasWorker = true
+	}
+	return hasWorker
+}
--- a/internal/dispatch/waits_test.go
+++ b/internal/dispatch/waits_test.go
@@ -12,7 +12,7 @@
 )
 
 // The engine must report how long tasks have waited, by the reason: no free capacity, the
-// customer's limit, no permit, or no free channel to query permission.
+// customer's limit, no permit, no free channel to query permission, or permission for no worker.
 func TestWaitTimesAreReportedByReason(t *testing.T) {
 	permissionQueue := testQueue
 	permissionQueue.Permission = &order.PermissionPolicy{BaseTime: 500 * time.Millisecond, TimePerWorker: time.Millisecond, ValidFor: 2 * time.Second}
@@ -27,6 +27,22 @@
 			w.engine.SetQueues(w.queues)
 			w.engine.SetChannels([]string{"n1", "n2", "n3"})
 		}, waits.Permission},
+		"denied": {func(w *sim) {
+			w.queues = []order.Queue{permissionQueue}
+			w.queues[0].Permission = &order.PermissionPolicy{BaseTime: 5 * time.Millisecond, ValidFor: 2 * time.Second}
+			w.engine.SetQueues(w.queues)
+			w.engine.SetChannels([]string{"n1", "n2", "n3"})
+			w.isPermitted = func(order.WorkerID) bool { return false }
+		}, waits.Denied},
+		"full where permitted": {func(w *sim) {
+			w.queues = []order.Queue{permissionQueue}
+			w.queues[0].Permission = &order.PermissionPolicy{BaseTime: 5 * time.Millisecond, ValidFor: 2 * time.Second}
+			w.engine.SetQueues(w.queues)
+			w.engine.SetChannels([]string{"n1", "n2", "n3"})
+			w.isPermitted = func(id order.WorkerID) bool { return id == "w00" }
+			w.submit("busy", newStep(4, time.Minute))
+			w.run(time.Second)
+		}, waits.Capacity},
 		"lane": {func(w *sim) { w.queues = []order.Queue{permissionQueue}; w.engine.SetQueues(w.queues) }, waits.Channel},
 	} {
 		w := newSim(1)
--- a/internal/waits/waits.go
+++ b/internal/waits/waits.go
@@ -29,6 +29,8 @@
 	// channel to the permission service is free.
 	Permission Reason = "permission"
 	Channel    Reason = "lane"
+	// Denied means that the permission service lets none of the workers run the task.
+	Denied Reason = "denied"
 	// Capacity means that the workers that may run the task have no free capacity for it.
 	Capacity Reason = "room"
 )
