internal/integration: replace workers in soaks by ones that may run the same steps

The stand-in's permission service lets workers whose ID ends in an even digit run all steps, and excludes each other one from over a third. A soak replaced crashed workers by consecutive numbers, so that few workers with an even number were left; which ones depends on how fast jobs are accepted during the faults. Once the check's long task took the last of them, or that one was crashed, no live worker was permitted to run some of the steps that the check waits for. A worker of the stand-in that replaces itself already keeps its last digit for this reason.

A replacement now may run all steps if the worker that it replaces may. The checks are unchanged.

--- a/internal/integration/soak_faults_test.go
+++ b/internal/integration/soak_faults_test.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -183,13 +184,18 @@
 	return a + time.Duration(s.rng.Int64N(int64(b-a)))
 }
 
-// replaceWorker crashes a worker and adds a new one, unless the worker has crashed meanwhile.
+// replaceWorker crashes a worker and adds a new one, unless the worker has crashed meanwhile. If the
+// permission service lets the one run all steps, it lets the other: else no worker that may run a step
+// could be left.
 func (s *soak) replaceWorker(w *site.Worker) {
 	if w.IsDead() {
 		return
 	}
 	w.Crash()
 	s.lastWorkerNumber++
+	if site.MayRunAllSteps(strconv.Itoa(s.lastWorkerNumber)) != site.MayRunAllSteps(w.ID()) {
+		s.lastWorkerNumber++
+	}
 	if _, err := s.AddWorker(s.lastWorkerNumber); err != nil {
 		s.t.Error(err)
 	}
--- a/internal/standin/site/snapshot.go
+++ b/internal/standin/site/snapshot.go
@@ -50,5 +50,8 @@
 	if !s.options.HasPermissionService {
 		return true
 	}
-	return strings.ContainsAny(worker[len(worker)-1:], "02468") || permitFor(step, worker)[0]%3 != 0
+	return MayRunAllSteps(worker) || permitFor(step, worker)[0]%3 != 0
 }
+
+// MayRunAllSteps reports whether Permits lets a worker of that ID run every step.
+func MayRunAllSteps(worker string) bool { return strings.ContainsAny(worker[len(worker)-1:], "02468") }
