--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -11,6 +11,7 @@
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/urgency"
+	"github.com/leverdyke/leverdyke/internal/waits"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -66,7 +67,13 @@
 	if e.inherited == nil {
 		return e.stepQueue
 	}
-	return slices.DeleteFunc(slices.Clone(e.stepQueue), func(s *step) bool { return e.isBlocked(s) })
+	return slices.DeleteFunc(slices.Clone(e.stepQueue), func(s *step) bool {
+		if !e.isBlocked(s) {
+			return false
+		}
+		s.waitReason = waits.Uncertainty
+		return true
+	})
 }
 
 // arrivedAt is the time from which the age of a step is counted: the due time of its round, or for
--- a/internal/dispatch/waits_test.go
+++ b/internal/dispatch/waits_test.go
@@ -62,3 +62,20 @@
 		}
 	}
 }
+
+// Steps that a new owner does not start, because a previous one may have, were reported as waiting for their turn.
+func TestStepsHeldBackByDoubtAreReportedSo(t *testing.T) {
+	w := newSim(1)
+	w.addWorkers(2, workerCapacity)
+	w.run(time.Second)
+	w.submit("busy", newStep(8, time.Minute))
+	w.submit("a", newStep(2, time.Minute))
+	w.run(time.Second)
+	w.workers["w00"].isPartitioned, w.mayHaveUnpersistedStarts = true, true
+	w.takeOver()
+	w.run(time.Second)
+	got := w.engine.TakeWaits()
+	if len(got) != 1 || got[0].Reason != waits.Uncertainty {
+		t.Errorf("reasons after a takeover with a silent worker: got: %+v, want: only %s", got, waits.Uncertainty)
+	}
+}
