internal/standin/site: measure how long jobs stand still

Change: the oracle looks at all accepted jobs every 50 ms and measures the longest time in which nothing of a job ran although the turn of a task had come and a live worker that does not drain had room, and the longest absence of each long-running task. Both are measured at any time and in calm, from 4 s after the last disturbance on.

--- a/internal/integration/site_test.go
+++ b/internal/integration/site_test.go
@@ -135,6 +135,7 @@
 	}
 	if status == http.StatusOK {
 		c.accepted = append(c.accepted, id)
+		c.RecordAccepted(id)
 	}
 	return id, status
 }
--- a/internal/integration/soak_takeover_test.go
+++ b/internal/integration/soak_takeover_test.go
@@ -118,4 +118,5 @@
 			return err == nil && status == http.StatusOK
 		})
 	})
+	s.RecordCancel(id)
 }
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -226,6 +226,8 @@
 	if hasTakeover {
 		s.checkTakeover(longRunning)
 	}
+	ofJobs, ofLongRunning := s.Standstills()
+	t.Logf("longest standstill of a job: %v; of a long-running task: %v", ofJobs, ofLongRunning)
 	for _, id := range s.refused {
 		if s.HasStarted(id) {
 			t.Errorf("job %s ran although its submission was refused", id)
@@ -440,6 +442,7 @@
 	}
 	s.scheduled = remaining
 	for _, e := range due {
+		s.RecordDisturbance()
 		e.run()
 	}
 }
@@ -475,6 +478,7 @@
 }
 
 func (s *soak) logAction(format string, args ...any) {
+	s.RecordDisturbance()
 	s.actions = append(s.actions, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
--- a/internal/standin/site/capacity.go
+++ b/internal/standin/site/capacity.go
@@ -20,6 +20,7 @@
 
 // Resize changes the worker's capacity and sends a heartbeat with the new one at once.
 func (w *Worker) Resize(milliCPU, memoryMiB int64) {
+	w.site.RecordDisturbance()
 	w.mu.Lock()
 	w.previousCapacities = append(w.previousCapacities, previousCapacity{w.capacity, time.Now()})
 	w.capacity = capacity{milliCPU, memoryMiB}
--- a/internal/standin/site/export_test.go
+++ b/internal/standin/site/export_test.go
@@ -3,6 +3,8 @@
 
 package site
 
+import "time"
+
 // ClaimSlot claims an address slot as another process would. free releases it.
 func ClaimSlot() (number int, free func() error, err error) {
 	s, err := claimSlot()
@@ -11,3 +13,55 @@
 	}
 	return s.number, s.listener.Close, nil
 }
+
+// Progress is the measurement of how long jobs stand still, under times that the test gives.
+type Progress struct{ p *progress }
+
+// NewProgress returns a measurement with a limit for standstills in calm.
+func NewProgress(limit time.Duration) *Progress {
+	p := newProgress()
+	p.limit = limit
+	return &Progress{p}
+}
+
+// Accept adds a job of steps with one task each, of which each depends on the one before.
+func (p *Progress) Accept(job string, steps int, now time.Time) {
+	specs := make([]stepSpec, steps)
+	for i := range specs {
+		specs[i].tasks = 1
+		if i > 0 {
+			specs[i].dependsOn = []int{i - 1}
+		}
+	}
+	p.p.accept(job, specs, now)
+}
+
+// AcceptLongRunning adds a job of long-running tasks.
+func (p *Progress) AcceptLongRunning(job string, tasks int, now time.Time) {
+	p.p.accept(job, []stepSpec{{tasks: tasks, isLongRunning: true}}, now)
+}
+
+// Start records the start of a task.
+func (p *Progress) Start(task string, now time.Time) { p.p.start(task, now) }
+
+// End records the end of a task, and with isDone its success.
+func (p *Progress) End(task string, isDone bool, now time.Time) {
+	p.p.end(task, now)
+	if isDone {
+		p.p.succeed(task)
+	}
+}
+
+// Forget records the end of a job.
+func (p *Progress) Forget(job string) { p.p.forget(job) }
+
+// Disturb records a disturbance.
+func (p *Progress) Disturb(now time.Time) { p.p.disturb(now) }
+
+// Observe looks at all jobs while the workers have room, or have none.
+func (p *Progress) Observe(now time.Time, hasRoom bool) []string {
+	return p.p.observe(now, func(string, *stepSpec) bool { return hasRoom })
+}
+
+// Standstills returns the longest standstill of a job and the longest absence of a long-running task.
+func (p *Progress) Standstills() (ofJobs, ofLongRunning Standstill) { return p.p.standstills() }
--- a/internal/standin/site/job.go
+++ b/internal/standin/site/job.go
@@ -71,7 +71,11 @@
 		return "", err
 	}
 	status, _, err := n.Do(ctx, http.MethodPost, QueuePrefix+j.ID, body)
-	return outcomeOf(status, err), nil
+	outcome := outcomeOf(status, err)
+	if outcome == OutcomeAccepted {
+		s.RecordAccepted(j.ID)
+	}
+	return outcome, nil
 }
 
 // Cancel asks a node to cancel a job.
--- a/internal/standin/site/node.go
+++ b/internal/standin/site/node.go
@@ -35,9 +35,11 @@
 	ClockShift  time.Duration
 	log         string
 	hasOwnGroup bool
-	process     *exec.Cmd
-	done        chan struct{}
-	client      *http.Client
+	// disturbed is called at each start and end of the process, and when it is signalled.
+	disturbed func()
+	process   *exec.Cmd
+	done      chan struct{}
+	client    *http.Client
 }
 
 // settingsText is the template of a settings file as the platform writes it. unknownField checks that nodes ignore
@@ -116,7 +118,7 @@
 	n := &Node{
 		Name: "node-" + strconv.Itoa(number), Callers: fmt.Sprintf("%s:%d", ip, callersPort), ready: fmt.Sprintf("%s:%d", ip, readyPort),
 		binary: binary, file: filepath.Join(dir, fmt.Sprintf("node-%d.yaml", number)), log: filepath.Join(dir, fmt.Sprintf("node-%d.log", number)),
-		client: &http.Client{Timeout: 5 * time.Second}, hasOwnGroup: s.options.HasOwnGroup,
+		client: &http.Client{Timeout: 5 * time.Second}, hasOwnGroup: s.options.HasOwnGroup, disturbed: s.RecordDisturbance,
 	}
 	storeAddr, err := s.via(n.Name+"-store", s.StoreAddr)
 	if err != nil {
@@ -134,6 +136,7 @@
 
 // Start starts the process. Its output is appended to the log file of earlier starts.
 func (n *Node) Start() error {
+	n.disturbed()
 	out, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("site: %w", err)
@@ -152,10 +155,11 @@
 }
 
 // run waits until the process has ended, and closes done.
-func (*Node) run(p *exec.Cmd, done chan struct{}) {
+func (n *Node) run(p *exec.Cmd, done chan struct{}) {
 	defer close(done)
 	defer processes.Delete(p)
 	_ = p.Wait()
+	n.disturbed()
 }
 
 // processes has the running processes of all nodes, as *exec.Cmd keys.
@@ -191,7 +195,13 @@
 func (n *Node) PID() int { return n.process.Process.Pid }
 
 // Signal sends a signal to the process.
-func (n *Node) Signal(sig syscall.Signal) error { return n.process.Process.Signal(sig) }
+func (n *Node) Signal(sig syscall.Signal) error {
+	// The rules do not count a SIGHUP as a disturbance.
+	if sig != syscall.SIGHUP {
+		n.disturbed()
+	}
+	return n.process.Process.Signal(sig)
+}
 
 // Done returns a channel that is closed when the process has ended.
 func (n *Node) Done() <-chan struct{} { return n.done }
--- a/internal/standin/site/oracle.go
+++ b/internal/standin/site/oracle.go
@@ -38,6 +38,8 @@
 	usageByRun    map[string]customerUsage
 	limits        map[string]int64
 	previous      []previousLimits
+	// progress measures how long jobs stand still.
+	progress *progress
 }
 
 // Once maxCrashes workers have crashed while they ran a task, it must be started fewer than
@@ -56,6 +58,7 @@
 		runningOn: map[string][]string{}, successes: map[string][]*successfulRun{}, startedJobs: map[string]bool{}, shownStates: map[string]string{}, cancelledAt: map[string]time.Time{},
 		crashes: map[string]int{}, startsAfterCrashes: map[string]int{},
 		customerOfJob: map[string]string{}, used: map[string]int64{}, peaks: map[string]int64{}, usageByRun: map[string]customerUsage{},
+		progress: newProgress(),
 	}
 }
 
@@ -65,6 +68,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.startCount++
+	o.progress.start(task, time.Now())
 	job, _, _ := strings.Cut(task, ".")
 	o.startedJobs[job] = true
 	if state := o.shownStates[job]; state != "" {
@@ -103,6 +107,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.cancelledAt[job] = time.Now()
+	o.progress.forget(job)
 }
 
 // recordCrash records that a task of the kind that crashes workers has crashed one.
@@ -122,6 +127,7 @@
 func (o *Oracle) recordEnd(task, worker string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.progress.end(task, time.Now())
 	o.runningOn[task] = slices.DeleteFunc(o.runningOn[task], func(id string) bool { return id == worker })
 	o.removeUsage(task, worker)
 }
@@ -139,6 +145,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.successes[task] = append(o.successes[task], &successfulRun{worker: worker})
+	o.progress.succeed(task)
 }
 
 // recordConfirmation records that a node has confirmed to a worker the success of a task.
@@ -183,6 +190,7 @@
 		o.violations = append(o.violations, fmt.Sprintf("%s is shown as %s after %s", job, state, before))
 	}
 	o.shownStates[job] = state
+	o.progress.forget(job)
 }
 
 func (o *Oracle) addViolation(text string) {
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -91,6 +91,9 @@
 	cpu, mem      int64
 	duration      time.Duration
 	isLongRunning bool
+	// tasks is the number of tasks, dependsOn has the indexes of the steps that must have succeeded before.
+	tasks     int
+	dependsOn []int
 	// fails makes each task fail; it is set if the job's spec is "fail".
 	fails bool
 	// crashes makes the first task of the step crash each worker that starts it; it is set if the job's
@@ -120,6 +123,7 @@
 	}
 	s := &Site{Store: newStore(), options: o, steps: map[string][]stepSpec{}, drainedZones: map[string]bool{}, stop: make(chan struct{})}
 	s.oracle = newOracle()
+	s.Store.disturbed = s.RecordDisturbance
 	var err error
 	if s.StoreAddr, err = s.serve(s.Store); err != nil {
 		return nil, err
@@ -134,8 +138,9 @@
 			return nil, err
 		}
 	}
-	s.wg.Add(1)
+	s.wg.Add(2)
 	go s.runHeartbeats()
+	go s.runProgress()
 	return s, nil
 }
 
@@ -255,6 +260,8 @@
 			MemMb       int64   `json:"memMb"`
 			EstimatedMs float64 `json:"estimatedMs"`
 			Perpetual   bool    `json:"perpetual"`
+			Count       int     `json:"count"`
+			DependsOn   []int   `json:"dependsOn"`
 		} `json:"steps"`
 	}{}
 	if err := json.Unmarshal(body, &job); err != nil {
@@ -263,7 +270,8 @@
 	steps := []stepSpec{}
 	for _, step := range job.Steps {
 		steps = append(steps, stepSpec{
-			step.CPU, step.MemMb, time.Duration(step.EstimatedMs * float64(time.Millisecond)), step.Perpetual, job.Spec == "fail", job.Spec == "crash",
+			cpu: step.CPU, mem: step.MemMb, duration: time.Duration(step.EstimatedMs * float64(time.Millisecond)), isLongRunning: step.Perpetual,
+			tasks: step.Count, dependsOn: step.DependsOn, fails: job.Spec == "fail", crashes: job.Spec == "crash",
 		})
 	}
 	s.mu.Lock()
--- a/internal/standin/site/store.go
+++ b/internal/standin/site/store.go
@@ -64,14 +64,17 @@
 	answersToLose int
 	changed       chan struct{}
 	closed        chan struct{}
+	// disturbed is called at each change of how the store responds.
+	disturbed func()
 }
 
 func newStore() *Store {
-	return &Store{topics: map[string]*storeTopic{}, mode: StoreUp, changed: make(chan struct{}), closed: make(chan struct{})}
+	return &Store{topics: map[string]*storeTopic{}, mode: StoreUp, disturbed: func() {}, changed: make(chan struct{}), closed: make(chan struct{})}
 }
 
 // SetMode sets how the store responds to requests from now on.
 func (s *Store) SetMode(m StoreMode) {
+	s.disturbed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mode = m
@@ -79,6 +82,7 @@
 
 // LoseAnswers makes the next n appends take effect without an answer: their connections are aborted.
 func (s *Store) LoseAnswers(n int) {
+	s.disturbed()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.answersToLose = n
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -81,6 +81,7 @@
 
 // DropStartAnswers makes the worker execute the next n start orders without answering them.
 func (w *Worker) DropStartAnswers(n int) {
+	w.site.RecordDisturbance()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.unansweredStarts = n
@@ -93,6 +94,7 @@
 // longRunningFailDelay after its start. Tasks that already run are not affected; FailLongRunning ends
 // them. While it is set, the worker is not among those that accept tasks in the stand-in's snapshot.
 func (w *Worker) SetFailsLongRunning(fails bool) {
+	w.site.RecordDisturbance()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.failsLongRunning = fails
@@ -111,6 +113,7 @@
 
 // DelayStarts makes the next n start orders to the worker's machine execute d later, without an answer.
 func (w *Worker) DelayStarts(n int, d time.Duration) {
+	w.site.RecordDisturbance()
 	w.machine.mu.Lock()
 	defer w.machine.mu.Unlock()
 	w.machine.delayedStarts, w.machine.startDelay = n, d
@@ -160,6 +163,7 @@
 
 // Drain makes the worker report that it is leaving, at once and in each later heartbeat.
 func (w *Worker) Drain() {
+	w.site.RecordDisturbance()
 	w.mu.Lock()
 	w.isLeaving = true
 	w.mu.Unlock()
@@ -216,6 +220,7 @@
 
 // terminate marks the worker as dead and drops all its runs. Callers must hold the lock.
 func (w *Worker) terminate() {
+	w.site.RecordDisturbance()
 	w.isDead = true
 	for task, r := range w.running {
 		r.timer.Stop()
