internal/integration: run the nodes under the race detector too

Change: the nodes are built with -race when the tests are. A report in the log of a node fails its test.

--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -42,7 +42,7 @@
 
 func TestMain(m *testing.M) { os.Exit(runMain(m)) }
 
-// runMain builds the node's binary once for all tests, and runs them.
+// runMain builds the node's binary once for all tests, under the race detector if the tests are, and runs them.
 func runMain(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "leverdyke-")
 	if err != nil {
@@ -50,7 +50,11 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	nodeBinary = filepath.Join(dir, "leverdyked")
-	if out, err := exec.Command("go", "build", "-o", nodeBinary, "../../cmd/leverdyked").CombinedOutput(); err != nil {
+	args := []string{"build", "-o", nodeBinary}
+	if isRaceEnabled {
+		args = append(args, "-race")
+	}
+	if out, err := exec.Command("go", append(args, "../../cmd/leverdyked")...).CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("%v: %s", err, out))
 	}
 	return m.Run()
@@ -141,6 +145,9 @@
 
 func (c *cluster) close() {
 	c.Close()
+	for i, n := range c.Nodes {
+		checkRaces(c.t, fmt.Sprintf("node %d", i), n.Log())
+	}
 	c.saveLogs()
 	if c.logProxy != nil {
 		c.logProxy.Stop()
@@ -153,6 +160,14 @@
 	}
 }
 
+// checkRaces fails the test if the race detector has reported anything in a node's log.
+func checkRaces(t *testing.T, node, log string) {
+	t.Helper()
+	if _, report, ok := strings.Cut(log, "WARNING: DATA RACE"); ok {
+		t.Errorf("%s: got: a data race, want: none:%s", node, report[:min(len(report), 4000)])
+	}
+}
+
 // saveLogs copies the nodes' logs to the directory that LEVERDYKE_LOGS names, because the test's
 // temporary directory is removed at its end.
 func (c *cluster) saveLogs() {
--- a/internal/integration/site_test.go
+++ b/internal/integration/site_test.go
@@ -72,6 +72,9 @@
 	for _, b := range c.Violations() {
 		c.t.Error(b)
 	}
+	for _, n := range c.nodes {
+		checkRaces(c.t, n.Name, n.Log())
+	}
 	if dir := os.Getenv("LEVERDYKE_LOGS"); dir != "" && c.t.Failed() {
 		for _, n := range c.nodes {
 			_ = os.WriteFile(filepath.Join(dir, strings.ReplaceAll(c.t.Name(), "/", "-")+"-"+n.Name+".log"), []byte(n.Log()), 0o600)
