internal/standin/site: measure customers' jobs too

Change: a task has no room while the limit of its customer does not admit it. The look at the jobs holds the oracle's lock for that.

--- a/internal/standin/site/progress.go
+++ b/internal/standin/site/progress.go
@@ -290,13 +290,7 @@
 	s.mu.Lock()
 	steps := s.steps[job]
 	s.mu.Unlock()
-	s.oracle.mu.Lock()
-	isCustomers := s.oracle.customerOfJob[job] != ""
-	s.oracle.mu.Unlock()
-	// A customer's limit may hold its jobs back.
-	if !isCustomers {
-		s.oracle.progress.accept(job, steps, time.Now())
-	}
+	s.oracle.progress.accept(job, steps, time.Now())
 }
 
 // RecordDisturbance records a disturbance that the stand-in does not cause itself.
@@ -317,14 +311,32 @@
 		case <-s.stop:
 			return
 		case now := <-t.C:
-			workers := s.Snapshot()
-			for _, v := range s.oracle.progress.observe(now, func(step string, spec *stepSpec) bool { return s.hasRoom(workers, step, spec) }) {
-				s.oracle.addViolation(v)
-			}
+			s.observeProgress(now)
 		}
 	}
 }
 
+func (s *Site) observeProgress(now time.Time) {
+	workers := s.Snapshot()
+	o := s.oracle
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.violations = append(o.violations, o.progress.observe(now, func(step string, spec *stepSpec) bool {
+		return o.isWithinLimit(step, spec) && s.hasRoom(workers, step, spec)
+	})...)
+}
+
+// isWithinLimit reports whether the customer's limit admits one more task of a step. Callers must hold the lock.
+func (o *Oracle) isWithinLimit(step string, spec *stepSpec) bool {
+	job, _, _ := strings.Cut(step, ".")
+	name := o.customerOfJob[job]
+	if name == "" {
+		return true
+	}
+	limit, ok := o.limits[name]
+	return ok && (limit == 0 || o.used[name]+spec.cpu <= limit)
+}
+
 // hasRoom reports whether one of the workers accepts a task of a step.
 func (s *Site) hasRoom(workers []WorkerState, step string, spec *stepSpec) bool {
 	for i := range workers {
