--- a/internal/standin/site/node.go
+++ b/internal/standin/site/node.go
@@ -35,6 +35,7 @@
 	ClockShift  time.Duration
 	log         string
 	hasOwnGroup bool
+	environment []string
 	// disturbed is called at each start and end of the process, and when it is signalled.
 	disturbed func()
 	process   *exec.Cmd
@@ -118,7 +119,7 @@
 	n := &Node{
 		Name: "node-" + strconv.Itoa(number), Callers: fmt.Sprintf("%s:%d", ip, callersPort), ready: fmt.Sprintf("%s:%d", ip, readyPort),
 		binary: binary, file: filepath.Join(dir, fmt.Sprintf("node-%d.yaml", number)), log: filepath.Join(dir, fmt.Sprintf("node-%d.log", number)),
-		client: &http.Client{Timeout: 5 * time.Second}, hasOwnGroup: s.options.HasOwnGroup, disturbed: s.RecordDisturbance,
+		client: &http.Client{Timeout: 5 * time.Second}, hasOwnGroup: s.options.HasOwnGroup, environment: s.options.Environment, disturbed: s.RecordDisturbance,
 	}
 	storeAddr, err := s.via(n.Name+"-store", s.StoreAddr)
 	if err != nil {
@@ -144,6 +145,7 @@
 	defer func() { _ = out.Close() }()
 	n.process = exec.Command(n.binary, "platform", "--settings", n.file, "--advertise", n.advertised, "--clock-shift", n.ClockShift.String())
 	n.process.Stdout, n.process.Stderr = out, out
+	n.process.Env = append(os.Environ(), n.environment...)
 	n.process.SysProcAttr = &syscall.SysProcAttr{Setpgid: n.hasOwnGroup}
 	if err := n.process.Start(); err != nil {
 		return fmt.Errorf("site: %w", err)
@@ -200,9 +202,12 @@
 	if sig != syscall.SIGHUP {
 		n.disturbed()
 	}
-	return n.process.Process.Signal(sig)
+	return n.SignalUncounted(sig)
 }
 
+// SignalUncounted sends a signal to the process that does not count as a disturbance.
+func (n *Node) SignalUncounted(sig syscall.Signal) error { return n.process.Process.Signal(sig) }
+
 // Done returns a channel that is closed when the process has ended.
 func (n *Node) Done() <-chan struct{} { return n.done }
 
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -50,6 +50,8 @@
 	// HasOwnGroup starts each node in a process group of its own, so that signals from the terminal do not
 	// reach it. The process that started the nodes must end them.
 	HasOwnGroup bool
+	// Environment is added to the environment of the nodes, as NAME=VALUE.
+	Environment []string
 	// Via returns the address at which nodes reach the service, worker or node that listens at addr, such
 	// as a proxy's address; nil means addr itself.
 	Via func(name, addr string) (string, error)
