internal/owner, internal/dispatch: hand on the leases of workers just lost when the owner hands over

Cause: an owner names a worker that does not answer in its records only after 2 s of silence, or 0.5 s where it has left the list. One that hands over earlier, because it is stopped or too slow, wrote no further record, and the next owner let the worker's lease begin anew: its tasks waited up to 2 s + 6.54 s after the crash, over the 7 s that LOST allows.

Change: an owner that hands over names each worker whose last long poll had no answer, and ends once a record that says so is stored, or after the 500 ms as before. It asks for a record only if the names have changed.

--- a/internal/dispatch/silent.go
+++ b/internal/dispatch/silent.go
@@ -120,6 +120,10 @@
 	if isInherited && !isHeard {
 		return true
 	}
+	if e.isPaused && isOnlyOwner && isHeard && w.session.HasMissed() {
+		// No later record of this owner can say so.
+		return true
+	}
 	since := w.addedAt
 	if isHeard {
 		since = w.session.LastHeardAt()
--- a/internal/owner/events.go
+++ b/internal/owner/events.go
@@ -207,16 +207,21 @@
 	o.engine.SetPaused(true)
 	o.refuseAllHeld(errHandingOver())
 	o.handOverDone, o.handOverStartedAt = ev.done, o.now
+	o.handOverSilentVersion = o.updateSilent()
+	if o.handOverSilentVersion > o.persistedSilentVersion {
+		o.requestRecord()
+	}
 }
 
-// finishHandOver ends the owner once all start orders are answered and all accepted jobs and
-// cancellations are persisted, or handOverTimeout has passed. Workers report ends that are not
+// finishHandOver ends the owner once all start orders are answered and all accepted jobs,
+// cancellations and silent workers are persisted, or handOverTimeout has passed. Workers report ends that are not
 // persisted again to the next owner.
 func (o *Owner) finishHandOver() {
 	if o.handOverDone == nil {
 		return
 	}
-	isSettled := o.pendingStarts == 0 && !o.engine.HasReadyStarts() && o.inFlight == nil && len(o.pendingSubmits) == 0 && len(o.pendingCancels) == 0
+	isSettled := o.pendingStarts == 0 && !o.engine.HasReadyStarts() && o.inFlight == nil && len(o.pendingSubmits) == 0 && len(o.pendingCancels) == 0 &&
+		o.persistedSilentVersion >= o.handOverSilentVersion
 	if !isSettled && o.now.Sub(o.handOverStartedAt) < handOverTimeout {
 		return
 	}
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -129,9 +129,12 @@
 	totalsLoggedAt time.Time
 	sampledAt      time.Time
 	// handOverDone gets the outcome of a hand-over; nil while there is none.
-	handOverDone      chan bool
-	handOverStartedAt time.Time
-	isWriteBehind     bool
+	handOverDone chan bool
+	// handOverSilentVersion is the version of the silent workers that the store must have before a hand-over
+	// ends, persistedSilentVersion the one that it has.
+	handOverSilentVersion, persistedSilentVersion uint64
+	handOverStartedAt                             time.Time
+	isWriteBehind                                 bool
 	// candidates are the processes that can be witnesses.
 	candidates []string
 	// survey has what the witnesses of the previous owner have said; nil when it does not matter.
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -536,6 +536,7 @@
 func (ev heartbeatEvent) apply(o *Owner) {
 	o.confirmedAt = ev.sentAt
 	o.engine.SilentWorkersPersisted(ev.silentVersion)
+	o.persistedSilentVersion = ev.silentVersion
 	o.answerUnknownJobs()
 	if o.inFlight == nil {
 		o.isStoreDown = false
--- a/internal/owner/silent.go
+++ b/internal/owner/silent.go
@@ -30,12 +30,13 @@
 	return s.oldestSent
 }
 
-// updateSilent passes what the engine knows of silent workers on to the next record.
-func (o *Owner) updateSilent() {
+// updateSilent passes what the engine knows of silent workers on to the next record, and returns its version.
+func (o *Owner) updateSilent() uint64 {
 	bounds, version := o.engine.UpdateSilentWorkers(!o.mayPreviousAct.Load())
 	o.mu.Lock()
 	o.silent.bounds, o.silent.version = bounds, version
 	o.mu.Unlock()
+	return version
 }
 
 // requestSilentUpdate has the next record written at once if a worker has answered that the last one
@@ -45,6 +46,11 @@
 		return
 	}
 	o.updateSilent()
+	o.requestRecord()
+}
+
+// requestRecord has the next record written at once.
+func (o *Owner) requestRecord() {
 	select {
 	case o.recordNeeded <- struct{}{}:
 	default:
