--- a/internal/standin/site/node.go
+++ b/internal/standin/site/node.go
@@ -35,9 +35,12 @@
 	ClockShift  time.Duration
 	log         string
 	hasOwnGroup bool
-	process     *exec.Cmd
-	done        chan struct{}
-	client      *http.Client
+	environment []string
+	// disturbed is called at each start and end of the process, and when it is signalled.
+	disturbed func()
+	process   *exec.Cmd
+	done      chan struct{}
+	client    *http.Client
 }
 
 // settingsText is the template of a settings file as the platform writes it. unknownField checks that nodes ignore
@@ -116,7 +119,7 @@
 	n := &Node{
 		Name: "node-" + strconv.Itoa(number), Callers: fmt.Sprintf("%s:%d", ip, callersPort), ready: fmt.Sprintf("%s:%d", ip, readyPort),
 		binary: binary, file: filepath.Join(dir, fmt.Sprintf("node-%d.yaml", number)), log: filepath.Join(dir, fmt.Sprintf("node-%d.log", number)),
-		client: &http.Client{Timeout: 5 * time.Second}, hasOwnGroup: s.options.HasOwnGroup,
+		client: &http.Client{Timeout: 5 * time.Second}, hasOwnGroup: s.options.HasOwnGroup, environment: s.options.Environment, disturbed: s.RecordDisturbance,
 	}
 	storeAddr, err := s.via(n.Name+"-store", s.StoreAddr)
 	if err != nil {
@@ -134,6 +137,7 @@
 
 // Start starts the process. Its output is appended to the log file of earlier starts.
 func (n *Node) Start() error {
+	n.disturbed()
 	out, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("site: %w", err)
@@ -141,6 +145,7 @@
 	defer func() { _ = out.Close() }()
 	n.process = exec.Command(n.binary, "platform", "--settings", n.file, "--advertise", n.advertised, "--clock-shift", n.ClockShift.String())
 	n.process.Stdout, n.process.Stderr = out, out
+	n.process.Env = append(os.Environ(), n.environment...)
 	n.process.SysProcAttr = &syscall.SysProcAttr{Setpgid: n.hasOwnGroup}
 	if err := n.process.Start(); err != nil {
 		return fmt.Errorf("site: %w", err)
@@ -152,10 +157,11 @@
 }
 
 // run waits until the process has ended, and closes done.
-func (*Node) run(p *exec.Cmd, done chan struct{}) {
+func (n *Node) run(p *exec.Cmd, done chan struct{}) {
 	defer close(done)
 	defer processes.Delete(p)
 	_ = p.Wait()
+	n.disturbed()
 }
 
 // processes has the running processes of all nodes, as *exec.Cmd keys.
@@ -191,7 +197,16 @@
 func (n *Node) PID() int { return n.process.Process.Pid }
 
 // Signal sends a signal to the process.
-func (n *Node) Signal(sig syscall.Signal) error { return n.process.Process.Signal(sig) }
+func (n *Node) Signal(sig syscall.Signal) error {
+	// The rules do not count a SIGHUP as a disturbance.
+	if sig != syscall.SIGHUP {
+		n.disturbed()
+	}
+	return n.SignalUncounted(sig)
+}
+
+// SignalUncounted sends a signal to the process that does not count as a disturbance.
+func (n *Node) SignalUncounted(sig syscall.Signal) error { return n.process.Process.Signal(sig) }
 
 // Done returns a channel that is closed when the process has ended.
 func (n *Node) Done() <-chan struct{} { return n.done }
