internal/owner: name witnesses as soon as as many nodes have linked as are named

A new owner waits for up to a second (witnessLinkTime) for the other nodes, so that its first record with witnesses does not name just the few that linked first. It compared the number of candidates, which is always odd, with the number of nodes that it expects, which may be even. With 4, 6, 8 or 10 nodes the wait therefore always took the whole second, in which the owner repeats its predecessor's witnesses or sets no flag.

witness.CountOf tells how many witnesses a number of processes gives. The candidates and the expectation are both counted by it. As before, no record names fewer witnesses than that while the others may link.

With 1 and 2 nodes nobody may be left to link but the previous owner's node: the owner names it if it links within a second, and goes without witnesses after that, as before. With 3 nodes one link suffices, as before.

--- a/internal/cluster/witnesses.go
+++ b/internal/cluster/witnesses.go
@@ -21,9 +21,8 @@
 // witnesses are the followers that consent to the owner's write-behind.
 type witnesses struct{ n *Node }
 
-// Candidates returns the incarnations of followers that can be witnesses, an odd number: one more would raise the number of
-// those that have to consent, and not that of those that may be lost. There are as many of each availability zone as possible,
-// so that the loss of one zone leaves most of them.
+// Candidates returns the incarnations of followers to name as witnesses, as many as witness.CountOf tells. There are as many of
+// each availability zone as possible, so that the loss of one zone leaves most of them.
 func (w *witnesses) Candidates() []string {
 	usable := slices.DeleteFunc(w.n.peers.all(), func(p peer) bool { return !p.isWitness || p.isLeaving })
 	type candidate struct {
@@ -41,12 +40,8 @@
 	slices.SortStableFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.zone, b.zone))
 	})
-	count := min(len(candidates), witness.MaxWitnesses)
-	if count > 0 && count%2 == 0 {
-		count--
-	}
 	out := []string{}
-	for _, c := range candidates[:count] {
+	for _, c := range candidates[:witness.CountOf(len(candidates))] {
 		out = append(out, c.incarnation)
 	}
 	return out
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -46,7 +46,8 @@
 
 // Witnesses are the processes that consent to write-behind. Implementations are safe for concurrent use.
 type Witnesses interface {
-	// Candidates returns the processes that can be witnesses now, at most witness.MaxWitnesses. It is not nil.
+	// Candidates returns the processes to name as witnesses now: as many as witness.CountOf tells of those that can be. It is
+	// not nil.
 	Candidates() []string
 	// Request asks processes to consent to write-behind in an epoch, without waiting, and calls given for each one that
 	// does.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -132,7 +132,7 @@
 	handOverDone      chan bool
 	handOverStartedAt time.Time
 	isWriteBehind     bool
-	// candidates are the processes that can be witnesses.
+	// candidates are the processes to name as witnesses.
 	candidates []string
 	// survey has what the witnesses of the previous owner have said; nil when it does not matter.
 	survey *witness.Survey
--- a/internal/owner/witnesses.go
+++ b/internal/owner/witnesses.go
@@ -8,7 +8,7 @@
 	"github.com/leverdyke/leverdyke/internal/witness"
 )
 
-// updateWitnesses finds out which processes can be witnesses now.
+// updateWitnesses finds out which processes to name as witnesses now.
 func (o *Owner) updateWitnesses() {
 	if o.options.Witnesses != nil {
 		o.candidates = o.options.Witnesses.Candidates()
@@ -23,7 +23,7 @@
 	}
 	// All nodes that the previous owner knew, but that one and this one.
 	expected := max(o.options.Claim.Record.KnownNodes-2, 1)
-	return len(o.candidates) < min(expected, witness.MaxWitnesses)
+	return len(o.candidates) < witness.CountOf(expected)
 }
 
 // nextWitnesses returns the processes to name as witnesses, nil if the last ones stay.
--- a/internal/witness/quorum.go
+++ b/internal/witness/quorum.go
@@ -15,6 +15,16 @@
 // MaxWitnesses bounds the witnesses of an owner, which each of its records names.
 const MaxWitnesses = 9
 
+// CountOf returns how many of a number of processes are named as witnesses: an odd number, as one more would raise the number
+// of those that have to consent, and not that of those that may be lost.
+func CountOf(processes int) int {
+	count := min(processes, MaxWitnesses)
+	if count > 0 && count%2 == 0 {
+		count--
+	}
+	return count
+}
+
 // Quorum names the witnesses of an owner. The zero value has none.
 type Quorum struct {
 	_msgpack struct{} `msgpack:",as_array"`
