internal/witness, internal/owner, internal/cluster: one name for each step of a consent

Request, Withdraw and consent named different things in owner.Witnesses, writeBehindGate, witness.Consent, witness.Ledger and cluster.Node. Each gets one name that tells what it is. Names on the wire, log keys and metrics stay. No change of behaviour.

What an owner keeps of its request: - witness.Consent -> witness.Consents (file consents.go) - Consent.Request -> Consents.BeginRequest - Consent.Given -> Consents.RecordGiven - Consent.Withdraw -> Consents.EndRequest - Consent.IsGiven -> Consents.AreGivenByMost - writeBehindGate.consent -> consents - writeBehindGate.requestConsent -> beginConsentRequest - writeBehindGate.withdrawConsent -> endConsentRequest - writeBehindGate.asked -> neededQuorums - writeBehindGate.nextQuorum -> nextWitnesses - writeBehindGate.updateQuorum -> updateNextWitnesses

What an owner sends: - owner.Witnesses.Request -> SendConsentRequests - owner.Witnesses.Withdraw -> SendConsentWithdrawal - Owner.requestConsent -> sendConsentRequests - Owner.withdrawConsent -> withdrawUnneededConsent - Owner.repeatWithdrawal -> repeatConsentWithdrawal - consentEvent -> consentGivenEvent - cluster: witnesses.runRequest -> runConsentRequest

What a witness does: - Ledger.Consent -> GiveConsent - Ledger.Withdraw -> WithdrawConsent - cluster: Node.consent -> giveConsent - cluster: Node.withdraw -> withdrawConsent - cluster: Node.handleConsent -> handleConsentRequest - cluster: Node.handleWithdraw -> handleConsentWithdrawal

--- a/internal/cluster/serve.go
+++ b/internal/cluster/serve.go
@@ -33,7 +33,7 @@
 	case kindProbe:
 		return n.handleProbe(from)
 	case kindConsent:
-		return n.handleConsent(body)
+		return n.handleConsentRequest(body)
 	case kindConfig:
 		return n.activeConfig(), nil
 	case kindPermission:
@@ -216,7 +216,7 @@
 	case kindTestimony:
 		n.handleTestimony(from, body)
 	case kindWithdraw:
-		n.handleWithdraw(body)
+		n.handleConsentWithdrawal(body)
 	case kindDelegatedOrders:
 		n.handleDelegatedOrders(from, body)
 	case kindOutcomes:
--- a/internal/cluster/witnesses.go
+++ b/internal/cluster/witnesses.go
@@ -47,20 +47,20 @@
 	return out
 }
 
-// Request asks followers to consent, and this process itself if it is a witness of the previous owner.
-func (w *witnesses) Request(processes []string, epoch, round uint64, given func(process string)) {
+// SendConsentRequests asks followers to consent, and this process itself if it is a witness of the previous owner.
+func (w *witnesses) SendConsentRequests(processes []string, epoch, round uint64, given func(process string)) {
 	for _, p := range w.n.peers.all() {
 		if slices.Contains(processes, p.hello.Incarnation) {
-			go w.runRequest(p, consentRequest{epoch, round}, given)
+			go w.runConsentRequest(p, consentRequest{epoch, round}, given)
 		}
 	}
-	if own := w.n.options.Incarnation; slices.Contains(processes, own) && w.n.consent(epoch, round) {
+	if own := w.n.options.Incarnation; slices.Contains(processes, own) && w.n.giveConsent(epoch, round) {
 		given(own)
 	}
 }
 
-// runRequest asks one follower to consent.
-func (w *witnesses) runRequest(p peer, r consentRequest, given func(process string)) {
+// runConsentRequest asks one follower to consent.
+func (w *witnesses) runConsentRequest(p peer, r consentRequest, given func(process string)) {
 	ctx, cancel := context.WithTimeout(w.n.ctx, consentTimeout)
 	defer cancel()
 	reply := &consentReply{}
@@ -69,12 +69,12 @@
 	}
 }
 
-// Withdraw tells the followers and this process that their consent is not needed any more.
-func (w *witnesses) Withdraw(epoch, round uint64) {
+// SendConsentWithdrawal tells the followers and this process that their consent is not needed any more.
+func (w *witnesses) SendConsentWithdrawal(epoch, round uint64) {
 	for _, p := range w.n.peers.all() {
 		p.conn.Notify(kindWithdraw, consentRequest{epoch, round})
 	}
-	w.n.withdraw(epoch, round)
+	w.n.withdrawConsent(epoch, round)
 }
 
 // testify makes this process refuse its consent to all owners before an epoch, and returns the highest epoch to which it has
@@ -85,34 +85,34 @@
 	return n.witness.Testify(epoch)
 }
 
-// handleConsent handles the request of an owner to consent to write-behind.
-func (n *Node) handleConsent(body []byte) (any, error) {
+// handleConsentRequest handles the request of an owner to consent to write-behind.
+func (n *Node) handleConsentRequest(body []byte) (any, error) {
 	r := consentRequest{}
 	if err := codec.Unmarshal(body, &r); err != nil {
 		return nil, err
 	}
-	return consentReply{n.consent(r.Epoch, r.Round)}, nil
+	return consentReply{n.giveConsent(r.Epoch, r.Round)}, nil
 }
 
-// consent reports whether this process consents to the write-behind of an owner.
-func (n *Node) consent(epoch, round uint64) bool {
+// giveConsent reports whether this process consents to the write-behind of an owner.
+func (n *Node) giveConsent(epoch, round uint64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.witness.Consent(epoch, round)
+	return n.witness.GiveConsent(epoch, round)
 }
 
-// handleWithdraw handles the message of an owner that it does not need the consent any more.
-func (n *Node) handleWithdraw(body []byte) {
+// handleConsentWithdrawal handles the message of an owner that it does not need the consent any more.
+func (n *Node) handleConsentWithdrawal(body []byte) {
 	r := consentRequest{}
 	if codec.Unmarshal(body, &r) == nil {
-		n.withdraw(r.Epoch, r.Round)
+		n.withdrawConsent(r.Epoch, r.Round)
 	}
 }
 
-func (n *Node) withdraw(epoch, round uint64) {
+func (n *Node) withdrawConsent(epoch, round uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.witness.Withdraw(epoch, round)
+	n.witness.WithdrawConsent(epoch, round)
 }
 
 // handleTestimony handles what a follower says as a witness.
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -62,20 +62,20 @@
 
 // RequestConsent returns the processes to ask for their consent.
 func (a *WriteBehindGate) RequestConsent(now time.Time) []string {
-	asked, _ := a.g.requestConsent(now, true)
+	asked, _ := a.g.beginConsentRequest(now, true)
 	return asked
 }
 
 // Consent records that processes consent.
 func (a *WriteBehindGate) Consent(processes ...string) {
 	for _, p := range processes {
-		a.g.consent.Given(p, a.g.consent.Round())
+		a.g.consents.RecordGiven(p, a.g.consents.Round())
 	}
 }
 
 // WithdrawConsent reports whether the consent is not needed any more.
 func (a *WriteBehindGate) WithdrawConsent(now time.Time, hasUnpersisted bool) bool {
-	_, isWithdrawn := a.g.withdrawConsent(now, hasUnpersisted)
+	_, isWithdrawn := a.g.endConsentRequest(now, hasUnpersisted)
 	return isWithdrawn
 }
 
@@ -97,9 +97,9 @@
 	}
 	a.g.update(now, hasUnpersisted, allResponding, candidates)
 	d := GateDecision{IsWriteBehind: a.g.mayWriteBehind(now)}
-	d.Asked, d.Round = a.g.requestConsent(now, true)
+	d.Asked, d.Round = a.g.beginConsentRequest(now, true)
 	if !d.IsWriteBehind {
-		d.WithdrawnRound, d.IsWithdrawn = a.g.withdrawConsent(now, hasUnpersisted)
+		d.WithdrawnRound, d.IsWithdrawn = a.g.endConsentRequest(now, hasUnpersisted)
 	}
 	return d
 }
@@ -113,7 +113,9 @@
 }
 
 // Given records that a process consents to the request of a round.
-func (a *WriteBehindGate) Given(process string, round uint64) { a.g.consent.Given(process, round) }
+func (a *WriteBehindGate) Given(process string, round uint64) {
+	a.g.consents.RecordGiven(process, round)
+}
 
 // NextFlag returns the flag of a record that is written now.
 func (a *WriteBehindGate) NextFlag() bool {
--- a/internal/owner/options.go
+++ b/internal/owner/options.go
@@ -49,11 +49,11 @@
 	// Candidates returns the processes to name as witnesses now: as many as witness.CountOf tells of those that can be. It is
 	// not nil.
 	Candidates() []string
-	// Request asks processes to consent to write-behind in an epoch, without waiting, and calls given for each one that
-	// does.
-	Request(processes []string, epoch, round uint64, given func(process string))
-	// Withdraw tells all processes that the consent of a round is not needed any more.
-	Withdraw(epoch, round uint64)
+	// SendConsentRequests asks processes to consent to write-behind in an epoch, without waiting, and calls given for each
+	// one that does.
+	SendConsentRequests(processes []string, epoch, round uint64, given func(process string))
+	// SendConsentWithdrawal tells all processes that the consent of a round is not needed any more.
+	SendConsentWithdrawal(epoch, round uint64)
 }
 
 // Metrics receives the measurements of an owner. Implementations are safe for concurrent use.
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -357,9 +357,9 @@
 		}
 	}
 	isWriteBehind := o.writeBehind.mayWriteBehind(o.now)
-	asked, round := o.writeBehind.requestConsent(o.now, o.isStoreDown || o.inFlight != nil)
+	asked, round := o.writeBehind.beginConsentRequest(o.now, o.isStoreDown || o.inFlight != nil)
 	o.mu.Unlock()
-	o.requestConsent(asked, round)
+	o.sendConsentRequests(asked, round)
 	if isWriteBehind != o.isWriteBehind {
 		o.isWriteBehind = isWriteBehind
 		o.options.Log(events.WriteBehindChanged, "epoch", o.Epoch(), "ahead", isWriteBehind, "confirmed", o.now.Sub(o.confirmedAt), "out", o.isStoreDown)
@@ -367,7 +367,7 @@
 	o.mayHaveUnpersisted.Store(isWriteBehind || hasUnpersisted)
 	o.isInheritanceKnown.Store(o.engine.IsInheritanceKnown())
 	o.engine.SetWriteBehind(isWriteBehind)
-	o.withdrawConsent(hasUnpersisted)
+	o.withdrawUnneededConsent(hasUnpersisted)
 }
 
 // MayHaveUnpersisted reports whether tasks may run on placements that are not in the store.
--- a/internal/owner/witness_count_test.go
+++ b/internal/owner/witness_count_test.go
@@ -27,9 +27,9 @@
 	return append([]string{}, n.names[:witness.CountOf(len(n.names))]...)
 }
 
-func (*linkedNodes) Request([]string, uint64, uint64, func(string)) {}
+func (*linkedNodes) SendConsentRequests([]string, uint64, uint64, func(string)) {}
 
-func (*linkedNodes) Withdraw(uint64, uint64) {}
+func (*linkedNodes) SendConsentWithdrawal(uint64, uint64) {}
 
 // link links nodes to an owner until there are count.
 func (n *linkedNodes) link(o *owner.Owner, count int) {
--- a/internal/owner/witnesses.go
+++ b/internal/owner/witnesses.go
@@ -34,50 +34,50 @@
 	return o.candidates
 }
 
-// requestConsent asks processes to consent to write-behind.
-func (o *Owner) requestConsent(processes []string, round uint64) {
+// sendConsentRequests asks processes to consent to write-behind.
+func (o *Owner) sendConsentRequests(processes []string, round uint64) {
 	if len(processes) == 0 || o.options.Witnesses == nil {
 		return
 	}
 	o.options.Log(events.ConsentRequested, "epoch", o.Epoch(), "round", round, "witnesses", len(processes))
-	o.options.Witnesses.Request(processes, o.Epoch(), round, func(process string) { o.inbox.TryPut(consentEvent{process, round}) })
+	o.options.Witnesses.SendConsentRequests(processes, o.Epoch(), round, func(process string) { o.inbox.TryPut(consentGivenEvent{process, round}) })
 }
 
-// withdrawConsent tells the witnesses that their consent is not needed, once it is not. It is called when no task may be
+// withdrawUnneededConsent tells the witnesses that their consent is not needed, once it is not. It is called when no task may be
 // started ahead of the store any more.
-func (o *Owner) withdrawConsent(hasUnpersisted bool) {
+func (o *Owner) withdrawUnneededConsent(hasUnpersisted bool) {
 	if o.options.Witnesses == nil || o.isWriteBehind {
 		return
 	}
 	o.mu.Lock()
-	round, isWithdrawn := o.writeBehind.withdrawConsent(o.now, hasUnpersisted)
+	round, isWithdrawn := o.writeBehind.endConsentRequest(o.now, hasUnpersisted)
 	o.mu.Unlock()
 	if isWithdrawn {
-		o.options.Witnesses.Withdraw(o.Epoch(), round)
+		o.options.Witnesses.SendConsentWithdrawal(o.Epoch(), round)
 	}
 }
 
-// repeatWithdrawal tells the witnesses again that their consent is not needed: the first message may have been lost with a
+// repeatConsentWithdrawal tells the witnesses again that their consent is not needed: the first message may have been lost with a
 // link.
-func (o *Owner) repeatWithdrawal() {
+func (o *Owner) repeatConsentWithdrawal() {
 	o.mu.Lock()
-	round, isRequested := o.writeBehind.consent.Round(), o.writeBehind.consent.IsRequested()
+	round, isRequested := o.writeBehind.consents.Round(), o.writeBehind.consents.IsRequested()
 	o.mu.Unlock()
 	if !isRequested && o.options.Witnesses != nil {
-		o.options.Witnesses.Withdraw(o.Epoch(), round)
+		o.options.Witnesses.SendConsentWithdrawal(o.Epoch(), round)
 	}
 }
 
-// consentEvent reports that a witness consents to write-behind.
-type consentEvent struct {
+// consentGivenEvent reports that a witness consents to write-behind.
+type consentGivenEvent struct {
 	process string
 	round   uint64
 }
 
-func (ev consentEvent) apply(o *Owner) {
+func (ev consentGivenEvent) apply(o *Owner) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.writeBehind.consent.Given(ev.process, ev.round)
+	o.writeBehind.consents.RecordGiven(ev.process, ev.round)
 }
 
 // Testimony is what a process says as a witness once it knows of the owner of an epoch.
@@ -100,7 +100,7 @@
 		return
 	}
 	if ev.ConsentedEpoch == o.Epoch() {
-		o.repeatWithdrawal()
+		o.repeatConsentWithdrawal()
 	}
 	o.updateWitnesses()
 	if o.survey == nil {
--- a/internal/owner/witnesses_model_test.go
+++ b/internal/owner/witnesses_model_test.go
@@ -238,7 +238,7 @@
 	for _, w := range decision.Asked {
 		if slices.Contains(o.links, w) {
 			m.send(func() {
-				if !m.hasEnded[w] && m.ledgers[w].Consent(o.epoch, decision.Round) {
+				if !m.hasEnded[w] && m.ledgers[w].GiveConsent(o.epoch, decision.Round) {
 					m.send(func() { o.gate.Given(w, decision.Round) })
 				}
 			})
@@ -248,7 +248,7 @@
 		for _, w := range o.links {
 			m.send(func() {
 				if !m.hasEnded[w] {
-					m.ledgers[w].Withdraw(o.epoch, decision.WithdrawnRound)
+					m.ledgers[w].WithdrawConsent(o.epoch, decision.WithdrawnRound)
 				}
 			})
 		}
--- a/internal/owner/write_behind.go
+++ b/internal/owner/write_behind.go
@@ -40,12 +40,12 @@
 	// isFlagged means that the newest record in the store carries the flag and that no record
 	// without it is in flight.
 	isFlagged bool
-	// nextQuorum has the witnesses that the next record names. Those of the previous owner may also witness for this
+	// nextWitnesses has the witnesses that the next record names. Those of the previous owner may also witness for this
 	// one: the next owner asks them whether they have consented to either.
-	nextQuorum witness.Quorum
+	nextWitnesses witness.Quorum
 	// maybeNewest has the witnesses of all records that are, or may become, the newest one.
 	maybeNewest []witness.Quorum
-	consent     witness.Consent
+	consents    witness.Consents
 	// nextRequest is when witnesses that have not answered are asked again.
 	nextRequest time.Time
 }
@@ -53,7 +53,7 @@
 // newWriteBehindGate starts from the record of a claim.
 func newWriteBehindGate(r *Record) writeBehindGate {
 	return writeBehindGate{
-		epoch: r.Epoch, wantsFlag: r.MayHaveUnpersisted, isFlagged: r.MayHaveUnpersisted, nextQuorum: r.Witnesses, maybeNewest: []witness.Quorum{r.Witnesses},
+		epoch: r.Epoch, wantsFlag: r.MayHaveUnpersisted, isFlagged: r.MayHaveUnpersisted, nextWitnesses: r.Witnesses, maybeNewest: []witness.Quorum{r.Witnesses},
 	}
 }
 
@@ -69,20 +69,20 @@
 // become needed and the newest record does not carry it.
 func (g *writeBehindGate) update(now time.Time, hasUnpersisted, allResponding bool, candidates []string) bool {
 	wantedFlag := g.wantsFlag
-	g.updateQuorum(hasUnpersisted, candidates)
-	g.wantsFlag = hasUnpersisted || allResponding || !g.nextQuorum.IsEmpty() || now.Before(g.slowUntil)
+	g.updateNextWitnesses(hasUnpersisted, candidates)
+	g.wantsFlag = hasUnpersisted || allResponding || !g.nextWitnesses.IsEmpty() || now.Before(g.slowUntil)
 	return g.wantsFlag && !wantedFlag && !g.isFlagged
 }
 
-// updateQuorum decides which witnesses the next record names: those of a previous owner until it is known what that one
+// updateNextWitnesses decides which witnesses the next record names: those of a previous owner until it is known what that one
 // started, and none while placements of this owner are missing in the store, as the next one must not rely on the stored
 // ones then, whatever the witnesses say.
-func (g *writeBehindGate) updateQuorum(hasUnpersisted bool, candidates []string) {
+func (g *writeBehindGate) updateNextWitnesses(hasUnpersisted bool, candidates []string) {
 	switch {
 	case !hasUnpersisted && candidates != nil:
-		g.nextQuorum = witness.Quorum{Epoch: g.epoch, Witnesses: candidates}
-	case hasUnpersisted && g.nextQuorum.Epoch == g.epoch:
-		g.nextQuorum = witness.Quorum{}
+		g.nextWitnesses = witness.Quorum{Epoch: g.epoch, Witnesses: candidates}
+	case hasUnpersisted && g.nextWitnesses.Epoch == g.epoch:
+		g.nextWitnesses = witness.Quorum{}
 	}
 }
 
@@ -91,36 +91,36 @@
 	return now.Before(g.slowUntil) && g.wantsFlag && g.isFlagged && g.hasConsent()
 }
 
-// asked returns the witnesses whose consent is needed. Those of the next record count, too: it may be written before the
+// neededQuorums returns the witnesses whose consent is needed. Those of the next record count, too: it may be written before the
 // owner decides again.
-func (g *writeBehindGate) asked() []witness.Quorum {
-	return append(slices.Clone(g.maybeNewest), g.nextQuorum)
+func (g *writeBehindGate) neededQuorums() []witness.Quorum {
+	return append(slices.Clone(g.maybeNewest), g.nextWitnesses)
 }
 
 // hasConsent reports whether the next owner, whichever record it finds, learns from the witnesses that
 // this one may run write-behind.
 func (g *writeBehindGate) hasConsent() bool {
-	lacksConsent := func(q witness.Quorum) bool { return !q.IsEmpty() && !g.consent.IsGiven(&q) }
-	return !slices.ContainsFunc(g.asked(), lacksConsent)
+	lacksConsent := func(q witness.Quorum) bool { return !q.IsEmpty() && !g.consents.AreGivenByMost(&q) }
+	return !slices.ContainsFunc(g.neededQuorums(), lacksConsent)
 }
 
-// requestConsent returns the witnesses to ask now, and the round of the request; none if no consent is needed. isBlocked means
+// beginConsentRequest returns the witnesses to ask now, and the round of the request; none if no consent is needed. isBlocked means
 // that something waits for the store.
-func (g *writeBehindGate) requestConsent(now time.Time, isBlocked bool) ([]string, uint64) {
+func (g *writeBehindGate) beginConsentRequest(now time.Time, isBlocked bool) ([]string, uint64) {
 	if !isBlocked || !now.Before(g.slowUntil) || !g.isFlagged || now.Before(g.nextRequest) || g.hasConsent() {
 		return nil, 0
 	}
 	g.nextRequest = now.Add(consentRetryPeriod)
-	return g.consent.Request(g.asked()...)
+	return g.consents.BeginRequest(g.neededQuorums()...)
 }
 
-// withdrawConsent ends the consent once it is not needed, and returns its round; false if it is kept. hasUnpersisted means
+// endConsentRequest ends the consent once it is not needed, and returns its round; false if it is kept. hasUnpersisted means
 // that placements are missing in the store; no task may be started ahead of it any more.
-func (g *writeBehindGate) withdrawConsent(now time.Time, hasUnpersisted bool) (uint64, bool) {
-	if hasUnpersisted || now.Before(g.slowUntil) || !g.consent.IsRequested() {
+func (g *writeBehindGate) endConsentRequest(now time.Time, hasUnpersisted bool) (uint64, bool) {
+	if hasUnpersisted || now.Before(g.slowUntil) || !g.consents.IsRequested() {
 		return 0, false
 	}
-	return g.consent.Withdraw(), true
+	return g.consents.EndRequest(), true
 }
 
 // next returns the flag and the witnesses of the record that is written next.
@@ -129,11 +129,11 @@
 		g.isFlagged = false
 		return false, witness.Quorum{}
 	}
-	isSame := func(other witness.Quorum) bool { return other.Equal(&g.nextQuorum) }
+	isSame := func(other witness.Quorum) bool { return other.Equal(&g.nextWitnesses) }
 	if !slices.ContainsFunc(g.maybeNewest, isSame) {
-		g.maybeNewest = append(g.maybeNewest, g.nextQuorum)
+		g.maybeNewest = append(g.maybeNewest, g.nextWitnesses)
 	}
-	return true, g.nextQuorum
+	return true, g.nextWitnesses
 }
 
 // persisted records that a record is in the store. Records are appended one after the other, each
--- a/internal/witness/consent.go
+++ b/internal/witness/consents.go
@@ -5,19 +5,19 @@
 
 import "slices"
 
-// Consent is the consent that an owner has. The zero value has none.
-type Consent struct {
+// Consents are those that an owner has. The zero value has none.
+type Consents struct {
 	// round counts the requests; an answer to an earlier one does not count.
 	round uint64
-	// isRequested means that the consent was requested and not withdrawn since.
+	// isRequested means that they were requested and not withdrawn since.
 	isRequested bool
 	// asked has the processes that were asked, with whether they consent.
 	asked map[string]bool
 }
 
-// Request begins a request, unless there is one. It returns the witnesses of the quorums to ask, which are those that have
+// BeginRequest begins a request, unless there is one. It returns the witnesses of the quorums to ask, which are those that have
 // not consented, and the round of the request.
-func (c *Consent) Request(quorums ...Quorum) ([]string, uint64) {
+func (c *Consents) BeginRequest(quorums ...Quorum) ([]string, uint64) {
 	if !c.isRequested {
 		c.round++
 		c.isRequested, c.asked = true, map[string]bool{}
@@ -36,26 +36,26 @@
 	return missing, c.round
 }
 
-// Given records that a witness consents to the request of a round.
-func (c *Consent) Given(process string, round uint64) {
+// RecordGiven records that a witness consents to the request of a round.
+func (c *Consents) RecordGiven(process string, round uint64) {
 	if c.isRequested && round == c.round {
 		c.asked[process] = true
 	}
 }
 
-// Withdraw ends the request, and returns its round.
-func (c *Consent) Withdraw() uint64 {
+// EndRequest ends the request, and returns its round.
+func (c *Consents) EndRequest() uint64 {
 	c.isRequested, c.asked = false, nil
 	return c.round
 }
 
 // Round returns the round of the last request, 0 if there was none.
-func (c *Consent) Round() uint64 { return c.round }
+func (c *Consents) Round() uint64 { return c.round }
 
-// IsRequested reports whether the consent is requested, and not withdrawn since.
-func (c *Consent) IsRequested() bool { return c.isRequested }
+// IsRequested reports whether consents are requested, and not withdrawn since.
+func (c *Consents) IsRequested() bool { return c.isRequested }
 
-// IsGiven reports whether most of the witnesses consent.
-func (c *Consent) IsGiven(q *Quorum) bool {
+// AreGivenByMost reports whether most of the witnesses consent.
+func (c *Consents) AreGivenByMost(q *Quorum) bool {
 	return !q.IsEmpty() && q.countIn(c.asked) >= q.minConsents()
 }
--- a/internal/witness/ledger.go
+++ b/internal/witness/ledger.go
@@ -14,8 +14,8 @@
 	withdrawnEpoch, withdrawnRound uint64
 }
 
-// Consent handles the request of the owner of an epoch, and reports whether the process consents.
-func (l *Ledger) Consent(epoch, round uint64) bool {
+// GiveConsent handles the request of the owner of an epoch, and reports whether the process consents.
+func (l *Ledger) GiveConsent(epoch, round uint64) bool {
 	if epoch < l.superseded || epoch < l.consented || epoch == l.withdrawnEpoch && round <= l.withdrawnRound {
 		return false
 	}
@@ -27,8 +27,8 @@
 	return true
 }
 
-// Withdraw handles the word of the owner of an epoch that it needs the consent no longer.
-func (l *Ledger) Withdraw(epoch, round uint64) {
+// WithdrawConsent handles the word of the owner of an epoch that it needs the consent no longer.
+func (l *Ledger) WithdrawConsent(epoch, round uint64) {
 	if epoch < l.withdrawnEpoch || epoch == l.withdrawnEpoch && round <= l.withdrawnRound {
 		return
 	}
--- a/internal/witness/witness_test.go
+++ b/internal/witness/witness_test.go
@@ -37,11 +37,11 @@
 
 // model has one owner, its witnesses and a successor, with messages that arrive in any order, late or never.
 type model struct {
-	rng     *rand.Rand
-	quorum  witness.Quorum
-	consent witness.Consent
-	ledgers map[string]*witness.Ledger
-	survey  *witness.Survey
+	rng      *rand.Rand
+	quorum   witness.Quorum
+	consents witness.Consents
+	ledgers  map[string]*witness.Ledger
+	survey   *witness.Survey
 	// hasEnded has the witnesses whose processes have ended. Those that follow under their names are none.
 	hasEnded map[string]bool
 	// messages are those on their way.
@@ -67,10 +67,10 @@
 	ledger := m.ledgers[name]
 	switch m.rng.IntN(20) {
 	case 0, 1, 2, 3:
-		_, round := m.consent.Request(m.quorum)
+		_, round := m.consents.BeginRequest(m.quorum)
 		m.sendTo(name, func() {
-			if ledger.Consent(m.quorum.Epoch, round) {
-				m.send(func() { m.consent.Given(name, round) })
+			if ledger.GiveConsent(m.quorum.Epoch, round) {
+				m.send(func() { m.consents.RecordGiven(name, round) })
 			}
 		})
 	case 4:
@@ -87,16 +87,16 @@
 	default:
 		m.deliver()
 	}
-	m.hadConsent = m.hadConsent || m.consent.IsGiven(&m.quorum)
+	m.hadConsent = m.hadConsent || m.consents.AreGivenByMost(&m.quorum)
 }
 
 // withdraw withdraws the consent while all that the owner has started is in the store.
 func (m *model) withdraw() {
-	round := m.consent.Withdraw()
+	round := m.consents.EndRequest()
 	m.hadConsent = false
 	for _, name := range m.quorum.Witnesses {
 		ledger := m.ledgers[name]
-		m.sendTo(name, func() { ledger.Withdraw(m.quorum.Epoch, round) })
+		m.sendTo(name, func() { ledger.WithdrawConsent(m.quorum.Epoch, round) })
 	}
 }
 
@@ -126,18 +126,18 @@
 // Guards against a request that was delayed and leaves a consent that nobody withdraws any more.
 func TestRequestAfterItsWithdrawalIsRefused(t *testing.T) {
 	l := witness.Ledger{}
-	l.Withdraw(7, 1)
-	if l.Consent(7, 1) {
+	l.WithdrawConsent(7, 1)
+	if l.GiveConsent(7, 1) {
 		t.Error("a request of the withdrawn round: got: consent, want: none")
 	}
-	if !l.Consent(7, 2) {
+	if !l.GiveConsent(7, 2) {
 		t.Error("a later request: got: no consent, want: consent")
 	}
-	l.Withdraw(7, 1)
+	l.WithdrawConsent(7, 1)
 	if got := l.Testify(8); got != 7 {
 		t.Errorf("after a late withdrawal of an earlier round: got: %d, want: 7", got)
 	}
-	if l.Consent(7, 3) {
+	if l.GiveConsent(7, 3) {
 		t.Error("after a later owner: got: consent, want: none")
 	}
 }
@@ -159,10 +159,10 @@
 // round is below the last one of an owner that was lost in its second outage.
 func TestWithdrawalEndsConsentAfterAnEarlierOwnersHigherRound(t *testing.T) {
 	l := witness.Ledger{}
-	if !l.Consent(5, 2) || !l.Consent(7, 1) {
+	if !l.GiveConsent(5, 2) || !l.GiveConsent(7, 1) {
 		t.Fatal("got: no consent, want: consent")
 	}
-	l.Withdraw(7, 1)
+	l.WithdrawConsent(7, 1)
 	if got := l.Testify(8); got != 0 {
 		t.Errorf("after the withdrawal of all consents of the newest owner: got: %d, want: 0", got)
 	}
