internal/integration/crowd: share the build and the parsing of states

Both integration harnesses built the node's binary and parsed the state of a job in the same way. standin.BuildNode and site.ParseJobState do it for both. The tests check the same; a state that cannot be parsed is no success in either.

--- a/internal/integration/crowd/harness_test.go
+++ b/internal/integration/crowd/harness_test.go
@@ -6,11 +6,9 @@
 package crowd_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -18,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/standin"
 	"github.com/leverdyke/leverdyke/internal/standin/site"
 )
 
@@ -45,9 +44,8 @@
 		panic(err)
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	nodeBinary = filepath.Join(dir, "leverdyked")
-	if out, err := exec.Command("go", "build", "-o", nodeBinary, "../../../cmd/leverdyked").CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("%v: %s", err, out))
+	if nodeBinary, err = standin.BuildNode(dir); err != nil {
+		panic(err)
 	}
 	return m.Run()
 }
@@ -189,10 +187,11 @@
 	n.t.Helper()
 	n.await("job "+id+" succeeds", func() bool {
 		_, body, err := n.Do(n.t.Context(), http.MethodGet, site.QueuePrefix+id, nil)
-		answer := struct {
-			State string `json:"state"`
-		}{}
-		return err == nil && json.Unmarshal(body, &answer) == nil && answer.State == "succeeded"
+		if err != nil {
+			return false
+		}
+		state, err := site.ParseJobState(body)
+		return err == nil && state == "succeeded"
 	})
 }
 
--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -49,9 +48,8 @@
 		panic(err)
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	nodeBinary = filepath.Join(dir, "leverdyked")
-	if out, err := exec.Command("go", "build", "-o", nodeBinary, "../../cmd/leverdyked").CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("%v: %s", err, out))
+	if nodeBinary, err = standin.BuildNode(dir); err != nil {
+		panic(err)
 	}
 	return m.Run()
 }
--- a/internal/integration/site_test.go
+++ b/internal/integration/site_test.go
@@ -176,16 +176,14 @@
 	if err != nil || status != http.StatusOK {
 		return ""
 	}
-	answer := struct {
-		State string `json:"state"`
-	}{}
-	if err := json.Unmarshal(body, &answer); err != nil {
+	state, err := site.ParseJobState(body)
+	if err != nil {
 		c.t.Error(err)
 	}
-	if isFinal(answer.State) {
-		c.RecordShownState(id, answer.State)
+	if isFinal(state) {
+		c.RecordShownState(id, state)
 	}
-	return answer.State
+	return state
 }
 
 func isFinal(state string) bool {
--- a/internal/standin/site/node.go
+++ b/internal/standin/site/node.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -239,6 +240,17 @@
 	return resp.StatusCode, data, nil
 }
 
+// ParseJobState returns the state in a node's answer to a query for a job.
+func ParseJobState(body []byte) (string, error) {
+	answer := struct {
+		State string `json:"state"`
+	}{}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return "", fmt.Errorf("site: %w", err)
+	}
+	return answer.State, nil
+}
+
 // Log returns what the process has logged so far.
 func (n *Node) Log() string {
 	data, err := os.ReadFile(n.log)
