internal/owner: hold back no jobs that an owner in doubt has accepted

An owner that doubts where tasks of its predecessor may run starts the jobs that it accepts meanwhile at once.

Once these witnesses have ruled out starts ahead of the store, the successor holds these jobs back no longer (Engine.ConfirmPlacementsSince). An owner that reads a job with a later epoch than its own ends: it has read the jobs so late that its successor has accepted some.

--- a/internal/cluster/election.go
+++ b/internal/cluster/election.go
@@ -123,7 +123,7 @@
 		r.MaxStrength, r.ListedWorkers, r.KnownNodes = max(r.MaxStrength, previous.MaxStrength), previous.ListedWorkers, previous.KnownNodes
 		r.Silent, r.Outlasted = previous.Silent, previous.Outlasted
 		if r.MayHaveUnpersisted {
-			r.Witnesses = previous.Witnesses
+			r.Witnesses, r.LaterJobs = previous.Witnesses, previous.LaterJobs
 		}
 		r.LeftConns = previous.LeftConnsAfter(n.closed.is(previous.Epoch))
 	}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -319,6 +319,9 @@
 	return e.unpersisted > 0 || e.inherited != nil || e.hasUnpersistedReports
 }
 
+// HasUnpersistedStarts reports whether tasks may run by orders of this owner in placements that are not in the store.
+func (e *Engine) HasUnpersistedStarts() bool { return e.unpersisted > 0 }
+
 // Counts returns the totals.
 func (e *Engine) Counts() Counts { return e.counts }
 
--- a/internal/dispatch/inherit.go
+++ b/internal/dispatch/inherit.go
@@ -27,7 +27,7 @@
 		e.inherited = &inheritedUncertainty{leasesExpireAt: until, previouslyListed: listedWorkers, listCompleteAt: e.now.Add(listRecoveryTime)}
 	}
 	for _, j := range e.activeJobs {
-		j.isInherited, j.mayHaveUnpersistedStarts = true, !areStartsPersisted
+		j.mayHaveUnpersistedStarts = !areStartsPersisted
 	}
 }
 
@@ -45,6 +45,20 @@
 	e.needsScheduling = true
 }
 
+// ConfirmPlacementsSince records that each placement of a task of the jobs accepted in an epoch from since on is known to have
+// been persisted before the start was ordered.
+func (e *Engine) ConfirmPlacementsSince(since uint64) {
+	if e.inherited == nil || since == 0 {
+		return
+	}
+	for _, j := range e.activeJobs {
+		if j.spec.Epoch >= since {
+			j.mayHaveUnpersistedStarts = false
+		}
+	}
+	e.needsScheduling = true
+}
+
 // Reasons why the uncertainty about a previous owner's starts has ended; they are logged.
 const (
 	uncertaintyRuledOut = "nothing was started ahead of the store"
@@ -172,7 +186,9 @@
 }
 
 // mayHaveUnknownStarts reports whether tasks of the job may run on any worker by a previous owner's order.
-func (e *Engine) mayHaveUnknownStarts(j *job) bool { return j.isInherited && e.inherited != nil }
+func (e *Engine) mayHaveUnknownStarts(j *job) bool {
+	return j.mayHaveUnpersistedStarts && e.inherited != nil
+}
 
 // isBlocked reports whether tasks of the step may run on any worker by a previous owner's order, so
 // that none of them may be started.
--- a/internal/dispatch/inherit_test.go
+++ b/internal/dispatch/inherit_test.go
@@ -243,3 +243,58 @@
 		t.Error("got: unpersisted placements, want: none")
 	}
 }
+
+// Guards against jobs that wait for a lease because of what an owner before the one that accepted them may have started, and
+// against tasks that run twice because jobs of before that are not held back any more.
+func TestJobsAcceptedInADoubtWaitForNoEarlierOwner(t *testing.T) {
+	const epoch = 7
+	c := clock.NewFake()
+	newOwner := func(epoch uint64) *successor {
+		e := dispatch.NewEngine(dispatch.Options{HeartbeatInterval: 1500 * time.Millisecond, Epoch: epoch})
+		e.Advance(c.Now())
+		e.SetOwnershipConfirmed(true)
+		e.SetQueues([]order.Queue{testQueue})
+		return &successor{e, c}
+	}
+	newSpec := func(id work.JobID) *work.Spec {
+		// A caller cannot choose the epoch.
+		return &work.Spec{ID: id, Queue: "q", Steps: []work.Step{newStep(1, time.Second)}, Epoch: 1 << 40}
+	}
+	accepted := map[work.JobID]*work.Spec{}
+	accept := func(owner *successor, id work.JobID) {
+		owner.AddJob(newSpec(id))
+		b := owner.TakeBatch()
+		accepted[id] = b.NewJobs[0]
+		owner.Committed(b)
+	}
+	first := newOwner(epoch - 1)
+	accept(first, "before")
+	second := newOwner(epoch)
+	second.RestoreJob(accepted["before"], nil)
+	second.Inherit(c.Now().Add(9*time.Second), false, 2)
+	accept(second, "later")
+	for id, want := range map[work.JobID]uint64{"before": 0, "later": epoch} {
+		if got := accepted[id].Epoch; got != want {
+			t.Errorf("epoch of the job %s: got: %d, want: %d", id, got, want)
+		}
+	}
+
+	third := newOwner(epoch + 1)
+	third.RestoreJob(accepted["before"], nil)
+	third.RestoreJob(accepted["later"], nil)
+	third.Inherit(c.Now().Add(9*time.Second), false, 2)
+	third.InheritWorkers([]order.WorkerID{"v", "w"}, true)
+	third.setWorkerList("v")
+	third.reportIdle("v")
+	if got := third.startsAfter(time.Second); got != 0 {
+		t.Errorf("in doubt about both: got: %d starts, want: none", got)
+	}
+	third.ConfirmPlacementsSince(epoch)
+	third.reportIdle("v")
+	if got := third.startsAfter(100 * time.Millisecond); got != 1 {
+		t.Errorf("in doubt about the earlier one: got: %d starts, want: 1, of the later one", got)
+	}
+	if !third.HasUnpersisted() || third.IsInheritanceKnown() {
+		t.Error("got: all known, want: in doubt about the earlier one")
+	}
+}
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -43,10 +43,8 @@
 	// wasWithdrawn means that the job was cancelled before it was submitted. Callers were answered
 	// that there is no such job, and are until the store has the job as cancelled.
 	wasWithdrawn bool
-	// isInherited means that a previous owner may have started tasks of the job.
-	isInherited bool
-	// mayHaveUnpersistedStarts means that it may have started some before their placements were
-	// persisted.
+	// mayHaveUnpersistedStarts means that a previous owner may have started tasks of the job before
+	// their placements were persisted.
 	mayHaveUnpersistedStarts bool
 	// isDirty means that the job's progress is to be written, isUrgent that it must not wait for
 	// the next periodic batch.
@@ -215,6 +213,16 @@
 		}
 		return false
 	}
+	epoch := uint64(0)
+	if e.inherited != nil {
+		epoch = e.options.Epoch
+	}
+	if spec.Epoch != epoch {
+		// The caller may submit the same specification to another owner.
+		accepted := *spec
+		accepted.Epoch = epoch
+		spec = &accepted
+	}
 	j := e.newJob(spec)
 	e.insertJob(j)
 	b := e.currentBatch()
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -52,9 +52,9 @@
 
 // WriteRecord writes a record into the store, and returns its witnesses.
 func (a *WriteBehindGate) WriteRecord() witness.Quorum {
-	isFlagged, q := a.g.next()
-	a.g.persisted(isFlagged, q)
-	return q
+	isFlagged, n := a.g.next()
+	a.g.persisted(isFlagged, n)
+	return n.ofAll
 }
 
 // SendRecord sends a record of which it is not known whether it reaches the store.
@@ -104,12 +104,20 @@
 	return d
 }
 
+// UpdateLaterJobs decides what the next record tells about jobs accepted in an epoch from since on.
+func (a *WriteBehindGate) UpdateLaterJobs(hasUnpersisted, hasUnpersistedStarts bool, since uint64, candidates []string) {
+	a.g.updateLaterJobs(hasUnpersisted, hasUnpersistedStarts, since, candidates)
+}
+
 // Next returns the flag and the witnesses of a record that is written now.
-func (a *WriteBehindGate) Next() (isFlagged bool, q witness.Quorum) { return a.g.next() }
+func (a *WriteBehindGate) Next() (isFlagged bool, q witness.Quorum, later LaterJobs) {
+	isFlagged, n := a.g.next()
+	return isFlagged, n.ofAll, n.ofLater
+}
 
 // RecordPersisted records that a record is in the store.
-func (a *WriteBehindGate) RecordPersisted(isFlagged bool, q witness.Quorum) {
-	a.g.persisted(isFlagged, q)
+func (a *WriteBehindGate) RecordPersisted(isFlagged bool, q witness.Quorum, later LaterJobs) {
+	a.g.persisted(isFlagged, namedWitnesses{q, later})
 }
 
 // Given records that a process consents to the request of a round.
@@ -124,7 +132,7 @@
 }
 
 // Persisted records that a record is in the store.
-func (a *WriteBehindGate) Persisted(isFlagged bool) { a.g.persisted(isFlagged, witness.Quorum{}) }
+func (a *WriteBehindGate) Persisted(isFlagged bool) { a.g.persisted(isFlagged, namedWitnesses{}) }
 
 // MayWriteBehind reports whether the owner may run write-behind.
 func (a *WriteBehindGate) MayWriteBehind(now time.Time) bool { return a.g.mayWriteBehind(now) }
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -41,7 +41,7 @@
 	// writes passes batches to runWrites; at most one is in flight.
 	writes chan *write
 	// recordNeeded receives when the next record should be written at once: it sets the write-behind flag,
-	// or no longer names a silent worker.
+	// no longer names a silent worker, or tells about jobs accepted in a doubt.
 	recordNeeded chan struct{}
 	// loaded is closed once the jobs have been read from the store.
 	loaded chan struct{}
@@ -136,6 +136,10 @@
 	candidates []string
 	// survey has what the witnesses of the previous owner have said; nil when it does not matter.
 	survey *witness.Survey
+	// laterSurvey has what those have said that it named for the jobs accepted in an epoch from laterSince on; nil when it
+	// does not matter. Once they have ruled out starts ahead of the store, this owner is not in doubt about these jobs.
+	laterSurvey *witness.Survey
+	laterSince  uint64
 	// nextNodeCheck is when the other nodes are checked again.
 	nextNodeCheck time.Time
 	// loopStartedAt is when the loop started; deferredPolls are polls that wait for delegates.
@@ -163,7 +167,7 @@
 		writes: make(chan *write, 1), recordNeeded: make(chan struct{}, 1), loaded: make(chan struct{}), zonesKnown: make(chan struct{}),
 		pendingSubmits: map[work.JobID][]chan error{}, pendingCancels: map[work.JobID][]chan error{},
 		recordOffset: options.Claim.Offset, heartbeatSeq: options.Claim.Record.HeartbeatSeq, persistedAt: options.Clock.Now(), claimedAt: options.Clock.Now(),
-		writeBehind: newWriteBehindGate(&options.Claim.Record),
+		writeBehind: newWriteBehindGate(&options.Claim.Record), laterSince: options.Claim.Record.Epoch,
 	}
 	o.connBudget.setLeft(options.Claim.Record.LeftConns)
 	o.silent.bounds, o.outlasted = options.Claim.Record.Silent, options.Claim.Record.Outlasted
@@ -350,7 +354,8 @@
 	if isSlow {
 		o.writeBehind.recordSlow(o.now)
 	}
-	if o.writeBehind.update(o.now, hasUnpersisted, o.engine.AllResponsive() && !o.awaitsWitnesses(), o.nextWitnesses()) {
+	isRecordNeeded := o.writeBehind.updateLaterJobs(hasUnpersisted, o.engine.HasUnpersistedStarts(), o.laterSince, o.nextWitnesses())
+	if o.writeBehind.update(o.now, hasUnpersisted, o.engine.AllResponsive() && !o.awaitsWitnesses(), o.nextWitnesses()) || isRecordNeeded {
 		select {
 		case o.recordNeeded <- struct{}{}:
 		default:
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -43,6 +43,10 @@
 	o.applyPolicy()
 	jobs := parseJobs(newest.Records, logBadRecord)
 	slices.SortFunc(jobs, func(a, b *storedJob) int { return cmp.Compare(a.offset, b.offset) })
+	if slices.ContainsFunc(jobs, func(k *storedJob) bool { return k.spec.Epoch > o.Epoch() }) {
+		o.options.Log(events.ShardDropped, "epoch", o.Epoch(), "why", "the store has a job that a later owner has accepted")
+		return 0, errLaterOwner
+	}
 	for _, k := range jobs {
 		o.engine.RestoreJob(k.spec, k.progress)
 	}
@@ -56,7 +60,7 @@
 		o.loadedAt = o.now
 		o.mayPreviousAct.Store(!o.options.Claim.areAllPreviousEnded())
 		if !o.options.Claim.HasAllPlacements {
-			o.survey = witness.NewSurvey(previous.Witnesses)
+			o.survey, o.laterSurvey = witness.NewSurvey(previous.Witnesses), witness.NewSurvey(previous.LaterJobs.Witnesses)
 		}
 		o.engine.Inherit(o.now.Add(leaseLeft), o.options.Claim.HasAllPlacements, previous.ListedWorkers)
 		o.engine.InheritBounds(previous.Silent)
@@ -68,6 +72,9 @@
 	return 1, nil
 }
 
+// errLaterOwner reports that the jobs were read after a later owner had accepted some.
+var errLaterOwner = errors.New("owner: a later owner has accepted jobs")
+
 // fenceAndRead returns the jobs as they are once no previous owner can append any more. The jobs
 // are read concurrently with the fencing append, because both take long on a slow store. If the
 // topic has grown in between, the jobs are read again.
@@ -473,7 +480,8 @@
 	r.KnownNodes, r.IsOnlyOwner = o.knownNodes(sentAt), o.isOnlyOwner(sentAt)
 	r.LeftConns, r.KeptConns = o.connBudget.get()
 	o.mu.Lock()
-	r.MayHaveUnpersisted, r.Witnesses = o.writeBehind.next()
+	isFlagged, named := o.writeBehind.next()
+	r.MayHaveUnpersisted, r.Witnesses, r.LaterJobs = isFlagged, named.ofAll, named.ofLater
 	r.WritesBehindByFlagOnly = true
 	r.Silent, r.Outlasted = o.silent.next(), o.outlasted
 	o.mu.Unlock()
@@ -497,7 +505,7 @@
 	o.recordOffset = offset
 	o.mu.Lock()
 	o.heartbeatSeq, o.persistedAt = r.HeartbeatSeq, o.options.Clock.Now()
-	o.writeBehind.persisted(r.MayHaveUnpersisted, r.Witnesses)
+	o.writeBehind.persisted(r.MayHaveUnpersisted, namedWitnesses{r.Witnesses, r.LaterJobs})
 	silentVersion := o.silent.persisted()
 	o.mu.Unlock()
 	o.enqueue(heartbeatEvent{sentAt, silentVersion})
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -45,6 +45,9 @@
 	// consent, all placements were in the store when the record was written, and are from then on, whatever the flag
 	// says. A claim takes over those of the previous owner, whose epoch they name. Owners of earlier versions name none.
 	Witnesses witness.Quorum `msgpack:"v"`
+	// LaterJobs tells about jobs accepted while it was not known what earlier owners had started. A claim takes over that
+	// of the previous owner. Owners of earlier versions name none.
+	LaterJobs LaterJobs `msgpack:"y"`
 	// IsOnlyOwner means that no owner before this one acts or renews leases any more.
 	IsOnlyOwner bool `msgpack:"o"`
 	// ListedWorkers is how many workers the owner's list had, or that of the previous owner as long as it is
@@ -68,6 +71,16 @@
 	Outlasted []crash.OutlastedRun `msgpack:"r,omitempty"`
 }
 
+// LaterJobs are the jobs that were accepted in an epoch from Since on. Unless most of the witnesses consented, all placements
+// of these were in the store when the record was written, and are from then on, whatever is known of other jobs. The
+// zero value says nothing.
+type LaterJobs struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Since     uint64
+	Witnesses witness.Quorum
+}
+
 // LeftConnsAfter returns how many connections to each worker lost nodes have left open once the owner
 // has ended. areClosed means that the owner is known to have closed its own. A delegate that is lost
 // together with the owner adds nothing, as either of them talks to a worker, not both.
--- a/internal/owner/record_test.go
+++ b/internal/owner/record_test.go
@@ -9,10 +9,12 @@
 	"testing"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/codec"
 	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store"
+	"github.com/leverdyke/leverdyke/internal/witness"
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
@@ -76,3 +78,25 @@
 		t.Error("a worker without an address: got: removed, want: stored")
 	}
 }
+
+// Guards against a successor that reads other jobs than the owner meant from its record, and one that relies on the record of
+// an earlier version.
+func TestLaterJobsSurviveEncoding(t *testing.T) {
+	want := owner.Record{Epoch: 8, LaterJobs: owner.LaterJobs{Since: 7, Witnesses: witness.Quorum{Epoch: 8, Witnesses: []string{"a", "b", "c"}}}}
+	data, err := codec.Marshal(&want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := owner.ParseRecord(data)
+	if err != nil || got.LaterJobs.Since != 7 || !got.LaterJobs.Witnesses.Equal(&want.LaterJobs.Witnesses) {
+		t.Errorf("got: %v, %v, want: %v", got, err, want.LaterJobs)
+	}
+	data, err = codec.Marshal(map[string]any{"e": 8, "u": true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err = owner.ParseRecord(data)
+	if err != nil || got.LaterJobs.Since != 0 || !got.LaterJobs.Witnesses.IsEmpty() {
+		t.Errorf("a record of an earlier version: got: %v, %v, want: nothing of later jobs", got, err)
+	}
+}
--- a/internal/owner/two_owners_test.go
+++ b/internal/owner/two_owners_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/leverdyke/leverdyke/internal/await"
 	"github.com/leverdyke/leverdyke/internal/clock"
+	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
@@ -386,3 +387,35 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: an owner that read the jobs late knew one that its successor had accepted.
+func TestOwnerThatReadsJobsOfALaterOneEnds(t *testing.T) {
+	for epoch, wantEnd := range map[uint64]bool{0: false, 1: false, 2: true} {
+		log := fakestore.NewLog()
+		spec := newJob("a")
+		spec.Epoch = epoch
+		parts, err := owner.EncodeBatch(&dispatch.Batch{NewJobs: []*work.Spec{spec}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := log.Append(t.Context(), &store.Append{Topic: owner.TopicJobs, Records: parts[0]}); err != nil {
+			t.Fatal(err)
+		}
+		o := runOwner(t, log, newFakeWorkers(), newWorkerPool(1), clock.NewFake(), nil)
+		if o.Epoch() != 1 {
+			t.Fatalf("epoch of the owner: got: %d, want: 1", o.Epoch())
+		}
+		hasEnded := false
+		await.True(t, "the owner has read the jobs or ended", func() bool {
+			select {
+			case <-o.Done():
+				hasEnded = true
+			default:
+			}
+			return hasEnded || o.IsLoaded()
+		})
+		if hasEnded != wantEnd {
+			t.Errorf("a job that was accepted in epoch %d: got: ended: %v, want: %v", epoch, hasEnded, wantEnd)
+		}
+	}
+}
--- a/internal/owner/witnesses.go
+++ b/internal/owner/witnesses.go
@@ -103,6 +103,7 @@
 		o.repeatConsentWithdrawal()
 	}
 	o.updateWitnesses()
+	o.laterJobsTestified(ev)
 	if o.survey == nil {
 		return
 	}
@@ -112,3 +113,15 @@
 		o.engine.ConfirmPlacements()
 	}
 }
+
+// laterJobsTestified records what a process says as a witness for the jobs that the previous owner accepted during its own doubt.
+func (o *Owner) laterJobsTestified(ev testimonyEvent) {
+	if o.laterSurvey == nil {
+		return
+	}
+	o.laterSurvey.Testified(ev.Process, ev.ConsentedEpoch)
+	if o.laterSurvey.IsRuledOut() {
+		o.laterSurvey, o.laterSince = nil, o.options.Claim.Previous.LaterJobs.Since
+		o.engine.ConfirmPlacementsSince(o.laterSince)
+	}
+}
--- a/internal/owner/witnesses_model_test.go
+++ b/internal/owner/witnesses_model_test.go
@@ -18,19 +18,19 @@
 // starts, something ahead of the store. Owners follow one another in one store; records, requests, answers, withdrawals and
 // greetings are delayed, lost or overtake one another; owners never learn that they are none any more unless the store tells them.
 func TestNoOwnerReliesOnPlacementsWhileAnEarlierOneRunsAhead(t *testing.T) {
-	relied, starts := 0, 0
+	relied, reliedLater, starts := 0, 0, 0
 	for seed := range uint64(20_000) {
 		m := newOwnersModel(seed)
-		for range 150 {
+		for range 200 {
 			m.step()
 		}
-		relied, starts = relied+m.ruledOut, starts+m.starts
+		relied, reliedLater, starts = relied+m.ruledOut, reliedLater+m.laterRuledOut, starts+m.starts
 		if m.fault != "" {
 			t.Errorf("seed %d: got: %s, want: no reliance while another owner runs ahead", seed, m.fault)
 		}
 	}
-	if relied < 500 || starts < 500 {
-		t.Errorf("schedules: got: %d ruled out, %d starts, want: at least 500 of each", relied, starts)
+	if relied < 500 || reliedLater < 500 || starts < 500 {
+		t.Errorf("schedules: got: %d ruled out, %d for later jobs, %d starts, want: at least 500 of each", relied, reliedLater, starts)
 	}
 }
 
@@ -39,19 +39,45 @@
 	epoch uint64
 	flag  bool
 	q     witness.Quorum
+	later owner.LaterJobs
+}
+
+// modelStarts counts starts that are not in the store, by the epoch in which their jobs were accepted.
+type modelStarts map[uint64]int
+
+// since returns how many are of jobs accepted in an epoch from since on.
+func (s modelStarts) since(since uint64) int {
+	sum := 0
+	for epoch, n := range s {
+		if epoch >= since {
+			sum += n
+		}
+	}
+	return sum
+}
+
+func (s modelStarts) add(other modelStarts) {
+	for epoch, n := range other {
+		s[epoch] += n
+	}
 }
 
 // modelOwner is one owner, which may have been superseded without knowing it.
 type modelOwner struct {
-	proc                                                 int
-	epoch                                                uint64
-	gate                                                 *owner.WriteBehindGate
-	survey                                               *witness.Survey
-	isInherited, isLoaded, hasEnded, isFenced, isRelying bool
-	ahead                                                int
-	links                                                []string
-	recordOffset                                         uint64
-	process                                              string
+	proc                                      int
+	epoch                                     uint64
+	gate                                      *owner.WriteBehindGate
+	survey, laterSurvey                       *witness.Survey
+	isInherited, isLoaded, hasEnded, isFenced bool
+	// ahead are its own starts, reports those of earlier owners of which workers have told it.
+	ahead, reports modelStarts
+	// previousLater is what the previous owner's record tells of later jobs. The owner is not in doubt about jobs accepted
+	// in an epoch from laterSince on, and relies on what is stored of those from reliesFrom on.
+	previousLater          owner.LaterJobs
+	laterSince, reliesFrom uint64
+	links                  []string
+	recordOffset           uint64
+	process                string
 	// isOld means that it is of a version without witnesses.
 	isOld         bool
 	canRelyAtLoad bool
@@ -69,8 +95,8 @@
 	messages   []func()
 	fault      string
 	// hasEnded has the processes that have ended.
-	hasEnded         map[string]bool
-	ruledOut, starts int
+	hasEnded                        map[string]bool
+	ruledOut, laterRuledOut, starts int
 }
 
 func newOwnersModel(seed uint64) *ownersModel {
@@ -109,13 +135,14 @@
 	r := &owner.Record{Epoch: m.end + 1, MayHaveUnpersisted: m.end > 0 && previous.flag}
 	isOld := m.rng.IntN(10) == 0
 	if r.MayHaveUnpersisted && !isOld {
-		r.Witnesses = previous.q
+		r.Witnesses, r.LaterJobs = previous.q, previous.later
 	}
-	m.newest = modelRecord{r.Epoch, r.MayHaveUnpersisted, r.Witnesses}
+	m.newest = modelRecord{r.Epoch, r.MayHaveUnpersisted, r.Witnesses, r.LaterJobs}
 	o := &modelOwner{proc: p, process: m.procs[p], isOld: isOld, epoch: r.Epoch, gate: owner.NewWriteBehindGateFrom(r), recordOffset: m.end, isInherited: r.MayHaveUnpersisted, canRelyAtLoad: !r.MayHaveUnpersisted}
+	o.ahead, o.reports, o.previousLater, o.laterSince, o.reliesFrom = modelStarts{}, modelStarts{}, previous.later, r.Epoch, r.Epoch
 	m.end++
 	if r.MayHaveUnpersisted && !isOld {
-		o.survey = witness.NewSurvey(previous.q)
+		o.survey, o.laterSurvey = witness.NewSurvey(previous.q), witness.NewSurvey(previous.later.Witnesses)
 	}
 	m.owners = append(m.owners, o)
 	m.testify(o, m.procs[p])
@@ -133,6 +160,9 @@
 		if o.survey != nil {
 			o.survey.Testified(process, c)
 		}
+		if o.laterSurvey != nil {
+			o.laterSurvey.Testified(process, c)
+		}
 	})
 }
 
@@ -148,15 +178,22 @@
 	m.ledgers[m.procs[p]] = &witness.Ledger{}
 }
 
-func (m *ownersModel) rely(o *modelOwner) {
-	o.isInherited, o.survey, o.isRelying = false, nil, true
+// rely makes an owner rely on what is stored of all jobs that were accepted in an epoch from since on.
+func (m *ownersModel) rely(o *modelOwner, since uint64) {
+	o.reliesFrom = since
 	for _, e := range m.owners {
-		if e.epoch < o.epoch && e.ahead > 0 && !e.isFenced {
-			m.fault = fmt.Sprintf("owner %d relies, owner %d has started %d ahead", o.epoch, e.epoch, e.ahead)
+		if n := e.ahead.since(since) + e.reports.since(since); e.epoch < o.epoch && n > 0 && !e.isFenced {
+			m.fault = fmt.Sprintf("owner %d relies on jobs since %d, owner %d has started %d ahead", o.epoch, since, e.epoch, n)
 		}
 	}
 }
 
+// relyOnAll makes an owner rely on what is stored of all jobs.
+func (m *ownersModel) relyOnAll(o *modelOwner) {
+	o.isInherited, o.survey = false, nil
+	m.rely(o, 0)
+}
+
 func (m *ownersModel) step() {
 	m.now = m.now.Add(time.Duration(m.rng.IntN(400)) * time.Millisecond)
 	o := m.owners[m.rng.IntN(len(m.owners))]
@@ -191,7 +228,7 @@
 		}
 		m.fence, o.isLoaded = o.epoch, true
 		if o.canRelyAtLoad {
-			m.rely(o)
+			m.relyOnAll(o)
 		}
 		return
 	}
@@ -203,7 +240,7 @@
 	case n < 9:
 		// All that is known is persisted, unless a later owner has fenced this one.
 		if m.fence == o.epoch {
-			o.ahead = 0
+			o.ahead, o.reports = modelStarts{}, modelStarts{}
 		} else {
 			o.hasEnded = true
 		}
@@ -213,7 +250,8 @@
 		for _, e := range m.owners {
 			if e.epoch < o.epoch && !e.isFenced {
 				e.isFenced = true
-				o.ahead += e.ahead
+				o.reports.add(e.ahead)
+				o.reports.add(e.reports)
 			}
 		}
 	}
@@ -223,9 +261,16 @@
 func (m *ownersModel) cycle(o *modelOwner) {
 	if o.survey != nil && o.survey.IsRuledOut() {
 		m.ruledOut++
-		m.rely(o)
+		m.relyOnAll(o)
 	}
-	hasUnpersisted := o.ahead > 0 || o.isInherited
+	if o.laterSurvey != nil && o.laterSurvey.IsRuledOut() {
+		o.laterSurvey, o.laterSince = nil, o.previousLater.Since
+		if o.isInherited {
+			m.laterRuledOut++
+			m.rely(o, o.laterSince)
+		}
+	}
+	hasUnpersisted := o.ahead.since(0)+o.reports.since(0) > 0 || o.isInherited
 	isSlow := m.rng.IntN(2) == 0
 	var candidates []string
 	if !o.isOld && m.rng.IntN(5) > 0 {
@@ -234,6 +279,7 @@
 		candidates = candidates[:m.rng.IntN(len(candidates)+1)]
 		slices.Sort(candidates)
 	}
+	o.gate.UpdateLaterJobs(hasUnpersisted, o.ahead.since(0) > 0, o.laterSince, candidates)
 	decision := o.gate.Decide(m.now, isSlow, hasUnpersisted, m.rng.IntN(2) == 0, candidates)
 	for _, w := range decision.Asked {
 		if slices.Contains(o.links, w) {
@@ -260,23 +306,35 @@
 		return
 	}
 	m.starts++
-	o.ahead++
+	jobEpoch := m.acceptedIn(o)
+	o.ahead[jobEpoch]++
 	for _, s := range m.owners {
-		if s.epoch > o.epoch && s.isRelying {
-			m.fault = fmt.Sprintf("owner %d starts ahead, owner %d relies on stored placements", o.epoch, s.epoch)
+		if s.epoch > o.epoch && s.reliesFrom <= jobEpoch {
+			m.fault = fmt.Sprintf("owner %d starts a job of %d ahead, owner %d relies on stored placements since %d", o.epoch, jobEpoch, s.epoch, s.reliesFrom)
+		}
+	}
+}
+
+// acceptedIn draws the epoch in which a job was accepted of which an owner may start tasks.
+func (m *ownersModel) acceptedIn(o *modelOwner) uint64 {
+	epochs := []uint64{}
+	for _, e := range m.owners {
+		if e.epoch <= o.epoch && (!o.isInherited || e.epoch >= o.laterSince) {
+			epochs = append(epochs, e.epoch)
 		}
 	}
+	return epochs[m.rng.IntN(len(epochs))]
 }
 
 // heartbeat sends one record; its outcome may be unknown, and it may land late.
 func (m *ownersModel) heartbeat(o *modelOwner) {
-	flag, q := o.gate.Next()
+	flag, q, later := o.gate.Next()
 	at := o.recordOffset + 1
 	land := func() bool {
 		if m.end != at {
 			return false
 		}
-		m.newest = modelRecord{o.epoch, flag, q}
+		m.newest = modelRecord{o.epoch, flag, q, later}
 		m.end++
 		return true
 	}
@@ -288,7 +346,7 @@
 	default:
 		if land() {
 			o.recordOffset = at
-			o.gate.RecordPersisted(flag, q)
+			o.gate.RecordPersisted(flag, q, later)
 			return
 		}
 		if m.newest.epoch != o.epoch {
@@ -296,6 +354,6 @@
 			return
 		}
 		o.recordOffset = m.end - 1
-		o.gate.RecordPersisted(m.newest.flag, m.newest.q)
+		o.gate.RecordPersisted(m.newest.flag, m.newest.q, m.newest.later)
 	}
 }
--- a/internal/owner/write_behind.go
+++ b/internal/owner/write_behind.go
@@ -43,17 +43,31 @@
 	// nextWitnesses has the witnesses that the next record names. Those of the previous owner may also witness for this
 	// one: the next owner asks them whether they have consented to either.
 	nextWitnesses witness.Quorum
+	// nextLaterJobs is what the next record tells about jobs accepted during a doubt about earlier owners.
+	nextLaterJobs     LaterJobs
+	hasNamedLaterJobs bool
 	// maybeNewest has the witnesses of all records that are, or may become, the newest one.
-	maybeNewest []witness.Quorum
+	maybeNewest []namedWitnesses
 	consents    witness.Consents
 	// nextRequest is when witnesses that have not answered are asked again.
 	nextRequest time.Time
 }
 
+// namedWitnesses are the witnesses that a record names.
+type namedWitnesses struct {
+	ofAll   witness.Quorum
+	ofLater LaterJobs
+}
+
+func (n *namedWitnesses) equal(other *namedWitnesses) bool {
+	return n.ofAll.Equal(&other.ofAll) && n.ofLater.Since == other.ofLater.Since && n.ofLater.Witnesses.Equal(&other.ofLater.Witnesses)
+}
+
 // newWriteBehindGate starts from the record of a claim.
 func newWriteBehindGate(r *Record) writeBehindGate {
 	return writeBehindGate{
-		epoch: r.Epoch, wantsFlag: r.MayHaveUnpersisted, isFlagged: r.MayHaveUnpersisted, nextWitnesses: r.Witnesses, maybeNewest: []witness.Quorum{r.Witnesses},
+		epoch: r.Epoch, wantsFlag: r.MayHaveUnpersisted, isFlagged: r.MayHaveUnpersisted, nextWitnesses: r.Witnesses, nextLaterJobs: r.LaterJobs,
+		maybeNewest: []namedWitnesses{{r.Witnesses, r.LaterJobs}},
 	}
 }
 
@@ -86,6 +100,29 @@
 	}
 }
 
+// updateLaterJobs decides what the next record tells about jobs accepted in an epoch from since on, of which this owner knows that
+// all placements are in the store unless it has started tasks ahead of it itself (hasUnpersistedStarts). Once nothing is in
+// doubt the witnesses of all jobs suffice. candidates are as for update, which is called after it. It reports whether the
+// next record is the first one that names witnesses of this owner for these jobs: until it is in the store, the next owner
+// is in doubt about all of them.
+func (g *writeBehindGate) updateLaterJobs(hasUnpersisted, hasUnpersistedStarts bool, since uint64, candidates []string) bool {
+	switch {
+	case hasUnpersistedStarts:
+		if g.nextLaterJobs.Witnesses.Epoch == g.epoch {
+			g.nextLaterJobs = LaterJobs{}
+		}
+	case candidates == nil:
+	case hasUnpersisted && len(candidates) > 0:
+		g.nextLaterJobs = LaterJobs{Since: since, Witnesses: witness.Quorum{Epoch: g.epoch, Witnesses: candidates}}
+		isFirst := !g.hasNamedLaterJobs
+		g.hasNamedLaterJobs = true
+		return isFirst
+	default:
+		g.nextLaterJobs = LaterJobs{}
+	}
+	return false
+}
+
 // mayWriteBehind reports whether the owner may run write-behind.
 func (g *writeBehindGate) mayWriteBehind(now time.Time) bool {
 	return now.Before(g.slowUntil) && g.wantsFlag && g.isFlagged && g.hasConsent()
@@ -94,7 +131,11 @@
 // neededQuorums returns the witnesses whose consent is needed. Those of the next record count, too: it may be written before the
 // owner decides again.
 func (g *writeBehindGate) neededQuorums() []witness.Quorum {
-	return append(slices.Clone(g.maybeNewest), g.nextWitnesses)
+	quorums := []witness.Quorum{g.nextWitnesses, g.nextLaterJobs.Witnesses}
+	for _, n := range g.maybeNewest {
+		quorums = append(quorums, n.ofAll, n.ofLater.Witnesses)
+	}
+	return quorums
 }
 
 // hasConsent reports whether the next owner, whichever record it finds, learns from the witnesses that
@@ -124,23 +165,23 @@
 }
 
 // next returns the flag and the witnesses of the record that is written next.
-func (g *writeBehindGate) next() (isFlagged bool, q witness.Quorum) {
+func (g *writeBehindGate) next() (isFlagged bool, n namedWitnesses) {
 	if !g.wantsFlag {
 		g.isFlagged = false
-		return false, witness.Quorum{}
+		return false, namedWitnesses{}
 	}
-	isSame := func(other witness.Quorum) bool { return other.Equal(&g.nextWitnesses) }
-	if !slices.ContainsFunc(g.maybeNewest, isSame) {
-		g.maybeNewest = append(g.maybeNewest, g.nextWitnesses)
+	n = namedWitnesses{g.nextWitnesses, g.nextLaterJobs}
+	if !slices.ContainsFunc(g.maybeNewest, func(other namedWitnesses) bool { return other.equal(&n) }) {
+		g.maybeNewest = append(g.maybeNewest, n)
 	}
-	return true, g.nextWitnesses
+	return true, n
 }
 
 // persisted records that a record is in the store. Records are appended one after the other, each
 // on the condition that the previous one is still the last of its topic.
-func (g *writeBehindGate) persisted(isFlagged bool, q witness.Quorum) {
+func (g *writeBehindGate) persisted(isFlagged bool, n namedWitnesses) {
 	if isFlagged && g.wantsFlag {
 		g.isFlagged = true
 	}
-	g.maybeNewest = []witness.Quorum{q}
+	g.maybeNewest = []namedWitnesses{n}
 }
--- a/internal/work/spec.go
+++ b/internal/work/spec.go
@@ -128,6 +128,9 @@
 	Interval time.Duration
 	// AcceptedAt is when the job was accepted, by the time of day of the node that accepted it.
 	AcceptedAt time.Time
+	// Epoch is that of the owner that accepted the job, which sets it while it is in doubt about what earlier owners have
+	// started; otherwise 0.
+	Epoch uint64 `msgpack:",omitempty"`
 }
 
 // Work returns the sum of the work of the steps, in one round.
