--- a/internal/integration/harness_test.go
+++ b/internal/integration/harness_test.go
@@ -12,7 +12,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -49,13 +48,8 @@
 		panic(err)
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	nodeBinary = filepath.Join(dir, "leverdyked")
-	args := []string{"build", "-o", nodeBinary}
-	if isRaceEnabled {
-		args = append(args, "-race")
-	}
-	if out, err := exec.Command("go", append(args, "../../cmd/leverdyked")...).CombinedOutput(); err != nil {
-		panic(fmt.Sprintf("%v: %s", err, out))
+	if nodeBinary, err = standin.BuildNode(dir, isRaceEnabled); err != nil {
+		panic(err)
 	}
 	return m.Run()
 }
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -52,9 +52,9 @@
 
 // WriteRecord writes a record into the store, and returns its witnesses.
 func (a *WriteBehindGate) WriteRecord() witness.Quorum {
-	isFlagged, q := a.g.next()
-	a.g.persisted(isFlagged, q)
-	return q
+	isFlagged, n := a.g.next()
+	a.g.persisted(isFlagged, n)
+	return n.ofAll
 }
 
 // SendRecord sends a record of which it is not known whether it reaches the store.
@@ -62,20 +62,20 @@
 
 // RequestConsent returns the processes to ask for their consent.
 func (a *WriteBehindGate) RequestConsent(now time.Time) []string {
-	asked, _ := a.g.requestConsent(now, true)
+	asked, _ := a.g.beginConsentRequest(now, true)
 	return asked
 }
 
 // Consent records that processes consent.
 func (a *WriteBehindGate) Consent(processes ...string) {
 	for _, p := range processes {
-		a.g.consent.Given(p, a.g.consent.Round())
+		a.g.consents.RecordGiven(p, a.g.consents.Round())
 	}
 }
 
 // WithdrawConsent reports whether the consent is not needed any more.
 func (a *WriteBehindGate) WithdrawConsent(now time.Time, hasUnpersisted bool) bool {
-	_, isWithdrawn := a.g.withdrawConsent(now, hasUnpersisted)
+	_, isWithdrawn := a.g.endConsentRequest(now, hasUnpersisted)
 	return isWithdrawn
 }
 
@@ -97,23 +97,33 @@
 	}
 	a.g.update(now, hasUnpersisted, allResponding, candidates)
 	d := GateDecision{IsWriteBehind: a.g.mayWriteBehind(now)}
-	d.Asked, d.Round = a.g.requestConsent(now, true)
+	d.Asked, d.Round = a.g.beginConsentRequest(now, true)
 	if !d.IsWriteBehind {
-		d.WithdrawnRound, d.IsWithdrawn = a.g.withdrawConsent(now, hasUnpersisted)
+		d.WithdrawnRound, d.IsWithdrawn = a.g.endConsentRequest(now, hasUnpersisted)
 	}
 	return d
 }
 
+// UpdateLaterJobs decides what the next record tells about jobs accepted in an epoch from since on.
+func (a *WriteBehindGate) UpdateLaterJobs(hasUnpersisted, hasUnpersistedStarts bool, since uint64, candidates []string) {
+	a.g.updateLaterJobs(hasUnpersisted, hasUnpersistedStarts, since, candidates)
+}
+
 // Next returns the flag and the witnesses of a record that is written now.
-func (a *WriteBehindGate) Next() (isFlagged bool, q witness.Quorum) { return a.g.next() }
+func (a *WriteBehindGate) Next() (isFlagged bool, q witness.Quorum, later LaterJobs) {
+	isFlagged, n := a.g.next()
+	return isFlagged, n.ofAll, n.ofLater
+}
 
 // RecordPersisted records that a record is in the store.
-func (a *WriteBehindGate) RecordPersisted(isFlagged bool, q witness.Quorum) {
-	a.g.persisted(isFlagged, q)
+func (a *WriteBehindGate) RecordPersisted(isFlagged bool, q witness.Quorum, later LaterJobs) {
+	a.g.persisted(isFlagged, namedWitnesses{q, later})
 }
 
 // Given records that a process consents to the request of a round.
-func (a *WriteBehindGate) Given(process string, round uint64) { a.g.consent.Given(process, round) }
+func (a *WriteBehindGate) Given(process string, round uint64) {
+	a.g.consents.RecordGiven(process, round)
+}
 
 // NextFlag returns the flag of a record that is written now.
 func (a *WriteBehindGate) NextFlag() bool {
@@ -122,7 +132,7 @@
 }
 
 // Persisted records that a record is in the store.
-func (a *WriteBehindGate) Persisted(isFlagged bool) { a.g.persisted(isFlagged, witness.Quorum{}) }
+func (a *WriteBehindGate) Persisted(isFlagged bool) { a.g.persisted(isFlagged, namedWitnesses{}) }
 
 // MayWriteBehind reports whether the owner may run write-behind.
 func (a *WriteBehindGate) MayWriteBehind(now time.Time) bool { return a.g.mayWriteBehind(now) }
