internal/owner, internal/dispatch: look before each cycle whether a previous owner is followed

A worker's answer was adopted before the first look at the other nodes, up to 0.1 s later, with a bound that a previous owner with a majority may have passed. SetLeaseBase and leaseEndOf replace three names for one thing.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -208,9 +208,8 @@
 	// isOwnershipConfirmed means that this node is known to still own the shard. Without it no
 	// attempt is started and no lease is renewed.
 	isOwnershipConfirmed bool
-	// ownershipConfirmedAt is when this node was last known to own the shard; zero if leases are
-	// counted from when they are renewed.
-	ownershipConfirmedAt time.Time
+	// leaseBase is from when leases are counted; zero if that is when they are renewed.
+	leaseBase time.Time
 	// isWriteBehind means that attempts are started before their placements are persisted.
 	isWriteBehind bool
 	// unpersisted counts the attempts that were ordered and whose placements are not persisted yet.
@@ -291,16 +290,15 @@
 	e.needsScheduling = true
 }
 
-// SetOwnershipConfirmedAt sets when this node was last known to own the shard. Leases are counted from
-// then.
-func (e *Engine) SetOwnershipConfirmedAt(at time.Time) { e.ownershipConfirmedAt = at }
+// SetLeaseBase sets from when leases are counted: when this node was last known to own the shard.
+func (e *Engine) SetLeaseBase(at time.Time) { e.leaseBase = at }
 
-// confirmedAt returns from when the leases are counted that are renewed now.
-func (e *Engine) confirmedAt() time.Time {
-	if e.ownershipConfirmedAt.IsZero() {
-		return e.now
+// leaseEndOf renews the lease of a worker and returns its end.
+func (e *Engine) leaseEndOf(w *worker) order.WorkerTime {
+	if e.leaseBase.IsZero() {
+		return w.session.Renew(e.now)
 	}
-	return e.ownershipConfirmedAt
+	return w.session.Renew(e.leaseBase)
 }
 
 // SetWriteBehind sets whether tasks are started before their placements are persisted. This is for
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -500,7 +500,7 @@
 	e.startsInActions = append(e.startsInActions, a)
 	e.emit(order.Start{
 		Worker: a.worker.ID, Addr: a.worker.Addr, Generation: e.abandonedStarts.Generation(a.worker.ID), Task: a.id, Run: a.run, Payload: a.step.job.spec.Payload,
-		Checkpoint: a.step.savedStateOf(a.id.Index), Permit: permitText, Deadline: a.worker.session.Renew(e.confirmedAt()),
+		Checkpoint: a.step.savedStateOf(a.id.Index), Permit: permitText, Deadline: e.leaseEndOf(a.worker),
 	})
 }
 
--- a/internal/dispatch/poll.go
+++ b/internal/dispatch/poll.go
@@ -54,7 +54,7 @@
 	// The lease of a worker that does not answer is not renewed: the sooner it expires, the sooner
 	// it is certain that its tasks have ended.
 	if !w.session.LastHeardAt().IsZero() && e.isOwnershipConfirmed && !w.session.HasMissed() && !e.silent.ledger.Names(w.ID) {
-		poll.Deadline = w.session.Renew(e.confirmedAt())
+		poll.Deadline = e.leaseEndOf(w)
 	}
 	e.emit(poll)
 }
--- a/internal/owner/delegates.go
+++ b/internal/owner/delegates.go
@@ -37,7 +37,7 @@
 	}
 	o.nextNodeCheck = o.now.Add(nodeCheckPeriod)
 	o.engine.SetChannels(o.options.PermissionChannels.Names())
-	o.awaitPrevious()
+	o.updateMajority()
 	o.updateWitnesses()
 	o.updateSilent()
 	o.updateOutlasted()
--- a/internal/owner/late_renewals_test.go
+++ b/internal/owner/late_renewals_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,7 +25,9 @@
 	owner.Workers
 	clock *clock.Fake
 	begin time.Time
-	until atomic.Int64
+
+	mu    sync.Mutex
+	until time.Duration
 }
 
 func (l *leasedWorkers) at() order.WorkerTime {
@@ -32,13 +35,17 @@
 }
 
 func (l *leasedWorkers) record(deadline order.WorkerTime) {
-	until := int64(deadline) - int64(time.Hour)
-	for old := l.until.Load(); until > old && !l.until.CompareAndSwap(old, until); old = l.until.Load() {
-	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.until = max(l.until, time.Duration(deadline)-time.Hour)
 }
 
 // lastEnd returns when the last lease ends.
-func (l *leasedWorkers) lastEnd() time.Time { return l.begin.Add(time.Duration(l.until.Load())) }
+func (l *leasedWorkers) lastEnd() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.begin.Add(l.until)
+}
 
 func (l *leasedWorkers) Start(ctx context.Context, fence uint64, s *order.Start) (order.StartOutcome, order.WorkerTime) {
 	l.record(s.Deadline)
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -103,6 +103,8 @@
 	loadedAt time.Time
 	// confirmedAt is when the newest heartbeat was sent that the store has confirmed.
 	confirmedAt time.Time
+	// majorityAnsweredAt is when most nodes were last known to follow this one in an outage of the store.
+	majorityAnsweredAt time.Time
 	// zonesKnown is closed once the drained zones have been passed to the loop. areZonesKnown says
 	// that it is; only runZoneDrains uses it.
 	zonesKnown    chan struct{}
@@ -292,6 +294,7 @@
 // handled, and this process may have been paused since the last cycle.
 func (o *Owner) beginCycle() {
 	o.tick()
+	o.awaitPrevious()
 	o.updateOwnership()
 }
 
@@ -301,21 +304,22 @@
 	o.mayAct.Store(mayAct)
 	o.needsProbes.Store(o.now.Sub(o.confirmedAt) > heartbeatOverdue)
 	o.engine.SetOwnershipConfirmed(mayAct)
-	o.engine.SetOwnershipConfirmedAt(o.followedAt())
+	base := o.confirmedAt
+	if o.majorityAnsweredAt.After(base) {
+		base = o.majorityAnsweredAt
+	}
+	o.engine.SetLeaseBase(base)
 }
 
-// followedAt returns when this node was last known to be the owner: by the store or, in an outage, by most nodes. A
+// updateMajority finds out when most nodes were last known to follow this one, in an outage of the store. A
 // successor counts the leases of this owner from its claim or, if that is later, from when most nodes
-// follow it. So it does not matter when a lease is renewed, or whether this process was paused before.
-func (o *Owner) followedAt() time.Time {
+// follow it. Without an outage it need not await these: its claim is later than the store's last word.
+func (o *Owner) updateMajority() {
 	known := o.knownNodes(o.confirmedAt)
 	if o.options.MajorityAnsweredAt == nil || !o.needsProbes.Load() || !o.options.HasStoreOutage(o.confirmedAt, known) {
-		return o.confirmedAt
-	}
-	if at := o.options.MajorityAnsweredAt(o.confirmedAt, known); at.After(o.confirmedAt) {
-		return at
+		return
 	}
-	return o.confirmedAt
+	o.majorityAnsweredAt = o.options.MajorityAnsweredAt(o.confirmedAt, known)
 }
 
 // NeedsProbes reports whether the store is late to confirm this owner, so that it matters which nodes
--- a/internal/session/lease.go
+++ b/internal/session/lease.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// leaseDuration is how long after its owner was last confirmed a worker continues: longer than
-	// a takeover takes with a slow store (about 3 s), short enough that the tasks of a worker that is
-	// partitioned can soon be started elsewhere, also after a takeover.
+	// leaseDuration is how long after its owner was last known to be the owner a worker continues: longer
+	// than most takeovers take, short enough that the tasks of a worker that is partitioned can soon be
+	// started elsewhere, also after a takeover.
 	leaseDuration = 4500 * time.Millisecond
 	// earlierLeaseDuration is how long after a renewal it was in versions whose owners do not say
 	// how long their leases last.
@@ -112,11 +112,11 @@
 // Clock returns what the worker's clock showed last.
 func (l *Lease) Clock() order.WorkerTime { return l.clock }
 
-// Renew returns the end of the lease to send, by the worker's clock. confirmedAt is when the owner was
-// last known to be the owner: the lease ends leaseDuration after that, whenever it is sent, so that a
-// successor need not know for how long this owner goes on.
-func (l *Lease) Renew(confirmedAt time.Time) order.WorkerTime {
-	estimate := l.clock + order.WorkerTime(confirmedAt.Sub(l.lastHeardAt))
+// Renew returns the end of the lease to send, by the worker's clock. base is when the owner was last known
+// to be the owner: the lease ends leaseDuration after that, whenever it is sent, so that a successor need
+// not know for how long this owner goes on.
+func (l *Lease) Renew(base time.Time) order.WorkerTime {
+	estimate := l.clock + order.WorkerTime(base.Sub(l.lastHeardAt))
 	l.deadline = max(l.deadline, estimate+order.WorkerTime(leaseDuration))
 	return l.deadline
 }
