internal/draining: test requests of any size, timeouts and room for others

Requests larger than the buffers, chunks without lines, requests that arrive byte by byte, parts of bodies, clients that go, the timeouts of net/http, and connlimit's eviction, before a stop and during it.

--- /dev/null
+++ b/internal/draining/hardening_test.go
@@ -0,0 +1,181 @@
+// Copyright 2026 The leverdyke Authors
+// SPDX-License-Identifier: Apache-2.0
+
+package draining_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against requests that do not fit the buffer of a connection, or whose parts do not end with lines.
+func TestPipelinedRequestsOfAnySizeAreAnswered(t *testing.T) {
+	header := strings.Repeat("a", 5000)
+	chunk := strings.Repeat("x", 10_000)
+	for _, c := range []struct {
+		name, request string
+		want          answer
+	}{
+		{"header line beyond the buffer", "GET / HTTP/1.1\r\nHost: x\r\nA: " + header + "\r\n\r\n", kept},
+		{"request line beyond the buffer", "GET /?" + header + " HTTP/1.1\r\nHost: x\r\n\r\n", kept},
+		{"chunk without lines", fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(chunk), chunk), answer{http.StatusOK, "10000", false}},
+		{"unread chunks", fmt.Sprintf("POST /unread HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(chunk), chunk), answer{http.StatusOK, "", false}},
+		{"empty chunks", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", kept},
+		{"body as large as the buffer", fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2048\r\n\r\n%s", chunk[:2048]), answer{http.StatusOK, "2048", false}},
+		{"body as large as the server's buffer", fmt.Sprintf("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4096\r\n\r\n%s", chunk[:4096]), answer{http.StatusOK, "4096", false}},
+		{"expected body", "POST /unread HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nExpect: 100-continue\r\n\r\n", answer{http.StatusOK, "", false}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newServer(t)
+			client := s.dial().send(wait + c.request + c.request + get)
+			<-s.begun
+			s.Begin()
+			s.release <- struct{}{}
+			client.want(waited)
+			client.want(c.want)
+			client.want(c.want)
+			client.want(last)
+			client.wantEnd()
+			wantNil(t, s.Shutdown(t.Context()))
+		})
+	}
+}
+
+// Guards against reads that wait for a line, or hold bytes back, when requests arrive byte by byte.
+func TestRequestsThatArriveByteByByteAreAnswered(t *testing.T) {
+	s := newServer(t)
+	client := s.dial()
+	if err := client.SetNoDelay(true); err != nil {
+		t.Fatal(err)
+	}
+	chunked := "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	go func() {
+		for _, b := range []byte(chunked + get + chunked + get) {
+			if _, err := client.Write([]byte{b}); err != nil {
+				return
+			}
+		}
+	}()
+	for range 2 {
+		client.want(answer{http.StatusOK, "3", false})
+		client.want(kept)
+	}
+	s.Begin()
+	client.send(get).want(last)
+	client.wantEnd()
+	wantNil(t, s.Shutdown(t.Context()))
+}
+
+// Guards against bodies that are held back until a line or their end arrives: the handler must see each part.
+func TestPartsOfABodyAreReadAsTheyArrive(t *testing.T) {
+	for name, c := range map[string]struct{ header, part, end string }{
+		"length": {"Content-Length: 6", "abc", ""},
+		"chunks": {"Transfer-Encoding: chunked", "3\r\nabc\r\n", "0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			read := make(chan string)
+			s := newServerOf(t, &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				for range 2 {
+					p := make([]byte, 3)
+					if _, err := io.ReadFull(r.Body, p); err != nil {
+						t.Error(err)
+					}
+					read <- string(p)
+				}
+			})})
+			client := s.dial().send("POST / HTTP/1.1\r\nHost: x\r\n" + c.header + "\r\n\r\n")
+			for range 2 {
+				client.send(c.part)
+				if got, want := <-read, "abc"; got != want {
+					t.Errorf("got: %v, want: %v", got, want)
+				}
+			}
+			client.send(c.end).want(answer{http.StatusOK, "", false})
+		})
+	}
+}
+
+// Guards against a client whose end goes unnoticed while its request is handled, before and during a stop.
+func TestContextEndsWithConnection(t *testing.T) {
+	for name, isDraining := range map[string]bool{"serving": false, "draining": true} {
+		t.Run(name, func(t *testing.T) {
+			begun, ended := make(chan struct{}), make(chan struct{})
+			s := newServerOf(t, &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				close(begun)
+				<-r.Context().Done()
+				close(ended)
+			})})
+			if isDraining {
+				s.Begin()
+			}
+			client := s.dial().send(get)
+			<-begun
+			_ = client.Close()
+			<-ended
+			wantNil(t, s.Shutdown(t.Context()))
+		})
+	}
+}
+
+// Guards against connections without an end: the timeouts of the HTTP server hold before a stop and during it.
+func TestTimeoutsEndConnections(t *testing.T) {
+	const half = "GET / HTTP/1.1\r\nHost"
+	refused := answer{http.StatusBadRequest, "400 Bad Request", true}
+	for name, isDraining := range map[string]bool{"serving": false, "draining": true} {
+		t.Run(name, func(t *testing.T) {
+			begun, release := make(chan struct{}), make(chan struct{})
+			s := newServerOf(t, &http.Server{IdleTimeout: 50 * time.Millisecond, ReadHeaderTimeout: 50 * time.Millisecond, Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/wait" {
+					begun <- struct{}{}
+					<-release
+				}
+			})})
+			s.dial().wantEnd()
+			partial := s.dial().send(half)
+			partial.want(refused)
+			partial.wantEnd()
+			idle := s.dial().send(get)
+			idle.want(answer{http.StatusOK, "", false})
+			ahead := s.dial().send("GET /wait HTTP/1.1\r\nHost: x\r\n\r\n")
+			<-begun
+			if isDraining {
+				s.Begin()
+			}
+			idle.wantEnd()
+			ahead.send(half)
+			release <- struct{}{}
+			ahead.want(answer{http.StatusOK, "", false})
+			ahead.want(refused)
+			ahead.wantEnd()
+			wantNil(t, s.Shutdown(t.Context()))
+		})
+	}
+}
+
+// Guards against idle connections that are not closed to make room for others, before a stop and during it.
+func TestIdleConnectionMakesRoom(t *testing.T) {
+	for name, isDraining := range map[string]bool{"serving": false, "draining": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t)
+			clients := []*client{}
+			for range maxConns {
+				c := s.dial().send(get)
+				c.want(kept)
+				<-s.idle
+				clients = append(clients, c)
+			}
+			if isDraining {
+				s.Begin()
+			}
+			added := s.dial()
+			clients[0].wantEnd()
+			added.send(get).want(answer{http.StatusOK, "0", isDraining})
+			clients[1].send(get).want(answer{http.StatusOK, "0", isDraining})
+			wantNil(t, s.Shutdown(t.Context()))
+		})
+	}
+}
--- a/internal/draining/server_test.go
+++ b/internal/draining/server_test.go
@@ -28,29 +28,57 @@
 	t       *testing.T
 	addr    string
 	limiter *connlimit.Limiter
-	// begun receives when a request to /wait begins, and active when the headers of one have been read.
-	begun, active chan struct{}
-	release       chan struct{}
-	served        chan error
+	// begun receives when a request to /wait begins, active when the headers of one have been read, and idle when a
+	// connection becomes idle.
+	begun, active, idle chan struct{}
+	release             chan struct{}
+	served              chan error
 }
 
 func newServer(t *testing.T) *server { return newServerWith(t, draining.NewServerOptions{}) }
 
 func newServerWith(t *testing.T, o draining.NewServerOptions) *server {
 	t.Helper()
-	s := &server{t: t, begun: make(chan struct{}, 10), active: make(chan struct{}, 1), release: make(chan struct{}), served: make(chan error, 1)}
-	s.limiter = connlimit.NewLimiter(10, func() {})
-	h := &http.Server{Handler: s.limiter.Handler(http.HandlerFunc(s.serve)), ConnState: s.limiter.ConnState, ConnContext: s.limiter.ConnContext}
+	s := &server{t: t, begun: make(chan struct{}, 10), active: make(chan struct{}, 1), release: make(chan struct{})}
+	s.open(&http.Server{Handler: http.HandlerFunc(s.serve)}, o)
+	return s
+}
+
+// newServerOf returns a server with the handler and the timeouts of h.
+func newServerOf(t *testing.T, h *http.Server) *server {
+	t.Helper()
+	s := &server{t: t}
+	s.open(h, draining.NewServerOptions{})
+	return s
+}
+
+// maxConns is how many connections a server has at a time.
+const maxConns = 10
+
+func (s *server) open(h *http.Server, o draining.NewServerOptions) {
+	s.t.Helper()
+	s.served, s.idle, s.limiter = make(chan error, 1), make(chan struct{}, 100), connlimit.NewLimiter(maxConns, func() {})
+	h.Handler, h.ConnState, h.ConnContext = s.limiter.Handler(h.Handler), s.connState, s.limiter.ConnContext
 	s.Server = draining.NewServer(h, o)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		s.t.Fatal(err)
 	}
 	s.addr = l.Addr().String()
 	l = s.limiter.Listen(s.Listen(l))
 	go func() { s.served <- h.Serve(l) }()
-	t.Cleanup(func() { _ = h.Close() })
-	return s
+	s.t.Cleanup(func() { _ = h.Close() })
+}
+
+func (s *server) connState(c net.Conn, state http.ConnState) {
+	s.limiter.ConnState(c, state)
+	if state != http.StateIdle {
+		return
+	}
+	select {
+	case s.idle <- struct{}{}:
+	default:
+	}
 }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
