internal/draining: show stops that wait for connections without a request

An empty line behind a request, or an OPTIONS * that was pipelined, leaves isAhead set, so that nothing ends the connection before the deadline of Shutdown.

--- a/internal/draining/hardening_test.go
+++ b/internal/draining/hardening_test.go
@@ -4,6 +4,7 @@
 package draining_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -179,3 +180,25 @@
 		})
 	}
 }
+
+// Guards against connections that keep the server from stopping although no request is in progress or arriving on them.
+func TestShutdownEndsBesideConnectionsThatHaveNoRequest(t *testing.T) {
+	for name, text := range map[string]string{
+		"empty line after a request":      wait + "\r\n",
+		"request that no handler answers": wait + "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t)
+			client := s.dial().send(text)
+			<-s.begun
+			s.release <- struct{}{}
+			client.want(waited)
+			if strings.Contains(text, "OPTIONS") {
+				client.want(answer{http.StatusOK, "", false})
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+			defer cancel()
+			wantNil(t, s.Shutdown(ctx))
+		})
+	}
+}
