--- a/internal/draining/conn.go
+++ b/internal/draining/conn.go
@@ -44,7 +44,9 @@
 	// isReading means that Read waits for the client, isInterrupted that it shall not.
 	isReading, isInterrupted bool
 	isClosed                 bool
-	readDeadline             time.Time
+	// hasBegun means that more of the next request has been read than empty lines.
+	hasBegun     bool
+	readDeadline time.Time
 	// changed signals that one of the four has changed.
 	changed *sync.Cond
 }
@@ -62,7 +64,7 @@
 	defer c.mu.Unlock()
 	for len(c.unread) == 0 {
 		phase := c.server.current()
-		if c.isBetween && phase >= phaseEnding && (phase >= phaseLast || !c.canRead()) {
+		if c.mayEnd(phase) {
 			return 0, io.EOF
 		}
 		if phase >= phaseLast && c.isHandling && c.hasArrived {
@@ -80,6 +82,9 @@
 		}
 	}
 	c.isBetween = false
+	if !c.isHandling || len(p) == 1 {
+		c.hasBegun = c.hasBegun || len(bytes.Trim(c.unread[:c.readable()], "\r\n")) > 0
+	}
 	// While a request is handled, the HTTP server reads a single byte to notice that the client has gone. The byte
 	// belongs to the next request.
 	c.isAhead = c.isAhead || c.isHandling && len(p) == 1
@@ -89,6 +94,15 @@
 	return n, nil
 }
 
+// mayEnd reports whether the connection ends instead of waiting for a request. Some clients send an empty line
+// behind a request.
+func (c *conn) mayEnd(p phase) bool {
+	if p >= phaseLast {
+		return c.isBetween || !c.isHandling && !c.hasBegun
+	}
+	return c.isBetween && p >= phaseEnding && !c.canRead()
+}
+
 // receivable returns how many bytes may be received at once. In phaseLast none of a further request are.
 func (c *conn) receivable(p phase) int64 {
 	if p < phaseLast {
@@ -171,7 +185,7 @@
 func (c *conn) onPhase() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isBetween || c.isHandling && c.hasArrived {
+	if c.isBetween || c.isHandling && c.hasArrived || !c.isHandling && !c.hasBegun {
 		c.interrupt()
 	}
 }
@@ -190,7 +204,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bodyLeft = max(length, 0)
-	c.isHandling, c.hasArrived, c.isAhead = true, length == 0, false
+	c.isHandling, c.hasArrived, c.isAhead, c.hasBegun = true, length == 0, false, false
 }
 
 // bodyArrived records that the body of a request has been read.
@@ -204,7 +218,7 @@
 func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isHandling, c.isBetween = false, !c.isAhead
+	c.isHandling, c.isBetween, c.isAhead = false, !c.isAhead, false
 }
 
 // isLast reports whether the answer that is about to be sent shall close the connection.
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -241,6 +241,10 @@
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(request); err != nil {
+		if tooLarge := (&http.MaxBytesError{}); errors.As(err, &tooLarge) {
+			// The rest of the body is not read.
+			w.Header().Set("Connection", "close")
+		}
 		writeProblem(w, http.StatusBadRequest, &Problem{Title: "unreadable request", Detail: err.Error(), Verdict: leverdyke.VerdictNotRun, IsInvalid: true})
 		return false
 	}
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -44,9 +44,8 @@
 	o.applyPolicy()
 	jobs := parseJobs(newest.Records, logBadRecord)
 	slices.SortFunc(jobs, func(a, b *storedJob) int { return cmp.Compare(a.offset, b.offset) })
-	if slices.ContainsFunc(jobs, func(k *storedJob) bool { return k.spec.Epoch > o.Epoch() }) {
-		o.options.Log(events.ShardDropped, "epoch", o.Epoch(), "why", "the store has a job that a later owner has accepted")
-		return 0, errLaterOwner
+	if err := o.checkEpochs(jobs); err != nil {
+		return 0, err
 	}
 	for _, k := range jobs {
 		o.engine.RestoreJob(k.spec, k.progress)
@@ -72,6 +71,30 @@
 // errLaterOwner reports that the jobs were read after a later owner had accepted some.
 var errLaterOwner = errors.New("owner: a later owner has accepted jobs")
 
+// checkEpochs returns an error if a later owner has accepted one of the jobs. A later epoch that no owner has had tells
+// nothing, as in a store whose topics have begun anew: such a job is taken for one of a time without doubt.
+func (o *Owner) checkEpochs(jobs []*storedJob) error {
+	isLater := func(k *storedJob) bool { return k.spec.Epoch > o.Epoch() }
+	if !slices.ContainsFunc(jobs, isLater) {
+		return nil
+	}
+	r, _, err := ReadRecord(o.ctx, o.options.Store)
+	if err != nil {
+		return err
+	}
+	if r == nil || r.Epoch > o.Epoch() {
+		o.options.Log(events.ShardDropped, "epoch", o.Epoch(), "why", "the store has a job that a later owner has accepted")
+		return errLaterOwner
+	}
+	for _, k := range jobs {
+		if isLater(k) {
+			o.options.Log(events.BadRecord, "key", specPrefix+string(k.spec.ID), "err", "the epoch is later than the owner's")
+			k.spec.Epoch = 0
+		}
+	}
+	return nil
+}
+
 // fenceAndRead returns the jobs as they are once no previous owner can append any more. The jobs
 // are read concurrently with the fencing append, because both take long on a slow store. If the
 // topic has grown in between, the jobs are read again.
