--- a/internal/owner/late_renewals_test.go
+++ b/internal/owner/late_renewals_test.go
@@ -100,16 +100,7 @@
 					return time.Time{}
 				}
 			})
-			job := newJob("a")
-			job.Steps[0].Count = 1
-			if err := previous.Submit(t.Context(), job); err != nil {
-				t.Fatal(err)
-			}
-			await.True(t, "the task runs", func() bool {
-				previous.clock.Advance(tick)
-				return pool.hasStarted("w00")
-			})
-			previous.awaitRecord(t)
+			previous.runTask(t, pool)
 			previous.log.isSevered.Store(true)
 			isExpired := atomic.Bool{}
 			successor := startOwnerInPartition(t, log, pool, "w01", func(o *owner.Options) {
@@ -153,16 +144,7 @@
 	pool.byID["w00"].gate = gate
 	t.Cleanup(func() { close(gate) })
 	lost := startOwnerInPartition(t, log, pool, "w00", func(o *owner.Options) { o.KnownNodes = func(time.Time) int { return 3 } })
-	job := newJob("a")
-	job.Steps[0].Count = 1
-	if err := lost.Submit(t.Context(), job); err != nil {
-		t.Fatal(err)
-	}
-	await.True(t, "the task runs", func() bool {
-		lost.clock.Advance(tick)
-		return pool.hasStarted("w00")
-	})
-	lost.awaitRecord(t)
+	lost.runTask(t, pool)
 	lost.Stop()
 	<-lost.Done()
 	isExpired := atomic.Bool{}
--- a/internal/owner/paused_load_test.go
+++ b/internal/owner/paused_load_test.go
@@ -52,16 +52,7 @@
 	pool.byID["w00"].gate = gate
 	t.Cleanup(func() { close(gate) })
 	previous := startOwnerInPartition(t, log, pool, "w00", func(o *owner.Options) { o.KnownNodes = func(time.Time) int { return 3 } })
-	job := newJob("a")
-	job.Steps[0].Count = 1
-	if err := previous.Submit(t.Context(), job); err != nil {
-		t.Fatal(err)
-	}
-	await.True(t, "the task runs", func() bool {
-		previous.clock.Advance(tick)
-		return pool.hasStarted("w00")
-	})
-	previous.awaitRecord(t)
+	previous.runTask(t, pool)
 	previous.log.isSevered.Store(true)
 	next := &ownerInPartition{clock: clock.NewFake()}
 	paused := &pausableLog{gatedLog{log, make(chan struct{})}, make(chan struct{})}
--- a/internal/owner/silent_handover_test.go
+++ b/internal/owner/silent_handover_test.go
@@ -56,16 +56,7 @@
 	t.Cleanup(func() { close(gate) })
 	workers := &losableWorkers{reachableWorkers: &reachableWorkers{poolWithClose{pool}, "w00"}}
 	first := startOwnerInPartition(t, log, pool, "w00", func(o *owner.Options) { o.Workers = workers })
-	job := newJob("a")
-	job.Steps[0].Count = 1
-	if err := first.Submit(t.Context(), job); err != nil {
-		t.Fatal(err)
-	}
-	await.True(t, "the task runs", func() bool {
-		first.clock.Advance(tick)
-		return pool.hasStarted("w00")
-	})
-	first.awaitRecord(t)
+	first.runTask(t, pool)
 	workers.isLost.Store(true)
 	lostAt := first.clock.Now()
 	await.True(t, "a poll has no answer", func() bool { return workers.misses.Load() > 0 })
--- a/internal/owner/silent_worker_takeover_test.go
+++ b/internal/owner/silent_worker_takeover_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/leverdyke/leverdyke/internal/await"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/owner"
 	"github.com/leverdyke/leverdyke/internal/store/fakestore"
@@ -38,16 +37,7 @@
 			pool.byID["w00"].gate = gate
 			t.Cleanup(func() { close(gate) })
 			lost := startOwnerInPartition(t, log, pool, "w00", func(o *owner.Options) { o.KnownNodes = func(time.Time) int { return 3 } })
-			job := newJob("a")
-			job.Steps[0].Count = 1
-			if err := lost.Submit(t.Context(), job); err != nil {
-				t.Fatal(err)
-			}
-			await.True(t, "the task runs and its placement is persisted", func() bool {
-				lost.clock.Advance(tick)
-				return pool.hasStarted("w00")
-			})
-			lost.awaitRecord(t)
+			lost.runTask(t, pool)
 			if tc.isCutOff {
 				lost.log.isSevered.Store(true)
 			} else {
--- a/internal/owner/two_owners_test.go
+++ b/internal/owner/two_owners_test.go
@@ -329,6 +329,21 @@
 	}
 }
 
+// runTask submits the job a of one task, and waits until the task runs on w00 and its placement is persisted.
+func (p *ownerInPartition) runTask(t *testing.T, pool *workerPool) {
+	t.Helper()
+	job := newJob("a")
+	job.Steps[0].Count = 1
+	if err := p.Submit(t.Context(), job); err != nil {
+		t.Fatal(err)
+	}
+	await.True(t, "the task runs", func() bool {
+		p.clock.Advance(tick)
+		return pool.hasStarted("w00")
+	})
+	p.awaitRecord(t)
+}
+
 // awaitRecord waits for a record of the owner that is sent from now on.
 func (p *ownerInPartition) awaitRecord(t *testing.T) {
 	t.Helper()
@@ -386,16 +401,7 @@
 			first := startOwnerInPartition(t, log, pool, "w00", func(o *owner.Options) {
 				o.Claim.Record.Node, o.Claim.Record.Addr, o.Claim.Record.Incarnation = "a", addr, "first"
 			})
-			job := newJob("a")
-			job.Steps[0].Count = 1
-			if err := first.Submit(t.Context(), job); err != nil {
-				t.Fatal(err)
-			}
-			await.True(t, "the task runs", func() bool {
-				first.clock.Advance(tick)
-				return pool.hasStarted("w00")
-			})
-			first.awaitRecord(t)
+			first.runTask(t, pool)
 			first.Stop()
 			<-first.Done()
 			isExpired := atomic.Bool{}
