internal/draining: show requests that a stop drops after a pause and in its last phase

TestEndlessRequestsEndWithAnAnswer fails now when its connection is closed early, where it waited until the time limit of the whole run.

--- a/internal/draining/hardening_test.go
+++ b/internal/draining/hardening_test.go
@@ -7,10 +7,15 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/leverdyke/leverdyke/internal/draining"
 )
 
 // Guards against requests that do not fit the buffer of a connection, or whose parts do not end with lines.
@@ -202,3 +207,76 @@
 		})
 	}
 }
+
+// Guards against requests that have arrived on an open connection and are dropped when the last phase of a stop begins.
+func TestRequestThatArrivesBeforeTheLastPhaseIsAnswered(t *testing.T) {
+	held, release, isFirst := make(chan struct{}), make(chan struct{}), atomic.Bool{}
+	isFirst.Store(true)
+	s := &server{t: t, begun: make(chan struct{}, 10), release: make(chan struct{}), onIdle: func() {
+		if isFirst.Swap(false) {
+			close(held)
+			<-release
+		}
+	}}
+	s.open(&http.Server{Handler: http.HandlerFunc(s.serve)}, draining.NewServerOptions{})
+	client := s.dial().send(get)
+	client.want(kept)
+	<-held
+	client.send(get)
+	endless := s.dial().send(wait)
+	done := s.shutdown(pastDeadline{t.Context()})
+	s.sendUntilLast(endless)
+	close(release)
+	client.want(last)
+	client.wantEnd()
+	wantNil(t, <-done)
+}
+
+// pastDeadline is a context that is not done although its deadline has passed.
+type pastDeadline struct{ context.Context }
+
+// Deadline returns a time in the past.
+func (pastDeadline) Deadline() (time.Time, bool) { return time.Unix(1, 0), true }
+
+// Guards against connections that are reset with a request because the time to accept them passes while the process is
+// paused.
+func TestConnectionsAreAcceptedAfterAPauseAtShutdown(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{t: t}
+	s.openOn(&pausedListener{TCPListener: l.(*net.TCPListener), resumed: make(chan struct{})}, &http.Server{Handler: http.HandlerFunc(s.serve)}, draining.NewServerOptions{})
+	clients := []*client{}
+	for range 3 {
+		clients = append(clients, s.dial().send(get))
+	}
+	done := s.shutdown(t.Context())
+	for _, c := range clients {
+		c.want(last)
+		c.wantEnd()
+	}
+	wantNil(t, <-done)
+}
+
+// pausedListener accepts nothing before its first deadline, which has passed by then.
+type pausedListener struct {
+	*net.TCPListener
+	once    sync.Once
+	resumed chan struct{}
+}
+
+func (l *pausedListener) Accept() (net.Conn, error) {
+	<-l.resumed
+	return l.TCPListener.Accept()
+}
+
+func (l *pausedListener) SetDeadline(deadline time.Time) error {
+	isFirst := false
+	l.once.Do(func() { isFirst = true })
+	if !isFirst {
+		return l.TCPListener.SetDeadline(deadline)
+	}
+	defer close(l.resumed)
+	return l.TCPListener.SetDeadline(time.Unix(1, 0))
+}
--- a/internal/draining/server_test.go
+++ b/internal/draining/server_test.go
@@ -33,6 +33,10 @@
 	begun, active, idle chan struct{}
 	release             chan struct{}
 	served              chan error
+	// closed receives when a connection has been closed.
+	closed chan struct{}
+	// onIdle is called when a connection becomes idle, unless it is nil.
+	onIdle func()
 }
 
 func newServer(t *testing.T) *server { return newServerWith(t, draining.NewServerOptions{}) }
@@ -57,13 +61,19 @@
 
 func (s *server) open(h *http.Server, o draining.NewServerOptions) {
 	s.t.Helper()
-	s.served, s.idle, s.limiter = make(chan error, 1), make(chan struct{}, 100), connlimit.NewLimiter(maxConns, func() {})
-	h.Handler, h.ConnState, h.ConnContext = s.limiter.Handler(h.Handler), s.connState, s.limiter.ConnContext
-	s.Server = draining.NewServer(h, o)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	s.openOn(l, h, o)
+}
+
+func (s *server) openOn(l net.Listener, h *http.Server, o draining.NewServerOptions) {
+	s.t.Helper()
+	s.served, s.idle, s.limiter = make(chan error, 1), make(chan struct{}, 100), connlimit.NewLimiter(maxConns, func() {})
+	s.closed = make(chan struct{}, 100)
+	h.Handler, h.ConnState, h.ConnContext = s.limiter.Handler(h.Handler), s.connState, s.limiter.ConnContext
+	s.Server = draining.NewServer(h, o)
 	s.addr = l.Addr().String()
 	l = s.limiter.Listen(s.Listen(l))
 	go func() { s.served <- h.Serve(l) }()
@@ -72,6 +82,9 @@
 
 func (s *server) connState(c net.Conn, state http.ConnState) {
 	s.limiter.ConnState(c, state)
+	if state == http.StateClosed {
+		s.closed <- struct{}{}
+	}
 	if state != http.StateIdle {
 		return
 	}
@@ -79,6 +92,9 @@
 	case s.idle <- struct{}{}:
 	default:
 	}
+	if s.onIdle != nil {
+		s.onIdle()
+	}
 }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
@@ -304,18 +320,29 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 	defer cancel()
 	done := s.shutdown(ctx)
+	s.sendUntilLast(client)
+	wantNil(t, <-done)
+}
+
+// sendUntilLast always sends a further request before the client, which has sent one, is answered, until an answer
+// closes the connection.
+func (s *server) sendUntilLast(client *client) {
+	s.t.Helper()
 	for isLast := false; !isLast; {
-		<-s.begun
+		select {
+		case <-s.begun:
+		case <-s.closed:
+			s.t.Fatal("connection: got: closed, want: the next request is handled")
+		}
 		client.send(wait)
 		s.release <- struct{}{}
 		got := client.answer(http.MethodPost)
 		if got.status != http.StatusOK {
-			t.Fatalf("got: %v, want: status 200", got)
+			s.t.Fatalf("got: %v, want: status 200", got)
 		}
 		isLast = got.isClose
 	}
 	client.wantEnd()
-	wantNil(t, <-done)
 }
 
 // Guards against a request that is dropped because it has not arrived completely when the server shuts down.
