internal/draining: read requests that have arrived in the last phase of a stop too

Callers saw their connection end (EOF) although the answer before did not say that it would, with the next request on the way or already received. Cause: an answer keeps the connection because a request has arrived; if the last phase began before that request was read, mayEnd ended the connection without a look. In each phase a connection now ends only if nothing has arrived; the answer after that closes it, so that a client that never stops sending gets one more answer.

--- a/internal/draining/conn.go
+++ b/internal/draining/conn.go
@@ -94,13 +94,11 @@
 	return n, nil
 }
 
-// mayEnd reports whether the connection ends instead of waiting for a request. Some clients send an empty line
-// behind a request.
+// mayEnd reports whether the connection ends instead of waiting for a request. One that has arrived is read in any phase:
+// its client was not told that the connection would close. Some clients send an empty line behind a request.
 func (c *conn) mayEnd(p phase) bool {
-	if p >= phaseLast {
-		return c.isBetween || !c.isHandling && !c.hasBegun
-	}
-	return c.isBetween && p >= phaseEnding && !c.canRead()
+	isWaiting := c.isBetween && p >= phaseEnding || !c.isHandling && !c.hasBegun && p >= phaseLast
+	return isWaiting && !c.canRead()
 }
 
 // receivable returns how many bytes may be received at once. In phaseLast none of a further request are.
