internal/draining: accept the connections that wait when the time to accept has passed

Callers whose connection the system had opened got "connection reset by peer" with a request sent, at a planned stop of a node that did not run for 10 ms (a processor quota, a busy machine). Cause: Accept reports a deadline that has passed before it looks for a connection, and the listener was closed on that. Evidence: a listener whose deadline has passed before Accept runs reset 3 of 3 connections. A listener that has reached its deadline now asks the system whether connections wait, and accepts just these before it closes.

--- a/internal/draining/conn.go
+++ b/internal/draining/conn.go
@@ -151,19 +151,11 @@
 
 // canRead reports whether bytes have arrived that were not read.
 func (c *conn) canRead() bool {
-	s, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
 	n := 0
-	err = raw.Control(func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	isOpen := withDescriptor(c.Conn, func(fd int) {
+		n, _, _ = syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && n > 0
+	return isOpen && n > 0
 }
 
 // SetReadDeadline sets the deadline of reads.
--- a/internal/draining/server.go
+++ b/internal/draining/server.go
@@ -13,9 +13,12 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -229,27 +232,58 @@
 	server *Server
 	once   sync.Once
 	ended  chan struct{}
+	// isOver means that the time to accept has passed, after which only connections that wait are accepted. It is used
+	// by Accept only.
+	isOver bool
 }
 
-// Accept returns the next connection, or http.ErrServerClosed once the server shuts down.
+// Accept returns the next connection, or http.ErrServerClosed once the server shuts down. Only one goroutine may call it.
 func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	switch {
-	case err == nil:
-		c := newConn(inner, l.server)
-		l.server.add(c)
-		return c, nil
-	case l.server.current() >= phaseRefusing:
-		_ = l.Close()
-		return nil, http.ErrServerClosed
+	for {
+		if l.isOver && !l.canAccept() {
+			_ = l.Close()
+			return nil, http.ErrServerClosed
+		}
+		inner, err := l.Listener.Accept()
+		switch {
+		case err == nil:
+			c := newConn(inner, l.server)
+			l.server.add(c)
+			return c, nil
+		case l.server.current() < phaseRefusing:
+			// The server expects the listener's own errors.
+			return nil, err
+		}
+		// The deadline may have passed while the process was paused.
+		l.isOver = true
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !l.setDeadline() {
+			_ = l.Close()
+			return nil, http.ErrServerClosed
+		}
 	}
-	// The server expects the listener's own errors.
-	return nil, err
+}
+
+// canAccept reports whether a connection waits to be accepted.
+func (l *listener) canAccept() bool {
+	n := 0
+	isOpen := withDescriptor(l.Listener, func(fd int) {
+		err := error(unix.EINTR)
+		for errors.Is(err, unix.EINTR) {
+			n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		}
+	})
+	return isOpen && n > 0
+}
+
+// setDeadline bounds the time to accept. It reports whether the listener has deadlines.
+func (l *listener) setDeadline() bool {
+	d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	return ok && d.SetDeadline(time.Now().Add(acceptTime)) == nil
 }
 
 // end makes Accept close the listener soon, and waits until that has happened.
 func (l *listener) end(ctx context.Context) {
-	if d, ok := l.Listener.(interface{ SetDeadline(t time.Time) error }); ok && d.SetDeadline(time.Now().Add(acceptTime)) == nil {
+	if l.setDeadline() {
 		select {
 		case <-l.ended:
 		case <-ctx.Done():
