--- a/internal/draining/conn.go
+++ b/internal/draining/conn.go
@@ -250,8 +250,13 @@
 	isFirst := !c.isClosed
 	c.isClosed = true
 	c.changed.Broadcast()
+	isUnread := len(c.unread) > 0 || c.canRead()
 	c.mu.Unlock()
-	if p := c.server.current(); isFirst && p > phaseServing && p < phaseClosed {
+	p := c.server.current()
+	if isFirst && isUnread && p > phaseServing {
+		c.server.unread.Add(1)
+	}
+	if isFirst && p > phaseServing && p < phaseClosed {
 		go c.runLinger()
 		return nil
 	}
--- a/internal/draining/server.go
+++ b/internal/draining/server.go
@@ -16,6 +16,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -57,6 +58,8 @@
 type Server struct {
 	server  *http.Server
 	options NewServerOptions
+	// unread is the number of connections that were closed with unread bytes since the server began to drain.
+	unread atomic.Int64
 
 	mu        sync.Mutex
 	phase     phase
@@ -140,6 +143,10 @@
 	return err
 }
 
+// Unread returns how many connections were closed since Begin or Shutdown although their clients had sent more than was
+// read.
+func (d *Server) Unread() int64 { return d.unread.Load() }
+
 // awaitEmpty waits until no connection is open, for at most the given time. It reports whether that is so.
 func (d *Server) awaitEmpty(ctx context.Context, longest time.Duration) bool {
 	timer := time.NewTimer(longest)
--- a/internal/draining/server_test.go
+++ b/internal/draining/server_test.go
@@ -322,6 +322,9 @@
 	done := s.shutdown(ctx)
 	s.sendUntilLast(client)
 	wantNil(t, <-done)
+	if got, want := s.Unread(), int64(1); got != want {
+		t.Errorf("connections closed with unread bytes: got: %v, want: %v", got, want)
+	}
 }
 
 // sendUntilLast always sends a further request before the client, which has sent one, is answered, until an answer
