internal/draining: answer clients that wait to be told to send a body

What callers saw: a POST with "Expect: 100-continue" that a node refuses before it reads the body (no configuration yet, no key in force, unknown path) got neither "100 Continue" nor an answer, until the node stopped (cut after 5.5 s, without an answer) or a timeout ended it.

Cause: the handlers of draining and of connlimit replaced Body in the HTTP server's own request. net/http recognises such a client by the type of that field. With another type, it reads the body before it sends the headers of the answer, while the client waits for either.

Why the fix works: the handlers pass on a copy of the request. The HTTP server then answers at once, with "Connection: close".

TestRequestWhoseExpectedBodyIsNotReadIsAnswered (draining: serving and draining; connlimit) hung before this change, in either package.

--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -188,6 +188,9 @@
 		switch {
 		case !ok:
 		case r.Body != http.NoBody:
+			// The HTTP server looks at the type of the body in its own request, to see whether the client waits to be
+			// told to send it.
+			r = r.WithContext(r.Context())
 			r.Body = &body{r.Body, c}
 		case !l.setBusy(c):
 			// The answer may still be sent before the connection closes. Without one it would be a 200.
--- a/internal/connlimit/limiter_test.go
+++ b/internal/connlimit/limiter_test.go
@@ -226,3 +226,23 @@
 		t.Errorf("closed: got: %v, want: 0", got)
 	}
 }
+
+// Guards against an answer that waits for a body that its client sends only when it is told to.
+func TestRequestWhoseExpectedBodyIsNotReadIsAnswered(t *testing.T) {
+	s := newServer(t, 1)
+	c := s.dial()
+	if _, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		t.Fatalf("answer: got: %v, want: a complete answer", err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Errorf("got: %v, want: nil", err)
+	}
+	if resp.StatusCode != http.StatusOK || !resp.Close {
+		t.Errorf("got: %d, closes: %v, want: 200, closes: true", resp.StatusCode, resp.Close)
+	}
+	_ = c.Close()
+}
--- a/internal/draining/handler.go
+++ b/internal/draining/handler.go
@@ -26,6 +26,9 @@
 	}
 	c.beginRequest(r.ContentLength)
 	if r.Body != http.NoBody {
+		// The HTTP server looks at the type of the body in its own request, to see whether the client waits to be told
+		// to send it.
+		r = r.WithContext(r.Context())
 		r.Body = &body{r.Body, c}
 	}
 	a := &answer{ResponseWriter: w, conn: c}
--- a/internal/draining/hardening_test.go
+++ b/internal/draining/hardening_test.go
@@ -208,6 +208,22 @@
 	}
 }
 
+// Guards against an answer that waits for a body that its client sends only when it is told to.
+func TestRequestWhoseExpectedBodyIsNotReadIsAnswered(t *testing.T) {
+	for name, isDraining := range map[string]bool{"serving": false, "draining": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t)
+			if isDraining {
+				s.Begin()
+			}
+			client := s.dial().send("POST /unread HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n")
+			client.want(answer{http.StatusOK, "", true})
+			_ = client.Close()
+			wantNil(t, s.Shutdown(t.Context()))
+		})
+	}
+}
+
 // Guards against requests that have arrived on an open connection and are dropped when the last phase of a stop begins.
 func TestRequestThatArrivesBeforeTheLastPhaseIsAnswered(t *testing.T) {
 	held, release, isFirst := make(chan struct{}), make(chan struct{}), atomic.Bool{}
