internal/draining: answer the requests in progress before a stop ends

What callers would see: a request that a node works on for longer than its stop has left is cut, however long ago it was sent. A stop of the platform's nodes has 5.5 s in all and takes requests for at least 2.7 s of them, and a request may take 3 s; each answer may keep the connection for one that has arrived.

Cause: Shutdown closed the connections at the deadline of its context, and no handler knew of that deadline.

Evidence: TestRequestInProgressIsAnsweredBeforeTheEndOfAStop; before this change its client got "unexpected EOF" at the deadline.

Why the fix works: 0.5 s before the deadline the contexts of requests end. Handlers answer then, as they do at the end of a request's time.

--- a/internal/draining/handler.go
+++ b/internal/draining/handler.go
@@ -4,6 +4,7 @@
 package draining
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -25,10 +26,13 @@
 		return
 	}
 	c.beginRequest(r.ContentLength)
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(c.server.ending, cancel)()
+	// The HTTP server looks at the type of the body in its own request, to see whether the client waits to be told to
+	// send it.
+	r = r.WithContext(ctx)
 	if r.Body != http.NoBody {
-		// The HTTP server looks at the type of the body in its own request, to see whether the client waits to be told
-		// to send it.
-		r = r.WithContext(r.Context())
 		r.Body = &body{r.Body, c}
 	}
 	a := &answer{ResponseWriter: w, conn: c}
--- a/internal/draining/server.go
+++ b/internal/draining/server.go
@@ -26,6 +26,10 @@
 	acceptTime = 10 * time.Millisecond
 	// defaultFirstRequestTime is the FirstRequestTime if the options have none.
 	defaultFirstRequestTime = 200 * time.Millisecond
+	// answerTime is how long before its deadline a shutdown ends the contexts of requests, so that their answers are
+	// still sent. It is at most answerShare of the time until the deadline.
+	answerTime  = 500 * time.Millisecond
+	answerShare = 4
 )
 
 // NewServerOptions configures a Server. The zero value works.
@@ -57,6 +61,9 @@
 type Server struct {
 	server  *http.Server
 	options NewServerOptions
+	// ending is done when the requests in progress have to be answered; end ends it.
+	ending context.Context
+	end    context.CancelFunc
 
 	mu        sync.Mutex
 	phase     phase
@@ -74,6 +81,7 @@
 		o.FirstRequestTime = defaultFirstRequestTime
 	}
 	d := &Server{server: s, options: o, conns: map[*conn]struct{}{}, listeners: map[*listener]struct{}{}, isEmpty: make(chan struct{})}
+	d.ending, d.end = context.WithCancel(context.Background())
 	s.Handler = &handler{s.Handler}
 	innerState, innerContext := s.ConnState, s.ConnContext
 	s.ConnState = func(c net.Conn, state http.ConnState) {
@@ -115,10 +123,15 @@
 func (d *Server) Begin() { d.advance(phaseDraining) }
 
 // Shutdown closes the listeners, answers the requests that have arrived and closes the connections. Clients that never
-// stop sending are served for half of the time until the deadline of ctx. If ctx ends before all connections have
-// closed, Shutdown closes them at once and returns an error.
+// stop sending are served for half of the time until the deadline of ctx. Shortly before the deadline the contexts of
+// requests end. If ctx ends before all connections have closed, Shutdown closes them at once and returns an error.
 func (d *Server) Shutdown(ctx context.Context) error {
+	defer d.end()
 	d.advance(phaseRefusing)
+	if deadline, ok := ctx.Deadline(); ok {
+		left := time.Until(deadline)
+		defer time.AfterFunc(left-min(answerTime, left/answerShare), d.end).Stop()
+	}
 	d.closeListeners(ctx)
 	d.awaitEmpty(ctx, d.options.FirstRequestTime)
 	d.advance(phaseEnding)
--- a/internal/draining/server_test.go
+++ b/internal/draining/server_test.go
@@ -408,6 +408,24 @@
 	await.True(t, "no connection is open", func() bool { return s.limiter.Open() == 0 })
 }
 
+// Guards against requests in progress that are cut, and not answered, when a stop has no time left for them.
+func TestRequestInProgressIsAnsweredBeforeTheEndOfAStop(t *testing.T) {
+	begun := make(chan struct{})
+	s := newServerOf(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(begun)
+		<-r.Context().Done()
+		w.WriteHeader(http.StatusGatewayTimeout)
+	})})
+	client := s.dial().send(get)
+	<-begun
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	done := s.shutdown(pastDeadline{ctx})
+	client.want(answer{http.StatusGatewayTimeout, "", true})
+	client.wantEnd()
+	wantNil(t, <-done)
+}
+
 // Guards against a last answer that is lost because its client continues to send.
 func TestLastAnswerReachesClientThatSends(t *testing.T) {
 	s := newServer(t)
