internal/draining: read what has arrived when a timeout passes in a pause

What callers saw: a connection is reset with a whole request that arrived while the process did not run, because the timeout for its headers, or that of idle connections, passed meanwhile.

Cause: net.Conn.Read reports that its deadline has passed without a look at what has arrived, as net.Listener.Accept does. The HTTP server takes that as proof that nothing has, and closes the connection.

That such a pause causes it is shown by the test alone.

Why the fix works: if bytes have arrived when a deadline passes, they are read. A deadline that has passed when it is set still ends a read at once: the HTTP server and the budget for bodies do that on purpose. A client gains no time by it, as its next byte has to have arrived when the connection is read again.

TestRequestThatHasArrivedIsAnsweredAfterATimeoutPassedInAPause failed before ("connection reset by peer", while draining "unexpected EOF").

--- a/internal/draining/conn.go
+++ b/internal/draining/conn.go
@@ -47,7 +47,9 @@
 	// hasBegun means that more of the next request has been read than empty lines.
 	hasBegun     bool
 	readDeadline time.Time
-	// changed signals that one of the four has changed.
+	// isAborted means that readDeadline had passed when it was set, which ends a read whatever has arrived.
+	isAborted bool
+	// changed signals that isReading, isInterrupted, isClosed or readDeadline has changed.
 	changed *sync.Cond
 }
 
@@ -133,11 +135,23 @@
 		}
 		// The next read may take these bytes before isLast looks.
 		c.isAhead = c.isAhead || c.isHandling && c.hasMore()
+	} else if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.isAborted && c.canRead() {
+		n, err = c.readArrived(p)
 	}
 	// The HTTP server expects the connection's own errors.
 	return n, err
 }
 
+// readArrived reads bytes that have arrived although the deadline has passed: the process may have been paused. The
+// connection must be locked.
+func (c *conn) readArrived(p []byte) (int, error) {
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	n, err := c.Conn.Read(p)
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
+	// The HTTP server expects the connection's own errors.
+	return n, err
+}
+
 // readable returns how many of the unread bytes may be read at once.
 func (c *conn) readable() int {
 	if c.bodyLeft > 0 {
@@ -162,7 +176,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readDeadline = t
+	c.readDeadline, c.isAborted = t, !t.IsZero() && !t.After(time.Now())
 	c.changed.Broadcast()
 	if c.isInterrupted {
 		return nil
--- a/internal/draining/hardening_test.go
+++ b/internal/draining/hardening_test.go
@@ -296,3 +296,57 @@
 	defer close(l.resumed)
 	return l.TCPListener.SetDeadline(time.Unix(1, 0))
 }
+
+// Guards against connections that are reset with a request because a timeout passes while the process is paused.
+func TestRequestThatHasArrivedIsAnsweredAfterATimeoutPassedInAPause(t *testing.T) {
+	for name, isDraining := range map[string]bool{"serving": false, "draining": true} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			s, resumed := &server{t: t}, make(chan struct{})
+			s.openOn(&pausedConns{l, resumed}, &http.Server{ReadHeaderTimeout: time.Hour, Handler: http.HandlerFunc(s.serve)}, draining.NewServerOptions{})
+			if isDraining {
+				s.Begin()
+			}
+			client := s.dial().send(get)
+			close(resumed)
+			client.want(answer{http.StatusOK, "0", isDraining})
+			_ = client.Close()
+			wantNil(t, s.Shutdown(t.Context()))
+		})
+	}
+}
+
+// pausedConns accepts connections from which nothing is read before the first timeout, which has passed by then.
+type pausedConns struct {
+	net.Listener
+	resumed chan struct{}
+}
+
+func (l *pausedConns) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &pausedConn{TCPConn: c.(*net.TCPConn), resumed: l.resumed}, nil
+}
+
+type pausedConn struct {
+	*net.TCPConn
+	once    sync.Once
+	resumed chan struct{}
+}
+
+func (c *pausedConn) Read(p []byte) (int, error) {
+	<-c.resumed
+	return c.TCPConn.Read(p)
+}
+
+func (c *pausedConn) SetReadDeadline(t time.Time) error {
+	if t.After(time.Now()) {
+		c.once.Do(func() { t = time.Unix(1, 0) })
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
