--- a/internal/integration/forms_callers_test.go
+++ b/internal/integration/forms_callers_test.go
@@ -36,6 +36,8 @@
 	// cutEarly and cutLate count the requests whose connection ended without a complete answer, within lossSlack
 	// and later. timedOut counts those without an answer after callTimeout.
 	requests, cutEarly, cutLate, timedOut, refused atomic.Int64
+	// unanswered counts the requests of which nothing was seen at all for twice as long.
+	unanswered atomic.Int64
 
 	mu sync.Mutex
 	// accepted has when each accepted job was acknowledged, ended those that a node has shown as ended.
--- a/internal/integration/forms_test.go
+++ b/internal/integration/forms_test.go
@@ -55,37 +55,45 @@
 	return byDefault
 }
 
-// TestForms plays one form of disturbance each. All accepted jobs must stay known, and succeed. LEVERDYKE_FORMS_NODES,
+// TestForms plays one form of disturbance each. All accepted jobs must stay known, and succeed, and no request may be cut
+// beside planned work. LEVERDYKE_FORMS_NODES,
 // WORKERS, CALLERS, SECONDS, FINISH_SECONDS (the time from the end of the calls to the question for all jobs), SEED and
 // GOMAXPROCS (of the nodes) set the sizes of runs by hand.
 func TestForms(t *testing.T) {
 	for name, form := range map[string]struct {
 		disturb func(f *forms, ctx context.Context)
 		options site.Options
+		// isPlanned means that there is planned work only, beside which no request may be cut.
+		isPlanned bool
 	}{
 		"late orders":                              {disturb: (*forms).delayOrders},
-		"late orders, permits":                     {(*forms).delayOrders, site.Options{HasPermissionService: true}},
+		"late orders, permits":                     {disturb: (*forms).delayOrders, options: site.Options{HasPermissionService: true}},
 		"all killed after an acknowledgement":      {disturb: (*forms).killAfterAcknowledgement},
 		"all killed after one with a slow store":   {disturb: (*forms).killWithSlowStore},
-		"hangups, configurations, planned stops":   {disturb: (*forms).overlapPlannedWork},
+		"hangups, configurations, planned stops":   {disturb: (*forms).overlapPlannedWork, isPlanned: true},
 		"workers crash":                            {disturb: (*forms).crashWorkers},
-		"workers crash, permits":                   {(*forms).crashWorkers, site.Options{HasPermissionService: true}},
+		"workers crash, permits":                   {disturb: (*forms).crashWorkers, options: site.Options{HasPermissionService: true}},
 		"workers crash beside a stop of the owner": {disturb: (*forms).crashBesideStop},
 		"workers drain and leave":                  {disturb: (*forms).drainWorkers},
-		"delegates, workers crash":                 {(*forms).crashWorkers, withDelegates},
-		"delegates, nodes are killed":              {(*forms).killNodes, withDelegates},
-		"delegates, planned work":                  {(*forms).overlapPlannedWork, withDelegates},
+		"delegates, workers crash":                 {disturb: (*forms).crashWorkers, options: withDelegates},
+		"delegates, nodes are killed":              {disturb: (*forms).killNodes, options: withDelegates},
+		"delegates, planned work":                  {disturb: (*forms).overlapPlannedWork, options: withDelegates, isPlanned: true},
 		"a fraction of a processor, workers crash": {disturb: (*forms).crashWorkersUnderQuota},
-		"a fraction of a processor, planned work":  {disturb: (*forms).overlapPlannedWorkUnderQuota},
+		"a fraction of a processor, planned work":  {disturb: (*forms).overlapPlannedWorkUnderQuota, isPlanned: true},
 	} {
-		t.Run(name, func(t *testing.T) { runForm(t, form.options, form.disturb) })
+		t.Run(name, func(t *testing.T) {
+			f := runForm(t, form.options, form.disturb)
+			if n := f.calls.cutLate.Load(); form.isPlanned && n > 0 {
+				t.Errorf("got: %d requests cut later than %v, want: none", n, lossSlack)
+			}
+		})
 	}
 }
 
 // withDelegates has the part of a processor that lets a node talk to one worker.
 var withDelegates = site.Options{CPUShare: delegateCPUShare / 2}
 
-func runForm(t *testing.T, o site.Options, disturb func(f *forms, ctx context.Context)) {
+func runForm(t *testing.T, o site.Options, disturb func(f *forms, ctx context.Context)) *forms {
 	t.Helper()
 	settings := newFormSettings()
 	o.Workers = settings.workers
@@ -115,6 +123,7 @@
 	f.await("the long-running tasks run", func() bool { return f.running() == longRunning })
 	ofJobs, ofLongRunning := f.Standstills()
 	t.Logf("%s: %s\nlongest standstill of a job: %v; of a long-running task: %v", t.Name(), f.calls.report(), ofJobs, ofLongRunning)
+	return f
 }
 
 // submitLongRunning submits jobs of two long-running tasks each, and returns the number of their tasks.
