internal/owner: count the leases that end at a takeover

What was not known: whether the shorter lease of decision 0033 outlasts a takeover of many workers at a slow store.

TestNoLeaseLapsesAtATakeover runs an owner and its successor on a store each of whose calls takes a while, in simulated time (testing/synctest), with workers that each run four tasks and keep to their leases.

Cause: 4.5 s from the last confirmation, less its age (up to 1 s at 0.35 s a call), less up to 2 s between two polls of 2,000 workers, leaves 2.0 s. Three calls of the store one after the other and 1.2 s take 2.25 s.

Not mended: all workers are polled at once when the jobs have been read, so that their order does not matter; a mend is in the polls (internal/dispatch) or in the order of claim and read. Decision 0033 names both.

The benchmark shares the set of busy workers with the test; what it measures is the same.

--- a/internal/owner/takeover_bench_test.go
+++ b/internal/owner/takeover_bench_test.go
@@ -12,9 +12,7 @@
 	"testing"
 	"time"
 
-	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/clock"
-	"github.com/leverdyke/leverdyke/internal/dispatch"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/owner"
@@ -99,41 +97,19 @@
 }
 
 func benchTakeover(b *testing.B, n int) {
-	list := &busyWorkerList{}
-	batch := &dispatch.Batch{Progress: map[work.JobID]*work.Progress{}, Queues: []order.Queue{{Name: "q", Service: "pool"}}, Customers: []order.Customer{{Name: "ann"}}}
-	jobs := map[order.WorkerID]work.JobID{}
-	for i := range n {
-		id, job := order.NewWorkerID(fmt.Sprintf("i-%05d", i), time.UnixMilli(1791916135672)), work.JobID(fmt.Sprintf("%016x", i))
-		jobs[id] = job
-		list.workers = append(list.workers, order.Worker{ID: id, Service: "pool", Capacity: leverdyke.Resources{MilliCPU: 16_000, MemoryMiB: 32_768}})
-		spec := &work.Spec{ID: job, Queue: "q", Customer: "ann", Payload: strings.Repeat("x", 800), Steps: []work.Step{{Count: benchTasksPerJob, Need: leverdyke.Resources{MilliCPU: 1000}, Estimate: time.Hour, MaxUnavailable: -1}}}
-		step := work.StepProgress{Run: 1}
-		for k := range benchTasksPerJob {
-			step.Placements = append(step.Placements, work.Placement{Index: k, Worker: string(id), Run: 1})
-		}
-		batch.NewJobs, batch.AddedWorkers = append(batch.NewJobs, spec), append(batch.AddedWorkers, id)
-		batch.Progress[job] = &work.Progress{State: work.JobRunning, Rounds: map[int][]work.StepProgress{0: {step}}}
-	}
-	parts, err := owner.EncodeBatch(batch)
-	if err != nil {
-		b.Fatal(err)
-	}
+	cluster := newBusyCluster(b, n)
 	stored := 0
-	for _, part := range parts {
+	for _, part := range cluster.parts {
 		stored += sizeOf(part, "w/") + sizeOf(part, "q/") + sizeOf(part, "c/")
 	}
 	log := &countingLog{}
 	for b.Loop() {
 		b.StopTimer()
 		log.Log = fakestore.NewLog()
-		for _, part := range parts {
-			if _, err := log.Log.Append(b.Context(), &store.Append{Topic: owner.TopicJobs, Records: part}); err != nil {
-				b.Fatal(err)
-			}
-		}
-		workers := &busyWorkers{fakeWorkers: newFakeWorkers(), jobs: jobs, reported: map[order.WorkerID]bool{}}
+		cluster.store(b, log.Log)
+		workers := &busyWorkers{fakeWorkers: newFakeWorkers(), jobs: cluster.jobs, reported: map[order.WorkerID]bool{}}
 		b.StartTimer()
-		takeOver(b, log, workers, list)
+		takeOver(b, log, workers, cluster.list)
 	}
 	b.ReportMetric(float64(stored)/1000, "kB-of-workers-and-policies")
 	b.ReportMetric(float64(log.readBytes.Load())/float64(b.N)/1000, "kB-read/op")
