internal/cluster: hand an unfit owner's shard over to fitter nodes only

What callers saw: with nodes under a processor quota the shard went to another node of the same strength every 10 s. Each hand-over is a short standstill, and starts that are withdrawn.

Cause: an owner whose lag is 0.25 or more handed over to the strongest peer, whatever that one's own lag.

Now it asks the peers first (kindFitness, at most every 10 s, 0.3 s for the answers). A peer reports its lag, measured by ticks of 20 ms, and the lag with which it handed over itself in the last three minutes. It is fitter if the higher one of these is at most half of the owner's lag and, with its strength, leaves it at least as much processor time; or if it is much stronger and its lag is below 0.25. Without a fitter peer the owner goes on (LD0326). Where hand-overs of slow owners did not help, the interval doubles with each, from 10 s to 160 s. A much stronger peer is a reason at once, as before, without that backoff. Followers of an earlier version reply otherwise, and count as fit, as before; messages that exist stay as they are.

Tests, by a fake clock: seven nodes of equal strength in 150 s hand over 0 times where followers lag, too (0.35 or 0.5 beside an owner's 0.6), and at most 4 times where they lag only as owners; 15 times each with the rule of before put in place of the new one (any peer, 10 s). A weak owner among strong ones hands over at once, a slow one after 3 s. A strong node that was too slow does not get the shard back from a weaker one in the minute played. The two tests of before are unchanged.

owner.LagMeter is exported for this; its test is unchanged.

--- a/internal/cluster/earlier_version_test.go
+++ b/internal/cluster/earlier_version_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/leverdyke/leverdyke/internal/cluster"
 	"github.com/leverdyke/leverdyke/internal/codec"
 	"github.com/leverdyke/leverdyke/internal/store/fakestore"
 )
@@ -36,3 +37,23 @@
 		t.Errorf("the greeting of a node of the commit before this one: got: %v, want: welcome", err)
 	}
 }
+
+// Guards against an owner that takes what a follower of an earlier version replies for a report of its fitness.
+func TestReplyOfAnEarlierVersionIsNoReportOfFitness(t *testing.T) {
+	log := fakestore.NewLog()
+	// The node cannot become the owner.
+	log.SetDown(true)
+	n := newNode(t, log, "n0", "1")
+	// A kind that this version does not know either.
+	reply, err := n.HandleCall(t.Context(), nil, "unknown", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := codec.MarshalCompact(reply)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := codec.Unmarshal(body, &cluster.FitnessReport{}); err == nil {
+		t.Error("got: a report of fitness, want: an error")
+	}
+}
--- a/internal/cluster/export_test.go
+++ b/internal/cluster/export_test.go
@@ -105,6 +105,24 @@
 	return f.f.isUnfit(lag, isWeak, now)
 }
 
+// Succeed records that the node was asked to claim the shard from an unfit owner.
+func (f *Fitness) Succeed(now time.Time) { f.f.succeed(now) }
+
+// FitnessReport is what a node reports of its fitness.
+type FitnessReport = fitnessReply
+
+// Report returns what the node tells an owner that may hand over to it.
+func (f *Fitness) Report(lag float64, now time.Time) FitnessReport { return f.f.report(lag, now) }
+
+// Decide returns which of the nodes the owner hands over to; none if it goes on.
+func (f *Fitness) Decide(lag, strength float64, isWeak bool, strengths []float64, reports []*FitnessReport, now time.Time) []int {
+	fitter, isNow := f.f.decide(ownerFitness{lag, strength, f.f.isSlow(lag, now), isWeak}, strengths, reports, now)
+	if !isNow {
+		return nil
+	}
+	return fitter
+}
+
 // Peers gives tests access to the peers of an owner.
 type Peers struct{ p *peers }
 
--- a/internal/cluster/handover.go
+++ b/internal/cluster/handover.go
@@ -5,9 +5,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
+	"github.com/leverdyke/leverdyke/internal/link"
 	"github.com/leverdyke/leverdyke/internal/owner"
 )
 
@@ -34,12 +36,12 @@
 		n.sendFollowerHeartbeat()
 		return
 	}
-	n.handOver(ctx, o, false)
+	n.handOver(ctx, o, nil)
 }
 
-// handOver stops the owner and asks peers, the best candidate first, to claim the shard. isUnfit
-// means that the reason is that this owner is unfit. The owner continues when the store is down.
-func (n *Node) handOver(ctx context.Context, o *owner.Owner, isUnfit bool) {
+// handOver stops the owner and asks peers, the best candidate first, to claim the shard: those that are fitter, if
+// the reason is that this owner is unfit, or else all. The owner continues when the store is down.
+func (n *Node) handOver(ctx context.Context, o *owner.Owner, fitter []peer) {
 	settleCtx, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
 	if !o.HandOver(settleCtx) {
@@ -47,7 +49,11 @@
 		return
 	}
 	o.Stop()
-	for i, p := range n.peers.successorCandidates() {
+	isUnfit, successors := len(fitter) > 0, fitter
+	if !isUnfit {
+		successors = n.peers.successorCandidates()
+	}
+	for i, p := range successors {
 		if i == maxSuccessors || n.requestClaim(ctx, claimRequest{o.Epoch(), isUnfit}, &p) == nil {
 			break
 		}
@@ -55,69 +61,129 @@
 	n.peers.closeAll()
 }
 
-const (
-	// maxLag is the lag (see owner.Owner.Lag, the share of time for which the owner was kept from
-	// running) from which an owner hands over. A healthy owner of 350 workers reaches 0.18 in load
-	// bursts.
-	maxLag = 0.25
-	// lagGracePeriod is how long the lag of a new owner is ignored. At first it reads all jobs and
-	// polls all workers, and the lag that this causes does not mean that the node is too slow.
-	lagGracePeriod = 3 * time.Second
-	// minHandoverInterval is the minimum time between two handovers because of an unfit owner,
-	// also when they are by different nodes. When the load is too high for every node, a handover
-	// does not help, and each new owner places no tasks at first.
-	minHandoverInterval = 10 * time.Second
-)
-
-// fitness decides whether an owner should hand the shard over to another node. The zero value is
-// for a node that has not owned the shard and knows of no handover.
-type fitness struct {
-	// ownedAt is when this node became the owner. handedOverAt is the time of the last handover
-	// because of an unfit owner in which this node took part: as the owner that handed over, or as
-	// a follower that was asked to claim the shard. The time starts minHandoverInterval on both
-	// nodes, so that the shard does not move from node to node when all of them are overloaded.
-	ownedAt, handedOverAt time.Time
-}
+// fitnessTimeout bounds the wait for the answer of a node that is asked how fit it is. A node that does not answer in
+// this time is not fitter.
+const fitnessTimeout = 300 * time.Millisecond
 
-// isUnfit reports whether an owner with this lag should hand over. isWeak means that a peer is much
-// stronger, which is a reason without any lag.
-func (f *fitness) isUnfit(lag float64, isWeak bool, now time.Time) bool {
-	if !f.handedOverAt.IsZero() && now.Sub(f.handedOverAt) < minHandoverInterval {
-		return false
-	}
-	return isWeak || lag >= maxLag && now.Sub(f.ownedAt) >= lagGracePeriod
-}
+// lagPeriod is the period of the ticks by which a node measures its lag as a follower. It is short compared with the
+// periods in which a processor quota is enforced (0.1 s): otherwise most ticks may fall where the node runs.
+const lagPeriod = 20 * time.Millisecond
 
 // handOverIfUnfit starts to hand the shard over when this node has too little processor time to own
-// it, or a peer is much stronger.
+// it, or a peer is much stronger, and another node is fitter.
 func (n *Node) handOverIfUnfit(o *owner.Owner) {
 	successors := n.peers.successorCandidates()
 	if len(successors) == 0 || !o.IsLoaded() {
 		return
 	}
-	strongest := successors[0].hello.Strength
-	isWeak := n.options.Strength < (1-strengthTolerance)*strongest
+	isWeak := isMuchStronger(successors[0].hello.Strength, n.options.Strength)
 	now := n.options.Clock.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.isUnfitHandover || n.isLeaving || !n.fitness.isUnfit(o.Lag(), isWeak, now) {
+	lag := o.Lag()
+	if n.isUnfitHandover || n.isComparing || n.isLeaving || !n.fitness.isUnfit(lag, isWeak, now) {
 		return
 	}
-	n.isUnfitHandover, n.fitness.handedOverAt = true, now
-	n.options.Log(events.OwnerTooSlow, "epoch", o.Epoch(), "lag", o.Lag(), "strength", n.options.Strength, "strongest", strongest)
+	n.isComparing = true
 	n.wg.Add(1)
-	go n.runUnfitHandover(o)
+	go n.runUnfitHandover(o, successors, ownerFitness{lag, n.options.Strength, n.fitness.isSlow(lag, now), isWeak})
 }
 
-// runUnfitHandover hands the shard over because this node is unfit to own it.
-func (n *Node) runUnfitHandover(o *owner.Owner) {
+// runUnfitHandover hands the shard over because this node is unfit to own it, if others are fitter.
+func (n *Node) runUnfitHandover(o *owner.Owner, candidates []peer, own ownerFitness) {
 	defer n.wg.Done()
-	n.handOver(n.ctx, o, true)
+	successors := n.beginUnfitHandover(o, own, candidates, n.askAllFitness(candidates))
+	if len(successors) == 0 {
+		return
+	}
+	n.handOver(n.ctx, o, successors)
 	n.mu.Lock()
 	n.isUnfitHandover = false
 	n.mu.Unlock()
 }
 
+// beginUnfitHandover returns the candidates to hand over to now, by what they have reported; none if this node is to go
+// on as the owner.
+func (n *Node) beginUnfitHandover(o *owner.Owner, own ownerFitness, candidates []peer, reports []*fitnessReply) []peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isComparing = false
+	if n.isLeaving || n.owner != o {
+		return nil
+	}
+	strengths := make([]float64, len(candidates))
+	for i := range candidates {
+		strengths[i] = candidates[i].hello.Strength
+	}
+	fitter, isNow := n.fitness.decide(own, strengths, reports, n.options.Clock.Now())
+	if !isNow {
+		if own.isSlow {
+			n.options.Log(events.OwnerStaysTooSlow, "epoch", o.Epoch(), "lag", own.lag, "asked", len(reports), "fitter", len(fitter), "unhelpful", n.fitness.unhelpful)
+		}
+		return nil
+	}
+	successors := make([]peer, len(fitter))
+	for k, i := range fitter {
+		successors[k] = candidates[i]
+	}
+	n.isUnfitHandover = true
+	n.options.Log(events.OwnerTooSlow, "epoch", o.Epoch(), "lag", own.lag, "strength", own.strength, "strongest", successors[0].hello.Strength)
+	return successors
+}
+
+// askAllFitness asks all candidates at once how fit they are.
+func (n *Node) askAllFitness(candidates []peer) []*fitnessReply {
+	reports := make([]*fitnessReply, len(candidates))
+	wg := sync.WaitGroup{}
+	for i := range candidates {
+		wg.Go(func() { reports[i] = n.askFitness(&candidates[i]) })
+	}
+	wg.Wait()
+	return reports
+}
+
+// askFitness asks a peer how fit it is, nil if it does not answer. One of an earlier version does not say so, and counts
+// as fit.
+func (n *Node) askFitness(p *peer) *fitnessReply {
+	ctx, cancel := context.WithTimeout(n.ctx, fitnessTimeout)
+	defer cancel()
+	r := &fitnessReply{}
+	err := p.conn.Call(ctx, kindFitness, empty{}, r)
+	switch {
+	case ctx.Err() != nil || isClosed(p.conn):
+		return nil
+	case err != nil:
+		return &fitnessReply{}
+	}
+	return r
+}
+
+func isClosed(c *link.Conn) bool {
+	select {
+	case <-c.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+// reportFitness returns how fit this node is to own the shard.
+func (n *Node) reportFitness() fitnessReply {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fitness.report(n.lag.Share(), n.options.Clock.Now())
+}
+
+// runLag measures for which share of the time this node is kept from running.
+func (n *Node) runLag() {
+	defer n.wg.Done()
+	n.runPeriodically(lagPeriod, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.lag.Tick(n.options.Clock.Now(), lagPeriod)
+	})
+}
+
 // requestClaim asks a peer to become the owner. It returns nil once the peer is the owner.
 func (n *Node) requestClaim(ctx context.Context, c claimRequest, p *peer) error {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
--- a/internal/cluster/messages.go
+++ b/internal/cluster/messages.go
@@ -42,6 +42,9 @@
 	kindConfig link.Kind = "config"
 	// kindClaim asks a follower to become the owner. Body: claimRequest, reply: empty, once it is.
 	kindClaim link.Kind = "claim"
+	// kindFitness asks a follower, before a handover because the owner is unfit, how fit it is. Body: empty, reply:
+	// fitnessReply. A follower of an earlier version replies that it is not the owner.
+	kindFitness link.Kind = "fitness"
 	// kindSubmit submits a job to the owner. Body: work.Spec, reply: ownerReply.
 	kindSubmit link.Kind = "submit"
 	// kindState, kindCancel and kindPending ask the owner for the state of a job, to cancel a job,
@@ -137,6 +140,16 @@
 	IsUnfit bool
 }
 
+// fitnessReply says how fit a node is to own the shard.
+type fitnessReply struct {
+	// Lag is the share of the recent time for which the node was kept from running.
+	Lag float64
+	// UnfitLag is the lag with which it last handed over because it was too slow; 0 if it did not lately.
+	UnfitLag float64
+	// Unhelpful is how many handovers in a row did not help, as far as it knows.
+	Unhelpful int
+}
+
 // configMessage is the active configuration of a node.
 type configMessage struct {
 	Version uint64
--- a/internal/cluster/node.go
+++ b/internal/cluster/node.go
@@ -153,7 +153,10 @@
 	isStoreUnavailable bool
 	// isUnfitHandover means that this node is handing the shard over because it is unfit to own it.
 	isUnfitHandover bool
-	fitness         fitness
+	// isComparing means that this node, as an unfit owner, finds out whether others are fitter.
+	isComparing bool
+	fitness     fitness
+	lag         owner.LagMeter
 	// noClaimUntil is the time before which this node does not claim; see Options.ReclaimDelay.
 	noClaimUntil time.Time
 	// unpersistedEpoch is the epoch of the followed owner if its last heartbeat said that tasks may
@@ -206,12 +209,13 @@
 		n.delegate = delegate.New(options.Workers, options.Clock)
 	}
 	n.fallback = fallback.New(options.Direct, n.peers, options.Clock)
-	n.wg.Add(5)
+	n.wg.Add(6)
 	go n.runListener()
 	go n.runElection()
 	go n.runConfig()
 	go n.runOwnerHeartbeats()
 	go n.runFollowerHeartbeats()
+	go n.runLag()
 	return n, nil
 }
 
--- a/internal/cluster/serve.go
+++ b/internal/cluster/serve.go
@@ -32,6 +32,8 @@
 		return n.handleClaim(ctx, c)
 	case kindProbe:
 		return n.handleProbe(from)
+	case kindFitness:
+		return n.reportFitness(), nil
 	case kindConsent:
 		return n.handleConsentRequest(body)
 	case kindConfig:
@@ -141,7 +143,7 @@
 		// time, so that as the owner it does not hand over again for the same reason within
 		// minHandoverInterval.
 		n.mu.Lock()
-		n.fitness.handedOverAt = n.options.Clock.Now()
+		n.fitness.succeed(n.options.Clock.Now())
 		n.mu.Unlock()
 	}
 	select {
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -71,6 +71,7 @@
 	OwnerFollowed         = add(308, "node follows the owner", LevelInfo)
 	OwnerPaused           = add(325, "owner was paused", LevelWarning)
 	OwnerTooSlow          = add(312, "owner is too slow and hands over", LevelWarning)
+	OwnerStaysTooSlow     = add(326, "owner is too slow, and goes on", LevelWarning)
 	PreviousAttemptsEnded = add(465, "what an earlier owner started on a worker is over", LevelInfo)
 	UncertaintyEnded      = add(468, "no task can run where nobody knows any more", LevelInfo)
 	OwnerTotals           = add(466, "totals of the owner", LevelInfo)
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -11,15 +11,6 @@
 	"github.com/leverdyke/leverdyke/internal/work"
 )
 
-// LagMeter gives tests access to a lagMeter.
-type LagMeter struct{ m lagMeter }
-
-// Tick handles a tick.
-func (l *LagMeter) Tick(now time.Time, period time.Duration) { l.m.tick(now, period) }
-
-// Share returns the share of the time by which ticks are late.
-func (l *LagMeter) Share() float64 { return l.m.share }
-
 // WriteBehindGate gives tests access to a writeBehindGate.
 type WriteBehindGate struct{ g writeBehindGate }
 
--- a/internal/owner/lag.go
+++ b/internal/owner/lag.go
@@ -5,9 +5,9 @@
 
 import "time"
 
-// lagMeter measures for which share of the time the loop is kept from running, by how late its
-// ticks arrive. The zero value is ready to use.
-type lagMeter struct {
+// LagMeter measures for which share of the time a loop is kept from running, by how late its
+// ticks arrive. The zero value is ready to use. It is not safe for concurrent use.
+type LagMeter struct {
 	// lastTickAt is when the last tick was handled; zero before the first.
 	lastTickAt time.Time
 	// share is the share of the time by which ticks are late, averaged over about lagWindow.
@@ -17,8 +17,11 @@
 // lagWindow is the time over which lateness is averaged.
 const lagWindow = 700 * time.Millisecond
 
-// tick handles a tick of a clock with that period.
-func (m *lagMeter) tick(now time.Time, period time.Duration) {
+// Share returns that share of the recent time.
+func (m *LagMeter) Share() float64 { return m.share }
+
+// Tick handles a tick of a clock with that period.
+func (m *LagMeter) Tick(now time.Time, period time.Duration) {
 	last := m.lastTickAt
 	m.lastTickAt = now
 	if last.IsZero() || !now.After(last) {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -114,7 +114,7 @@
 	jobsEnd uint64
 	// recordOffset is the offset of this owner's newest record. Only runHeartbeats uses it.
 	recordOffset uint64
-	lag          lagMeter
+	lag          LagMeter
 	throttle     passThrottle
 	// pauseEnds fires when the next scheduling pass may run; nil while none is waiting.
 	pauseEnds <-chan time.Time
@@ -278,8 +278,8 @@
 			o.beginCycle()
 			// Outcomes that have already arrived are not overdue, so they are handled first.
 			o.drainInbox()
-			o.lag.tick(o.now, tickPeriod)
-			o.lagBits.Store(math.Float64bits(o.lag.share))
+			o.lag.Tick(o.now, tickPeriod)
+			o.lagBits.Store(math.Float64bits(o.lag.Share()))
 			o.checkNodes()
 			o.engine.SetTimeOfDay(o.options.Clock.TimeOfDay())
 			o.engine.Tick()
