internal/standin/site: run gangs, tasks that keep their progress and jobs with times

Its workers now have a gang work once all of one run are present and end it together (done, broken, alone), list and resume checkpoints, and count as violations a checkpoint that is none of the task, members of a gang with different ones, and a start before its time. Besides, workers can crash as a task ends, answers with ends can be lost, and the permission service can be slow, busy or silent.

Standstills are not measured for jobs with times, and for a gang the room for one task counts as room.

--- a/internal/standin/site/export_test.go
+++ b/internal/standin/site/export_test.go
@@ -65,3 +65,26 @@
 
 // Standstills returns the longest standstill of a job and the longest absence of a long-running task.
 func (p *Progress) Standstills() (ofJobs, ofLongRunning Standstill) { return p.p.standstills() }
+
+// Start gives a worker an order to start a task, under a lease of 10 s, and returns the status of the answer.
+func (w *Worker) Start(task string, run uint64, checkpoint string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.renew(w.now() + 10*time.Second)
+	status, _ := w.start(&order{Task: task, Run: run, Checkpoint: checkpoint})
+	return status
+}
+
+// Ends returns how the runs on a worker have ended, with what they saved, as "TASK RESULT SAVED".
+func (w *Worker) Ends() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := []string{}
+	for _, e := range w.endedRuns {
+		out = append(out, e.task+" "+e.result+" "+e.saved)
+	}
+	return out
+}
+
+// CheckpointOwner returns the part of a checkpoint that names the task, which is no member of a gang.
+func CheckpointOwner(task string) string { return checkpointOwner(task, &stepSpec{}) }
--- a/internal/standin/site/progress.go
+++ b/internal/standin/site/progress.go
@@ -253,6 +253,9 @@
 
 // isDue reports whether all steps that a step depends on are done.
 func (j *jobProgress) isDue(id string, spec *stepSpec) bool {
+	if !spec.startAt.IsZero() {
+		return false
+	}
 	for _, d := range spec.dependsOn {
 		if d < 0 || d >= len(j.steps) {
 			return false
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -84,8 +84,11 @@
 	customers []Customer
 	// steps has the steps of each registered job, by job ID.
 	steps map[string][]stepSpec
-	stop  chan struct{}
-	wg    sync.WaitGroup
+	gangs *gangs
+	// permissionMode is how the permission service responds.
+	permissionMode StoreMode
+	stop           chan struct{}
+	wg             sync.WaitGroup
 }
 
 // stepSpec is what a task of a step needs and how it behaves, as its job specifies.
@@ -101,6 +104,24 @@
 	// crashes makes the first task of the step crash each worker that starts it; it is set if the job's
 	// spec is "crash".
 	crashes bool
+	// isGang means that the tasks work together only, isCheckpointing that they keep their progress.
+	isGang, isCheckpointing bool
+	// startAt is when the first of the job's times is due, and interval the time to each next one; zero for
+	// a job without times.
+	startAt  time.Time
+	interval time.Duration
+}
+
+// earlyTolerance is how long before it is due a task of a job with times may start.
+const earlyTolerance = 250 * time.Millisecond
+
+// earliest returns when a task may start, the zero time if that is at any time.
+func (s *stepSpec) earliest(task string) time.Time {
+	if s.startAt.IsZero() {
+		return time.Time{}
+	}
+	k, _ := strconv.Atoi(strings.Split(task, ".")[1])
+	return s.startAt.Add(time.Duration(k)*s.interval - earlyTolerance)
 }
 
 // New starts a fake platform on loopback.
@@ -123,7 +144,7 @@
 	if o.MaxFds == 0 {
 		o.MaxFds = 1000
 	}
-	s := &Site{Store: newStore(), options: o, steps: map[string][]stepSpec{}, drainedZones: map[string]bool{}, stop: make(chan struct{})}
+	s := &Site{Store: newStore(), options: o, steps: map[string][]stepSpec{}, gangs: newGangs(), permissionMode: StoreUp, drainedZones: map[string]bool{}, stop: make(chan struct{})}
 	s.oracle = newOracle()
 	s.Store.disturbed = s.RecordDisturbance
 	var err error
@@ -256,24 +277,34 @@
 // its tasks need and how they behave. It has to be called before the job is submitted.
 func (s *Site) RegisterJob(id string, body []byte) error {
 	job := struct {
-		Spec  string `json:"spec"`
-		Steps []struct {
+		Spec        string `json:"spec"`
+		RepeatCount int    `json:"repeatCount"`
+		StartAtMs   int64  `json:"startAtMs"`
+		IntervalMs  int64  `json:"intervalMs"`
+		Steps       []struct {
 			CPU         int64   `json:"cpu"`
 			MemMb       int64   `json:"memMb"`
 			EstimatedMs float64 `json:"estimatedMs"`
 			Perpetual   bool    `json:"perpetual"`
 			Count       int     `json:"count"`
 			DependsOn   []int   `json:"dependsOn"`
+			IsGang      bool    `json:"gangScheduled"`
+			Checkpoints bool    `json:"checkpointing"`
 		} `json:"steps"`
 	}{}
 	if err := json.Unmarshal(body, &job); err != nil {
 		return fmt.Errorf("site: %w", err)
 	}
+	startAt := time.Time{}
+	if job.RepeatCount > 0 {
+		startAt = time.UnixMilli(job.StartAtMs)
+	}
 	steps := []stepSpec{}
 	for _, step := range job.Steps {
 		steps = append(steps, stepSpec{
 			cpu: step.CPU, mem: step.MemMb, duration: time.Duration(step.EstimatedMs * float64(time.Millisecond)), isLongRunning: step.Perpetual,
 			tasks: step.Count, dependsOn: step.DependsOn, fails: job.Spec == "fail", crashes: job.Spec == "crash",
+			isGang: step.IsGang, isCheckpointing: step.Checkpoints, startAt: startAt, interval: time.Duration(job.IntervalMs) * time.Millisecond,
 		})
 	}
 	s.mu.Lock()
@@ -320,6 +351,9 @@
 // servePermission answers a permission query with the permitted workers and their permits. Permits decides
 // which workers these are.
 func (s *Site) servePermission(w http.ResponseWriter, r *http.Request) {
+	if s.disturbPermission(w, r) {
+		return
+	}
 	body := struct {
 		Step    string   `json:"step"`
 		Workers []string `json:"workers"`
