--- a/internal/integration/forms_test.go
+++ b/internal/integration/forms_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -27,7 +28,11 @@
 	calls      *formCalls
 	version    int
 	nextWorker int
+	nextJob    int
 	wg         sync.WaitGroup
+	// asked counts the questions of checkAnswers, unsure the submissions without an answer that were repeated.
+	asked, unsure atomic.Int64
+	refusals      formRefusals
 	// mu guards the processes of the nodes where signals are sent to them at any time.
 	mu sync.Mutex
 }
--- a/internal/integration/site_test.go
+++ b/internal/integration/site_test.go
@@ -113,6 +113,9 @@
 	EstimatedMs float64 `json:"estimatedMs"`
 	DependsOn   []int   `json:"dependsOn,omitempty"`
 	Perpetual   bool    `json:"perpetual,omitempty"`
+
+	GangScheduled bool `json:"gangScheduled,omitempty"`
+	Checkpointing bool `json:"checkpointing,omitempty"`
 }
 
 // submit submits a job at a node and returns the job's ID and the HTTP status, 0 when there was no
