internal/dispatch: wait for a foreign lease only until a restarted worker refuses its end

Cause: an order in flight to the earlier incarnation may be held up for 12 s, and gives the newer one a lease of up to 10 s. The owner counted these 12 s in each case. But a worker does nothing for a token lower than the highest that it has seen.

The generation now rises once the earlier incarnation has ended, so that all ends by its clock have lower tokens. The worker is polled at once, and from its answer on none of them can reach it: a lease lasts 10.7 s from then at most. Until that answer 22.7 s are assumed, for a poll in flight too, which may be held up like an order (10.7 s before).

--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -129,6 +129,7 @@
 	w.session.RecordAnswer(listing.At, e.now)
 	w.session.MarkEndsForgotten(poll.Confirmed)
 	e.handleListing(w, listing, poll.AskedAt)
+	e.observeGeneration(w, poll.Generation)
 	if isRefuted {
 		e.extendUncertainty(w)
 	}
--- a/internal/dispatch/restart.go
+++ b/internal/dispatch/restart.go
@@ -71,16 +71,36 @@
 	for id, a := range old.attempts.All() {
 		if a.mayBeInFlight() && successor.attempts.Get(id) == nil {
 			e.transferAttempt(a, successor)
-			successor.session.RecordOtherLeases(a.orderedAt.Add(abandoned.MaxDelay + session.AnyLeaseBound))
+			e.waitForForeignLease(successor, a.orderedAt.Add(abandoned.MaxDelay))
 		}
 	}
 	for _, o := range e.abandonedStarts.ForWorker(successor.ID, e.now) {
-		successor.session.RecordOtherLeases(o.Until.Add(session.AnyLeaseBound))
+		e.waitForForeignLease(successor, o.Until)
 	}
 	if old.session.IsLongPolling() && !old.session.HasMissed() {
 		// A poll in flight may do so, too: the owner did not know of the newer incarnation when it
 		// sent the poll.
-		successor.session.RecordOtherLeases(e.now.Add(session.AnyLeaseBound))
+		e.waitForForeignLease(successor, e.now.Add(abandoned.MaxDelay))
+	}
+	if successor.fencedFrom > 0 {
+		e.abandonedStarts.NextGeneration(successor.ID)
+		successor.fencedFrom = e.abandonedStarts.Generation(successor.ID)
+		e.pollNow(successor)
+	}
+}
+
+// waitForForeignLease waits for a lease whose end by the clock of an earlier incarnation may still arrive
+// until then. It cannot arrive any more once the worker has answered a poll of a later generation.
+func (e *Engine) waitForForeignLease(w *worker, arrivesUntil time.Time) {
+	w.session.RecordForeignLeases(arrivesUntil.Add(session.AnyLeaseBound))
+	w.fencedFrom = e.abandonedStarts.Generation(w.ID) + 1
+}
+
+// observeGeneration records that the worker has answered a poll of that generation.
+func (e *Engine) observeGeneration(w *worker, generation uint64) {
+	if w.fencedFrom > 0 && generation >= w.fencedFrom {
+		w.session.FenceForeignLeases(e.now)
+		w.fencedFrom = 0
 	}
 }
 
--- a/internal/dispatch/restart_lease_test.go
+++ b/internal/dispatch/restart_lease_test.go
@@ -112,3 +112,18 @@
 		})
 	}
 }
+
+// Guards against orders in flight to a worker that restarts, for which its tasks wait 12 s longer than the longest lease.
+func TestOrdersInFlightToARestartedWorkerDelayItsTasksNoLongerThanTheLongestLease(t *testing.T) {
+	t.Parallel()
+	for name, untilRestart := range map[string]time.Duration{"order in flight": 60 * time.Millisecond, "abandoned order": 1700 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				elsewhere, violations := tasksElsewhereAfter(seed, untilRestart, session.AnyLeaseBound, false)
+				if elsewhere != 12 || len(violations) > 0 {
+					t.Errorf("seed %d: tasks that run on other workers %v after it fell silent: got: %d, want: 12; violations: got: %v, want: none", seed, session.AnyLeaseBound, elsewhere, violations)
+				}
+			}
+		})
+	}
+}
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -53,7 +53,10 @@
 	// refusals are abandoned orders to start that may still arrive and that the worker is asked to
 	// refuse.
 	refusals abandoned.Refusals
-	health   outlier.Health
+	// fencedFrom is the generation with which the worker refuses all ends of leases by the clocks of earlier
+	// incarnations; 0 if it has answered a poll with that generation, or if none were in flight.
+	fencedFrom uint64
+	health     outlier.Health
 	// tickedAt is when tickWorker last ran for the worker. needsTick makes it run at the next
 	// tick, because something on the worker is in progress.
 	tickedAt  time.Time
--- a/internal/session/lease.go
+++ b/internal/session/lease.go
@@ -60,6 +60,9 @@
 	// othersExpireAt is when the leases have expired that a previous owner gave, or that were
 	// given to an earlier incarnation.
 	othersExpireAt time.Time
+	// foreignExpireAt is when the leases have expired whose ends by the clock of an earlier incarnation may
+	// have been in flight when this one became known.
+	foreignExpireAt time.Time
 }
 
 // ObserveClock records what the worker's clock showed in an answer that is known to be of this
@@ -128,18 +131,36 @@
 	}
 }
 
+// RecordForeignLeases records that ends of leases by the clock of an earlier incarnation are in flight, and
+// that the leases may last until then.
+func (l *Lease) RecordForeignLeases(until time.Time) {
+	if until.After(l.foreignExpireAt) {
+		l.foreignExpireAt = until
+	}
+}
+
+// FenceForeignLeases records that none of these ends can extend the lease from now on: the worker has seen
+// a higher fencing token than was sent with any of them.
+func (l *Lease) FenceForeignLeases(now time.Time) {
+	if until := now.Add(AnyLeaseBound); until.Before(l.foreignExpireAt) {
+		l.foreignExpireAt = until
+	}
+}
+
 // ExpiresAt returns when all leases of the worker have expired.
 func (l *Lease) ExpiresAt() time.Time {
 	left := max(time.Duration(l.deadline-l.clock), 0)
 	until := l.lastHeardAt.Add(localBound(left))
-	if until.Before(l.othersExpireAt) {
-		return l.othersExpireAt
+	for _, other := range []time.Time{l.othersExpireAt, l.foreignExpireAt} {
+		if other.After(until) {
+			until = other
+		}
 	}
 	return until
 }
 
 // HasExpired reports whether there was a lease, and all attempts that ran under it have ended.
 func (l *Lease) HasExpired(now time.Time) bool {
-	wasGiven := !l.lastHeardAt.IsZero() || !l.othersExpireAt.IsZero()
+	wasGiven := !l.lastHeardAt.IsZero() || !l.othersExpireAt.IsZero() || !l.foreignExpireAt.IsZero()
 	return wasGiven && now.After(l.ExpiresAt())
 }
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -312,3 +312,22 @@
 		t.Error("after an answer: got: none sent, want: one")
 	}
 }
+
+// A newer incarnation may get the end of a lease by the earlier clock until it refuses such messages: counted from
+// sooner, its tasks would run twice, counted from later, they would wait for nothing.
+func TestForeignLeaseIsAwaitedFromWhenItsEndsAreRefused(t *testing.T) {
+	for name, tc := range map[string]struct{ fencedAt, want time.Duration }{
+		"never":               {0, 22700 * ms},
+		"soon":                {200 * ms, 10900 * ms},
+		"after the last ones": {15 * sec, 22700 * ms},
+	} {
+		l := session.Lease{}
+		l.RecordForeignLeases(begin.Add(12*sec + session.AnyLeaseBound))
+		if tc.fencedAt > 0 {
+			l.FenceForeignLeases(begin.Add(tc.fencedAt))
+		}
+		if got := l.ExpiresAt().Sub(begin); got != tc.want {
+			t.Errorf("%s: expires after: got: %v, want: %v", name, got, tc.want)
+		}
+	}
+}
