internal/dispatch, internal/owner: hand on the longer leases of restarted workers

The owner's record says now how long the longest lease that it knows of may last, and is written at once when there is a new one. That tasks wait for over 7 s stays red, and so does the delayed poll of which the owner does not know. That a real owner's heartbeat carries the value has a test of the bound only: a test of a whole owner was tried and did not get a worker to restart.

--- a/internal/dispatch/record_model_test.go
+++ b/internal/dispatch/record_model_test.go
@@ -21,8 +21,10 @@
 	newest, next []leasebound.Bound
 	// newestOutlasted and nextOutlasted are what these records say of runs.
 	newestOutlasted, nextOutlasted []crash.OutlastedRun
-	version                        uint64
-	isInFlight                     bool
+	// newestLeasesUntil and nextLeasesUntil are until when these records say that foreign leases last.
+	newestLeasesUntil, nextLeasesUntil time.Time
+	version                            uint64
+	isInFlight                         bool
 	// doneAt is when the write ends, nextAt when the next one begins.
 	doneAt, nextAt time.Time
 	// period is the time between two records; 0 stands for recordPeriod.
@@ -36,26 +38,37 @@
 		return
 	}
 	if r.isInFlight && !now.Before(r.doneAt) {
-		r.isInFlight, r.newest, r.newestOutlasted = false, r.next, r.nextOutlasted
+		r.isInFlight = false
+		r.accept()
 		w.engine.SilentWorkersPersisted(r.version)
 	}
 	if r.isInFlight || now.Before(r.nextAt) && !w.engine.NeedsSilentUpdate() {
 		return
 	}
 	r.next, r.version = w.engine.UpdateSilentWorkers(true)
-	r.nextOutlasted = w.engine.OutlastedRuns()
+	r.nextOutlasted, r.nextLeasesUntil = w.engine.OutlastedRuns(), now.Add(w.engine.LongestForeignLease())
 	r.isInFlight, r.nextAt = true, now.Add(max(r.period, recordPeriod))
 	r.doneAt = now.Add(time.Duration(w.rng.Int64N(int64(w.maxStoreDelay) + 1)))
 }
 
-// inheritRecord passes the newest record to a new owner's engine. A record that is being written has
-// reached the store with a probability of one half.
-func (w *sim) inheritRecord() {
+// accept makes the record that is being written the newest one.
+func (r *recordStore) accept() {
+	r.newest, r.newestOutlasted, r.newestLeasesUntil = r.next, r.nextOutlasted, r.nextLeasesUntil
+}
+
+// settleRecord ends the previous owner's writes. A record that is being written has reached the store with a
+// probability of one half.
+func (w *sim) settleRecord() {
 	r := &w.records
 	if r.isInFlight && w.rng.IntN(2) == 0 {
-		r.newest, r.newestOutlasted = r.next, r.nextOutlasted
+		r.accept()
 	}
 	r.isInFlight = false
+}
+
+// inheritRecord passes the newest record to a new owner's engine.
+func (w *sim) inheritRecord() {
+	r := &w.records
 	w.engine.InheritBounds(r.newest)
 	w.engine.InheritOutlasted(r.newestOutlasted)
 	w.engine.InheritWorkers(slices.Sorted(maps.Keys(w.storedWorkers)), true)
--- a/internal/dispatch/restart.go
+++ b/internal/dispatch/restart.go
@@ -93,6 +93,7 @@
 // until then. It cannot arrive any more once the worker has answered a poll of a later generation.
 func (e *Engine) waitForForeignLease(w *worker, arrivesUntil time.Time) {
 	w.session.RecordForeignLeases(arrivesUntil.Add(session.AnyLeaseBound))
+	e.silent.hasForeignLease = true
 	w.fencedFrom = e.abandonedStarts.Generation(w.ID) + 1
 }
 
@@ -138,7 +139,8 @@
 func (e *Engine) waitForOtherLeases(w *worker) {
 	for _, id := range e.uncertainTasks.incarnationsOf(w.ID) {
 		if id.IsOtherIncarnation(w.ID) {
-			w.session.RecordOtherLeases(e.now.Add(session.AnyLeaseBound))
+			w.session.RecordForeignLeases(e.now.Add(session.AnyLeaseBound))
+			e.silent.hasForeignLease = true
 		}
 	}
 }
--- a/internal/dispatch/restart_lease_test.go
+++ b/internal/dispatch/restart_lease_test.go
@@ -52,6 +52,20 @@
 	}
 }
 
+// Guards against a new owner that does not wait for the longer lease of a worker that has restarted.
+func TestTasksOfARestartedWorkerRunNoTaskTwiceAfterATakeover(t *testing.T) {
+	t.Parallel()
+	for name, untilRestart := range map[string]time.Duration{"order in flight": 60 * time.Millisecond, "abandoned order": 1700 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(40) {
+				if _, violations := tasksElsewhereAfter(seed, untilRestart, standstillBound, true); len(violations) > 0 {
+					t.Errorf("seed %d: violations: got: %v, want: none", seed, violations)
+				}
+			}
+		})
+	}
+}
+
 // tasksElsewhereAfter restarts a worker untilRestart after an order to it was delayed, cuts it off for good 1.5 s
 // later, and returns how many of 12 tasks run on other workers silence after that.
 func tasksElsewhereAfter(seed uint64, untilRestart, silence time.Duration, isOwnerLost bool) (int, []string) {
--- a/internal/dispatch/silent.go
+++ b/internal/dispatch/silent.go
@@ -42,6 +42,8 @@
 	firstListedAt time.Time
 	// hasAnswer means that a worker which the records name has answered.
 	hasAnswer bool
+	// hasForeignLease means that a worker may have got a longer lease than this owner gives.
+	hasForeignLease bool
 }
 
 // InheritBounds takes over what the previous owner handed on about the leases of silent workers.
@@ -66,7 +68,7 @@
 // one's predecessors handed on is known.
 func (e *Engine) UpdateSilentWorkers(isOnlyOwner bool) ([]leasebound.Bound, uint64) {
 	s := &e.silent
-	s.hasAnswer = false
+	s.hasAnswer, s.hasForeignLease = false, false
 	out := []leasebound.Bound{}
 	add := func(id order.WorkerID, until time.Time) {
 		if len(out) < maxSilentWorkers {
@@ -102,9 +104,19 @@
 	return out, s.ledger.Version()
 }
 
-// NeedsSilentUpdate reports whether a worker that the records name has answered, so that the next
-// record should be written soon.
-func (e *Engine) NeedsSilentUpdate() bool { return e.silent.hasAnswer }
+// NeedsSilentUpdate reports whether a worker that the records name has answered, or may have got a longer
+// lease than they say, so that the next record should be written soon.
+func (e *Engine) NeedsSilentUpdate() bool { return e.silent.hasAnswer || e.silent.hasForeignLease }
+
+// LongestForeignLease returns how long the leases may still last that workers were given by the clocks of
+// their earlier incarnations; 0 if there are none. The next owner has to wait for these.
+func (e *Engine) LongestForeignLease() time.Duration {
+	longest := time.Duration(0)
+	for _, w := range e.workers.All() {
+		longest = max(longest, w.session.ForeignExpireAt().Sub(e.now))
+	}
+	return longest
+}
 
 // SilentWorkersPersisted records that the newest record in the store has the set of silent workers of
 // that version, or a later one.
--- a/internal/owner/export_test.go
+++ b/internal/owner/export_test.go
@@ -166,3 +166,11 @@
 
 // ParseWorkerAddrs returns the addresses of the workers whose IDs are in the store.
 var ParseWorkerAddrs = parseWorkerAddrs
+
+// RecordedLeaseBound returns the LeaseBound of a record of an owner whose own leases last for bound, beside leases
+// of restarted workers that last for foreign.
+func RecordedLeaseBound(bound, foreign time.Duration) time.Duration {
+	now := time.Unix(1, 0)
+	s := silentRecord{leasesUntil: now.Add(foreign)}
+	return s.leaseBound(bound, now)
+}
--- a/internal/owner/persist.go
+++ b/internal/owner/persist.go
@@ -510,6 +510,7 @@
 	r.MayHaveUnpersisted, r.Witnesses, r.LaterJobs = isFlagged, named.ofAll, named.ofLater
 	r.WritesBehindByFlagOnly = true
 	r.Silent, r.Outlasted = o.silent.next(), o.outlasted
+	r.LeaseBound = o.silent.leaseBound(r.LeaseBound, sentAt)
 	o.mu.Unlock()
 	at := o.recordOffset + 1
 	offset, err := AppendRecord(o.ctx, o.options.Store, &r, at)
--- a/internal/owner/record.go
+++ b/internal/owner/record.go
@@ -65,7 +65,8 @@
 	LeftConns connbudget.Left `msgpack:"c"`
 	KeptConns int             `msgpack:"q"`
 	// LeaseBound is how long after the claim of the next owner, or after most nodes have left this one
-	// for it, the leases last at most that this owner and those before it have renewed. Owners of
+	// for it, the leases last at most that this owner and those before it have renewed, or that workers have
+	// got by the clocks of their earlier incarnations. Owners of
 	// earlier versions do not say so: it is 0 then, and as long as their leases may last.
 	LeaseBound time.Duration `msgpack:"d"`
 	// Silent are workers that do not answer this owner. It renews their leases only after a record
--- a/internal/owner/record_test.go
+++ b/internal/owner/record_test.go
@@ -100,3 +100,18 @@
 		t.Errorf("a record of an earlier version: got: %v, %v, want: nothing of later jobs", got, err)
 	}
 }
+
+// A successor has to wait for the longest lease that a worker may have. Records without a bound are those of owners of
+// earlier versions.
+func TestRecordHasTheBoundOfTheLongestLease(t *testing.T) {
+	for name, tc := range map[string]struct{ bound, foreign, want time.Duration }{
+		"none but its own":        {5 * time.Second, 0, 5 * time.Second},
+		"a restarted worker's":    {5 * time.Second, 22 * time.Second, 22 * time.Second},
+		"shorter than its own":    {5 * time.Second, 3 * time.Second, 5 * time.Second},
+		"of an earlier version's": {0, 22 * time.Second, 0},
+	} {
+		if got := owner.RecordedLeaseBound(tc.bound, tc.foreign); got != tc.want {
+			t.Errorf("%s: got: %v, want: %v", name, got, tc.want)
+		}
+	}
+}
--- a/internal/owner/silent.go
+++ b/internal/owner/silent.go
@@ -3,7 +3,11 @@
 
 package owner
 
-import "github.com/leverdyke/leverdyke/internal/leasebound"
+import (
+	"time"
+
+	"github.com/leverdyke/leverdyke/internal/leasebound"
+)
 
 // silentRecord is what the next record says of workers that do not answer. It is guarded by Owner.mu.
 type silentRecord struct {
@@ -13,6 +17,16 @@
 	// there is one.
 	oldestSent uint64
 	hasSent    bool
+	// leasesUntil is when all leases have expired that workers were given by the clocks of their earlier incarnations.
+	leasesUntil time.Time
+}
+
+// leaseBound returns the LeaseBound of a record that is sent at the given time; bound is that of the leases of owners.
+func (s *silentRecord) leaseBound(bound time.Duration, sentAt time.Time) time.Duration {
+	if bound == 0 {
+		return 0
+	}
+	return max(bound, s.leasesUntil.Sub(sentAt))
 }
 
 // next returns what to write into a record that is sent now.
@@ -33,8 +47,9 @@
 // updateSilent passes what the engine knows of silent workers on to the next record, and returns its version.
 func (o *Owner) updateSilent() uint64 {
 	bounds, version := o.engine.UpdateSilentWorkers(!o.mayPreviousAct.Load())
+	leasesUntil := o.now.Add(o.engine.LongestForeignLease())
 	o.mu.Lock()
-	o.silent.bounds, o.silent.version = bounds, version
+	o.silent.bounds, o.silent.version, o.silent.leasesUntil = bounds, version, leasesUntil
 	o.mu.Unlock()
 	return version
 }
--- a/internal/session/lease.go
+++ b/internal/session/lease.go
@@ -57,11 +57,10 @@
 	clock       order.WorkerTime
 	// deadline is the latest end that was ever sent; a worker never shortens its lease.
 	deadline order.WorkerTime
-	// othersExpireAt is when the leases have expired that a previous owner gave, or that were
-	// given to an earlier incarnation.
+	// othersExpireAt is when the leases have expired that a previous owner gave.
 	othersExpireAt time.Time
-	// foreignExpireAt is when the leases have expired whose ends by the clock of an earlier incarnation may
-	// have been in flight when this one became known.
+	// foreignExpireAt is when the leases have expired whose ends were given by the clock of an earlier
+	// incarnation. They may last longer than those of this incarnation's clock.
 	foreignExpireAt time.Time
 }
 
@@ -88,7 +87,7 @@
 	case clock <= 0:
 		return false
 	case time.Duration(l.clock-clock) > reorderSlack:
-		l.RecordOtherLeases(now.Add(AnyLeaseBound))
+		l.RecordForeignLeases(now.Add(AnyLeaseBound))
 		return false
 	case !l.lastHeardAt.IsZero() && clock > latest:
 		return false
@@ -131,14 +130,18 @@
 	}
 }
 
-// RecordForeignLeases records that ends of leases by the clock of an earlier incarnation are in flight, and
-// that the leases may last until then.
+// RecordForeignLeases records that leases whose ends were given by the clock of an earlier incarnation may
+// last until then.
 func (l *Lease) RecordForeignLeases(until time.Time) {
 	if until.After(l.foreignExpireAt) {
 		l.foreignExpireAt = until
 	}
 }
 
+// ForeignExpireAt returns when the leases have expired whose ends were given by the clock of an earlier
+// incarnation; zero if there are none.
+func (l *Lease) ForeignExpireAt() time.Time { return l.foreignExpireAt }
+
 // FenceForeignLeases records that none of these ends can extend the lease from now on: the worker has seen
 // a higher fencing token than was sent with any of them.
 func (l *Lease) FenceForeignLeases(now time.Time) {
