internal/caller: answer may-have-run if any attempt may have run

Callers of leverdyked run were told "not run" of a request whose first attempt had broken off at the worker, if its retry got no slot until the request's time, or since a stop, ended: only the last attempt's error was kept. The first one that may have run is kept now. Found by the review; TestRequestThatMayHaveRunIsNotAnsweredAsNotRun and ...AtItsTimeout failed (503 not-run) and pass. TestRequestWithAKeyIsAnsweredBeforeTheEndOfAStop is known red: such requests have no context that a stop ends.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -230,17 +230,24 @@
 // forwardWithRetries forwards the request, and retries while that is allowed: after the verdict
 // not-run in any case, and after may-have-run if the request is repeatable.
 func (h *Handler) forwardWithRetries(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange) {
-	var lastError *leverdyke.Error
+	var lastError, mayHaveRun *leverdyke.Error
 	for attempt := range maxAttempts {
 		lastError = h.forwardAttempt(ctx, w, r, x)
 		if lastError == nil {
 			return
 		}
+		if mayHaveRun == nil && lastError.Verdict != leverdyke.VerdictNotRun {
+			mayHaveRun = lastError
+		}
 		isLastAttempt := attempt == maxAttempts-1 || x.bodyRest != nil || ctx.Err() != nil || lastError.RetryAfterSeconds > 0
 		if isLastAttempt || (lastError.Verdict != leverdyke.VerdictNotRun && x.isNonRepeatable) {
 			break
 		}
 	}
+	if mayHaveRun != nil && lastError.Verdict == leverdyke.VerdictNotRun {
+		// An earlier attempt may have run.
+		lastError = mayHaveRun
+	}
 	h.refuse(w, lastError)
 }
 
