internal/link: return a reply that has arrived when its call's time passes

A call whose reply and whose deadline both came in a pause of the process failed in about half of the cases, as select chooses at random: callers got a needless 504. The reply is looked for once more. Found by the review; TestReplyThatHasArrivedIsReturnedAfterAPause lost 29 of 64 replies before, none now.

--- a/internal/link/conn.go
+++ b/internal/link/conn.go
@@ -154,15 +154,27 @@
 	}
 	select {
 	case m := <-replies:
-		if m.Failure != "" {
-			return &CallError{m.Failure}
-		}
-		return codec.Unmarshal(m.Body, reply)
+		return m.decode(reply)
 	case <-c.ctx.Done():
-		return ErrClosed
+		err = ErrClosed
 	case <-ctx.Done():
-		return fmt.Errorf("link: %s: %w", kind, ctx.Err())
+		err = fmt.Errorf("link: %s: %w", kind, ctx.Err())
+	}
+	select {
+	case m := <-replies:
+		// It arrived while the process was paused.
+		return m.decode(reply)
+	default:
+		return err
+	}
+}
+
+// decode decodes a reply.
+func (m *message) decode(reply any) error {
+	if m.Failure != "" {
+		return &CallError{m.Failure}
 	}
+	return codec.Unmarshal(m.Body, reply)
 }
 
 // timeoutOf returns how much time ctx has left, at least 1 ns, or 0 if it has no
