internal/draining: keep the context of a request whose answer has begun

An answer of which a part was sent was cut 0.5 s before the end of a stop, since ended the contexts of all requests then. Only requests without an answer need it.

--- a/internal/draining/handler.go
+++ b/internal/draining/handler.go
@@ -28,7 +28,6 @@
 	c.beginRequest(r.ContentLength)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
-	defer context.AfterFunc(c.server.ending, cancel)()
 	// The HTTP server looks at the type of the body in its own request, to see whether the client waits to be told to
 	// send it.
 	r = r.WithContext(ctx)
@@ -36,6 +35,8 @@
 		r.Body = &body{r.Body, c}
 	}
 	a := &answer{ResponseWriter: w, conn: c}
+	a.keepContext = context.AfterFunc(c.server.ending, cancel)
+	defer a.keepContext()
 	inner.ServeHTTP(a, r)
 	a.begin()
 }
@@ -60,6 +61,8 @@
 	http.ResponseWriter
 	conn     *conn
 	hasBegun bool
+	// keepContext prevents the end of the stop from ending the request's context.
+	keepContext func() bool
 }
 
 // Unwrap returns the writer that http.ResponseController uses.
@@ -71,6 +74,7 @@
 		return
 	}
 	a.hasBegun = true
+	a.keepContext()
 	if a.conn.isLast() {
 		a.Header().Set("Connection", "close")
 	}
