internal/draining: accept at a stop just the connections that waited when the time was over

It accepts as many now as waited then, by the system's count. One error of accept that passes, such as a lack of descriptors, closed the listener with all that waited; the HTTP server tries again now, as it does before a stop.

--- a/internal/draining/server.go
+++ b/internal/draining/server.go
@@ -252,47 +252,52 @@
 	server *Server
 	once   sync.Once
 	ended  chan struct{}
-	// isOver means that the time to accept has passed, after which only connections that wait are accepted. It is used
-	// by Accept only.
-	isOver bool
+	// isOver means that the time to accept has passed. waiting is how many connections, of those that waited then, are still
+	// to be accepted. Both are used by Accept only.
+	isOver  bool
+	waiting int
 }
 
 // Accept returns the next connection, or http.ErrServerClosed once the server shuts down. Only one goroutine may call it.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
-		if l.isOver && !l.canAccept() {
+		if l.isOver && l.waiting == 0 {
 			_ = l.Close()
 			return nil, http.ErrServerClosed
 		}
 		inner, err := l.Listener.Accept()
 		switch {
 		case err == nil:
+			l.waiting = max(l.waiting-1, 0)
 			c := newConn(inner, l.server)
 			l.server.add(c)
 			return c, nil
-		case l.server.current() < phaseRefusing:
-			// The server expects the listener's own errors.
+		case l.server.current() < phaseRefusing, !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed):
+			// The server expects the listener's own errors, and tries again after those that pass.
 			return nil, err
 		}
 		// The deadline may have passed while the process was paused.
+		waiting := l.queued()
+		if !l.isOver {
+			l.waiting = waiting
+		}
 		l.isOver = true
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !l.setDeadline() {
-			_ = l.Close()
-			return nil, http.ErrServerClosed
+		if waiting == 0 || !l.setDeadline() {
+			l.waiting = 0
 		}
 	}
 }
 
-// canAccept reports whether a connection waits to be accepted.
-func (l *listener) canAccept() bool {
+// queued returns how many connections wait to be accepted.
+func (l *listener) queued() int {
 	n := 0
-	isOpen := withDescriptor(l.Listener, func(fd int) {
-		err := error(unix.EINTR)
-		for errors.Is(err, unix.EINTR) {
-			n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	withDescriptor(l.Listener, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			// Of a listening socket, this is the length of its queue.
+			n = int(info.Unacked)
 		}
 	})
-	return isOpen && n > 0
+	return n
 }
 
 // setDeadline bounds the time to accept. It reports whether the listener has deadlines.
