internal/draining: read what has arrived without waiting, whenever the deadline passed

A deadline that passes in a pause between the HTTP server's look at the time and its SetReadDeadline was taken for an order to end the read, and the request was reset: only a deadline before the connection was accepted is one now. And the read waited for the client, with the connection locked, if another reader had taken the bytes, so that a stop outlived its context: it takes what there is now.

--- a/internal/draining/conn.go
+++ b/internal/draining/conn.go
@@ -47,14 +47,16 @@
 	// hasBegun means that more of the next request has been read than empty lines.
 	hasBegun     bool
 	readDeadline time.Time
-	// isAborted means that readDeadline had passed when it was set, which ends a read whatever has arrived.
+	// isAborted means that readDeadline is before openedAt, when the connection was accepted: it ends a read whatever has
+	// arrived.
 	isAborted bool
+	openedAt  time.Time
 	// changed signals that isReading, isInterrupted, isClosed or readDeadline has changed.
 	changed *sync.Cond
 }
 
 func newConn(inner net.Conn, s *Server) *conn {
-	c := &conn{Conn: inner, server: s, isBetween: true}
+	c := &conn{Conn: inner, server: s, isBetween: true, openedAt: time.Now()}
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
@@ -135,21 +137,22 @@
 		}
 		// The next read may take these bytes before isLast looks.
 		c.isAhead = c.isAhead || c.isHandling && c.hasMore()
-	} else if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.isAborted && c.canRead() {
+	} else if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.isAborted {
 		n, err = c.readArrived(p)
 	}
 	// The HTTP server expects the connection's own errors.
 	return n, err
 }
 
-// readArrived reads bytes that have arrived although the deadline has passed: the process may have been paused. The
-// connection must be locked.
+// readArrived reads bytes that have arrived although the deadline has passed: the process may have been paused. It does
+// not wait for any, and returns the error of the deadline if there are none.
 func (c *conn) readArrived(p []byte) (int, error) {
-	_ = c.Conn.SetReadDeadline(time.Time{})
-	n, err := c.Conn.Read(p)
-	_ = c.Conn.SetReadDeadline(c.readDeadline)
-	// The HTTP server expects the connection's own errors.
-	return n, err
+	n := 0
+	withDescriptor(c.Conn, func(fd int) { n, _, _ = syscall.Recvfrom(fd, p, syscall.MSG_DONTWAIT) })
+	if n <= 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return n, nil
 }
 
 // readable returns how many of the unread bytes may be read at once.
@@ -176,7 +179,7 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.readDeadline, c.isAborted = t, !t.IsZero() && !t.After(time.Now())
+	c.readDeadline, c.isAborted = t, !t.IsZero() && t.Before(c.openedAt)
 	c.changed.Broadcast()
 	if c.isInterrupted {
 		return nil
