internal/connlimit: close no connection with a request to make room while others have none

At the limit of connections the one that had waited for the longest time was closed, also if its request had arrived and was not read yet: its caller got a reset. One of the first 16 on which nothing has arrived is closed instead.

--- a/internal/connlimit/limiter.go
+++ b/internal/connlimit/limiter.go
@@ -106,7 +106,7 @@
 	c.element = l.waiting.PushBack(c)
 	var closed *conn
 	if l.open > l.limit {
-		closed = l.waiting.Front().Value.(*conn)
+		closed = l.longestWaiting()
 		l.drop(closed)
 	}
 	l.mu.Unlock()
@@ -121,6 +121,26 @@
 	return c
 }
 
+// maxLooks is at how many connections longestWaiting looks.
+const maxLooks = 16
+
+// longestWaiting returns the connection that has waited for its client for the longest time. One on which something has
+// arrived that was not read yet is none, unless there are many.
+func (l *Limiter) longestWaiting() *conn {
+	e := l.waiting.Front()
+	for range maxLooks {
+		if e == nil {
+			break
+		}
+		c := e.Value.(*conn)
+		if a, ok := c.Conn.(interface{ HasArrived() bool }); !ok || !a.HasArrived() {
+			return c
+		}
+		e = e.Next()
+	}
+	return l.waiting.Front().Value.(*conn)
+}
+
 // remove forgets a connection that is being closed.
 func (l *Limiter) remove(c *conn) {
 	l.mu.Lock()
--- a/internal/draining/conn.go
+++ b/internal/draining/conn.go
@@ -175,6 +175,9 @@
 	return isOpen && n > 0
 }
 
+// HasArrived reports whether bytes have arrived that were not read.
+func (c *conn) HasArrived() bool { return c.canRead() }
+
 // SetReadDeadline sets the deadline of reads.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
