--- a/internal/link/paused_call_test.go
+++ b/internal/link/paused_call_test.go
@@ -7,6 +7,9 @@
 	"context"
 	"testing"
 	"time"
+
+	"github.com/leverdyke/leverdyke/internal/await"
+	"github.com/leverdyke/leverdyke/internal/link"
 )
 
 // pausedCtx is a context that has ended by the time that a call looks at it; the reply has arrived by then too.
@@ -25,20 +28,14 @@
 
 // Guards against a reply that has arrived and is dropped because the time of its call passed in the same pause.
 func TestReplyThatHasArrivedIsReturnedAfterAPause(t *testing.T) {
-	left, right, h := newConnPair(t)
+	left, _, _ := newConnPair(t)
 	ended := make(chan struct{})
 	close(ended)
 	lost := 0
 	for range 64 {
 		got := ""
 		ctx := &pausedCtx{t.Context(), func() {
-			// The peer's notification, after its reply: this side reads them in turn.
-			second := ""
-			if err := left.Call(t.Context(), "echo", "second", &second); err != nil {
-				t.Error(err)
-			}
-			right.Notify("n", "after")
-			<-h.notifications
+			await.True(t, "the reply has arrived", func() bool { return link.HasReply(left) })
 		}, ended}
 		if err := left.Call(ctx, "echo", "hello", &got); err != nil {
 			lost++
