--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -91,9 +91,17 @@
 	return &node.Grant{Service: service, Worker: worker.ID(url), Addr: addr, Slots: slots, Key: worker.Key{Task: leverdyke.TaskID{Job: "grant"}, Attempt: attempt}}
 }
 
-// newCallerServer returns a server for callers with one service, "s", and a grant of four slots on
-// each of the workers.
+// newCallerServer returns a server for callers with the handler of newCallerHandler.
 func newCallerServer(t *testing.T, isOnce bool, keys *fakeKeys, workers ...string) *httptest.Server {
+	t.Helper()
+	s := httptest.NewServer(newCallerHandler(t, isOnce, keys, workers...))
+	t.Cleanup(s.Close)
+	return s
+}
+
+// newCallerHandler returns a handler for callers with one service, "s", and a grant of four slots on each of the
+// workers.
+func newCallerHandler(t *testing.T, isOnce bool, keys *fakeKeys, workers ...string) *caller.Handler {
 	t.Helper()
 	r := router.NewRouter(router.NewRouterOptions{IdleTimeout: time.Hour})
 	r.SetServices(map[string]router.Info{"s": {IsOnce: isOnce}})
@@ -104,10 +112,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := caller.NewHandler(caller.NewHandlerOptions{Router: r, Keys: keys, Metrics: m, IsReady: func() bool { return true }})
-	s := httptest.NewServer(h)
-	t.Cleanup(s.Close)
-	return s
+	return caller.NewHandler(caller.NewHandlerOptions{Router: r, Keys: keys, Metrics: m, IsReady: func() bool { return true }})
 }
 
 func newWorker(t *testing.T, f http.HandlerFunc) string {
--- a/internal/caller/stop_test.go
+++ b/internal/caller/stop_test.go
@@ -14,24 +14,12 @@
 	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/caller"
 	"github.com/leverdyke/leverdyke/internal/draining"
-	"github.com/leverdyke/leverdyke/internal/metrics"
-	"github.com/leverdyke/leverdyke/internal/router"
 )
 
 // newDrainingServer is newCallerServer with a server that can be shut down.
 func newDrainingServer(t *testing.T, isOnce bool, workers ...string) (*draining.Server, string) {
 	t.Helper()
-	r := router.NewRouter(router.NewRouterOptions{IdleTimeout: time.Hour})
-	r.SetServices(map[string]router.Info{"s": {IsOnce: isOnce}})
-	for i, w := range workers {
-		r.OnGrant(grantFor(t, "s", w, uint64(i+1), 4))
-	}
-	m, err := metrics.NewSet()
-	if err != nil {
-		t.Fatal(err)
-	}
-	h := caller.NewHandler(caller.NewHandlerOptions{Router: r, Keys: newFakeKeys(1)[0], Metrics: m, IsReady: func() bool { return true }})
-	s := caller.NewServer(h)
+	s := caller.NewServer(newCallerHandler(t, isOnce, newFakeKeys(1)[0], workers...))
 	d := draining.NewServer(s, draining.NewServerOptions{})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/cluster/handover.go
+++ b/internal/cluster/handover.go
@@ -66,7 +66,7 @@
 const fitnessTimeout = 300 * time.Millisecond
 
 // lagPeriod is the period of the ticks by which a node measures its lag as a follower. It is short compared with the
-// periods in which a processor quota is enforced (0.1 s): otherwise most ticks may fall where the node runs.
+// periods in which a processor quota is enforced: otherwise most ticks may fall where the node runs.
 const lagPeriod = 20 * time.Millisecond
 
 // handOverIfUnfit starts to hand the shard over when this node has too little processor time to own
--- a/internal/dispatch/restart_lease_test.go
+++ b/internal/dispatch/restart_lease_test.go
@@ -33,7 +33,7 @@
 	w.submit(id, s)
 }
 
-// Guards against tasks that wait for 10.7 s and more on a worker that falls silent soon after its restart.
+// Guards against tasks that wait for the longest lease on a worker that falls silent soon after its restart.
 func TestTasksOfAWorkerSilentSoonAfterItsRestartStartElsewhereInTime(t *testing.T) {
 	t.Parallel()
 	for name, untilRestart := range map[string]time.Duration{
@@ -127,7 +127,7 @@
 	}
 }
 
-// Guards against orders in flight to a worker that restarts, for which its tasks wait 12 s longer than the longest lease.
+// Guards against orders in flight to a worker that restarts, for which its tasks wait longer than the longest lease.
 func TestOrdersInFlightToARestartedWorkerDelayItsTasksNoLongerThanTheLongestLease(t *testing.T) {
 	t.Parallel()
 	for name, untilRestart := range map[string]time.Duration{"order in flight": 60 * time.Millisecond, "abandoned order": 1700 * time.Millisecond} {
--- a/internal/integration/forms_jobs_test.go
+++ b/internal/integration/forms_jobs_test.go
@@ -92,14 +92,14 @@
 	f.trouble(d.before)
 	last := f.submitLast(d)
 	f.trouble(d.after)
-	time.Sleep(d.down)
+	pause(f.t.Context(), d.down)
 	f.startAll(d.hasGone)
-	time.Sleep(d.storeDown)
+	pause(f.t.Context(), d.storeDown)
 	f.Store.SetMode(site.StoreUp)
 	if d.again >= 0 {
-		time.Sleep(d.again)
+		pause(f.t.Context(), d.again)
 		f.losePower()
-		time.Sleep(d.down / 2)
+		pause(f.t.Context(), d.down/2)
 		f.startAll(d.hasGone)
 	}
 	last()
@@ -110,7 +110,7 @@
 	switch kind {
 	case storeSlow:
 		f.Store.SetMode(site.StoreSlow)
-		time.Sleep(500 * time.Millisecond)
+		pause(f.t.Context(), 500*time.Millisecond)
 	case storeBusy:
 		f.Store.SetMode(site.StoreBusy)
 	case storeSilent:
@@ -120,7 +120,7 @@
 		f.Store.LoseAnswers(1 + f.rng.IntN(4))
 	case storeJustBack:
 		f.Store.SetMode(site.StoreBusy)
-		time.Sleep(1500 * time.Millisecond)
+		pause(f.t.Context(), 1500*time.Millisecond)
 		f.Store.SetMode(site.StoreUp)
 	case storeFine:
 		f.Store.SetMode(site.StoreUp)
@@ -170,7 +170,7 @@
 		}
 		accepted <- status == http.StatusOK
 	}()
-	time.Sleep(d.delay)
+	pause(f.t.Context(), d.delay)
 	f.losePower()
 	isAccepted := <-accepted
 	f.t.Logf("%s %s accepted before: %v", time.Now().Format("15:04:05.000"), id, isAccepted)
@@ -341,10 +341,10 @@
 			f.submitThrough(&wg, n)
 		}
 	}
-	time.Sleep(time.Duration(f.rng.Int64N(int64(within))))
+	pause(f.t.Context(), time.Duration(f.rng.Int64N(int64(within))))
 	owner.Kill()
 	f.t.Logf("%s %s killed, store %s", time.Now().Format("15:04:05.000"), owner.Name, mode)
-	time.Sleep(time.Duration(f.rng.IntN(1500)) * time.Millisecond)
+	pause(f.t.Context(), time.Duration(f.rng.IntN(1500))*time.Millisecond)
 	f.Store.SetMode(site.StoreUp)
 	f.start(owner)
 	wg.Wait()
