internal/dispatch: log each job that stands still, whatever the reason

Two lines now cover all of them: LD0499 as before (room, nothing counts), LD0500 (info) for the others. Both say when a pass last tried the step and when the last pass ran, what counts without being known to run, what the customer's limit leaves, which workers are left out for each cause, the full and denied ones included, with charged and listed use beside the capacity, and how many channels are free. At most eight lines a second, those beside workers with room first; at most 64 standing jobs are surveyed a second.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -201,6 +201,8 @@
 	// recheckAt is when the next scheduling pass runs even if no event calls for one; zero if no
 	// task waits.
 	recheckAt time.Time
+	// passedAt is when the last scheduling pass ran.
+	passedAt time.Time
 	// needsScheduling means that an event may have made it possible to place a task that could not
 	// be placed before.
 	needsScheduling bool
--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -60,9 +60,9 @@
 	nextRound  int
 	roundsLeft int
 	// attempts counts the attempts that are not known to have ended; idleSince is when the last
-	// one was released.
-	attempts  int
-	idleSince time.Time
+	// one was released, ranAt when the last one was that ran.
+	attempts         int
+	idleSince, ranAt time.Time
 }
 
 // round is one repetition of a job's steps. A job that is not periodic has a single one.
@@ -110,8 +110,10 @@
 	// determined anew from unservedDueAt on.
 	isUnserved    bool
 	unservedDueAt time.Time
-	// waitReason is what its tasks were waiting for in the last scheduling pass.
+	// waitReason is what its tasks were waiting for in the last scheduling pass, triedAt when a pass last tried
+	// to place them.
 	waitReason waits.Reason
+	triedAt    time.Time
 	// noRoomElsewhereAt is when no worker outside of the drained zones was last found for a task.
 	noRoomElsewhereAt time.Time
 	// copiesWanted counts the tasks that want a speculative copy.
@@ -396,7 +398,7 @@
 			continue
 		}
 		s.isOpen = true
-		s.openedAt, s.waitReason = e.now, waits.Priority
+		s.openedAt, s.triedAt, s.waitReason = e.now, e.now, waits.Priority
 		e.enqueue(s)
 		e.needsScheduling = true
 	}
--- a/internal/dispatch/listing.go
+++ b/internal/dispatch/listing.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/leverdyke/leverdyke"
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
 	"github.com/leverdyke/leverdyke/internal/work"
@@ -150,9 +151,14 @@
 		return
 	}
 	running := make(map[work.TaskID]bool, len(listing.Running))
+	w.listedUse = leverdyke.Resources{}
 	for i := range listing.Running {
-		running[listing.Running[i].Task] = true
+		task := listing.Running[i].Task
+		running[task] = true
 		e.handleRunning(w, &listing.Running[i])
+		if a := w.attempts.Get(task); a != nil {
+			w.listedUse = w.listedUse.Add(a.charge)
+		}
 	}
 	w.dropEndedUnknown(running)
 	if hasAllEnds {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -21,6 +21,7 @@
 	if e.isPaused || !e.isOwnershipConfirmed {
 		return
 	}
+	e.passedAt = e.now
 	e.resetReservations()
 	e.planner.BeginPass()
 	e.updateUncertainUsage()
@@ -91,7 +92,7 @@
 	if !ok {
 		return
 	}
-	s.mayProbeEarly = e.mayProbeEarly(s, q.Service)
+	s.triedAt, s.mayProbeEarly = e.now, e.mayProbeEarly(s, q.Service)
 	e.startTasks(s, &q)
 	if s.waiting > 0 {
 		s.waitReason = e.waitReason(s, &q)
--- a/internal/dispatch/standstill.go
+++ b/internal/dispatch/standstill.go
@@ -4,185 +4,151 @@
 package dispatch
 
 import (
-	"fmt"
-	"maps"
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/order"
-	"github.com/leverdyke/leverdyke/internal/waits"
 )
 
 const (
-	// standstillLogAfter is how long a job has nothing running, although workers have room for one of
-	// its tasks, before that is logged.
+	// standstillLogAfter is how long nothing of a job has run, although tasks of a step may start, before
+	// that is logged.
 	standstillLogAfter = 3 * time.Second
-	// standstillLogInterval is the time between two lines on one step, and maxStandstillsLogged bounds
-	// the steps that are logged at once.
-	standstillLogInterval = time.Second
-	maxStandstillsLogged  = 8
+	// standstillLogInterval is the time between two lines on one step, maxStandstillsLogged bounds the steps
+	// that are logged at once, and maxStandstillsSurveyed those for which all workers are looked at.
+	standstillLogInterval  = time.Second
+	maxStandstillsLogged   = 8
+	maxStandstillsSurveyed = 64
 )
 
-// obstacle is why a worker that has room for a task of a step is not given one now.
-type obstacle string
-
-const (
-	obstacleUnlisted   obstacle = "unlisted"
-	obstacleLeaving    obstacle = "leaving"
-	obstacleUnclear    obstacle = "unclear"
-	obstacleUnreported obstacle = "unreported"
-	obstacleSilent     obstacle = "silent"
-	obstacleNamed      obstacle = "named"
-	obstacleUnknownRun obstacle = "unknownRun"
-	obstacleSuspect    obstacle = "suspect"
-	obstacleEjected    obstacle = "setAside"
-	obstacleProbed     obstacle = "probed"
-	obstacleDenied     obstacle = "denied"
-	obstacleUnasked    obstacle = "unasked"
-	obstacleExpired    obstacle = "noTicket"
-	obstacleReserved   obstacle = "reserved"
-	obstacleRetry      obstacle = "retry"
-	obstacleNone       obstacle = "none"
-)
+// standstill is a step whose tasks may start, and of whose job nothing has run for long.
+type standstill struct {
+	step   *step
+	queue  order.Queue
+	since  time.Time
+	survey workerSurvey
+}
 
-// logStandstills logs which jobs have had nothing running for long although workers have room for a
-// task, and why these workers are passed over. Long-running tasks have a line of their own.
+// logStandstills logs which jobs have had nothing running for long, those beside workers with room first.
+// Long-running tasks have a line of their own.
 func (e *Engine) logStandstills() {
 	if e.now.Before(e.standstillLogDueAt) {
 		return
 	}
 	e.standstillLogDueAt = e.now.Add(standstillLogInterval)
-	logged := 0
-	for _, s := range e.stepQueue {
-		if logged >= maxStandstillsLogged {
-			return
+	found := e.standstills()
+	slices.SortStableFunc(found, func(a, b standstill) int { return a.since.Compare(b.since) })
+	surveyed := found[:min(len(found), maxStandstillsSurveyed)]
+	for i := range surveyed {
+		surveyed[i].survey = e.surveyWorkers(surveyed[i].step, &surveyed[i].queue)
+	}
+	slices.SortStableFunc(surveyed, func(a, b standstill) int { return cmp.Compare(a.rank(), b.rank()) })
+	for i := range surveyed[:min(len(surveyed), maxStandstillsLogged)] {
+		e.logStandstill(&surveyed[i], len(found))
+	}
+}
+
+// standstills returns the steps of which nothing has run for standstillLogAfter, one of each job.
+func (e *Engine) standstills() []standstill {
+	found := []standstill{}
+	for _, j := range e.activeJobs {
+		if j.state.IsFinal() || e.now.Sub(j.ranAt) < standstillLogAfter || j.hasRunning() {
+			continue
 		}
-		if e.logStandstill(s) {
-			logged++
+		if s := j.waitingStep(); s != nil && e.now.Sub(s.stoodSince()) >= standstillLogAfter {
+			if q, ok := e.queues[j.spec.Queue]; ok {
+				found = append(found, standstill{step: s, queue: q, since: s.stoodSince()})
+			}
 		}
 	}
+	return found
 }
 
-// logStandstill logs this for one step and reports whether it wrote a line.
-func (e *Engine) logStandstill(s *step) bool {
-	since := s.idleSince()
-	isWaiting := s.isOpen && s.waiting > 0 && s.job.attempts == 0 && !s.job.state.IsFinal() && !s.spec.IsLongRunning
-	if !isWaiting || s.waitReason == waits.Limit || e.now.Sub(since) < standstillLogAfter {
-		return false
-	}
-	q, ok := e.queues[s.job.spec.Queue]
-	if !ok {
-		return false
-	}
-	counts := e.obstaclesOf(s, &q)
-	if len(counts) == 0 {
-		return false
+// waitingStep returns the step with waiting tasks that may start that was opened first; nil if there is none.
+func (j *job) waitingStep() *step {
+	var first *step
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			if s.isOpen && s.waiting > 0 && !s.spec.IsLongRunning && (first == nil || compareOpened(s, first) < 0) {
+				first = s
+			}
+		}
 	}
-	e.options.Log(events.JobStandsStill, "step", s.id, "queue", q.Name, "stood", e.now.Sub(since), "tasks", s.waiting, "atOnce", s.startsAtOnce(), "reason", s.waitReason,
-		"asking", s.permissions.IsQuerying(), "query", s.permissions.Outcome(), "asked", e.sinceLastQuery(s, since), "permits", s.permissions.PermitCount(e.now), "passedOver", obstaclesText(counts))
-	return true
+	return first
 }
 
-// startsAtOnce returns how many tasks of the step start together: all of a gang, or one.
-func (s *step) startsAtOnce() int {
-	if s.spec.IsGang {
-		return len(s.tasks)
-	}
-	return 1
+// compareOpened orders the steps of a job by when they were opened.
+func compareOpened(a, b *step) int {
+	return cmp.Or(a.openedAt.Compare(b.openedAt), cmp.Compare(a.id.Round, b.id.Round), cmp.Compare(a.id.Step, b.id.Step))
 }
 
-// sinceLastQuery returns how long ago the last permission query of a step was made, or how long it has
-// waited if that is less.
-func (e *Engine) sinceLastQuery(s *step, waitingSince time.Time) time.Duration {
-	at := s.permissions.LastCallAt()
-	if at.Before(waitingSince) {
-		at = waitingSince
-	}
-	return e.now.Sub(at)
+// hasRunning reports whether an attempt of the job is known to run.
+func (j *job) hasRunning() bool {
+	return j.attempts > 0 && slices.ContainsFunc(j.currentAttempts(), func(a *attempt) bool { return a.phase == phaseRunning })
 }
 
-// obstaclesOf counts the workers that have room for a task of the step by why they get none.
-func (e *Engine) obstaclesOf(s *step, q *order.Queue) map[obstacle]int {
-	counts := map[obstacle]int{}
-	charge := s.spec.Charge()
-	charge.Slots = 0
-	for _, w := range e.workers.All() {
-		free := w.Capacity.Sub(w.used)
-		free.Slots = 0
-		hasRoom := charge.FitsIn(free) && (s.spec.MaxPerWorker <= 0 || w.attemptCountOf(s) < s.spec.MaxPerWorker)
-		if hasRoom && e.mayRun(w, s, q.Service) {
-			counts[e.obstacleOf(w, s, q)]++
-		}
+// stoodSince returns since when tasks of the step may start and nothing of its job has run.
+func (s *step) stoodSince() time.Time {
+	if s.job.ranAt.After(s.openedAt) {
+		return s.job.ranAt
 	}
-	return counts
+	return s.openedAt
 }
 
-// obstacleOf returns why a worker that has room gets no task of the step.
-func (e *Engine) obstacleOf(w *worker, s *step, q *order.Queue) obstacle {
-	switch {
-	case !e.isReachable(w):
-		return e.unreachableBecause(w)
-	case w.unknownRuns.Len() > 0:
-		return obstacleUnknownRun
-	case !e.isUsable(w, s):
-		return e.unusableBecause(w)
-	case q.Permission != nil && !e.holdsPermit(s, w):
-		return unpermittedBecause(s, w)
-	case e.fitCount(w, s) == 0:
-		return obstacleReserved
-	case !e.mayTryAny(w, s):
-		return obstacleRetry
+// isBesideRoom reports whether the step waits although a worker has room, no limit holds it back and nothing
+// of its job counts as running.
+func (s *standstill) isBesideRoom(allowed int) bool {
+	return s.survey.hasRoom && allowed > 0 && s.step.job.attempts == 0
+}
+
+// rank orders what is logged: steps beside workers with room first.
+func (s *standstill) rank() int {
+	if s.survey.hasRoom {
+		return 0
 	}
-	return obstacleNone
+	return 1
 }
 
-func (e *Engine) unreachableBecause(w *worker) obstacle {
-	switch {
-	case w.isUnlisted:
-		return obstacleUnlisted
-	case w.isLeaving():
-		return obstacleLeaving
-	case w.IsUncertain:
-		return obstacleUnclear
-	case w.session.IsSilent(), e.now.Sub(w.session.LastHeardAt()) > unreachableAfter:
-		if !w.answeredNamedAt.IsZero() && e.now.Sub(w.answeredNamedAt) <= unreachableAfter {
-			return obstacleNamed
-		}
-		return obstacleSilent
-	case !w.session.IsListed():
-		return obstacleUnreported
+// logStandstill logs one step. standing is how many jobs stand still.
+func (e *Engine) logStandstill(s *standstill, standing int) {
+	allowed := e.allowedByQuota(s.step)
+	event := events.JobWaits
+	if s.isBesideRoom(allowed) {
+		event = events.JobStandsStill
 	}
-	return obstacleNamed
+	p := &s.step.permissions
+	channels, free := e.planner.Channels().Len()
+	e.options.Log(event, "step", s.step.id, "queue", s.queue.Name, "stood", e.now.Sub(s.since), "tasks", s.step.waiting, "atOnce", s.step.startsAtOnce(), "reason", s.step.waitReason,
+		"asking", p.IsQuerying(), "query", p.Outcome(), "asked", e.sinceLastQuery(s.step, s.since), "permits", p.PermitCount(e.now), "passedOver", countsText(s.survey.counts),
+		"tried", e.now.Sub(s.step.triedAt), "pass", e.now.Sub(e.passedAt), "counted", countsText(s.step.job.phases()), "allowed", allowed,
+		"capacity", s.survey.capacity, "charged", s.survey.charged, "listed", s.survey.listed, "lanes", channels, "free", free, "standing", standing)
 }
 
-func (e *Engine) unusableBecause(w *worker) obstacle {
-	switch {
-	case e.now.Before(w.isolatedUntil), e.now.Before(w.exclusiveUntil):
-		return obstacleSuspect
-	case w.health.IsPaused(e.now):
-		return obstacleEjected
+// phases counts the attempts of the job by phase.
+func (j *job) phases() map[phase]int {
+	counts := map[phase]int{}
+	for _, a := range j.currentAttempts() {
+		counts[a.phase]++
 	}
-	return obstacleProbed
+	return counts
 }
 
-func unpermittedBecause(s *step, w *worker) obstacle {
-	isAllowed, isKnown := s.permissions.IsAllowed(w.ID)
-	switch {
-	case !isKnown:
-		return obstacleUnasked
-	case !isAllowed:
-		return obstacleDenied
+// startsAtOnce returns how many tasks of the step start together: all of a gang, or one.
+func (s *step) startsAtOnce() int {
+	if s.spec.IsGang {
+		return len(s.tasks)
 	}
-	return obstacleExpired
+	return 1
 }
 
-// obstaclesText returns the counts as text, such as "denied=2 silent=1".
-func obstaclesText(counts map[obstacle]int) string {
-	parts := make([]string, 0, len(counts))
-	for _, o := range slices.Sorted(maps.Keys(counts)) {
-		parts = append(parts, fmt.Sprintf("%s=%d", o, counts[o]))
+// sinceLastQuery returns how long ago the last permission query of a step was made, or how long it has
+// waited if that is less.
+func (e *Engine) sinceLastQuery(s *step, waitingSince time.Time) time.Duration {
+	at := s.permissions.LastCallAt()
+	if at.Before(waitingSince) {
+		at = waitingSince
 	}
-	return strings.Join(parts, " ")
+	return e.now.Sub(at)
 }
--- a/internal/dispatch/standstill_test.go
+++ b/internal/dispatch/standstill_test.go
@@ -14,26 +14,34 @@
 	"github.com/leverdyke/leverdyke/internal/permit"
 )
 
-// A job that has nothing running must be logged, once a second from 3 s on, with why the workers that
-// have room get none of its tasks and what came of its last permission query.
+// A job that has nothing running must be logged, once a second from 3 s on, with why the workers get none
+// of its tasks and what came of its last permission query.
 func TestJobThatStandsStillIsLogged(t *testing.T) {
 	for name, tc := range map[string]struct {
 		hold func(w *sim)
 		// passedOver is what the lines must say; empty if there must be none.
 		passedOver string
 		query      permit.Outcome
+		// event is that of the lines: JobWaits unless a worker has room.
+		event events.Event
 	}{
-		"it runs":             {func(*sim) {}, "", ""},
-		"no room":             {func(w *sim) { w.submit("busy", newStep(8, time.Minute)) }, "", ""},
-		"no permission":       {func(w *sim) { w.isPermitted = func(order.WorkerID) bool { return false } }, "denied=2", permit.NoCandidates},
-		"no channel":          {func(w *sim) { w.engine.SetChannels(nil) }, "unasked=2", permit.NoChannel},
-		"draining workers":    {func(w *sim) { w.workers["w00"].entry.IsDraining = true; w.setEntriesUncertain(true) }, "leaving=1 unclear=1", permit.NoCandidates},
-		"unreachable workers": {func(w *sim) { w.workers["w00"].isPartitioned, w.workers["w01"].isPartitioned = true, true }, "silent=2", permit.NoCandidates},
+		"it runs":             {func(*sim) {}, "", "", events.JobStandsStill},
+		"no room":             {func(w *sim) { w.submit("busy", newStep(8, time.Minute)) }, "full=2", permit.NoCandidates, events.JobWaits},
+		"no permission":       {func(w *sim) { w.isPermitted = func(order.WorkerID) bool { return false } }, "denied=2", permit.NoCandidates, events.JobStandsStill},
+		"no channel":          {func(w *sim) { w.engine.SetChannels(nil) }, "unasked=2", permit.NoChannel, events.JobStandsStill},
+		"draining workers":    {func(w *sim) { w.workers["w00"].entry.IsDraining = true; w.setEntriesUncertain(true) }, "leaving=1 unclear=1", permit.NoCandidates, events.JobStandsStill},
+		"unreachable workers": {func(w *sim) { w.workers["w00"].isPartitioned, w.workers["w01"].isPartitioned = true, true }, "silent=2", permit.NoCandidates, events.JobStandsStill},
 	} {
 		w := newSim(1)
 		logged := map[string]int{}
 		w.log = func(e events.Event, fields ...any) {
-			for i := 0; e == events.JobStandsStill && i < len(fields); i += 2 {
+			if e != events.JobStandsStill && e != events.JobWaits {
+				return
+			}
+			if e != tc.event {
+				t.Errorf("%s: event: got: %v, want: %v", name, e, tc.event)
+			}
+			for i := 0; i < len(fields); i += 2 {
 				switch fields[i] {
 				case "passedOver":
 					logged[fmt.Sprint(fields[i+1])]++
--- a/internal/dispatch/worker.go
+++ b/internal/dispatch/worker.go
@@ -22,8 +22,8 @@
 type worker struct {
 	order.Worker
 	attempts ordered.Map[work.TaskID, *attempt]
-	// used is the sum of the charges of its attempts.
-	used leverdyke.Resources
+	// used is the sum of the charges of its attempts, listedUse of those that its newest listing has running.
+	used, listedUse leverdyke.Resources
 	// reservations are the resources kept free for waiting steps.
 	reservations []reservation
 	// unknownRuns has the runs, by task, that the worker reports of tasks unknown to this engine.
@@ -550,7 +550,7 @@
 		a.step.job.attempts--
 		a.step.job.idleSince = e.now
 		if a.phase == phaseRunning {
-			a.step.tasks[a.id.Index].lastRanAt = e.now
+			a.step.tasks[a.id.Index].lastRanAt, a.step.job.ranAt = e.now, e.now
 		}
 		e.releaseCustomer(a.step)
 	}
--- a/internal/events/catalogue.go
+++ b/internal/events/catalogue.go
@@ -151,6 +151,7 @@
 	PermissionChannels     = add(487, "channels to the permission service", LevelInfo)
 	TaskNotRunning         = add(479, "nothing of a task that lasts runs", LevelWarning)
 	JobStandsStill         = add(499, "nothing of a job runs although workers have room", LevelWarning)
+	JobWaits               = add(500, "nothing of a job runs", LevelInfo)
 	WorkersBySpeed         = add(482, "workers by speed", LevelInfo)
 	KeyRefused             = add(478, "call carries no key that is in force", LevelInfo)
 	JobOfOtherCustomer     = add(476, "job of another customer was asked for", LevelWarning)
