internal/dispatch: ask about workers on which a failed task may start

After a task has failed it must not start where it failed for 2.2 s. The permission planner did not know: the permit of that worker counted as sufficient, so that nobody else was asked about, and when it ran out the same worker was named first, as one that is known to be permitted. A job whose last running task fails stood for 2.2 s and, if a query was in flight or the worker was full by then, for over 3 s. Class: two parts decide by different rules who may run a task.

Now a worker is a candidate only if a waiting task or a wanted copy may start there when the query is answered, and for as many tasks as may; the same function decides the placement (mayRepeatOn). A worker that has to be healthy for one task only is a candidate for the others.

--- a/internal/dispatch/job.go
+++ b/internal/dispatch/job.go
@@ -183,23 +183,42 @@
 // mayRetryOn reports whether a task that has failed, or is suspected of crashing its workers, may
 // start on the worker now.
 func (e *Engine) mayRetryOn(w *worker, s *step, t *task) bool {
-	if !e.mayRunSuspect(w, t) {
-		return false
-	}
+	return e.mayRunSuspect(w, t) && e.mayRepeatOn(w, s, t, e.now)
+}
+
+// mayRepeatOn reports whether a task that has failed may start on the worker at that time.
+func (e *Engine) mayRepeatOn(w *worker, s *step, t *task, at time.Time) bool {
 	if len(t.failures) == 0 || s.spec.IsLongRunning {
 		return true
 	}
-	if e.needsHealthyWorker(s, t) && !w.health.IsHealthy(e.now) {
+	if e.needsHealthyWorker(s, t, at) && !w.health.IsHealthy(e.now) {
 		return false
 	}
 	failedHere := slices.ContainsFunc(t.failures, func(f work.Failure) bool { return f.Worker == string(w.ID) })
-	return !failedHere || e.now.Sub(t.lastFailedAt) >= otherWorkerTimeout
+	return !failedHere || at.Sub(t.lastFailedAt) >= otherWorkerTimeout
 }
 
-// needsHealthyWorker reports whether a task still waits for a worker that has not failed anything
-// lately, because the job fails with the task's next failure.
-func (e *Engine) needsHealthyWorker(s *step, t *task) bool {
-	return len(t.failures) > 0 && e.isLastAttempt(s, t) && e.now.Sub(t.lastFailedAt) < healthyWorkerTimeout
+// needsHealthyWorker reports whether at that time a task still waits for a worker that has not failed
+// anything lately, because the job fails with the task's next failure.
+func (e *Engine) needsHealthyWorker(s *step, t *task, at time.Time) bool {
+	return len(t.failures) > 0 && e.isLastAttempt(s, t) && at.Sub(t.lastFailedAt) < healthyWorkerTimeout
+}
+
+// startableOn returns how many of the waiting tasks and wanted copies of the step may start on the worker at
+// that time as far as their failures and attempts are concerned.
+func (e *Engine) startableOn(w *worker, s *step, at time.Time) int {
+	if !s.hasFailures && s.copiesWanted == 0 {
+		return len(s.tasks)
+	}
+	n := 0
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		isWaiting := t.state == taskWaiting || t.wantsCopy && t.attempt.worker != w
+		if isWaiting && e.mayRepeatOn(w, s, t, at) {
+			n++
+		}
+	}
+	return n
 }
 
 // isLastAttempt reports whether the job fails if the task fails once more.
--- a/internal/dispatch/permission.go
+++ b/internal/dispatch/permission.go
@@ -5,7 +5,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/leverdyke/leverdyke"
@@ -108,13 +107,13 @@
 const queryCandidateFactor = 3
 
 // queryCandidates returns the workers to consider for a permission query. A worker that is known
-// not to be permitted is left out. Workers without free capacity are included if capacity may become free
+// not to be permitted is left out, and so is one on which no task may start when the query is answered. Workers without free capacity are included if capacity may become free
 // there: then it is already known whether they are permitted.
 func (e *Engine) queryCandidates(s *step, policy *order.PermissionPolicy) []permit.Candidate {
 	found := []permit.Candidate{}
 	pool := e.queues[s.job.spec.Queue].Service
-	needsHealthy := slices.ContainsFunc(s.tasks, func(t task) bool { return t.state == taskWaiting && e.needsHealthyWorker(s, &t) })
 	charge := s.spec.Charge()
+	answeredAt := e.now.Add(policy.BaseTime)
 	renewAt := e.now.Add(policy.BaseTime + permit.RoundTripMargin)
 	if !e.isEnabled(MechanismEarlyPermission) {
 		renewAt = e.now
@@ -123,10 +122,14 @@
 	defer func() { e.queryOffset = (e.queryOffset + examined) % max(e.workers.Len(), 1) }()
 	for id, w := range e.workers.AllFrom(e.queryOffset) {
 		examined++
-		if !e.isUsable(w, s) || !e.mayRun(w, s, pool) || needsHealthy && !w.health.IsHealthy(e.now) || !charge.FitsIn(w.Capacity) {
+		if !e.isUsable(w, s) || !e.mayRun(w, s, pool) || !charge.FitsIn(w.Capacity) {
 			continue
 		}
-		fits := e.fitCount(w, s)
+		startable := e.startableOn(w, s, answeredAt)
+		if startable == 0 {
+			continue
+		}
+		fits := min(e.fitCount(w, s), startable)
 		if fits == 0 && (withoutCapacity >= permit.MaxWorkersPerCall || !e.isEnabled(MechanismEarlyPermission) || !mayFitLater(w, s)) {
 			continue
 		}
