internal/permit: steps that cannot be placed do not use up the permission queries of a pass

A scheduling pass prepares eight queries, the most urgent steps first, and a search that finds nobody to ask takes from that number too. Eight steps of more urgent queues that cannot be placed, such as long-running tasks that each want a worker of their own, took all of it in every pass, so that no step of a less urgent queue was ever asked about. Class: a limit on cost that is dealt out by priority, so that those who gain nothing by it keep out those who would.

--- a/internal/permit/planner.go
+++ b/internal/permit/planner.go
@@ -19,6 +19,9 @@
 	// maxDeferralsPerPass limits the steps whose call a scheduling pass defers without counting them
 	// against maxCallsPerPass. A deferred step makes no call in this pass.
 	maxDeferralsPerPass = 16
+	// unservedCallsPerPass is how many further calls a pass prepares for unserved steps. Steps that cannot be
+	// placed, however urgent, do not keep those from being asked about for which there is capacity.
+	unservedCallsPerPass = 4
 	// keptUseTime is how long kept channels count as in use after an unserved step has taken one: longer than
 	// most calls, so that a more urgent step that waits gets the next channel that is free.
 	keptUseTime = time.Second
@@ -41,9 +44,9 @@
 	shares    Shares
 	usages    usages
 	occupancy Occupancy
-	// callsLeft is how many calls this pass may still prepare, deferralsLeft how many further steps
-	// it may defer.
-	callsLeft, deferralsLeft int
+	// callsLeft is how many calls this pass may still prepare, unservedCallsLeft how many of unserved steps
+	// after that, and deferralsLeft how many further steps it may defer.
+	callsLeft, unservedCallsLeft, deferralsLeft int
 	// keptUsedAt is when an unserved step last took a kept channel, keptUsedBy the priority of the least urgent
 	// queue of such a step since none did for keptUseTime.
 	keptUsedAt time.Time
@@ -97,7 +100,9 @@
 }
 
 // BeginPass allows as many calls as a scheduling pass may prepare.
-func (p *Planner) BeginPass() { p.callsLeft, p.deferralsLeft = maxCallsPerPass, maxDeferralsPerPass }
+func (p *Planner) BeginPass() {
+	p.callsLeft, p.unservedCallsLeft, p.deferralsLeft = maxCallsPerPass, unservedCallsPerPass, maxDeferralsPerPass
+}
 
 // Plan returns the call to be made for a step now, if one is useful and a channel is free, and records
 // it as made. find returns the workers that could be named; it is called at most once.
@@ -115,7 +120,9 @@
 		return Call{}, InFlight
 	case !s.MayQuery(now):
 		return Call{}, Paused
-	case p.callsLeft <= 0:
+	}
+	budget := p.budgetFor(r)
+	if *budget <= 0 {
 		return Call{}, NoBudget
 	}
 	channel := p.channelFor(r, now)
@@ -123,7 +130,7 @@
 		p.occupancy.RecordNoChannel(now)
 		return Call{}, NoChannel
 	}
-	p.callsLeft--
+	*budget--
 	found, isStartable := p.useful(s, r, now, find())
 	workers := p.choose(found, r)
 	if len(workers) == 0 {
@@ -134,7 +141,7 @@
 		return Call{}, NoCandidates
 	}
 	if !isStartable && !p.mayPrepare(r, now) {
-		p.postpone(s, r, now)
+		p.postpone(s, r, budget, now)
 		return Call{}, Deferred
 	}
 	// The workers that are named are sorted to the front.
@@ -146,6 +153,14 @@
 	return Call{channel, workers, timeout}, Called
 }
 
+// budgetFor returns the number of calls that this pass may still prepare from which the call is taken.
+func (p *Planner) budgetFor(r *Request) *int {
+	if r.IsUnserved && p.callsLeft <= 0 {
+		return &p.unservedCallsLeft
+	}
+	return &p.callsLeft
+}
+
 // channelFor returns a channel through which the call may be made now, or "". A kept channel may be used by
 // unserved steps, and while they do, by steps of more urgent queues: these would find no channel that is not
 // kept any more.
@@ -221,7 +236,7 @@
 
 // postpone makes a step leave the channels to others for a while. A step that asks ahead asks again
 // once it may start.
-func (p *Planner) postpone(s *Step, r *Request, now time.Time) {
+func (p *Planner) postpone(s *Step, r *Request, budget *int, now time.Time) {
 	if r.IsAhead {
 		return
 	}
@@ -229,7 +244,7 @@
 	p.usages.of(r.Queue).Deferred++
 	if p.deferralsLeft > 0 {
 		p.deferralsLeft--
-		p.callsLeft++
+		*budget++
 	}
 }
 
