internal/integration: tasks that fail once, a drain and a processor quota beside slow permission queries

Now one task in twenty fails its first run, no job arrives in the last fifth of the time, and a second form plays the same while each node runs for 40 ms of 100.

--- a/internal/integration/forms_permission_test.go
+++ b/internal/integration/forms_permission_test.go
@@ -15,9 +15,9 @@
 )
 
 // withSlowPermission has workers of the size, and a second queue with the permission queries, of the platform's
-// sites.
+// sites. Some tasks fail once.
 var withSlowPermission = site.Options{
-	HasPermissionService: true, MilliCPU: 36_000, MemoryMiB: 73_000,
+	HasPermissionService: true, MilliCPU: 36_000, MemoryMiB: 73_000, FailureShare: 0.05,
 	SlowPermission: &site.SlowPermission{Base: 400 * time.Millisecond, PerWorker: 5700 * time.Microsecond, Share: 0.35},
 }
 
@@ -66,15 +66,18 @@
 	return steps
 }
 
-// startArrivals lets jobs of a kind arrive at random, whose callers ask for their states until these have ended.
-// LEVERDYKE_FORMS_LOAD is in percent of the usual rate.
-func (f *forms) startArrivals(ctx context.Context, k *formKind, name string) {
+// startArrivals lets jobs of a kind arrive at random until arrivals is done, whose callers ask for their states until
+// these have ended. LEVERDYKE_FORMS_LOAD is in percent of the usual rate.
+func (f *forms) startArrivals(ctx, arrivals context.Context, k *formKind, name string) {
 	settings := newFormSettings()
 	rng := rand.New(rand.NewPCG(uint64(settings.seed), uint64(len(k.prefix))))
 	interval := float64(time.Second) / (k.perSecond * float64(settings.workers) / 48 * float64(formSetting("LOAD", 100)) / 100)
 	f.wg.Go(func() {
-		for n := 0; ctx.Err() == nil; n++ {
-			pause(ctx, time.Duration(rng.ExpFloat64()*interval))
+		for n := 0; ; n++ {
+			pause(arrivals, time.Duration(rng.ExpFloat64()*interval))
+			if arrivals.Err() != nil {
+				return
+			}
 			id := fmt.Sprintf("%s%08x", name, n)
 			body, err := json.Marshal(map[string]any{"spec": "", "steps": k.draw(rng)})
 			if err != nil {
@@ -102,12 +105,20 @@
 	}
 }
 
-// loseOwnerBesideSlowQueries kills the owner, which stays away, while jobs of both queues arrive.
+// loseOwnerBesideSlowQueries kills the owner, which stays away, while jobs of both queues arrive. None arrive in the
+// last fifth of the time.
 func (f *forms) loseOwnerBesideSlowQueries(ctx context.Context) {
+	fifth := time.Duration(newFormSettings().seconds) * time.Second / 5
+	arrivals, stop := context.WithTimeout(ctx, 4*fifth)
+	defer stop()
 	for i := range formKinds {
-		f.startArrivals(ctx, &formKinds[i], fmt.Sprintf("c%07x", i))
+		f.startArrivals(ctx, arrivals, &formKinds[i], fmt.Sprintf("c%07x", i))
 	}
-	pause(ctx, time.Duration(newFormSettings().seconds)*time.Second/5)
+	pause(ctx, fifth)
 	f.owner().Kill()
 	<-ctx.Done()
 }
+
+func (f *forms) loseOwnerBesideSlowQueriesUnderQuota(ctx context.Context) {
+	f.underQuota(ctx, f.loseOwnerBesideSlowQueries)
+}
--- a/internal/integration/forms_test.go
+++ b/internal/integration/forms_test.go
@@ -80,12 +80,13 @@
 		"workers crash, permits":                       {disturb: (*forms).crashWorkers, options: site.Options{HasPermissionService: true}},
 		"workers crash beside a stop of the owner":     {disturb: (*forms).crashBesideStop},
 		"owner is lost beside slow permission queries": {disturb: (*forms).loseOwnerBesideSlowQueries, options: withSlowPermission},
-		"workers drain and leave":                      {disturb: (*forms).drainWorkers},
-		"delegates, workers crash":                     {disturb: (*forms).crashWorkers, options: withDelegates},
-		"delegates, nodes are killed":                  {disturb: (*forms).killNodes, options: withDelegates},
-		"delegates, planned work":                      {disturb: (*forms).overlapPlannedWork, options: withDelegates, isPlanned: true},
-		"a fraction of a processor, workers crash":     {disturb: (*forms).crashWorkersUnderQuota},
-		"a fraction of a processor, planned work":      {disturb: (*forms).overlapPlannedWorkUnderQuota, isPlanned: true},
+		"a fraction of a processor, owner is lost beside slow permission queries": {disturb: (*forms).loseOwnerBesideSlowQueriesUnderQuota, options: withSlowPermission},
+		"workers drain and leave":                  {disturb: (*forms).drainWorkers},
+		"delegates, workers crash":                 {disturb: (*forms).crashWorkers, options: withDelegates},
+		"delegates, nodes are killed":              {disturb: (*forms).killNodes, options: withDelegates},
+		"delegates, planned work":                  {disturb: (*forms).overlapPlannedWork, options: withDelegates, isPlanned: true},
+		"a fraction of a processor, workers crash": {disturb: (*forms).crashWorkersUnderQuota},
+		"a fraction of a processor, planned work":  {disturb: (*forms).overlapPlannedWorkUnderQuota, isPlanned: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := runForm(t, form.options, form.disturb)
--- a/internal/standin/site/permission.go
+++ b/internal/standin/site/permission.go
@@ -50,10 +50,15 @@
 
 // permits reports whether the step is permitted on the worker.
 func (p *SlowPermission) permits(step, worker string) bool {
+	return hashShare(step+" "+worker) < p.Share
+}
+
+// hashShare returns a number from 0 to 1 that depends on the text only.
+func hashShare(text string) float64 {
 	h := fnv.New32a()
-	_, _ = h.Write([]byte(step + " " + worker))
+	_, _ = h.Write([]byte(text))
 	// The low bits of the hash of similar texts are not independent.
-	return float64(h.Sum32()%10_007) < p.Share*10_007
+	return float64(h.Sum32()%10_007) / 10_007
 }
 
 // slowRoute returns the slow queue as the configuration has it.
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -52,6 +52,8 @@
 	// SlowPermission, if set, adds a queue of lower priority whose permission queries take time and permit
 	// few workers. It needs HasPermissionService.
 	SlowPermission *SlowPermission
+	// FailureShare is the fraction of the batch tasks, from 0 to 1, whose first run fails at its end.
+	FailureShare float64
 	// HasOwnGroup starts each node in a process group of its own, so that signals from the terminal do not
 	// reach it. The process that started the nodes must end them.
 	HasOwnGroup bool
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -441,6 +441,8 @@
 		duration, fails = longRunningFailDelay, true
 	case r.step.isLongRunning:
 		duration = time.Hour
+	case w.site.failsFirst(task, r.run):
+		fails = true
 	}
 	r.timer = time.AfterFunc(duration, func() {
 		w.mu.Lock()
@@ -453,6 +455,11 @@
 	})
 }
 
+// failsFirst reports whether a run is the first one of a task that fails once.
+func (s *Site) failsFirst(task string, run uint64) bool {
+	return run == 1 && hashShare(task) < s.options.FailureShare
+}
+
 func (w *Worker) serveStop(rw http.ResponseWriter, b *order) {
 	w.mu.Lock()
 	if r := w.running[b.Task]; r != nil && r.run == b.Run {
