internal/standin/site: the success of one member ends a gang

The oracle of standstills recorded the success of a gang for each member that itself ended as done, and waited for the others. Of a gang one end counts for all (PROTOCOL.md): the engine ends the job then, and may stop members that have not listed their own end yet.

--- a/internal/standin/site/export_test.go
+++ b/internal/standin/site/export_test.go
@@ -36,6 +36,11 @@
 	p.p.accept(job, specs, now)
 }
 
+// AcceptGang adds a job of one gang.
+func (p *Progress) AcceptGang(job string, tasks int, now time.Time) {
+	p.p.accept(job, []stepSpec{{tasks: tasks, isGang: true}}, now)
+}
+
 // AcceptLongRunning adds a job of long-running tasks.
 func (p *Progress) AcceptLongRunning(job string, tasks int, now time.Time) {
 	p.p.accept(job, []stepSpec{{tasks: tasks, isLongRunning: true}}, now)
--- a/internal/standin/site/progress_test.go
+++ b/internal/standin/site/progress_test.go
@@ -67,6 +67,24 @@
 	}
 }
 
+// Guards against a standstill that is reported of a gang whose other members were stopped after the first success.
+func TestSuccessOfOneMemberEndsAGang(t *testing.T) {
+	p := site.NewProgress(0)
+	p.AcceptGang("a", 3, at(0))
+	p.AcceptGang("b", 3, at(0))
+	for _, task := range []string{"a.0.0.0", "a.0.0.1", "b.0.0.0", "b.0.0.1"} {
+		p.Start(task, at(0))
+	}
+	p.End("a.0.0.1", true, at(1))
+	for _, task := range []string{"a.0.0.0", "b.0.0.0", "b.0.0.1"} {
+		p.End(task, false, at(1))
+	}
+	p.Observe(at(5), true)
+	if got, _ := p.Standstills(); got.LongestOf != "b" || got.Longest != 4*time.Second {
+		t.Errorf("got: %v, want: 4s of b, of which no member has succeeded", got)
+	}
+}
+
 func TestAbsenceOfALongRunningTask(t *testing.T) {
 	p := site.NewProgress(0)
 	p.AcceptLongRunning("a", 2, at(0))
