--- a/internal/integration/forms_permission_test.go
+++ b/internal/integration/forms_permission_test.go
@@ -15,9 +15,9 @@
 )
 
 // withSlowPermission has workers of the size, and a second queue with the permission queries, of the platform's
-// sites. Some tasks fail once.
+// sites. Some tasks fail once, estimates are off, and clocks differ.
 var withSlowPermission = site.Options{
-	HasPermissionService: true, MilliCPU: 36_000, MemoryMiB: 73_000, FailureShare: 0.05,
+	HasPermissionService: true, MilliCPU: 36_000, MemoryMiB: 73_000, FailureShare: 0.05, StepSpread: 0.5, TaskSpread: 0.15, ClockDrift: 0.02,
 	SlowPermission: &site.SlowPermission{Base: 400 * time.Millisecond, PerWorker: 5700 * time.Microsecond, Share: 0.35},
 }
 
--- a/internal/standin/site/permission.go
+++ b/internal/standin/site/permission.go
@@ -4,7 +4,9 @@
 package site
 
 import (
+	"fmt"
 	"hash/fnv"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -100,3 +102,12 @@
 	}
 	return false
 }
+
+// hashNormal returns a number of mean 0 and standard deviation 1 that depends on the text only.
+func hashNormal(text string) float64 {
+	sum := 0.0
+	for i := range 4 {
+		sum += hashShare(fmt.Sprintf("%s normal %d", text, i))
+	}
+	return (sum - 2) * math.Sqrt(3)
+}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -11,6 +11,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -54,6 +55,11 @@
 	SlowPermission *SlowPermission
 	// FailureShare is the fraction of the batch tasks, from 0 to 1, whose first run fails at its end.
 	FailureShare float64
+	// StepSpread and TaskSpread are the standard deviations of the logarithms of how much longer than estimated
+	// all tasks of a batch step, and each of them, take.
+	StepSpread, TaskSpread float64
+	// ClockDrift is by which fraction the clocks of the workers run slow at most; each has its own.
+	ClockDrift float64
 	// HasOwnGroup starts each node in a process group of its own, so that signals from the terminal do not
 	// reach it. The process that started the nodes must end them.
 	HasOwnGroup bool
@@ -339,7 +345,10 @@
 	if err != nil || step >= len(s.steps[parts[0]]) {
 		return stepSpec{}, fmt.Errorf("site: task %q: its job was not registered", task)
 	}
-	return s.steps[parts[0]][step], nil
+	spec := s.steps[parts[0]][step]
+	spread := s.options.StepSpread*hashNormal(stepName(task)) + s.options.TaskSpread*hashNormal(task)
+	spec.duration = time.Duration(float64(spec.duration) * math.Exp(spread))
+	return spec, nil
 }
 
 // Violations returns a text for each violation of a guarantee that the oracle has found.
--- a/internal/standin/site/worker.go
+++ b/internal/standin/site/worker.go
@@ -86,7 +86,11 @@
 	previousCapacities []previousCapacity
 }
 
-func (w *Worker) now() time.Duration { return time.Since(w.started) + w.clock }
+// now returns what the worker's clock shows.
+func (w *Worker) now() time.Duration {
+	drift := w.site.options.ClockDrift * hashShare(w.id)
+	return time.Duration(float64(time.Since(w.started))*(1-drift)) + w.clock
+}
 
 // DropStartAnswers makes the worker execute the next n start orders without answering them.
 func (w *Worker) DropStartAnswers(n int) {
