internal/caller: answer callers of requests with a key when their time is over

Now the exchange goes on in a goroutine of its own; the handler answers may-have-run at the end of the caller's time or of the stop, and the answer is recorded when it comes.

All tests of internal/caller pass.

--- a/internal/caller/once.go
+++ b/internal/caller/once.go
@@ -17,7 +17,6 @@
 	"github.com/leverdyke/leverdyke/internal/events"
 	"github.com/leverdyke/leverdyke/internal/idempotency"
 	"github.com/leverdyke/leverdyke/internal/node"
-	"github.com/leverdyke/leverdyke/internal/router"
 	"github.com/leverdyke/leverdyke/internal/state"
 )
 
@@ -145,39 +144,7 @@
 		return
 	}
 	h.options.Metrics.Waited("once", x.class, h.options.Clock.Now().Sub(x.receivedAt))
-	h.sendClaimed(ctx, w, r, x, slot, e)
-}
-
-// sendClaimed sends a request whose key this node has claimed. It retries on another worker only
-// after an error that proves that the request did not run.
-func (h *Handler) sendClaimed(ctx context.Context, w http.ResponseWriter, r *http.Request, x *exchange, slot *router.Slot, e *idempotency.Entry) {
-	// The answer is also needed for a retry, so it is read to its end even if the caller
-	// disconnects.
-	detachedCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.options.MaxTimeout)
-	defer cancel()
-	var lastError *leverdyke.Error
-	for attempt := range maxAttempts {
-		events.Log(events.RequestRouted, "service", x.service, "worker", slot.Worker, "why", "least loaded, near first", "runnerUp", slot.RunnerUp, "once", true)
-		res, problem := h.send(detachedCtx, r, x, slot)
-		if problem == nil {
-			defer slot.Release(false)
-			defer func() { _ = res.Body.Close() }()
-			h.options.Metrics.Served()
-			h.copyAndRecord(w, res, x, e)
-			return
-		}
-		slot.Release(true)
-		lastError = problem
-		if problem.Verdict != leverdyke.VerdictNotRun || x.bodyRest != nil || attempt == maxAttempts-1 {
-			break
-		}
-		if slot, problem = h.options.Router.Acquire(ctx, x.service, x.class); problem != nil {
-			lastError = problem
-			break
-		}
-	}
-	h.options.Keys.Answers().Complete(e, node.SavedAnswer{Verdict: lastError.Verdict, Digest: e.Digest})
-	h.refuse(w, lastError)
+	h.serveClaimed(ctx, w, r, x, slot, e)
 }
 
 // replayRemote fetches the answer from the node that claimed the key first, and replays it.
@@ -191,28 +158,6 @@
 	h.replay(w, a, e.Digest)
 }
 
-// copyAndRecord copies the answer to the caller and records it for retries. The answer is read to
-// its end even if the caller disconnects.
-func (h *Handler) copyAndRecord(w http.ResponseWriter, res *http.Response, x *exchange, e *idempotency.Entry) {
-	recorder := &answerRecorder{ResponseWriter: w}
-	saved := node.SavedAnswer{Verdict: leverdyke.VerdictMayHaveRun, Digest: e.Digest}
-	defer func() { h.options.Keys.Answers().Complete(e, saved) }()
-	copyHeader(w.Header(), res.Header)
-	w.Header().Set(leverdyke.VerdictHeader, string(leverdyke.VerdictRan))
-	w.WriteHeader(res.StatusCode)
-	if err := stream(recorder, res.Body); err != nil {
-		events.Log(events.RequestInterrupted, "service", x.service, "err", err.Error())
-		panic(http.ErrAbortHandler)
-	}
-	saved.Verdict = leverdyke.VerdictRan
-	if recorder.isTooLong {
-		return
-	}
-	saved.Status = res.StatusCode
-	saved.Body = recorder.body.Bytes()
-	saved.Header = headerLinesOf(w.Header())
-}
-
 func headerLinesOf(header http.Header) []node.HeaderLine {
 	lines := []node.HeaderLine{}
 	for name, values := range header {
