internal/dispatch: prefer workers with the most capacity for failed tasks, too

Since a candidate counted for no more tasks than may start there. Of a step with one failed task, or one wanted copy, all free workers then seemed alike, and queries named those with the lowest IDs in place of those with the most capacity, which more steps had in mind at once. The cap is only needed for gangs, whose members start together; other steps start what they can in the same pass and ask for the rest.

--- a/internal/dispatch/permission.go
+++ b/internal/dispatch/permission.go
@@ -106,9 +106,9 @@
 // one ended. Examining hundreds of workers for every query takes too much of the owner's time.
 const queryCandidateFactor = 3
 
-// queryCandidates returns the workers to consider for a permission query. A worker that is known
-// not to be permitted is left out, and so is one on which no task may start when the query is answered. Workers without free capacity are included if capacity may become free
-// there: then it is already known whether they are permitted.
+// queryCandidates returns the workers to consider for a permission query. Left out are workers that are known
+// not to be permitted, and those on which no task may start when the query is answered. Workers without free
+// capacity are included if capacity may become free there: then it is already known whether they are permitted.
 func (e *Engine) queryCandidates(s *step, policy *order.PermissionPolicy) []permit.Candidate {
 	found := []permit.Candidate{}
 	pool := e.queues[s.job.spec.Queue].Service
@@ -129,7 +129,10 @@
 		if startable == 0 {
 			continue
 		}
-		fits := min(e.fitCount(w, s), startable)
+		fits := e.fitCount(w, s)
+		if s.spec.IsGang {
+			fits = min(fits, startable)
+		}
 		if fits == 0 && (withoutCapacity >= permit.MaxWorkersPerCall || !e.isEnabled(MechanismEarlyPermission) || !mayFitLater(w, s)) {
 			continue
 		}
