--- a/internal/caller/claimed.go
+++ b/internal/caller/claimed.go
@@ -18,11 +18,11 @@
 // claimedRequest is a request whose key this node has claimed. Its answer is also needed for a retry, so that it
 // goes on when the caller disconnects or its time is over.
 type claimedRequest struct {
-	handler *Handler
-	request *http.Request
-	x       *exchange
-	slot    *router.Slot
-	entry   *idempotency.Entry
+	handler  *Handler
+	request  *http.Request
+	exchange *exchange
+	slot     *router.Slot
+	entry    *idempotency.Entry
 	// answers receives the answer while the caller waits for it; callerLeft is closed when it does not any more.
 	answers    chan claimedAnswer
 	callerLeft chan struct{}
@@ -68,16 +68,16 @@
 // send retries on another worker only after an error that proves that the request did not run.
 func (c *claimedRequest) send(ctx, detached context.Context) claimedAnswer {
 	for attempt := 1; ; attempt++ {
-		events.Log(events.RequestRouted, "service", c.x.service, "worker", c.slot.Worker, "why", "least loaded, near first", "runnerUp", c.slot.RunnerUp, "once", true)
-		res, problem := c.handler.send(detached, c.request, c.x, c.slot)
+		events.Log(events.RequestRouted, "service", c.exchange.service, "worker", c.slot.Worker, "why", "least loaded, near first", "runnerUp", c.slot.RunnerUp, "once", true)
+		res, problem := c.handler.send(detached, c.request, c.exchange, c.slot)
 		if problem == nil {
 			return claimedAnswer{response: res}
 		}
 		c.slot.Release(true)
-		if problem.Verdict != leverdyke.VerdictNotRun || c.x.bodyRest != nil || attempt == maxAttempts {
+		if problem.Verdict != leverdyke.VerdictNotRun || c.exchange.bodyRest != nil || attempt == maxAttempts {
 			return claimedAnswer{failure: problem}
 		}
-		if c.slot, problem = c.handler.options.Router.Acquire(ctx, c.x.service, c.x.class); problem != nil {
+		if c.slot, problem = c.handler.options.Router.Acquire(ctx, c.exchange.service, c.exchange.class); problem != nil {
 			return claimedAnswer{failure: problem}
 		}
 	}
@@ -106,7 +106,7 @@
 	w.Header().Set(leverdyke.VerdictHeader, string(leverdyke.VerdictRan))
 	w.WriteHeader(res.StatusCode)
 	if err := stream(recorder, res.Body); err != nil {
-		events.Log(events.RequestInterrupted, "service", c.x.service, "err", err.Error())
+		events.Log(events.RequestInterrupted, "service", c.exchange.service, "err", err.Error())
 		return err
 	}
 	saved.Verdict = leverdyke.VerdictRan
--- a/internal/dispatch/standstill.go
+++ b/internal/dispatch/standstill.go
@@ -54,13 +54,12 @@
 func (e *Engine) standstills() []standstill {
 	found := []standstill{}
 	for _, j := range e.activeJobs {
-		if j.state.IsFinal() || e.now.Sub(j.ranAt) < standstillLogAfter || j.hasRunning() {
+		s := j.waitingStep()
+		if s == nil || j.state.IsFinal() || e.now.Sub(s.stoodSince()) < standstillLogAfter || j.hasRunning() {
 			continue
 		}
-		if s := j.waitingStep(); s != nil && e.now.Sub(s.stoodSince()) >= standstillLogAfter {
-			if q, ok := e.queues[j.spec.Queue]; ok {
-				found = append(found, standstill{step: s, queue: q, since: s.stoodSince()})
-			}
+		if q, ok := e.queues[j.spec.Queue]; ok {
+			found = append(found, standstill{step: s, queue: q, since: s.stoodSince()})
 		}
 	}
 	return found
