--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -11,7 +11,8 @@
 
 // cases has the cases by name. Each returns what was broken, empty if the rule held.
 var cases = map[string]func() (string, error){
-	"wide-job": playWideJob,
+	"wide-job":   playWideJob,
+	"crash-loop": playCrashLoop,
 }
 
 func main() {
