--- a/review/cases2/crashloop.go
+++ b/review/cases2/crashloop.go
@@ -14,7 +14,7 @@
 	// The worker crashes crashesBefore times before the job is handed in, and crashesAfter times after it. It is up
 	// for loopUp and down for loopDown.
 	crashesBefore = 3
-	crashesAfter  = 10
+	crashesAfter  = 14
 	loopUp        = 1200 * time.Millisecond
 	loopDown      = 1500 * time.Millisecond
 )
@@ -29,7 +29,8 @@
 	if err != nil {
 		return "", err
 	}
-	w, err := p.newLoopWorker("kind-b")
+	id := "0000000000000001"
+	w, err := p.newLoopWorker(0, "kind-b", &jobSpecs{tasks: map[string]taskSpec{id: {lasts: true}}})
 	if err != nil {
 		return "", err
 	}
@@ -38,7 +39,6 @@
 	if err := p.crashRepeatedly(w, crashesBefore); err != nil {
 		return "", err
 	}
-	id := "0000000000000001"
 	body := jobBody(map[string]any{"count": 2, "cpu": 500, "memMb": 256, "estimatedMs": 400, "perpetual": true, "requirements": "kind-b"})
 	if !p.submit(id, body, 5*time.Second) {
 		return "", fmt.Errorf("%w: the job was not accepted", errCannotRun)
--- a/review/cases2/harness.go
+++ b/review/cases2/harness.go
@@ -220,6 +220,8 @@
 	defer func() { _ = out.Close() }()
 	n.process = exec.Command("target/leverdyked", "platform", "--metrics-port", "7735")
 	n.process.Stdout, n.process.Stderr = out, out
+	// The node ends with the script, however that ends.
+	n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	n.process.Env = []string{"PATH=" + os.Getenv("PATH"), "LEVERDYKE_CONFIG=" + n.file}
 	if err := n.process.Start(); err != nil {
 		return fmt.Errorf("%w: %w", errCannotRun, err)
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -7,15 +7,20 @@
 	"errors"
 	"fmt"
 	"os"
+	"runtime"
 )
 
 // cases has the cases by name. Each returns what was broken, empty if the rule held.
 var cases = map[string]func() (string, error){
 	"wide-job":   playWideJob,
+	"long-job":   playLongJob,
 	"crash-loop": playCrashLoop,
+	"harm":       playHarm,
 }
 
 func main() {
+	// A node is killed when the thread that started it ends.
+	runtime.LockOSThread()
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
 		fmt.Println("usage: RECORD=FILE [TROUBLE=0] cases2 NAME")
 		os.Exit(2)
