--- a/review/cases2/harm.go
+++ b/review/cases2/harm.go
@@ -17,7 +17,7 @@
 	// serveTarget is the target in ms of a task that serves. Alone its tail is half of that; a task that fills adds
 	// fillShare of it at its full pace.
 	serveTarget = 100.0
-	fillShare   = 3.0
+	fillShare   = 1.0
 	// figureTime is the time that a worker's figure of a task covers.
 	figureTime = 500 * time.Millisecond
 )
@@ -89,7 +89,7 @@
 const (
 	harmWorkers  = 48
 	fillJobs     = 60
-	fillTasks    = 24
+	fillTasks    = 48
 	fillInterval = 500 * time.Millisecond
 )
 
