--- a/review/cases2/longjob.go
+++ b/review/cases2/longjob.go
@@ -15,8 +15,8 @@
 	longTasks    = 96
 	longTaskTime = 400 * time.Second
 	// Small jobs come as often as visura-check does, with the same tasks.
-	smallJobs        = 500
-	smallJobInterval = 69 * time.Millisecond
+	smallJobs        = 5
+	smallJobInterval = 8 * time.Second
 	// standstill is for how long a job may have nothing running although there is capacity for it.
 	standstill = 3 * time.Second
 )
@@ -39,7 +39,7 @@
 			return "", fmt.Errorf("%w: the long job was not accepted", errCannotRun)
 		}
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(12 * time.Second)
 	wg, mu := sync.WaitGroup{}, sync.Mutex{}
 	stood, longest := 0, time.Duration(0)
 	for i := range smallJobs {
--- a/review/cases2/loopworker.go
+++ b/review/cases2/loopworker.go
@@ -56,6 +56,8 @@
 	lasts, fills bool
 	target       float64
 	work         time.Duration
+	// failsAfter is the time after which each run fails; 0 if none does.
+	failsAfter time.Duration
 }
 
 // jobSpecs has the tasks of each job, which has one step.
@@ -304,6 +306,10 @@
 	w.harm.observe(w, now)
 	for task, a := range w.running {
 		a.worked += passed * time.Duration(a.pace) / 100
+		if a.spec.failsAfter > 0 && a.worked >= a.spec.failsAfter {
+			w.end(task, "failed")
+			continue
+		}
 		if !a.spec.lasts && a.worked >= a.spec.work {
 			w.end(task, "done")
 		}
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -16,6 +16,7 @@
 	"long-job":   playLongJob,
 	"crash-loop": playCrashLoop,
 	"harm":       playHarm,
+	"hopeless":   playHopeless,
 }
 
 func main() {
