--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -17,6 +17,7 @@
 	"crash-loop": playCrashLoop,
 	"harm":       playHarm,
 	"hopeless":   playHopeless,
+	"past-job":   playPastSchedule,
 }
 
 func main() {
