--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/leverdyked ] && [ -x target/review-2/cases2 ] || exit 2
-RECORD="$here/record.txt" exec timeout -k 2 115 target/review-2/cases2 harm
+RECORD="$here/record.txt" exec timeout -k 2 115 target/review-2/cases2 most-lost
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -18,6 +18,7 @@
 	"harm":       playHarm,
 	"hopeless":   playHopeless,
 	"past-job":   playPastSchedule,
+	"most-lost":  playMostLost,
 }
 
 func main() {
